--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,91 @@
+//! The command line of yuccatray for operators.
+
+mod cli_error;
+mod commands;
+mod output;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Parser;
+use clap::Subcommand;
+use yuccatray::transport::platform_http::HttpPlatform;
+
+use crate::cli_error::Result;
+use crate::commands::apply;
+use crate::commands::delete;
+use crate::commands::get;
+use crate::commands::list;
+use crate::commands::nodes;
+use crate::commands::wait;
+use crate::output::OutputFormat;
+
+/// Drives a yuccatray fleet through the platform's object API.
+#[derive(Debug, Parser)]
+#[command(name = "yuccactl", version)]
+struct Args {
+    #[command(flatten)]
+    globals: Globals,
+    #[command(subcommand)]
+    command: Command,
+}
+
+/// Options that every command takes.
+#[derive(Debug, clap::Args)]
+struct Globals {
+    /// Address of the platform's object API.
+    #[arg(long, global = true, env = "YUCCATRAY_PLATFORM", default_value = "127.0.0.1:7800")]
+    platform: SocketAddr,
+    /// Form of the output.
+    #[arg(long, short, global = true, value_enum, default_value_t = OutputFormat::Table)]
+    output: OutputFormat,
+    /// Time that one call of the platform may take, in milliseconds.
+    #[arg(long, global = true, default_value_t = 5_000)]
+    request_timeout_ms: u64,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    Apply(apply::ApplyArgs),
+    Delete(delete::DeleteArgs),
+    Get(get::GetArgs),
+    List(list::ListArgs),
+    Nodes(nodes::NodesArgs),
+    Wait(wait::WaitArgs),
+}
+
+/// What a command works with.
+#[derive(Debug)]
+struct CommandContext {
+    platform: HttpPlatform,
+    output: OutputFormat,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let args = Args::parse();
+    let timeout = Duration::from_millis(args.globals.request_timeout_ms);
+    let context = CommandContext {
+        platform: HttpPlatform::new(args.globals.platform, timeout),
+        output: args.globals.output,
+    };
+    match run(&context, &args.command).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprint!("{}", error.report());
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+async fn run(context: &CommandContext, command: &Command) -> Result<()> {
+    match command {
+        Command::Apply(args) => apply::cmd_apply(context, args).await,
+        Command::Delete(args) => delete::cmd_delete(context, args).await,
+        Command::Get(args) => get::cmd_get(context, args).await,
+        Command::List(args) => list::cmd_list(context, args).await,
+        Command::Nodes(args) => nodes::cmd_nodes(context, args).await,
+        Command::Wait(args) => wait::cmd_wait(context, args).await,
+    }
+}
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,121 @@
+//! The yuccatray node, one beside each upstream.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use simplelog::ConfigBuilder;
+use simplelog::LevelFilter;
+use simplelog::SimpleLogger;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use yuccatray::node::Node;
+use yuccatray::protocol::settings::LogLevel;
+use yuccatray::protocol::settings::Settings;
+use yuccatray::protocol::settings::SettingsError;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_SETTINGS: u8 = 2;
+const EXIT_CUT_SHORT: u8 = 3;
+
+/// The yuccatray node, one beside each upstream.
+#[derive(Debug, Parser)]
+#[command(name = "yuccatrayd", version)]
+struct Args {
+    /// Settings file: JSON with comments.
+    #[arg(long, required_unless_present = "print_defaults")]
+    settings: Option<PathBuf>,
+    /// Check the settings and stop.
+    #[arg(long)]
+    check: bool,
+    /// Print example settings with every default, and stop.
+    #[arg(long)]
+    print_defaults: bool,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = Args::parse();
+    let Some(path) = args.settings.filter(|_| !args.print_defaults) else {
+        print!("{}", include_str!("../../examples/settings.jsonc"));
+        return ExitCode::SUCCESS;
+    };
+    let settings = match Settings::load(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            report(&path, &error);
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("{}: settings are good", path.display());
+        return ExitCode::SUCCESS;
+    }
+    start_log(settings.log.level);
+    run(&settings).await
+}
+
+async fn run(settings: &Settings) -> ExitCode {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        eprintln!("error: cannot listen for signals");
+        return ExitCode::from(EXIT_FAILED);
+    };
+    let node = match Node::start(settings).await {
+        Ok(node) => node,
+        Err(error) => {
+            eprintln!(
+                "error: {error}: {}",
+                std::error::Error::source(&error).map_or_else(String::new, ToString::to_string)
+            );
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    let addrs = node.addrs();
+    println!(
+        "ready ingress={} peer={} announce={} admin={}",
+        addrs.ingress, addrs.peer, addrs.announce, addrs.admin
+    );
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!("stopping; a second signal cuts calls in flight short");
+    tokio::select! {
+        shutdown = node.stop() => {
+            if shutdown.callers_finished && shutdown.peers_finished {
+                return ExitCode::SUCCESS;
+            }
+            log::error!("calls were cut short; callers_finished={} peers_finished={}", shutdown.callers_finished, shutdown.peers_finished);
+        }
+        _ = terminate.recv() => log::error!("a second signal cut calls in flight short"),
+        _ = interrupt.recv() => log::error!("a second signal cut calls in flight short"),
+    }
+    ExitCode::from(EXIT_CUT_SHORT)
+}
+
+fn report(path: &std::path::Path, error: &SettingsError) {
+    eprintln!("error: {}: {error}", path.display());
+    for problem in error.problems() {
+        eprintln!("  {}: {}", problem.field, problem.problem);
+    }
+    eprintln!("hint: `yuccatrayd --print-defaults` shows every setting with its default");
+}
+
+fn start_log(level: LogLevel) {
+    let filter = match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+        LogLevel::Trace => LevelFilter::Trace,
+    };
+    let config = ConfigBuilder::new().set_time_format_rfc3339().add_filter_allow_str("yuccatray").build();
+    if SimpleLogger::init(filter, config).is_err() {
+        eprintln!("warning: a logger was set before; going on with it");
+    }
+}
--- /dev/null
+++ b/daemon/tests/whole_path.rs
@@ -0,0 +1,100 @@
+//! From an operator's objects to an upstream's answer, with nodes as processes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use nix::sys::signal::Signal;
+use serde_json::Value;
+use serde_json::json;
+use yuccatray::protocol::headers;
+use yuccatray::protocol::object::ObjectKind;
+use yuccatray::protocol::object::Precondition;
+use yuccatray::protocol::published::ServiceStatus;
+use yuccatray::transport::platform::Platform;
+use yuccatray::transport::platform_http::HttpPlatform;
+use yuccatray_standin::platform::PlatformStandin;
+use yuccatray_standin::upstream::UpstreamBehaviour;
+use yuccatray_standin::upstream::UpstreamStandin;
+use yuccatray_testutils::daemon_process::DaemonProcess;
+use yuccatray_testutils::daemon_process::loopback_settings;
+use yuccatray_testutils::http_call::exchange;
+
+const POLL: Duration = Duration::from_millis(50);
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn put(platform: &HttpPlatform, kind: ObjectKind, name: &str, value: &Value) {
+    platform.put(kind, name, value, Precondition::Absent).await.expect("the object is new");
+}
+
+async fn declare_service(platform: &HttpPlatform, name: &str) {
+    let priorities =
+        json!({ "priorities": { "urgent": { "objective_ms": 100 }, "bulk": { "objective_ms": 1000 } } });
+    put(platform, ObjectKind::PrioritySet, "two", &priorities).await;
+    put(platform, ObjectKind::UpstreamRule, "workers", &json!({})).await;
+    let service = json!({ "priority_set": "two", "upstream_rule": "workers", "default_priority": "bulk" });
+    put(platform, ObjectKind::Service, name, &service).await;
+}
+
+async fn wait_ready(platform: &HttpPlatform, service: &str, nodes: u32) {
+    loop {
+        let status = platform.get(ObjectKind::ServiceStatus, service).await.expect("the platform answers");
+        let status = status.and_then(|status| serde_json::from_value::<ServiceStatus>(status.value).ok());
+        if status.is_some_and(|status| {
+            status.applied && status.applied_nodes == nodes && status.ready_upstreams > 0
+        }) {
+            return;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+fn request(service: &str, priority: &str) -> Request<Bytes> {
+    Request::post("/commissions/7")
+        .header(headers::SERVICE, service)
+        .header(headers::PRIORITY, priority)
+        .body(Bytes::from_static(b"one quilt"))
+        .expect("the request is valid")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_path_two_nodes() {
+    let platform = PlatformStandin::start(any_port()).await.expect("the platform listens");
+    let api = HttpPlatform::new(platform.addr, Duration::from_secs(2));
+    declare_service(&api, "orders").await;
+    let binary = Path::new(env!("CARGO_BIN_EXE_yuccatrayd"));
+    let mut first = DaemonProcess::start(binary, &loopback_settings("vm-1", "a", platform.addr, &[]));
+    let mut second =
+        DaemonProcess::start(binary, &loopback_settings("vm-2", "b", platform.addr, &[first.peer]));
+    let upstream = UpstreamStandin::new(4, UpstreamBehaviour::default(), 1);
+    let upstream = upstream.start(any_port()).await.expect("the upstream listens");
+    upstream.announce(first.announce, "orders", 4);
+    wait_ready(&api, "orders", 2).await;
+
+    let answer = exchange(second.ingress, request("orders", "urgent")).await;
+
+    assert_eq!(answer.status(), StatusCode::OK);
+    let call = answer.headers().get(headers::CALL).expect("every answer names its call").clone();
+    let echo: Value = serde_json::from_slice(answer.body()).expect("the upstream echoes as JSON");
+    assert_eq!(echo["call"], call.to_str().expect("a call identity is text"));
+    assert_eq!(echo["target"], "/commissions/7");
+    assert_eq!(echo["body_bytes"], 9);
+    assert_eq!(upstream.standin.executions().len(), 1);
+
+    let refused = exchange(second.ingress, request("orders", "nonsense")).await;
+    assert_eq!(refused.status(), StatusCode::BAD_REQUEST);
+    assert_eq!(refused.headers()[headers::ERROR], "unknown_priority");
+    assert_eq!(refused.headers()[headers::EXECUTION], "not_executed");
+    assert_eq!(upstream.standin.executions().len(), 1);
+
+    for node in [&mut second, &mut first] {
+        node.signal(Signal::SIGTERM);
+        assert!(node.wait().success(), "a graceful stop exits with 0");
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/manifest.rs
@@ -0,0 +1,93 @@
+//! Files in which operators write the objects that they want.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::coordination::publication::object_problems;
+use crate::protocol::object::Object;
+use crate::protocol::object::ObjectKind;
+use crate::protocol::published::FieldProblem;
+use crate::protocol::settings::Result;
+use crate::protocol::settings::SettingsError;
+use crate::protocol::settings::checked_from_value;
+use crate::protocol::settings::parse_jsonc;
+use crate::protocol::settings::read_text;
+
+/// One object as an operator writes it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Manifest {
+    /// `Service`, `PrioritySet` or `UpstreamRule`.
+    pub kind: Arc<str>,
+    /// Name of the object.
+    #[schemars(regex(pattern = r"^[a-z0-9-]{1,63}$"))]
+    pub name: Arc<str>,
+    /// The object itself.
+    pub spec: Value,
+}
+
+impl Manifest {
+    /// The kind, which [`load_manifests`] has checked.
+    #[must_use]
+    pub fn object_kind(&self) -> Option<ObjectKind> {
+        ObjectKind::from_name(&self.kind).filter(|kind| ObjectKind::WRITABLE.contains(kind))
+    }
+}
+
+/// Reads one object, or a list of them, from JSON with comments and checks each.
+///
+/// # Errors
+///
+/// When the file can't be read or any object is wrong; every fault is listed.
+pub fn load_manifests(path: &Path) -> Result<Vec<Manifest>> {
+    parse_manifests(&read_text(path)?)
+}
+
+/// Reads one object, or a list of them, from a text and checks each.
+///
+/// # Errors
+///
+/// When any object is wrong; every fault is listed.
+pub fn parse_manifests(text: &str) -> Result<Vec<Manifest>> {
+    let values = match parse_jsonc(text)? {
+        Value::Array(values) => values,
+        value => vec![value],
+    };
+    let mut manifests = Vec::new();
+    let mut problems = Vec::new();
+    for (index, value) in values.iter().enumerate() {
+        match checked_from_value::<Manifest>(value) {
+            Ok(manifest) => {
+                problems.extend(spec_problems(index, &manifest));
+                manifests.push(manifest);
+            }
+            Err(error) => problems.extend(error.problems().iter().map(|found| under(index, "", found))),
+        }
+    }
+    if problems.is_empty() { Ok(manifests) } else { Err(SettingsError::Problems { problems }) }
+}
+
+fn spec_problems(index: usize, manifest: &Manifest) -> Vec<FieldProblem> {
+    let Some(kind) = manifest.object_kind() else {
+        let names: Vec<&str> = ObjectKind::WRITABLE.iter().map(|kind| kind.name()).collect();
+        let problem = format!("{:?} is none of {}", manifest.kind, names.join(", "));
+        return vec![FieldProblem { field: format!("/{index}/kind"), problem }];
+    };
+    let object = Object {
+        kind,
+        name: Arc::clone(&manifest.name),
+        uid: Arc::default(),
+        version: 0,
+        value: manifest.spec.clone(),
+    };
+    object_problems(&object).iter().map(|found| under(index, "/spec", found)).collect()
+}
+
+fn under(index: usize, prefix: &str, found: &FieldProblem) -> FieldProblem {
+    FieldProblem { field: format!("/{index}{prefix}{}", found.field), problem: found.problem.clone() }
+}
--- /dev/null
+++ b/lib/src/coordination/mod.rs
@@ -0,0 +1,9 @@
+//! Decisions: pure state machines fed with snapshots, clock readings and events.
+
+pub mod admission;
+pub mod lease;
+pub mod manifest;
+pub mod membership;
+pub mod publication;
+pub mod retry_budget;
+pub mod routing;
--- /dev/null
+++ b/lib/src/coordination/retry_budget.rs
@@ -0,0 +1,29 @@
+//! How many calls of a service may be sent again.
+
+use std::sync::atomic::AtomicI64;
+use std::sync::atomic::Ordering;
+
+const TOKENS_PER_RETRY: i64 = 100;
+const MAX_SAVED_RETRIES: i64 = 10;
+
+/// A budget that every first attempt fills a little and every retry draws on.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    tokens: AtomicI64,
+}
+
+impl RetryBudget {
+    /// Counts a first attempt, which earns `percent` hundredths of a retry.
+    pub fn earn(&self, percent: u32) {
+        let limit = TOKENS_PER_RETRY * MAX_SAVED_RETRIES;
+        let earned = i64::from(percent);
+        let add = |tokens: i64| Some((tokens + earned).min(limit));
+        let _previous = self.tokens.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+    }
+
+    /// Takes one retry out of the budget, or refuses.
+    pub fn spend(&self) -> bool {
+        let take = |tokens: i64| (tokens >= TOKENS_PER_RETRY).then(|| tokens - TOKENS_PER_RETRY);
+        self.tokens.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok()
+    }
+}
--- /dev/null
+++ b/lib/src/node.rs
@@ -0,0 +1,284 @@
+//! One node: its servers, its loops, and how they start and stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::coordination::membership::Membership;
+use crate::coordination::membership::Patience;
+use crate::coordination::routing::TwoChoices;
+use crate::protocol::call_id::CallIdSource;
+use crate::protocol::member::Member;
+use crate::protocol::member::MemberId;
+use crate::protocol::member::MemberState;
+use crate::protocol::settings::Settings;
+use crate::state::config_table::ConfigTable;
+use crate::state::directory::Directory;
+use crate::state::metrics::Metrics;
+use crate::state::metrics::SharedMetrics;
+use crate::transport::admin_server::AdminHandler;
+use crate::transport::announce_server::AnnounceDesk;
+use crate::transport::announce_server::AnnounceHandler;
+use crate::transport::gate::Gate;
+use crate::transport::gossip::Gossip;
+use crate::transport::http_server::Handler;
+use crate::transport::http_server::ServerLimits;
+use crate::transport::http_server::serve;
+use crate::transport::ingress::Ingress;
+use crate::transport::ingress::IngressHandler;
+use crate::transport::ingress::IngressParts;
+use crate::transport::peer_channel::CallChannels;
+use crate::transport::peer_server::PeerHandler;
+use crate::transport::platform_http::HttpPlatform;
+use crate::transport::publisher::Publisher;
+
+/// Result of starting a node.
+pub type Result<T, E = NodeError> = std::result::Result<T, E>;
+
+const FORGET_AFTER: Duration = Duration::from_mins(1);
+
+/// Why a node did not start.
+#[derive(Debug, Snafu)]
+pub enum NodeError {
+    /// An address of the settings can't be listened on.
+    #[snafu(display("cannot listen on {addr} for {purpose}"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// The setting that names it.
+        purpose: &'static str,
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// Where a node listens once it has started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeAddrs {
+    /// For callers.
+    pub ingress: SocketAddr,
+    /// For the other nodes.
+    pub peer: SocketAddr,
+    /// For the node's own upstream.
+    pub announce: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    addrs: NodeAddrs,
+    gossip: Arc<Gossip>,
+    desk: Arc<AnnounceDesk>,
+    ingress: Arc<Ingress<TwoChoices>>,
+    stop_callers: CancellationToken,
+    stop_rest: CancellationToken,
+    caller_server: JoinHandle<bool>,
+    peer_server: JoinHandle<bool>,
+    loops: Vec<JoinHandle<()>>,
+}
+
+/// What a node was able to finish before it stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shutdown {
+    /// Whether every call taken from callers was answered.
+    pub callers_finished: bool,
+    /// Whether every call taken from peers was answered.
+    pub peers_finished: bool,
+}
+
+struct Listeners {
+    ingress: TcpListener,
+    peer: TcpListener,
+    announce: TcpListener,
+    admin: TcpListener,
+}
+
+impl Node {
+    /// Starts a node by its settings.
+    ///
+    /// # Errors
+    ///
+    /// When an address can't be listened on.
+    pub async fn start(settings: &Settings) -> Result<Self> {
+        let listeners = Listeners::bind(settings).await?;
+        let addrs = listeners.addrs()?;
+        let me = describe_me(settings, addrs);
+        let metrics = SharedMetrics::new(Metrics::default());
+        let config = Arc::new(ConfigTable::new());
+        let directory = Arc::new(Directory::default());
+        let gate = Arc::new(Gate::new(Arc::clone(&metrics)));
+        let gossip = Arc::new(gossip(settings, &me, &config, &directory));
+        let desk = Arc::new(AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&config)));
+        let ingress = Arc::new(Ingress::new(IngressParts {
+            me: Arc::new(me.clone()),
+            ids: CallIdSource::new(Arc::clone(&me.id.name), me.id.incarnation),
+            directory: Arc::clone(&directory),
+            config: Arc::clone(&config),
+            gate: Arc::clone(&gate),
+            channels: Arc::new(CallChannels::default()),
+            control: Arc::clone(gossip.channels()),
+            metrics: Arc::clone(&metrics),
+            policy: TwoChoices,
+            max_replay_bytes: settings.limits.max_replay_bytes,
+        }));
+        let platform =
+            HttpPlatform::new(settings.platform.addr, Duration::from_millis(settings.platform.timeout_ms));
+        let publisher = Publisher::new(
+            platform,
+            &me.id,
+            Arc::clone(&config),
+            Arc::clone(&directory),
+            Arc::clone(&metrics),
+        );
+        let stop_callers = CancellationToken::new();
+        let stop_rest = CancellationToken::new();
+        let limits = server_limits(settings);
+        let peer_handler = PeerHandler::new(Arc::clone(&gate), Arc::clone(&config), Arc::clone(&gossip));
+        let admin_handler = AdminHandler {
+            name: Arc::clone(&me.id.name),
+            directory: Arc::clone(&directory),
+            config: Arc::clone(&config),
+            gate: Arc::clone(&gate),
+            metrics: Arc::clone(&metrics),
+        };
+        let caller_handler = IngressHandler::new(Arc::clone(&ingress));
+        let caller_server = spawn_server(listeners.ingress, limits, caller_handler, &stop_callers);
+        let peer_server = spawn_server(listeners.peer, ServerLimits::default(), peer_handler, &stop_rest);
+        let announce_handler = AnnounceHandler::new(Arc::clone(&desk));
+        drop(spawn_server(listeners.announce, ServerLimits::default(), announce_handler, &stop_rest));
+        drop(spawn_server(listeners.admin, ServerLimits::default(), admin_handler, &stop_rest));
+        let loops = vec![
+            tokio::spawn(Arc::clone(&gossip).run(stop_rest.clone())),
+            tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
+            tokio::spawn(publisher.run(stop_rest.clone())),
+        ];
+        log::info!(
+            "node started; node={} incarnation={:x} ingress={} peer={} announce={} admin={}",
+            me.id.name,
+            me.id.incarnation,
+            addrs.ingress,
+            addrs.peer,
+            addrs.announce,
+            addrs.admin
+        );
+        Ok(Self { addrs, gossip, desk, ingress, stop_callers, stop_rest, caller_server, peer_server, loops })
+    }
+
+    /// Where the node listens.
+    #[must_use]
+    pub const fn addrs(&self) -> NodeAddrs {
+        self.addrs
+    }
+
+    /// Stops gracefully: announces it, takes nothing new, finishes what is under way.
+    pub async fn stop(self) -> Shutdown {
+        self.desk.drain();
+        self.gossip.leave().await;
+        self.ingress.drain();
+        self.stop_callers.cancel();
+        let callers_finished = self.caller_server.await.unwrap_or(false);
+        self.stop_rest.cancel();
+        let peers_finished = self.peer_server.await.unwrap_or(false);
+        for task in self.loops {
+            // A loop that panicked has already said so on standard error.
+            let _ended = task.await;
+        }
+        Shutdown { callers_finished, peers_finished }
+    }
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self> {
+        let listen = &settings.listen;
+        Ok(Self {
+            ingress: bind(listen.ingress_addr, "/listen/ingress_addr").await?,
+            peer: bind(listen.peer_addr, "/listen/peer_addr").await?,
+            announce: bind(listen.announce_addr, "/listen/announce_addr").await?,
+            admin: bind(listen.admin_addr, "/listen/admin_addr").await?,
+        })
+    }
+
+    fn addrs(&self) -> Result<NodeAddrs> {
+        Ok(NodeAddrs {
+            ingress: local_addr(&self.ingress)?,
+            peer: local_addr(&self.peer)?,
+            announce: local_addr(&self.announce)?,
+            admin: local_addr(&self.admin)?,
+        })
+    }
+}
+
+async fn bind(addr: SocketAddr, purpose: &'static str) -> Result<TcpListener> {
+    TcpListener::bind(addr).await.context(ListenSnafu { addr, purpose })
+}
+
+fn local_addr(listener: &TcpListener) -> Result<SocketAddr> {
+    let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
+    listener.local_addr().context(ListenSnafu { addr: unknown, purpose: "the address in use" })
+}
+
+fn describe_me(settings: &Settings, addrs: NodeAddrs) -> Member {
+    Member {
+        id: MemberId { name: Arc::clone(&settings.node.name), incarnation: incarnation_now() },
+        version: 1,
+        state: MemberState::Alive,
+        region: Arc::clone(&settings.node.region),
+        zone: Arc::clone(&settings.node.zone),
+        peer_addr: addrs.peer,
+        ingress_addr: addrs.ingress,
+        upstream: None,
+        config_digest: 0,
+    }
+}
+
+/// Microseconds of the wall clock: a later life of a name has a larger one.
+fn incarnation_now() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn gossip(settings: &Settings, me: &Member, config: &Arc<ConfigTable>, directory: &Arc<Directory>) -> Gossip {
+    let patience = Patience {
+        suspect_after: Duration::from_millis(settings.gossip.suspect_after_ms),
+        dead_after: Duration::from_millis(settings.gossip.dead_after_ms),
+        forget_after: FORGET_AFTER,
+    };
+    Gossip::new(
+        Membership::new(me.clone(), patience),
+        Arc::clone(config),
+        Arc::clone(directory),
+        settings.seeds.clone(),
+        Duration::from_millis(settings.gossip.interval_ms),
+    )
+}
+
+fn server_limits(settings: &Settings) -> ServerLimits {
+    ServerLimits {
+        max_connections: settings.limits.max_caller_connections as usize,
+        max_header_bytes: settings.limits.max_header_bytes,
+        header_timeout: Duration::from_millis(settings.limits.header_timeout_ms),
+        shutdown_timeout: Duration::from_millis(settings.limits.shutdown_timeout_ms),
+    }
+}
+
+fn spawn_server<H>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: H,
+    stop: &CancellationToken,
+) -> JoinHandle<bool>
+where
+    H: Handler,
+{
+    tokio::spawn(serve(listener, limits, handler, stop.clone()))
+}
--- /dev/null
+++ b/lib/src/protocol/error_kind.rs
@@ -0,0 +1,154 @@
+//! The closed list of error kinds and the answer that each one gets.
+
+use std::fmt;
+
+use http::StatusCode;
+use serde::Serialize;
+
+/// Why a call was not answered by an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum ErrorKind {
+    /// The request breaks a rule of the protocol or names no service.
+    MalformedRequest,
+    /// No published configuration knows the service.
+    UnknownService,
+    /// The service declares no such priority.
+    UnknownPriority,
+    /// The header section is larger than the node accepts.
+    HeadersTooLarge,
+    /// The body is larger than the service accepts.
+    BodyTooLarge,
+    /// The request asks to change the protocol of the connection.
+    UpgradeRefused,
+    /// The caller used more than its own share.
+    CallerLimited,
+    /// Every candidate was full or its queue for the priority was.
+    Overloaded,
+    /// The objective could not be met any more before a slot was free.
+    ObjectiveMissed,
+    /// No upstream of the service is known to be able to serve.
+    NoUpstream,
+    /// The node or its upstream is draining.
+    Draining,
+    /// The deadline passed before the call reached an upstream.
+    DeadlineBeforeStart,
+    /// The deadline passed while an upstream may have been running the call.
+    DeadlineWhileRunning,
+    /// The call may have run and its answer is lost.
+    OutcomeUnknown,
+    /// A call with the same idempotency key is running or has run.
+    DuplicateCall,
+    /// The node met a fault of its own before the call reached an upstream.
+    Internal,
+}
+
+/// Whether the call ran, as far as the system can prove.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Execution {
+    /// Proved: no byte of the call reached an upstream, and none ever will.
+    NotExecuted,
+    /// It may have run, or may be running still.
+    OutcomeUnknown,
+}
+
+/// One row of the table from error kind to answer.
+#[derive(Clone, Copy, Debug)]
+pub struct ErrorRow {
+    /// Stable name on the wire, in logs and in metrics.
+    pub name: &'static str,
+    /// HTTP status of the answer.
+    pub status: StatusCode,
+    /// What the kind proves about execution.
+    pub execution: Execution,
+    /// Whether the same request may succeed when sent again later.
+    pub retryable: bool,
+}
+
+const fn row(name: &'static str, status: StatusCode, execution: Execution, retryable: bool) -> ErrorRow {
+    ErrorRow { name, status, execution, retryable }
+}
+
+impl ErrorKind {
+    /// Every kind, in the order of the table.
+    pub const ALL: [Self; 16] = [
+        Self::MalformedRequest,
+        Self::UnknownService,
+        Self::UnknownPriority,
+        Self::HeadersTooLarge,
+        Self::BodyTooLarge,
+        Self::UpgradeRefused,
+        Self::CallerLimited,
+        Self::Overloaded,
+        Self::ObjectiveMissed,
+        Self::NoUpstream,
+        Self::Draining,
+        Self::DeadlineBeforeStart,
+        Self::DeadlineWhileRunning,
+        Self::OutcomeUnknown,
+        Self::DuplicateCall,
+        Self::Internal,
+    ];
+
+    /// The row of the table for this kind.
+    #[must_use]
+    pub const fn row(self) -> ErrorRow {
+        use Execution::NotExecuted;
+        use Execution::OutcomeUnknown;
+        match self {
+            Self::MalformedRequest => row("malformed_request", StatusCode::BAD_REQUEST, NotExecuted, false),
+            Self::UnknownService => row("unknown_service", StatusCode::NOT_FOUND, NotExecuted, false),
+            Self::UnknownPriority => row("unknown_priority", StatusCode::BAD_REQUEST, NotExecuted, false),
+            Self::HeadersTooLarge => {
+                row("headers_too_large", StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, NotExecuted, false)
+            }
+            Self::BodyTooLarge => row("body_too_large", StatusCode::PAYLOAD_TOO_LARGE, NotExecuted, false),
+            Self::UpgradeRefused => row("upgrade_refused", StatusCode::NOT_IMPLEMENTED, NotExecuted, false),
+            Self::CallerLimited => row("caller_limited", StatusCode::TOO_MANY_REQUESTS, NotExecuted, true),
+            Self::Overloaded => row("overloaded", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true),
+            Self::ObjectiveMissed => {
+                row("objective_missed", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true)
+            }
+            Self::NoUpstream => row("no_upstream", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true),
+            Self::Draining => row("draining", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true),
+            Self::DeadlineBeforeStart => {
+                row("deadline_before_start", StatusCode::GATEWAY_TIMEOUT, NotExecuted, true)
+            }
+            Self::DeadlineWhileRunning => {
+                row("deadline_while_running", StatusCode::GATEWAY_TIMEOUT, OutcomeUnknown, false)
+            }
+            Self::OutcomeUnknown => row("outcome_unknown", StatusCode::BAD_GATEWAY, OutcomeUnknown, false),
+            Self::DuplicateCall => row("duplicate_call", StatusCode::CONFLICT, OutcomeUnknown, false),
+            Self::Internal => row("internal", StatusCode::INTERNAL_SERVER_ERROR, NotExecuted, true),
+        }
+    }
+
+    /// The stable name of the kind.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        self.row().name
+    }
+
+    /// The kind with the given stable name, if there is one.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.name() == name)
+    }
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl Execution {
+    /// The stable name on the wire.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotExecuted => "not_executed",
+            Self::OutcomeUnknown => "outcome_unknown",
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/protocol/headers.rs
@@ -0,0 +1,57 @@
+//! Names of the header fields that callers, nodes and upstreams exchange.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::header;
+
+/// Names the service that the caller wants.
+pub const SERVICE: HeaderName = HeaderName::from_static("yuccatray-service");
+/// Names the priority of the call, one of those that the service declares.
+pub const PRIORITY: HeaderName = HeaderName::from_static("yuccatray-priority");
+/// Time left to the call, in milliseconds.
+pub const TIMEOUT_MS: HeaderName = HeaderName::from_static("yuccatray-timeout-ms");
+/// `true` or `false`: whether the call may run more than once.
+pub const IDEMPOTENT: HeaderName = HeaderName::from_static("yuccatray-idempotent");
+/// A key of the caller's that ties its own resends together.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Names the caller for the limits per caller.
+pub const CALLER: HeaderName = HeaderName::from_static("yuccatray-caller");
+/// Identity of the call, on the way to the gate and on every answer.
+pub const CALL: HeaderName = HeaderName::from_static("yuccatray-call");
+/// Load of the gate that answered, for the ingress only.
+pub const LOAD: HeaderName = HeaderName::from_static("yuccatray-load");
+/// Name of the error kind on an answer that no upstream gave.
+pub const ERROR: HeaderName = HeaderName::from_static("yuccatray-error");
+/// What the answer proves about execution.
+pub const EXECUTION: HeaderName = HeaderName::from_static("yuccatray-execution");
+/// When the same request may be worth sending again, in milliseconds.
+pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("yuccatray-retry-after-ms");
+
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+
+/// Removes the fields that concern one connection only, as RFC 9110 7.6.1 asks.
+pub fn strip_hop_by_hop(fields: &mut HeaderMap) {
+    let named: Vec<HeaderName> = fields
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        fields.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        fields.remove(name);
+    }
+}
--- /dev/null
+++ b/lib/src/protocol/mod.rs
@@ -0,0 +1,13 @@
+//! What travels and what is declared: object kinds, headers, error kinds, settings.
+
+pub mod answer;
+pub mod call_head;
+pub mod call_id;
+pub mod error_kind;
+pub mod headers;
+pub mod load_report;
+pub mod member;
+pub mod object;
+pub mod published;
+pub mod service_spec;
+pub mod settings;
--- /dev/null
+++ b/lib/src/protocol/published.rs
@@ -0,0 +1,83 @@
+//! The configuration of a service as published to every node.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::protocol::service_spec::PrioritySetSpec;
+use crate::protocol::service_spec::ServiceSpec;
+use crate::protocol::service_spec::UpstreamRuleSpec;
+
+/// One revision of a service's configuration, complete in itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Published {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Grows with every publication of the name, also across delete and re-create.
+    pub revision: u64,
+    /// Lease epoch of the node that published it.
+    pub epoch: u64,
+    /// The configuration, or nothing once the service was deleted.
+    pub config: Option<PublishedConfig>,
+}
+
+/// The objects that a service refers to, resolved.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PublishedConfig {
+    /// Versions of the objects that this was made from.
+    pub sources: PublishedSources,
+    /// The service.
+    pub service: ServiceSpec,
+    /// Its priorities.
+    pub priorities: PrioritySetSpec,
+    /// The rule for its upstreams.
+    pub upstream_rule: UpstreamRuleSpec,
+}
+
+/// Versions of the objects behind a publication.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PublishedSources {
+    /// Identity of the `Service` object.
+    pub service_uid: Arc<str>,
+    /// Version of the `Service` object.
+    pub service_version: u64,
+    /// Version of the `PrioritySet` object.
+    pub priority_set_version: u64,
+    /// Version of the `UpstreamRule` object.
+    pub upstream_rule_version: u64,
+}
+
+/// What became of a service's configuration, for operators and their tests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// Version of the `Service` object that this speaks of.
+    pub observed_version: u64,
+    /// Whether that version was accepted.
+    pub accepted: bool,
+    /// Reasons by field when it was refused.
+    #[serde(default)]
+    pub problems: Vec<FieldProblem>,
+    /// Revision published, if any.
+    pub revision: Option<u64>,
+    /// Nodes that have applied that revision.
+    pub applied_nodes: u32,
+    /// Nodes known to be alive.
+    pub known_nodes: u32,
+    /// Names of nodes that have not applied it.
+    #[serde(default)]
+    pub lagging_nodes: Vec<Arc<str>>,
+    /// Whether every known node has applied it.
+    pub applied: bool,
+    /// Upstreams of the service that take work.
+    pub ready_upstreams: u32,
+}
+
+/// A fault in one field of an object or of the settings.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FieldProblem {
+    /// Path to the field, such as `/spec/retry/max_attempts`.
+    pub field: String,
+    /// What is wrong and what is allowed.
+    pub problem: String,
+}
--- /dev/null
+++ b/lib/src/transport/admin_server.rs
@@ -0,0 +1,155 @@
+//! What operators and their tools read from a node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::protocol::member::MemberState;
+use crate::state::config_table::ConfigTable;
+use crate::state::directory::Directory;
+use crate::state::metrics::SharedMetrics;
+use crate::transport::gate::Gate;
+use crate::transport::http_server::Handler;
+
+/// What a node says of itself and of the members that it knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeReport {
+    /// Name of the node.
+    pub name: Arc<str>,
+    /// Calls that hold a slot of its upstream.
+    pub running: u32,
+    /// Calls that wait at its gate.
+    pub queued: u32,
+    /// Slots that its gate grants.
+    pub limit: u32,
+    /// Revision applied, by service.
+    pub revisions: IndexMap<Arc<str>, u64>,
+    /// Members that it knows.
+    pub members: Vec<MemberReport>,
+}
+
+/// A member as a node knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberReport {
+    /// Name of the member.
+    pub name: Arc<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// What is said of it.
+    pub state: Arc<str>,
+    /// Its region.
+    pub region: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where callers reach it.
+    pub ingress_addr: SocketAddr,
+    /// Service of its upstream.
+    pub service: Option<Arc<str>>,
+    /// Slots of its upstream.
+    pub slots: u32,
+    /// Whether its upstream takes no new work.
+    pub draining: bool,
+}
+
+/// Answers operators.
+#[derive(Clone, Debug)]
+pub struct AdminHandler {
+    /// Name of the node.
+    pub name: Arc<str>,
+    /// Members and their upstreams.
+    pub directory: Arc<Directory>,
+    /// Configuration in force.
+    pub config: Arc<ConfigTable>,
+    /// The node's gate.
+    pub gate: Arc<Gate>,
+    /// Counters.
+    pub metrics: SharedMetrics,
+}
+
+impl AdminHandler {
+    fn report(&self) -> NodeReport {
+        let load = self.gate.load();
+        let snapshot = self.directory.snapshot();
+        let members = snapshot.entries().map(|entry| {
+            let member = &entry.member;
+            MemberReport {
+                name: Arc::clone(&member.id.name),
+                incarnation: member.id.incarnation,
+                state: Arc::from(state_name(member.state)),
+                region: Arc::clone(&member.region),
+                zone: Arc::clone(&member.zone),
+                ingress_addr: member.ingress_addr,
+                service: member.upstream.as_ref().map(|upstream| Arc::clone(&upstream.service)),
+                slots: member.upstream.as_ref().map_or(0, |upstream| upstream.slots),
+                draining: member.upstream.as_ref().is_some_and(|upstream| upstream.draining),
+            }
+        });
+        let config = self.config.snapshot();
+        NodeReport {
+            name: Arc::clone(&self.name),
+            running: load.running,
+            queued: load.queued,
+            limit: load.limit,
+            revisions: config.iter().map(|(name, held)| (Arc::clone(name), held.revision)).collect(),
+            members: members.collect(),
+        }
+    }
+}
+
+impl Handler for AdminHandler {
+    type Body = Full<Bytes>;
+
+    async fn handle(&self, request: Request<Incoming>, _remote: SocketAddr) -> Response<Full<Bytes>> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/livez") => answer(StatusCode::OK, "text/plain", "alive\n".to_owned()),
+            (&Method::GET, "/readyz") if self.config.snapshot().is_empty() => {
+                answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no configuration yet\n".to_owned())
+            }
+            (&Method::GET, "/readyz") => answer(StatusCode::OK, "text/plain", "ready\n".to_owned()),
+            (&Method::GET, "/metrics") => answer(
+                StatusCode::OK,
+                "application/openmetrics-text; version=1.0.0; charset=utf-8",
+                self.metrics.encode(),
+            ),
+            (&Method::GET, "/v1/node") => {
+                let report = serde_json::to_string(&self.report()).unwrap_or_default();
+                answer(StatusCode::OK, "application/json", report)
+            }
+            _ => answer(
+                StatusCode::NOT_FOUND,
+                "text/plain",
+                "GET /livez, /readyz, /metrics or /v1/node\n".to_owned(),
+            ),
+        }
+    }
+}
+
+/// The name of a member's state in reports.
+#[must_use]
+pub const fn state_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Leaving => "leaving",
+        MemberState::Dead => "dead",
+    }
+}
+
+fn answer(status: StatusCode, content_type: &'static str, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
--- /dev/null
+++ b/lib/src/transport/announce_server.rs
@@ -0,0 +1,226 @@
+//! Where the upstream beside the node announces itself.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::coordination::admission::PriorityRule;
+use crate::protocol::member::UpstreamInfo;
+use crate::protocol::published::Published;
+use crate::protocol::service_spec::UpstreamRuleSpec;
+use crate::protocol::settings::checked_from_value;
+use crate::protocol::settings::parse_jsonc;
+use crate::state::config_table::ConfigTable;
+use crate::transport::gate::Gate;
+use crate::transport::gossip::Gossip;
+use crate::transport::http_server::Handler;
+
+const MAX_ANNOUNCEMENT_BYTES: usize = 16_384;
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What an upstream says of itself, at start and then again and again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Service that it serves.
+    #[schemars(length(min = 1, max = 255))]
+    pub service: Arc<str>,
+    /// Where it listens for calls.
+    pub addr: SocketAddr,
+    /// Calls that it runs at once.
+    #[schemars(range(min = 1, max = 100_000))]
+    pub slots: u32,
+    /// Whether it takes no new work.
+    #[serde(default)]
+    pub draining: bool,
+}
+
+#[derive(Debug)]
+struct Announced {
+    announcement: Announcement,
+    renewed_at: Instant,
+    revision: Option<u64>,
+}
+
+/// The upstream beside the node, as it announced itself.
+#[derive(Debug)]
+pub struct AnnounceDesk {
+    gate: Arc<Gate>,
+    gossip: Arc<Gossip>,
+    config: Arc<ConfigTable>,
+    announced: Mutex<Option<Announced>>,
+}
+
+impl AnnounceDesk {
+    /// A desk at which nobody has announced itself yet.
+    #[must_use]
+    pub fn new(gate: Arc<Gate>, gossip: Arc<Gossip>, config: Arc<ConfigTable>) -> Self {
+        Self { gate, gossip, config, announced: Mutex::new(None) }
+    }
+
+    /// Lets announcements lapse and follows the configuration until told to stop.
+    pub async fn run(self: Arc<Self>, stop: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(CHECK_INTERVAL) => self.check(Instant::now()),
+            }
+        }
+    }
+
+    /// The upstream takes no new work from now on.
+    pub fn drain(&self) {
+        let mut announced = self.announced.lock();
+        if let Some(announced) = announced.as_mut() {
+            announced.announcement.draining = true;
+            self.follow(announced);
+        }
+    }
+
+    fn announce(&self, announcement: Announcement) {
+        let mut announced = self.announced.lock();
+        let mut next = Announced { announcement, renewed_at: Instant::now(), revision: None };
+        self.follow(&mut next);
+        *announced = Some(next);
+    }
+
+    fn withdraw(&self) {
+        *self.announced.lock() = None;
+        self.gate.drain();
+        self.gossip.set_upstream(None);
+    }
+
+    fn check(&self, now: Instant) {
+        let mut announced = self.announced.lock();
+        let Some(held) = announced.as_mut() else {
+            return;
+        };
+        let published = self.config.get(&held.announcement.service);
+        let ttl = Duration::from_millis(rule(published.as_deref()).announce_ttl_ms);
+        if now - held.renewed_at >= ttl {
+            log::warn!("announcement lapsed; service={}", held.announcement.service);
+            *announced = None;
+            drop(announced);
+            self.withdraw();
+            return;
+        }
+        if held.revision != published.map(|published| published.revision) {
+            self.follow(held);
+        }
+    }
+
+    fn follow(&self, held: &mut Announced) {
+        let announcement = &held.announcement;
+        let published = self.config.get(&announcement.service);
+        held.revision = published.as_ref().map(|published| published.revision);
+        self.gate.set_rules(&priority_rules(published.as_deref()));
+        if announcement.draining {
+            self.gate.drain();
+        } else {
+            let max_connections = rule(published.as_deref()).max_connections;
+            self.gate.set_upstream(announcement.addr, announcement.slots, max_connections);
+        }
+        self.gossip.set_upstream(Some(UpstreamInfo {
+            service: Arc::clone(&announcement.service),
+            slots: announcement.slots,
+            draining: announcement.draining,
+        }));
+    }
+}
+
+fn rule(published: Option<&Published>) -> UpstreamRuleSpec {
+    let config = published.and_then(|published| published.config.as_ref());
+    config.map(|config| config.upstream_rule.clone()).unwrap_or_default()
+}
+
+fn priority_rules(published: Option<&Published>) -> Vec<PriorityRule> {
+    let config = published.and_then(|published| published.config.as_ref());
+    let priorities = config.iter().flat_map(|config| config.priorities.priorities.values());
+    let rules = priorities.map(|priority| PriorityRule {
+        min_share_percent: priority.min_share_percent,
+        max_queue: priority.max_queue as usize,
+        objective: Duration::from_millis(priority.objective_ms),
+    });
+    rules.collect()
+}
+
+/// Answers the upstream beside the node.
+#[derive(Clone, Debug)]
+pub struct AnnounceHandler {
+    desk: Arc<AnnounceDesk>,
+}
+
+impl AnnounceHandler {
+    /// A handler over the desk.
+    #[must_use]
+    pub const fn new(desk: Arc<AnnounceDesk>) -> Self {
+        Self { desk }
+    }
+
+    async fn announce(&self, body: Incoming) -> Response<Full<Bytes>> {
+        let collected = match Limited::new(body, MAX_ANNOUNCEMENT_BYTES).collect().await {
+            Ok(collected) => collected.to_bytes(),
+            Err(error) => return text(StatusCode::BAD_REQUEST, format!("unreadable body: {error}")),
+        };
+        let parsed = parse_jsonc(&String::from_utf8_lossy(&collected))
+            .and_then(|value| checked_from_value::<Announcement>(&value));
+        match parsed {
+            Ok(announcement) if announcement.addr.ip().is_loopback() => {
+                self.desk.announce(announcement);
+                text(StatusCode::NO_CONTENT, String::new())
+            }
+            Ok(_) => {
+                text(StatusCode::BAD_REQUEST, "/addr: an upstream stands on the node's own VM".to_owned())
+            }
+            Err(error) => {
+                let problems: Vec<String> = error
+                    .problems()
+                    .iter()
+                    .map(|found| format!("{}: {}", found.field, found.problem))
+                    .collect();
+                let reason = if problems.is_empty() { error.to_string() } else { problems.join("\n") };
+                text(StatusCode::BAD_REQUEST, reason)
+            }
+        }
+    }
+}
+
+impl Handler for AnnounceHandler {
+    type Body = Full<Bytes>;
+
+    async fn handle(&self, request: Request<Incoming>, remote: SocketAddr) -> Response<Full<Bytes>> {
+        if !remote.ip().is_loopback() {
+            return text(StatusCode::FORBIDDEN, "only the upstream beside the node may announce".to_owned());
+        }
+        match (request.method().clone(), request.uri().path()) {
+            (Method::PUT, "/v1/upstream") => self.announce(request.into_body()).await,
+            (Method::DELETE, "/v1/upstream") => {
+                self.desk.withdraw();
+                text(StatusCode::NO_CONTENT, String::new())
+            }
+            _ => text(StatusCode::NOT_FOUND, "PUT or DELETE /v1/upstream".to_owned()),
+        }
+    }
+}
+
+fn text(status: StatusCode, message: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(message)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/lib/src/transport/gate.rs
@@ -0,0 +1,341 @@
+//! The only way into the upstream beside this node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header::HOST;
+use hyper::body::Incoming;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::coordination::admission::Admission;
+use crate::coordination::admission::Offer;
+use crate::coordination::admission::PriorityRule;
+use crate::coordination::admission::Refusal;
+use crate::coordination::admission::Ticket;
+use crate::coordination::admission::TicketKey;
+use crate::coordination::admission::Verdict;
+use crate::protocol::answer::ErrorAnswer;
+use crate::protocol::call_id::CallId;
+use crate::protocol::error_kind::ErrorKind;
+use crate::protocol::headers;
+use crate::protocol::load_report::LoadReport;
+use crate::state::call_records::CallRecords;
+use crate::state::call_records::CallState;
+use crate::state::metrics::Metrics;
+use crate::state::metrics::SharedMetrics;
+use crate::transport::call_body::BodyGuard;
+use crate::transport::call_body::CallBody;
+use crate::transport::call_body::GuardedBody;
+use crate::transport::upstream_pool::PooledConnection;
+use crate::transport::upstream_pool::UpstreamError;
+use crate::transport::upstream_pool::UpstreamPool;
+
+/// Result of passing a call through the gate.
+pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
+
+const RETRY_HINT: Duration = Duration::from_millis(100);
+const OWN_FIELD_PREFIX: &str = "yuccatray-";
+
+/// What the gate has to know about a call.
+#[derive(Clone, Debug)]
+pub struct GateCall {
+    /// Identity of the call.
+    pub id: CallId,
+    /// Position of the priority, 0 the most urgent.
+    pub priority: u8,
+    /// When the call is of no more use.
+    pub deadline: Instant,
+}
+
+/// An answer of the upstream on its way out of the gate.
+pub type GateResponse = Response<GuardedBody<CallBody, GateGuard>>;
+
+#[derive(Debug)]
+struct Queue {
+    admission: Admission,
+    waiters: IndexMap<TicketKey, oneshot::Sender<Result<(), Refusal>>>,
+}
+
+/// The gate of one node.
+#[derive(Debug)]
+pub struct Gate {
+    queue: Mutex<Queue>,
+    records: CallRecords,
+    pool: ArcSwapOption<UpstreamPool>,
+    metrics: SharedMetrics,
+}
+
+impl Gate {
+    /// A gate without an upstream.
+    #[must_use]
+    pub fn new(metrics: SharedMetrics) -> Self {
+        let queue = Queue { admission: Admission::new(0, &[]), waiters: IndexMap::new() };
+        Self {
+            queue: Mutex::new(queue),
+            records: CallRecords::default(),
+            pool: ArcSwapOption::empty(),
+            metrics,
+        }
+    }
+
+    /// An upstream announced itself, or changed what it says of itself.
+    pub fn set_upstream(&self, addr: SocketAddr, slots: u32, max_connections: u32) {
+        let same = self.pool.load().as_ref().is_some_and(|pool| pool.addr() == addr);
+        if !same {
+            self.pool.store(Some(Arc::new(UpstreamPool::new(addr, max_connections))));
+        }
+        let mut queue = self.queue.lock();
+        queue.admission.resume();
+        let verdicts = queue.admission.set_limit(slots, Instant::now());
+        queue.deliver(verdicts);
+    }
+
+    /// The upstream takes no new work; what waits is refused.
+    pub fn drain(&self) {
+        let mut queue = self.queue.lock();
+        let verdicts = queue.admission.drain();
+        queue.deliver(verdicts);
+    }
+
+    /// The priorities of the service, the most urgent first.
+    pub fn set_rules(&self, rules: &[PriorityRule]) {
+        let mut queue = self.queue.lock();
+        let verdicts = queue.admission.set_rules(rules);
+        queue.deliver(verdicts);
+    }
+
+    /// The exact load at this moment.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        self.queue.lock().admission.load()
+    }
+
+    /// What became of a call, fencing it when it was never seen.
+    #[must_use]
+    pub fn resolve(&self, call: &CallId) -> CallState {
+        self.records.resolve(call)
+    }
+
+    /// Passes one call to the upstream.
+    ///
+    /// # Errors
+    ///
+    /// A refusal that proves that the call did not run, or word that its outcome is unknown.
+    pub async fn call(self: &Arc<Self>, call: GateCall, request: Request<CallBody>) -> Result<GateResponse> {
+        if !self.records.begin(&call.id) {
+            self.count("duplicate");
+            return Err(ErrorAnswer::new(ErrorKind::DuplicateCall, "this call was already here"));
+        }
+        let mut slot = Slot { gate: Arc::clone(self), call: call.clone(), granted: false };
+        self.admit(&call, &mut slot).await?;
+        let pool = self.pool.load_full().ok_or_else(no_upstream)?;
+        let sent = tokio::time::timeout_at(call.deadline, pool.send(for_upstream(request, pool.addr())));
+        match sent.await {
+            Ok(Ok((response, connection))) => Ok(self.answered(response, slot, pool, connection)),
+            Ok(Err(error)) => Err(self.failed(&call, &error)),
+            Err(_) => {
+                self.count("deadline_while_running");
+                Err(ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "the upstream did not answer in time"))
+            }
+        }
+    }
+
+    async fn admit(self: &Arc<Self>, call: &GateCall, slot: &mut Slot) -> Result<()> {
+        let Some((key, verdict)) = self.offer(call)? else {
+            slot.granted = true;
+            self.count("admitted");
+            return Ok(());
+        };
+        let mut waiting = Waiting { gate: self, key, priority: call.priority, verdict, settled: false };
+        let verdict = tokio::time::timeout_at(call.deadline, waiting.verdict()).await;
+        match verdict {
+            Ok(Ok(())) => {
+                slot.granted = true;
+                self.count("admitted_after_wait");
+                Ok(())
+            }
+            Ok(Err(refusal)) => Err(self.refused(refusal)),
+            Err(_) => Err(self.refused(Refusal::TooLate)),
+        }
+    }
+
+    #[expect(clippy::type_complexity, reason = "the pair is taken apart at once by the only caller")]
+    fn offer(&self, call: &GateCall) -> Result<Option<(TicketKey, oneshot::Receiver<Result<(), Refusal>>)>> {
+        let ticket = Ticket { priority: call.priority, deadline: call.deadline };
+        let mut queue = self.queue.lock();
+        match queue.admission.offer(ticket, Instant::now()) {
+            Offer::Admitted => Ok(None),
+            Offer::Queued(key) => {
+                let (sender, receiver) = oneshot::channel();
+                queue.waiters.insert(key, sender);
+                Ok(Some((key, receiver)))
+            }
+            Offer::Refused(refusal) => Err(self.refused(refusal)),
+        }
+    }
+
+    fn answered(
+        &self,
+        response: Response<Incoming>,
+        slot: Slot,
+        pool: Arc<UpstreamPool>,
+        connection: PooledConnection,
+    ) -> GateResponse {
+        let (mut head, body) = response.into_parts();
+        headers::strip_hop_by_hop(&mut head.headers);
+        strip_own_fields(&mut head.headers);
+        if let Ok(load) = HeaderValue::from_str(&self.load().to_string()) {
+            head.headers.insert(headers::LOAD, load);
+        }
+        let guard = GateGuard { slot: Some(slot), pool, connection: Some(connection) };
+        Response::from_parts(head, GuardedBody::new(CallBody::unlimited(body), guard))
+    }
+
+    fn failed(&self, call: &GateCall, error: &UpstreamError) -> ErrorAnswer {
+        log::debug!("upstream failed; call={} error={error}", call.id);
+        if error.proves_not_executed() {
+            self.count("upstream_unreachable");
+            return ErrorAnswer::new(ErrorKind::NoUpstream, error.to_string()).retry_after(RETRY_HINT);
+        }
+        self.count("upstream_lost");
+        ErrorAnswer::new(ErrorKind::OutcomeUnknown, error.to_string())
+    }
+
+    fn refused(&self, refusal: Refusal) -> ErrorAnswer {
+        let (kind, reason, message) = match refusal {
+            Refusal::QueueFull => (ErrorKind::Overloaded, "queue_full", "the queue of this priority is full"),
+            Refusal::TooLate => (ErrorKind::DeadlineBeforeStart, "too_late", "no slot was free in time"),
+            Refusal::Draining => (ErrorKind::Draining, "draining", "the upstream takes no new work"),
+        };
+        self.count(reason);
+        ErrorAnswer::new(kind, message).retry_after(RETRY_HINT)
+    }
+
+    fn release(&self, priority: u8) {
+        let mut queue = self.queue.lock();
+        let verdicts = queue.admission.release(priority, Instant::now());
+        queue.deliver(verdicts);
+    }
+
+    fn count(&self, reason: &str) {
+        Metrics::count(&self.metrics.gate_decisions, reason);
+    }
+}
+
+impl Queue {
+    fn deliver(&mut self, verdicts: Vec<Verdict>) {
+        for verdict in verdicts {
+            let (key, outcome) = match verdict {
+                Verdict::Admit(key) => (key, Ok(())),
+                Verdict::Refuse(key, refusal) => (key, Err(refusal)),
+            };
+            if let Some(waiter) = self.waiters.swap_remove(&key) {
+                // A waiter that is gone gives its slot back when it is dropped.
+                let _delivered = waiter.send(outcome);
+            }
+        }
+    }
+}
+
+/// A call in the queue; dropped before its verdict, it leaves the queue.
+#[derive(Debug)]
+struct Waiting<'a> {
+    gate: &'a Gate,
+    key: TicketKey,
+    priority: u8,
+    verdict: oneshot::Receiver<Result<(), Refusal>>,
+    settled: bool,
+}
+
+impl Waiting<'_> {
+    async fn verdict(&mut self) -> Result<(), Refusal> {
+        let verdict = (&mut self.verdict).await.unwrap_or(Err(Refusal::Draining));
+        self.settled = true;
+        verdict
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let still_waiting = {
+            let mut queue = self.gate.queue.lock();
+            queue.waiters.swap_remove(&self.key);
+            queue.admission.cancel(self.key)
+        };
+        if !still_waiting && matches!(self.verdict.try_recv(), Ok(Ok(()))) {
+            self.gate.release(self.priority);
+        }
+    }
+}
+
+/// A call inside the gate; dropped, it frees its slot and ends its record.
+#[derive(Debug)]
+struct Slot {
+    gate: Arc<Gate>,
+    call: GateCall,
+    granted: bool,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.gate.records.finish(&self.call.id);
+        if self.granted {
+            self.gate.release(self.call.priority);
+        }
+    }
+}
+
+/// Holds a call's slot and connection until the answer has been read.
+#[derive(Debug)]
+pub struct GateGuard {
+    slot: Option<Slot>,
+    pool: Arc<UpstreamPool>,
+    connection: Option<PooledConnection>,
+}
+
+impl BodyGuard for GateGuard {
+    fn ended(&mut self, whole: bool) {
+        if let Some(connection) = self.connection.take().filter(|_| whole) {
+            self.pool.give_back(connection);
+        }
+        self.slot = None;
+    }
+}
+
+fn for_upstream(request: Request<CallBody>, addr: SocketAddr) -> Request<CallBody> {
+    let (mut head, body) = request.into_parts();
+    headers::strip_hop_by_hop(&mut head.headers);
+    head.version = http::Version::HTTP_11;
+    if let Some(target) = head.uri.path_and_query() {
+        head.uri = http::Uri::from(target.clone());
+    }
+    if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
+        head.headers.entry(HOST).or_insert(host);
+    }
+    Request::from_parts(head, body)
+}
+
+fn strip_own_fields(fields: &mut HeaderMap) {
+    let own: Vec<HeaderName> =
+        fields.keys().filter(|name| name.as_str().starts_with(OWN_FIELD_PREFIX)).cloned().collect();
+    for name in own {
+        fields.remove(name);
+    }
+}
+
+fn no_upstream() -> ErrorAnswer {
+    ErrorAnswer::new(ErrorKind::NoUpstream, "no upstream has announced itself here").retry_after(RETRY_HINT)
+}
--- /dev/null
+++ b/lib/src/transport/http_server.rs
@@ -0,0 +1,145 @@
+//! Accepting connections and serving HTTP on them until told to stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body::Body;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+use crate::transport::call_body::BoxError;
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+const PING_INTERVAL: Duration = Duration::from_secs(2);
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_STREAMS: u32 = 1_024;
+
+/// Answers requests.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Body of the answers.
+    type Body: Body<Data = Bytes, Error: Into<BoxError>> + Send + 'static;
+
+    /// Answers one request that came from `remote`.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+        remote: SocketAddr,
+    ) -> impl Future<Output = Response<Self::Body>> + Send;
+}
+
+/// Bounds on connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Connections at once; more are closed at once.
+    pub max_connections: usize,
+    /// Largest header section, in bytes.
+    pub max_header_bytes: u32,
+    /// Time for the header section to arrive.
+    pub header_timeout: Duration,
+    /// Time for calls in flight once the server was told to stop.
+    pub shutdown_timeout: Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 2_000,
+            max_header_bytes: 65_536,
+            header_timeout: Duration::from_secs(10),
+            shutdown_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Serves until `stop`, then lets connections finish; true when all of them did.
+pub async fn serve<H>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: H,
+    stop: CancellationToken,
+) -> bool
+where
+    H: Handler,
+{
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let builder = builder(limits);
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, remote)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            log::debug!("connection closed at the limit; remote={remote}");
+            continue;
+        };
+        let connection = serve_connection(&builder, stream, remote, handler.clone(), &graceful);
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    tokio::time::timeout(limits.shutdown_timeout, graceful.shutdown()).await.is_ok()
+}
+
+fn builder(limits: ServerLimits) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.max_header_bytes as usize);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(limits.max_header_bytes)
+        .max_concurrent_streams(MAX_STREAMS)
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT);
+    builder
+}
+
+fn serve_connection<H>(
+    builder: &auto::Builder<TokioExecutor>,
+    stream: TcpStream,
+    remote: SocketAddr,
+    handler: H,
+    graceful: &GracefulShutdown,
+) -> impl Future<Output = ()> + Send + 'static
+where
+    H: Handler,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("cannot set nodelay; remote={remote} error={error}");
+    }
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, std::convert::Infallible>(handler.handle(request, remote).await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+    let connection = graceful.watch(connection);
+    async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection ended; remote={remote} error={error}");
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/transport/mod.rs
@@ -0,0 +1,15 @@
+//! Sockets: callers, peers, upstreams, the platform and operators.
+
+pub mod admin_server;
+pub mod announce_server;
+pub mod call_body;
+pub mod gate;
+pub mod gossip;
+pub mod http_server;
+pub mod ingress;
+pub mod peer_channel;
+pub mod peer_server;
+pub mod platform;
+pub mod platform_http;
+pub mod publisher;
+pub mod upstream_pool;
--- /dev/null
+++ b/lib/src/transport/peer_channel.rs
@@ -0,0 +1,237 @@
+//! Connections to the other nodes, shared by calls and control messages.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::Request;
+use http::Response;
+use http::Uri;
+use hyper::body::Incoming;
+use hyper::client::conn::http2;
+use hyper::client::conn::http2::SendRequest;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use indexmap::IndexMap;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tower_service::Service;
+
+use crate::transport::call_body::BoxError;
+use crate::transport::call_body::CallBody;
+
+/// Result of talking to a peer.
+pub type Result<T, E = PeerError> = std::result::Result<T, E>;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+const PING_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why a peer gave no answer.
+#[derive(Debug, Snafu)]
+pub enum PeerError {
+    /// No connection could be had, so no byte was written.
+    #[snafu(display("cannot connect to the peer"))]
+    Connect {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The connection was not accepted in time, so no byte was written.
+    #[snafu(display("the peer did not accept a connection in time"))]
+    ConnectTimeout,
+    /// The connection failed in the handshake.
+    #[snafu(display("the connection to the peer failed at once"))]
+    Handshake {
+        /// What hyper said.
+        source: hyper::Error,
+    },
+    /// The connection closed before the request was written.
+    #[snafu(display("the connection closed before the request was written"))]
+    NotWritten,
+    /// The connection failed after the request may have been written.
+    #[snafu(display("the connection to the peer failed: {source}"))]
+    Lost {
+        /// What hyper said.
+        source: hyper::Error,
+    },
+}
+
+impl PeerError {
+    /// Whether it is proved that the peer never saw the request.
+    #[must_use]
+    pub const fn proves_not_executed(&self) -> bool {
+        !matches!(self, Self::Lost { .. })
+    }
+}
+
+/// One connection to a peer, made when needed and replaced when it fails.
+#[derive(Debug)]
+pub struct PeerChannel<B> {
+    addr: SocketAddr,
+    sender: ArcSwapOption<SendRequest<B>>,
+    connecting: Mutex<()>,
+}
+
+impl<B> PeerChannel<B>
+where
+    B: http_body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Unpin + 'static,
+{
+    const fn new(addr: SocketAddr) -> Self {
+        Self { addr, sender: ArcSwapOption::const_empty(), connecting: Mutex::const_new(()) }
+    }
+
+    /// Sends a request and waits for the header section of the answer.
+    ///
+    /// # Errors
+    ///
+    /// When no connection can be had or the one used fails.
+    pub async fn send(&self, mut request: Request<B>) -> Result<Response<Incoming>> {
+        let mut may_reconnect = true;
+        loop {
+            let mut sender = self.sender().await?;
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(response),
+                Err(mut failure) => match failure.take_message() {
+                    Some(unsent) if may_reconnect => request = unsent,
+                    Some(_) => return NotWrittenSnafu.fail(),
+                    None => return Err(PeerError::Lost { source: failure.into_error() }),
+                },
+            }
+            may_reconnect = false;
+            self.sender.store(None);
+        }
+    }
+
+    async fn sender(&self) -> Result<SendRequest<B>> {
+        if let Some(sender) = self.open_sender() {
+            return Ok(sender);
+        }
+        let _one_at_a_time = self.connecting.lock().await;
+        if let Some(sender) = self.open_sender() {
+            return Ok(sender);
+        }
+        let sender = connect(self.addr).await?;
+        self.sender.store(Some(Arc::new(sender.clone())));
+        Ok(sender)
+    }
+
+    fn open_sender(&self) -> Option<SendRequest<B>> {
+        let held = self.sender.load();
+        held.as_ref().filter(|sender| !sender.is_closed()).map(|sender| SendRequest::clone(sender))
+    }
+}
+
+async fn connect<B>(addr: SocketAddr) -> Result<SendRequest<B>>
+where
+    B: http_body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Unpin + 'static,
+{
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+    let stream = connecting.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
+    stream.set_nodelay(true).context(ConnectSnafu)?;
+    let mut builder = http2::Builder::new(TokioExecutor::new());
+    builder.timer(TokioTimer::new()).keep_alive_interval(PING_INTERVAL).keep_alive_timeout(PING_TIMEOUT);
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("peer connection ended; peer={addr} error={error}");
+        }
+    });
+    Ok(sender)
+}
+
+/// Channels by address of the peer.
+#[derive(Debug)]
+pub struct PeerChannels<B> {
+    by_addr: ArcSwap<IndexMap<SocketAddr, Arc<PeerChannel<B>>>>,
+}
+
+/// Channels that carry calls.
+pub type CallChannels = PeerChannels<CallBody>;
+
+/// Channels that carry control messages.
+pub type ControlChannels = PeerChannels<tonic::body::Body>;
+
+impl<B> Default for PeerChannels<B> {
+    fn default() -> Self {
+        Self { by_addr: ArcSwap::default() }
+    }
+}
+
+impl<B> PeerChannels<B>
+where
+    B: http_body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Unpin + 'static,
+{
+    /// The channel to a peer, made when there is none yet.
+    pub fn get(&self, addr: SocketAddr) -> Arc<PeerChannel<B>> {
+        if let Some(channel) = self.by_addr.load().get(&addr) {
+            return Arc::clone(channel);
+        }
+        let fresh = Arc::new(PeerChannel::new(addr));
+        self.by_addr.rcu(|channels| {
+            let mut next = IndexMap::clone(channels);
+            next.entry(addr).or_insert_with(|| Arc::clone(&fresh));
+            next
+        });
+        self.by_addr.load().get(&addr).map_or(fresh, Arc::clone)
+    }
+
+    /// Forgets the channels to addresses that `keep` refuses.
+    pub fn retain<F>(&self, keep: F)
+    where
+        F: Fn(&SocketAddr) -> bool,
+    {
+        if self.by_addr.load().keys().all(&keep) {
+            return;
+        }
+        self.by_addr.rcu(|channels| {
+            let mut next = IndexMap::clone(channels);
+            next.retain(|addr, _| keep(addr));
+            next
+        });
+    }
+}
+
+/// A control channel in the form that generated clients take.
+#[derive(Clone, Debug)]
+pub struct ControlClient {
+    channel: Arc<PeerChannel<tonic::body::Body>>,
+}
+
+impl ControlClient {
+    /// A client over the given channel.
+    #[must_use]
+    pub const fn new(channel: Arc<PeerChannel<tonic::body::Body>>) -> Self {
+        Self { channel }
+    }
+}
+
+impl Service<Request<tonic::body::Body>> for ControlClient {
+    type Response = Response<Incoming>;
+    type Error = PeerError;
+    type Future = BoxFuture<'static, Result<Response<Incoming>>>;
+
+    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, mut request: Request<tonic::body::Body>) -> Self::Future {
+        let channel = Arc::clone(&self.channel);
+        Box::pin(async move {
+            let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+            let absolute = format!("http://{}{target}", channel.addr);
+            if let Ok(uri) = absolute.parse::<Uri>() {
+                *request.uri_mut() = uri;
+            }
+            channel.send(request).await
+        })
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/http_call.rs
@@ -0,0 +1,32 @@
+//! One HTTP exchange with any server.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Sends a request over a new HTTP/1.1 connection and reads the whole answer.
+///
+/// # Panics
+///
+/// When there is no whole answer.
+pub async fn exchange(addr: SocketAddr, mut request: Request<Bytes>) -> Response<Bytes> {
+    let host = addr.to_string().parse().expect("an address is a valid field");
+    request.headers_mut().entry(HOST).or_insert(host);
+    let stream = TcpStream::connect(addr).await.expect("the server listens");
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.expect("the handshake succeeds");
+    let driver = tokio::spawn(connection);
+    let response = sender.send_request(request.map(Full::new)).await.expect("the server answers");
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.expect("the answer is whole").to_bytes();
+    driver.abort();
+    Response::from_parts(head, body)
+}
--- /dev/null
+++ b/lib/testutils/src/lib.rs
@@ -0,0 +1,5 @@
+//! Fixtures shared by the tests of yuccatray.
+
+pub mod daemon_process;
+pub mod http_call;
+pub mod workspace;
--- /dev/null
+++ b/load/src/commands/fleet.rs
@@ -0,0 +1,118 @@
+//! Runs a deployment's fleet in one process and prints what it served.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::Args;
+use http::Method;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use yuccatray::coordination::manifest::load_manifests;
+use yuccatray::protocol::object::ObjectKind;
+use yuccatray::protocol::service_spec::PrioritySetSpec;
+use yuccatray::protocol::service_spec::PrioritySpec;
+use yuccatray_load::caller::Caller;
+use yuccatray_load::deployment::Deployment;
+use yuccatray_load::embedded_fleet::EmbeddedFleet;
+use yuccatray_load::embedded_fleet::FleetError;
+use yuccatray_load::embedded_fleet::Result;
+use yuccatray_load::latency_table::LatencyTable;
+use yuccatray_load::open_loop::StreamPlan;
+use yuccatray_load::open_loop::run_stream;
+
+/// Runs a deployment's fleet in one process and prints what it served.
+#[derive(Debug, Args)]
+pub struct FleetArgs {
+    /// Deployment file: JSON with comments.
+    #[arg(default_value = "examples/dakar.jsonc")]
+    deployment: PathBuf,
+}
+
+/// Runs `yuccatray-load fleet`.
+pub async fn cmd_fleet(args: &FleetArgs) -> Result<()> {
+    let deployment = Deployment::load(&args.deployment).inspect_err(|error| {
+        for found in error.problems() {
+            eprintln!("  {}: {}", found.field, found.problem);
+        }
+    })?;
+    let directory = args.deployment.parent().unwrap_or_else(|| Path::new("."));
+    let objectives = objectives(&directory.join(deployment.objects.as_ref()))?;
+    let starting = Instant::now();
+    let fleet = EmbeddedFleet::start(&deployment, directory).await?;
+    println!("{} nodes ready after {:.1} s", fleet.members.len(), starting.elapsed().as_secs_f64());
+    let table = call(&deployment, &fleet, &objectives).await;
+    println!("{}", table.lock().render());
+    println!();
+    print_burn(&table.lock(), &objectives);
+    let counts = fleet.platform.standin.counts();
+    println!(
+        "\nplatform calls: {} reads, {} watches, {} writes",
+        counts.gets + counts.lists,
+        counts.watches,
+        counts.writes
+    );
+    if !fleet.stop().await {
+        return Err(FleetError::NotReady { service: "a node cut calls short while stopping".to_owned() });
+    }
+    Ok(())
+}
+
+async fn call(
+    deployment: &Deployment,
+    fleet: &EmbeddedFleet,
+    objectives: &IndexMap<Arc<str>, PrioritySpec>,
+) -> Arc<Mutex<LatencyTable>> {
+    let table = Arc::new(Mutex::new(LatencyTable::default()));
+    let callers: Vec<Arc<Caller>> =
+        (0..fleet.members.len()).map(|index| Arc::new(Caller::new(fleet.ingress_addr(index)))).collect();
+    let duration = Duration::from_millis(deployment.duration_ms);
+    let mut streams = JoinSet::new();
+    let mut seed = deployment.seed;
+    for service in &deployment.services {
+        for stream in &service.streams {
+            seed = seed.wrapping_add(1);
+            let objective_ms = objectives.get(&stream.priority).map_or(u64::MAX, |spec| spec.objective_ms);
+            let plan = StreamPlan {
+                service: Arc::clone(&service.name),
+                priority: Arc::clone(&stream.priority),
+                method: stream.method.parse().unwrap_or(Method::GET),
+                calls_per_second: stream.calls_per_second,
+                objective: Duration::from_millis(objective_ms),
+                seed,
+            };
+            streams.spawn(run_stream(plan, callers.clone(), duration, Arc::clone(&table)));
+        }
+    }
+    streams.join_all().await;
+    table
+}
+
+fn print_burn(table: &LatencyTable, objectives: &IndexMap<Arc<str>, PrioritySpec>) {
+    println!("Error budget burned (1.00 spends exactly the budget of this run):");
+    for ((service, priority), row) in table.rows() {
+        let Some(objective) = objectives.get(priority) else {
+            continue;
+        };
+        let calls = row.calls().max(1);
+        let missed = calls - row.in_objective();
+        #[expect(clippy::cast_precision_loss, reason = "counts of one run are far below 2^52")]
+        let missed_share = missed as f64 / calls as f64;
+        let allowed = 1.0 - objective.target_percent / 100.0;
+        println!("  {service} {priority}: {:.2}", missed_share / allowed);
+    }
+}
+
+fn objectives(path: &Path) -> Result<IndexMap<Arc<str>, PrioritySpec>> {
+    let mut objectives = IndexMap::new();
+    for manifest in load_manifests(path)? {
+        if manifest.object_kind() == Some(ObjectKind::PrioritySet) {
+            let set = serde_json::from_value::<PrioritySetSpec>(manifest.spec);
+            objectives.extend(set.into_iter().flat_map(|set| set.priorities));
+        }
+    }
+    Ok(objectives)
+}
--- /dev/null
+++ b/load/src/commands/mod.rs
@@ -0,0 +1,4 @@
+//! One module a command, each with its arguments and one function.
+
+pub mod compare;
+pub mod fleet;
--- /dev/null
+++ b/load/src/embedded_fleet.rs
@@ -0,0 +1,211 @@
+//! A whole fleet in one process, over real sockets on loopback.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::time::Instant;
+use yuccatray::coordination::manifest::load_manifests;
+use yuccatray::node::Node;
+use yuccatray::node::NodeError;
+use yuccatray::protocol::object::ObjectKind;
+use yuccatray::protocol::object::Precondition;
+use yuccatray::protocol::published::ServiceStatus;
+use yuccatray::protocol::settings::GossipSettings;
+use yuccatray::protocol::settings::LimitSettings;
+use yuccatray::protocol::settings::ListenSettings;
+use yuccatray::protocol::settings::LogSettings;
+use yuccatray::protocol::settings::NodeSettings;
+use yuccatray::protocol::settings::PlatformSettings;
+use yuccatray::protocol::settings::Settings;
+use yuccatray::protocol::settings::SettingsError;
+use yuccatray::transport::platform::Platform;
+use yuccatray::transport::platform::PlatformError;
+use yuccatray::transport::platform_http::HttpPlatform;
+use yuccatray_standin::platform::PlatformStandin;
+use yuccatray_standin::platform::RunningPlatform;
+use yuccatray_standin::upstream::RunningUpstream;
+use yuccatray_standin::upstream::UpstreamBehaviour;
+use yuccatray_standin::upstream::UpstreamStandin;
+
+use crate::deployment::Deployment;
+use crate::deployment::ServiceLoad;
+
+/// Result of running a fleet.
+pub type Result<T, E = FleetError> = std::result::Result<T, E>;
+
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+const READY_POLL: Duration = Duration::from_millis(50);
+
+/// Why a fleet did not start.
+#[derive(Debug, Snafu)]
+pub enum FleetError {
+    /// A stand-in can't listen.
+    #[snafu(display("a stand-in cannot listen"))]
+    Standin {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A node did not start.
+    #[snafu(display("a node did not start: {source}"), context(false))]
+    StartNode {
+        /// Why.
+        source: NodeError,
+    },
+    /// The objects are wrong.
+    #[snafu(display("the objects are wrong: {source}"), context(false))]
+    Objects {
+        /// Why.
+        source: SettingsError,
+    },
+    /// The platform's stand-in refused.
+    #[snafu(display("the platform refused: {source}"), context(false))]
+    ObjectApi {
+        /// Why.
+        source: PlatformError,
+    },
+    /// The fleet did not become ready in time.
+    #[snafu(display("not ready in time: {service}"))]
+    NotReady {
+        /// The service that was not.
+        service: String,
+    },
+}
+
+/// A node and the upstream beside it.
+#[derive(Debug)]
+pub struct FleetMember {
+    /// Service of the upstream.
+    pub service: Arc<str>,
+    /// The node.
+    pub node: Node,
+    /// The upstream.
+    pub upstream: RunningUpstream,
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct EmbeddedFleet {
+    /// The platform's stand-in.
+    pub platform: RunningPlatform,
+    /// The nodes, service by service.
+    pub members: Vec<FleetMember>,
+}
+
+impl EmbeddedFleet {
+    /// Starts the fleet of a deployment and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// When a part does not start or the fleet is not ready in time.
+    pub async fn start(deployment: &Deployment, directory: &Path) -> Result<Self> {
+        let platform = PlatformStandin::start(any_port()).await.context(StandinSnafu)?;
+        apply_objects(&platform, &directory.join(deployment.objects.as_ref())).await?;
+        let mut fleet = Self { platform, members: Vec::new() };
+        for service in &deployment.services {
+            for index in 0..service.upstreams {
+                fleet.add(deployment, service, index).await?;
+            }
+        }
+        for service in &deployment.services {
+            fleet.wait_ready(service).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Address for callers of the node with that position.
+    #[must_use]
+    pub fn ingress_addr(&self, index: usize) -> SocketAddr {
+        self.members[index % self.members.len()].node.addrs().ingress
+    }
+
+    /// Stops every node, one after the other; true when none cut a call short.
+    pub async fn stop(self) -> bool {
+        let mut clean = true;
+        for member in self.members {
+            let shutdown = member.node.stop().await;
+            clean &= shutdown.callers_finished && shutdown.peers_finished;
+        }
+        clean
+    }
+
+    async fn add(&mut self, deployment: &Deployment, service: &ServiceLoad, index: u32) -> Result<()> {
+        let zone = &deployment.zones[index as usize % deployment.zones.len()];
+        let settings = settings(deployment, service, index, zone, self);
+        let node = Node::start(&settings).await?;
+        let behaviour =
+            UpstreamBehaviour { mean_service_us: service.mean_service_us, ..UpstreamBehaviour::default() };
+        let seed = deployment.seed.wrapping_add(self.members.len() as u64);
+        let standin = UpstreamStandin::new(service.slots, behaviour, seed);
+        let upstream = standin.start(any_port()).await.context(StandinSnafu)?;
+        upstream.announce(node.addrs().announce, &service.name, service.slots);
+        self.members.push(FleetMember { service: Arc::clone(&service.name), node, upstream });
+        Ok(())
+    }
+
+    async fn wait_ready(&self, service: &ServiceLoad) -> Result<()> {
+        let api = HttpPlatform::new(self.platform.addr, PLATFORM_TIMEOUT);
+        let until = Instant::now() + READY_TIMEOUT;
+        let nodes = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        while Instant::now() < until {
+            let status = api.get(ObjectKind::ServiceStatus, &service.name).await?;
+            let status = status.and_then(|status| serde_json::from_value::<ServiceStatus>(status.value).ok());
+            let ready = status.is_some_and(|status| {
+                status.applied && status.applied_nodes == nodes && status.ready_upstreams == service.upstreams
+            });
+            if ready {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        NotReadySnafu { service: service.name.as_ref() }.fail()
+    }
+}
+
+async fn apply_objects(platform: &RunningPlatform, path: &Path) -> Result<()> {
+    let api = HttpPlatform::new(platform.addr, PLATFORM_TIMEOUT);
+    for manifest in load_manifests(path)? {
+        if let Some(kind) = manifest.object_kind() {
+            api.put(kind, &manifest.name, &manifest.spec, Precondition::Absent).await?;
+        }
+    }
+    Ok(())
+}
+
+fn settings(
+    deployment: &Deployment,
+    service: &ServiceLoad,
+    index: u32,
+    zone: &Arc<str>,
+    fleet: &EmbeddedFleet,
+) -> Settings {
+    Settings {
+        node: NodeSettings {
+            name: Arc::from(format!("{}-{index}", service.name)),
+            region: Arc::clone(&deployment.region),
+            zone: Arc::clone(zone),
+        },
+        listen: ListenSettings {
+            ingress_addr: any_port(),
+            peer_addr: any_port(),
+            announce_addr: any_port(),
+            admin_addr: any_port(),
+        },
+        seeds: fleet.members.first().map(|member| member.node.addrs().peer).into_iter().collect(),
+        platform: PlatformSettings { addr: fleet.platform.addr, timeout_ms: 2_000 },
+        limits: LimitSettings::default(),
+        gossip: GossipSettings::default(),
+        log: LogSettings::default(),
+    }
+}
+
+/// Any free port of loopback.
+#[must_use]
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
--- /dev/null
+++ b/standin/src/upstream.rs
@@ -0,0 +1,251 @@
+//! An upstream's stand-in: slots, service times, a log of what it executed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use yuccatray::protocol::headers;
+use yuccatray::transport::announce_server::Announcement;
+use yuccatray::transport::http_server::Handler;
+use yuccatray::transport::http_server::ServerLimits;
+use yuccatray::transport::http_server::serve;
+
+const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+const MEAN_FACTOR_MAX: f64 = 8.0;
+
+/// How an upstream behaves at present.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct UpstreamBehaviour {
+    /// Mean service time, in microseconds; single ones are exponentially distributed.
+    pub mean_service_us: u64,
+    /// Factor on every service time.
+    pub slowdown: f64,
+    /// Answers 500 at once without work.
+    pub fail_fast: bool,
+}
+
+impl Default for UpstreamBehaviour {
+    fn default() -> Self {
+        Self { mean_service_us: 2_000, slowdown: 1.0, fail_fast: false }
+    }
+}
+
+/// One execution of a call, as the upstream saw it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Execution {
+    /// Identity of the call, as the gate sent it.
+    pub call: String,
+    /// Path and query of the request.
+    pub target: String,
+    /// Size of the request's body, in bytes.
+    pub body_bytes: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    slots: Semaphore,
+    behaviour: Mutex<UpstreamBehaviour>,
+    rng: Mutex<Pcg64Mcg>,
+    executions: Mutex<Vec<Execution>>,
+}
+
+/// The stand-in of one upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamStandin {
+    shared: Arc<Shared>,
+}
+
+/// An upstream that listens and announces itself.
+#[derive(Debug)]
+pub struct RunningUpstream {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The stand-in, to change its behaviour and read its log.
+    pub standin: UpstreamStandin,
+    stop: CancellationToken,
+}
+
+impl Drop for RunningUpstream {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl UpstreamStandin {
+    /// An upstream with so many slots; the seed fixes its service times.
+    #[must_use]
+    pub fn new(slots: u32, behaviour: UpstreamBehaviour, seed: u64) -> Self {
+        let shared = Shared {
+            slots: Semaphore::new(slots as usize),
+            behaviour: Mutex::new(behaviour),
+            rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
+            executions: Mutex::default(),
+        };
+        Self { shared: Arc::new(shared) }
+    }
+
+    /// Starts to listen on the given address.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be listened on.
+    pub async fn start(self, addr: SocketAddr) -> std::io::Result<RunningUpstream> {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let stop = CancellationToken::new();
+        let limits = ServerLimits { shutdown_timeout: Duration::ZERO, ..ServerLimits::default() };
+        tokio::spawn(serve(listener, limits, self.clone(), stop.clone()));
+        Ok(RunningUpstream { addr, standin: self, stop })
+    }
+
+    /// Changes how it behaves from now on.
+    pub fn set_behaviour(&self, behaviour: UpstreamBehaviour) {
+        *self.shared.behaviour.lock() = behaviour;
+    }
+
+    /// Everything that it executed so far, oldest first.
+    #[must_use]
+    pub fn executions(&self) -> Vec<Execution> {
+        self.shared.executions.lock().clone()
+    }
+
+    fn service_time(&self, behaviour: &UpstreamBehaviour) -> Duration {
+        let uniform: f64 = self.shared.rng.lock().random_range(f64::EPSILON..1.0);
+        let factor = (-uniform.ln()).min(MEAN_FACTOR_MAX) * behaviour.slowdown;
+        Duration::from_micros(behaviour.mean_service_us).mul_f64(factor)
+    }
+
+    async fn execute(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let call = request.headers().get(headers::CALL).and_then(|value| value.to_str().ok());
+        let call = call.unwrap_or_default().to_owned();
+        let target = request.uri().to_string();
+        let Ok(body) = request.into_body().collect().await else {
+            return text(StatusCode::BAD_REQUEST, "unreadable body\n".to_owned());
+        };
+        let body = body.to_bytes();
+        let behaviour = self.shared.behaviour.lock().clone();
+        if behaviour.fail_fast {
+            return text(StatusCode::INTERNAL_SERVER_ERROR, "failing fast\n".to_owned());
+        }
+        let Ok(_slot) = self.shared.slots.acquire().await else {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "stopped\n".to_owned());
+        };
+        let execution = Execution { call, target, body_bytes: body.len() as u64 };
+        self.shared.executions.lock().push(execution.clone());
+        tokio::time::sleep(self.service_time(&behaviour)).await;
+        let echo = serde_json::to_string(&execution).unwrap_or_default();
+        let mut response = text(StatusCode::OK, echo);
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        response
+    }
+
+    async fn control(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        match (request.method().clone(), request.uri().path()) {
+            (Method::GET, "/control/executions") => {
+                text(StatusCode::OK, serde_json::to_string(&self.executions()).unwrap_or_default())
+            }
+            (Method::PUT, "/control/behaviour") => {
+                let Ok(body) = request.into_body().collect().await else {
+                    return text(StatusCode::BAD_REQUEST, "unreadable body\n".to_owned());
+                };
+                match serde_json::from_slice(&body.to_bytes()) {
+                    Ok(behaviour) => {
+                        self.set_behaviour(behaviour);
+                        text(StatusCode::NO_CONTENT, String::new())
+                    }
+                    Err(error) => text(StatusCode::BAD_REQUEST, error.to_string()),
+                }
+            }
+            _ => {
+                text(StatusCode::NOT_FOUND, "GET /control/executions or PUT /control/behaviour\n".to_owned())
+            }
+        }
+    }
+}
+
+impl Handler for UpstreamStandin {
+    type Body = Full<Bytes>;
+
+    async fn handle(&self, request: Request<Incoming>, _remote: SocketAddr) -> Response<Full<Bytes>> {
+        if request.uri().path().starts_with("/control/") {
+            return self.control(request).await;
+        }
+        self.execute(request).await
+    }
+}
+
+impl RunningUpstream {
+    /// Announces itself to the node beside, again and again until dropped.
+    pub fn announce(&self, node: SocketAddr, service: &str, slots: u32) {
+        let announcement =
+            Announcement { service: Arc::from(service), addr: self.addr, slots, draining: false };
+        let stop = self.stop.clone();
+        tokio::spawn(async move {
+            loop {
+                if let Err(error) = put_announcement(node, &announcement).await {
+                    log::debug!("cannot announce; node={node} error={error}");
+                }
+                tokio::select! {
+                    () = stop.cancelled() => return,
+                    () = tokio::time::sleep(RENEW_INTERVAL) => {}
+                }
+            }
+        });
+    }
+}
+
+/// Sends one announcement to a node.
+///
+/// # Errors
+///
+/// When the node can't be reached or refuses it.
+pub async fn put_announcement(node: SocketAddr, announcement: &Announcement) -> std::io::Result<()> {
+    let body = serde_json::to_vec(announcement)?;
+    let request = Request::builder()
+        .method(Method::PUT)
+        .uri("/v1/upstream")
+        .header(HOST, node.to_string())
+        .body(Full::new(Bytes::from(body)))
+        .map_err(std::io::Error::other)?;
+    let stream = TcpStream::connect(node).await?;
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    let driver = tokio::spawn(connection);
+    let response = sender.send_request(request).await.map_err(std::io::Error::other);
+    let status = response.map(|response| response.status());
+    driver.abort();
+    match status? {
+        StatusCode::NO_CONTENT => Ok(()),
+        status => Err(std::io::Error::other(format!("the node answered {status}"))),
+    }
+}
+
+fn text(status: StatusCode, message: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(message)));
+    *response.status_mut() = status;
+    response
+}
