transport: every form of HTTP through two nodes, tested over sockets

Cause: a streamed body past the limit came back as outcome_unknown without saying why, trailers of short bodies and a wish for trailers were lost, header sections past the limit got hyper's empty answer, answers with more than 16 KiB of header fields were cut by the peer channel, an HTTP/2 caller's host did not reach the upstream, and a length beside a transfer coding was passed on.

Change: the ingress checks size and form itself, within a margin in which hyper still hands the request over; a cut streamed body is body_too_large with outcome_unknown once bytes went out; trailers are kept; the peer channel takes answers of 1 MiB of header fields. Labels of counters are shared or static rather than copied, the call's identity is formatted once, and a peer's authority is parsed once. The node runs on /process/worker_threads, 2 by default.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -7,6 +7,7 @@
 use simplelog::ConfigBuilder;
 use simplelog::LevelFilter;
 use simplelog::SimpleLogger;
+use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use yuccatray::node::Node;
@@ -36,8 +37,7 @@
     print_defaults: bool,
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let args = Args::parse();
     let Some(path) = args.settings.filter(|_| !args.print_defaults) else {
         print!("{}", include_str!("../../examples/settings.jsonc"));
@@ -55,7 +55,14 @@
         return ExitCode::SUCCESS;
     }
     start_log(settings.log.level);
-    run(&settings).await
+    let threads = settings.process.worker_threads as usize;
+    match Builder::new_multi_thread().worker_threads(threads).enable_all().build() {
+        Ok(runtime) => runtime.block_on(run(&settings)),
+        Err(error) => {
+            eprintln!("error: cannot start {threads} threads: {error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
 }
 
 async fn run(settings: &Settings) -> ExitCode {
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -130,6 +130,7 @@
             metrics: Arc::clone(&metrics),
             policy: TwoChoices,
             max_replay_bytes: settings.limits.max_replay_bytes,
+            max_header_bytes: settings.limits.max_header_bytes,
         }));
         let platform =
             HttpPlatform::new(settings.platform.addr, Duration::from_millis(settings.platform.timeout_ms));
@@ -153,7 +154,8 @@
         };
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
         let caller_server = spawn_server(listeners.ingress, limits, caller_handler, &stop_callers);
-        let peer_server = spawn_server(listeners.peer, ServerLimits::default(), peer_handler, &stop_rest);
+        let peer_limits = ServerLimits { max_connections: usize::from(u16::MAX), ..limits };
+        let peer_server = spawn_server(listeners.peer, peer_limits, peer_handler, &stop_rest);
         let announce_handler = AnnounceHandler::new(Arc::clone(&desk));
         drop(spawn_server(listeners.announce, ServerLimits::default(), announce_handler, &stop_rest));
         drop(spawn_server(listeners.admin, ServerLimits::default(), admin_handler, &stop_rest));
--- a/lib/src/protocol/answer.rs
+++ b/lib/src/protocol/answer.rs
@@ -21,6 +21,8 @@
     pub kind: ErrorKind,
     /// One sentence for a person.
     pub message: String,
+    /// What is proved about execution; weaker than the kind's row when bytes went out already.
+    pub execution: Execution,
     /// When the same request may be worth sending again.
     pub retry_after: Option<Duration>,
 }
@@ -41,7 +43,7 @@
 impl ErrorAnswer {
     /// An answer without a retry hint.
     pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
-        Self { kind, message: message.into(), retry_after: None }
+        Self { kind, message: message.into(), execution: kind.row().execution, retry_after: None }
     }
 
     /// The same answer with a hint when to send again.
@@ -51,13 +53,20 @@
         self
     }
 
+    /// The same answer for a call of which bytes may have reached an upstream.
+    #[must_use]
+    pub const fn maybe_executed(mut self) -> Self {
+        self.execution = Execution::OutcomeUnknown;
+        self
+    }
+
     /// The complete HTTP response, with the body as bytes.
     #[must_use]
     pub fn into_response(self, call: Option<&CallId>) -> Response<Bytes> {
         let row = self.kind.row();
         let body = ErrorBody {
             error: row.name,
-            execution: row.execution,
+            execution: self.execution,
             retryable: row.retryable,
             retry_after_ms: self.retry_after.map(millis),
             message: &self.message,
@@ -69,7 +78,7 @@
         let fields = response.headers_mut();
         fields.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         fields.insert(headers::ERROR, HeaderValue::from_static(row.name));
-        fields.insert(headers::EXECUTION, HeaderValue::from_static(row.execution.name()));
+        fields.insert(headers::EXECUTION, HeaderValue::from_static(self.execution.name()));
         if let Some(after) = self.retry_after {
             fields.insert(headers::RETRY_AFTER_MS, HeaderValue::from(millis(after)));
             fields.insert(RETRY_AFTER, HeaderValue::from(after.as_secs() + 1));
--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -2,6 +2,7 @@
 
 use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
 use http::header;
 
 /// Names the service that the caller wants.
@@ -39,8 +40,20 @@
     header::EXPECT,
 ];
 
+/// Size of one field apart from its name and value, as RFC 9113 6.5.2 counts it.
+const FIELD_OVERHEAD_BYTES: usize = 32;
+
+const TRAILERS: &str = "trailers";
+
 /// Removes the fields that concern one connection only, as RFC 9110 7.6.1 asks.
+///
+/// A wish for trailers is passed on, since every hop here can carry them. A length
+/// that stands beside a transfer coding goes, as RFC 9112 6.3 asks.
 pub fn strip_hop_by_hop(fields: &mut HeaderMap) {
+    let wants_trailers = wants_trailers(fields);
+    if fields.contains_key(header::TRANSFER_ENCODING) {
+        fields.remove(header::CONTENT_LENGTH);
+    }
     let named: Vec<HeaderName> = fields
         .get_all(header::CONNECTION)
         .iter()
@@ -54,4 +67,20 @@
     for name in HOP_BY_HOP {
         fields.remove(name);
     }
+    if wants_trailers {
+        fields.insert(header::TE, HeaderValue::from_static(TRAILERS));
+    }
+}
+
+/// Whether the sender takes trailers with the answer.
+#[must_use]
+pub fn wants_trailers(fields: &HeaderMap) -> bool {
+    let values = fields.get_all(header::TE).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).any(|coding| coding.trim().eq_ignore_ascii_case(TRAILERS))
+}
+
+/// Size of a header section in bytes, as RFC 9113 6.5.2 counts it.
+#[must_use]
+pub fn size_bytes(fields: &HeaderMap) -> usize {
+    fields.iter().map(|(name, value)| name.as_str().len() + value.len() + FIELD_OVERHEAD_BYTES).sum()
 }
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -39,6 +39,9 @@
     /// How nodes talk to one another.
     #[serde(default)]
     pub gossip: GossipSettings,
+    /// What the node may use of its VM.
+    #[serde(default)]
+    pub process: ProcessSettings,
     /// What is logged.
     #[serde(default)]
     pub log: LogSettings,
@@ -121,6 +124,15 @@
     pub dead_after_ms: u64,
 }
 
+/// What a node may use of its VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct ProcessSettings {
+    /// Threads that carry calls.
+    #[schemars(range(min = 1, max = 256))]
+    pub worker_threads: u32,
+}
+
 /// What is logged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -310,6 +322,12 @@
     }
 }
 
+impl Default for ProcessSettings {
+    fn default() -> Self {
+        Self { worker_threads: 2 }
+    }
+}
+
 impl Default for LogSettings {
     fn default() -> Self {
         Self { level: LogLevel::Info }
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -1,10 +1,13 @@
 //! Counters of a node, in the form that Prometheus reads.
 
 use std::fmt;
+use std::fmt::Write;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
 use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::EncodeLabelValue;
+use prometheus_client::encoding::LabelValueEncoder;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -15,29 +18,39 @@
 const LATENCY_BUCKETS_SECONDS: [f64; 14] =
     [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
 
+/// Name of a service as a label, shared rather than copied for each call.
+#[derive(Clone, Debug, Hash, PartialEq, Eq)]
+pub struct ServiceLabel(pub Arc<str>);
+
+impl EncodeLabelValue for ServiceLabel {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        encoder.write_str(&self.0)
+    }
+}
+
 /// Labels of a count of calls.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct CallLabels {
     /// Service called.
-    pub service: String,
+    pub service: ServiceLabel,
     /// Position of the priority, 0 the most urgent.
     pub priority: u32,
     /// `answered`, or the name of the error kind.
-    pub outcome: String,
+    pub outcome: &'static str,
 }
 
 /// Labels of a count by reason.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct ReasonLabels {
     /// Name of the reason.
-    pub reason: String,
+    pub reason: &'static str,
 }
 
 /// Labels of a latency histogram.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct LatencyLabels {
     /// Service called.
-    pub service: String,
+    pub service: ServiceLabel,
     /// Position of the priority, 0 the most urgent.
     pub priority: u32,
 }
@@ -87,8 +100,8 @@
 
 impl Metrics {
     /// Counts one decision or event under its reason.
-    pub fn count(family: &Family<ReasonLabels, Counter>, reason: &str) {
-        family.get_or_create(&ReasonLabels { reason: reason.to_owned() }).inc();
+    pub fn count(family: &Family<ReasonLabels, Counter>, reason: &'static str) {
+        family.get_or_create(&ReasonLabels { reason }).inc();
     }
 
     /// All counters in the text format of Prometheus.
--- a/lib/src/transport/call_body.rs
+++ b/lib/src/transport/call_body.rs
@@ -1,10 +1,14 @@
 //! Bodies on the path of a call, streamed or kept, without dynamic dispatch.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
@@ -34,8 +38,13 @@
 /// A body that is kept in memory or streams in.
 #[derive(Debug)]
 pub enum CallBody {
-    /// The whole body, or nothing once it was given out.
-    Kept(Option<Bytes>),
+    /// The whole body; each part is gone once it was given out.
+    Kept {
+        /// The data, when there is any.
+        data: Option<Bytes>,
+        /// The trailers, when there are any.
+        trailers: Option<Box<HeaderMap>>,
+    },
     /// A body that streams in, with the number of bytes that it may still have.
     Stream {
         /// Where it comes from.
@@ -44,26 +53,48 @@
         left_bytes: u64,
         /// Bytes that were allowed at first.
         limit_bytes: u64,
+        /// How the body fares, for who sent it on.
+        watch: Option<Arc<BodyWatch>>,
     },
 }
 
+/// How a streamed body fares while another task sends it on.
+#[derive(Debug, Default)]
+pub struct BodyWatch {
+    too_large: AtomicBool,
+}
+
+impl BodyWatch {
+    /// Whether the body grew past its limit and was cut there.
+    #[must_use]
+    pub fn too_large(&self) -> bool {
+        self.too_large.load(Ordering::Acquire)
+    }
+}
+
 impl CallBody {
     /// A body that streams in and may have any size.
     #[must_use]
     pub const fn unlimited(incoming: Incoming) -> Self {
-        Self::Stream { incoming, left_bytes: u64::MAX, limit_bytes: u64::MAX }
+        Self::Stream { incoming, left_bytes: u64::MAX, limit_bytes: u64::MAX, watch: None }
     }
 
     /// A body that streams in and may have at most `limit_bytes`.
     #[must_use]
-    pub const fn limited(incoming: Incoming, limit_bytes: u64) -> Self {
-        Self::Stream { incoming, left_bytes: limit_bytes, limit_bytes }
+    pub const fn limited(incoming: Incoming, limit_bytes: u64, watch: Arc<BodyWatch>) -> Self {
+        Self::Stream { incoming, left_bytes: limit_bytes, limit_bytes, watch: Some(watch) }
+    }
+
+    /// A body that was read to its end.
+    #[must_use]
+    pub fn kept(data: Bytes, trailers: Option<HeaderMap>) -> Self {
+        Self::Kept { data: (!data.is_empty()).then_some(data), trailers: trailers.map(Box::new) }
     }
 }
 
 impl From<Bytes> for CallBody {
     fn from(bytes: Bytes) -> Self {
-        Self::Kept((!bytes.is_empty()).then_some(bytes))
+        Self::kept(bytes, None)
     }
 }
 
@@ -76,24 +107,34 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Kept(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream { incoming, left_bytes, limit_bytes } => {
+            Self::Kept { data, trailers } => {
+                let data = data.take().map(Frame::data);
+                let frame = data.or_else(|| trailers.take().map(|trailers| Frame::trailers(*trailers)));
+                Poll::Ready(frame.map(Ok))
+            }
+            Self::Stream { incoming, left_bytes, limit_bytes, watch } => {
                 let polled = Pin::new(incoming).poll_frame(cx);
-                polled.map(|frame| frame.map(|frame| counted(frame, left_bytes, *limit_bytes)))
+                let polled = polled.map(|frame| frame.map(|frame| counted(frame, left_bytes, *limit_bytes)));
+                if let (Poll::Ready(Some(Err(BodyError::TooLarge { .. }))), Some(watch)) = (&polled, watch) {
+                    watch.too_large.store(true, Ordering::Release);
+                }
+                polled
             }
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Kept(bytes) => bytes.is_none(),
+            Self::Kept { data, trailers } => data.is_none() && trailers.is_none(),
             Self::Stream { incoming, .. } => incoming.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Kept(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
+            Self::Kept { data, .. } => {
+                SizeHint::with_exact(data.as_ref().map_or(0, |data| data.len() as u64))
+            }
             Self::Stream { incoming, .. } => incoming.size_hint(),
         }
     }
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -10,7 +10,9 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header::CONNECTION;
 use http::header::HOST;
+use http::header::TE;
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -227,7 +229,7 @@
         queue.deliver(verdicts);
     }
 
-    fn count(&self, reason: &str) {
+    fn count(&self, reason: &'static str) {
         Metrics::count(&self.metrics.gate_decisions, reason);
     }
 }
@@ -322,6 +324,9 @@
     if let Some(target) = head.uri.path_and_query() {
         head.uri = http::Uri::from(target.clone());
     }
+    if head.headers.contains_key(TE) {
+        head.headers.insert(CONNECTION, HeaderValue::from_static("te"));
+    }
     if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
         head.headers.entry(HOST).or_insert(host);
     }
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -27,6 +27,9 @@
 const PING_TIMEOUT: Duration = Duration::from_secs(2);
 const MAX_STREAMS: u32 = 1_024;
 
+/// Room past the limit in which a handler sees the request and can say what is wrong with it.
+const HEADER_MARGIN_BYTES: u32 = 65_536;
+
 /// Answers requests.
 pub trait Handler: Clone + Send + Sync + 'static {
     /// Body of the answers.
@@ -45,7 +48,7 @@
 pub struct ServerLimits {
     /// Connections at once; more are closed at once.
     pub max_connections: usize,
-    /// Largest header section, in bytes.
+    /// Largest header section, in bytes; handlers refuse what is larger, hyper what is far larger.
     pub max_header_bytes: u32,
     /// Time for the header section to arrive.
     pub header_timeout: Duration,
@@ -107,11 +110,11 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
-        .max_buf_size(limits.max_header_bytes as usize);
+        .max_buf_size((limits.max_header_bytes + HEADER_MARGIN_BYTES) as usize);
     builder
         .http2()
         .timer(TokioTimer::new())
-        .max_header_list_size(limits.max_header_bytes)
+        .max_header_list_size(limits.max_header_bytes + HEADER_MARGIN_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT);
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -8,10 +8,12 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::Uri;
+use http::Version;
+use http::header::HOST;
 use http::request::Parts;
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -43,9 +45,11 @@
 use crate::state::metrics::CallLabels;
 use crate::state::metrics::LatencyLabels;
 use crate::state::metrics::Metrics;
+use crate::state::metrics::ServiceLabel;
 use crate::state::metrics::SharedMetrics;
 use crate::state::upstream_stats::UpstreamStats;
 use crate::transport::call_body::BodyGuard;
+use crate::transport::call_body::BodyWatch;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
 use crate::transport::gate::Gate;
@@ -92,6 +96,8 @@
     pub policy: P,
     /// Largest body kept for a retry, in bytes.
     pub max_replay_bytes: u64,
+    /// Largest header section taken from a caller, in bytes.
+    pub max_header_bytes: u32,
 }
 
 /// Takes calls from callers.
@@ -106,6 +112,7 @@
 #[derive(Debug)]
 struct Call {
     id: CallId,
+    id_field: HeaderValue,
     head: CallHead,
     priority_name: Arc<str>,
     started: Instant,
@@ -122,8 +129,8 @@
 
 #[derive(Debug)]
 enum OutgoingBody {
-    Kept(Bytes),
-    Stream(Option<CallBody>),
+    Kept { data: Bytes, trailers: Option<HeaderMap> },
+    Stream { body: Option<CallBody>, watch: Arc<BodyWatch> },
 }
 
 impl<P> Ingress<P>
@@ -143,19 +150,20 @@
 
     async fn serve(&self, request: Request<Incoming>) -> Response<IngressBody> {
         let id = self.parts.ids.next();
-        let mut response = match self.accept(id.clone(), request).await {
+        let id_field = HeaderValue::from_str(&id.to_string());
+        let id_field = id_field.unwrap_or_else(|_| HeaderValue::from_static(""));
+        let mut response = match self.accept(id.clone(), id_field.clone(), request).await {
             Ok(response) => response.map(Either::Left),
             Err(answer) => answer.into_response(Some(&id)).map(|bytes| Either::Right(Full::new(bytes))),
         };
-        if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
-            response.headers_mut().insert(headers::CALL, value);
-        }
+        response.headers_mut().insert(headers::CALL, id_field);
         response
     }
 
     async fn accept(
         &self,
         id: CallId,
+        id_field: HeaderValue,
         request: Request<Incoming>,
     ) -> Result<Response<GuardedBody<AnswerBody, IngressGuard>>> {
         if self.draining.load(Ordering::Relaxed) {
@@ -163,6 +171,7 @@
                 ErrorAnswer::new(ErrorKind::Draining, "this node is stopping").retry_after(RETRY_HINT)
             );
         }
+        self.check_form(&request)?;
         let service = service_name(request.headers(), request.method())?;
         let published = self.parts.config.get(&service);
         let config = published.as_ref().and_then(|published| published.config.as_ref());
@@ -170,7 +179,7 @@
             ErrorAnswer::new(ErrorKind::UnknownService, format!("no published service is named {service:?}"))
         })?;
         let head = CallHead::read(service, request.headers(), request.method(), config)?;
-        let call = Call::new(id, head, config);
+        let call = Call::new(id, id_field, head, config);
         let result = self.see_through(&call, config, request).await;
         if let Err(answer) = &result {
             log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
@@ -179,6 +188,20 @@
         result
     }
 
+    /// Refuses what is no good request before anything else is read of it.
+    fn check_form(&self, request: &Request<Incoming>) -> Result<()> {
+        let limit_bytes = self.parts.max_header_bytes as usize;
+        let target_bytes = request.uri().path_and_query().map_or(0, |target| target.as_str().len());
+        if headers::size_bytes(request.headers()) + target_bytes > limit_bytes {
+            let message = format!("the header section is larger than {limit_bytes} bytes");
+            return Err(ErrorAnswer::new(ErrorKind::HeadersTooLarge, message));
+        }
+        if request.version() == Version::HTTP_11 && !request.headers().contains_key(HOST) {
+            return Err(ErrorAnswer::new(ErrorKind::MalformedRequest, "the field host is missing"));
+        }
+        Ok(())
+    }
+
     async fn see_through(
         &self,
         call: &Call,
@@ -200,7 +223,7 @@
             tried.push(Arc::clone(&entry.member.id.name));
             let answer = match self.attempt(call, &entry, request).await {
                 Ok(response) => return Ok(response),
-                Err(answer) => answer,
+                Err(answer) => outgoing.explain(answer),
             };
             let again = attempt < call.max_attempts && call.may_retry(answer.kind) && budget.spend();
             if !again {
@@ -221,14 +244,16 @@
         let limit_bytes = config.service.max_body_bytes;
         let (mut parts, body) = request.into_parts();
         headers::strip_hop_by_hop(&mut parts.headers);
+        name_host(&mut parts);
         let declared = body.size_hint().exact();
         if declared.is_some_and(|size| size > limit_bytes) {
             let message = format!("the body is larger than {limit_bytes} bytes");
             return Err(ErrorAnswer::new(ErrorKind::BodyTooLarge, message));
         }
         if declared.is_none_or(|size| size > self.parts.max_replay_bytes) {
-            let stream = CallBody::limited(body, limit_bytes);
-            return Ok(Outgoing { parts, body: OutgoingBody::Stream(Some(stream)) });
+            let watch = Arc::new(BodyWatch::default());
+            let body = Some(CallBody::limited(body, limit_bytes, Arc::clone(&watch)));
+            return Ok(Outgoing { parts, body: OutgoingBody::Stream { body, watch } });
         }
         let collected = tokio::time::timeout_at(call.deadline, body.collect()).await;
         let collected = collected.map_err(|_elapsed| {
@@ -237,7 +262,8 @@
         let collected = collected.map_err(|error| {
             ErrorAnswer::new(ErrorKind::MalformedRequest, format!("unreadable body: {error}"))
         })?;
-        Ok(Outgoing { parts, body: OutgoingBody::Kept(collected.to_bytes()) })
+        let trailers = collected.trailers().cloned();
+        Ok(Outgoing { parts, body: OutgoingBody::Kept { data: collected.to_bytes(), trailers } })
     }
 
     fn choose(&self, call: &Call, tried: &[Arc<str>]) -> Option<DirectoryEntry> {
@@ -312,8 +338,8 @@
         member: &Member,
         mut request: Request<CallBody>,
     ) -> Result<Response<AnswerBody>> {
-        *request.uri_mut() = absolute(request.uri(), member.peer_addr);
         let channel = self.parts.channels.get(member.peer_addr);
+        *request.uri_mut() = channel.absolute(request.uri());
         let sent = tokio::time::timeout_at(call.deadline, channel.send(request)).await;
         match sent {
             Ok(Ok(response)) => refusal_or_answer(response),
@@ -383,7 +409,7 @@
         self.budgets.load().get(service).map_or(fresh, Arc::clone)
     }
 
-    fn count(&self, call: &Call, outcome: &str) {
+    fn count(&self, call: &Call, outcome: &'static str) {
         count_call(&self.parts.metrics, &call.head.service, call.head.priority, outcome);
     }
 }
@@ -420,12 +446,13 @@
 }
 
 impl Call {
-    fn new(id: CallId, head: CallHead, config: &PublishedConfig) -> Self {
+    fn new(id: CallId, id_field: HeaderValue, head: CallHead, config: &PublishedConfig) -> Self {
         let started = Instant::now();
         let names = &config.priorities.priorities;
         let priority_name = names.get_index(usize::from(head.priority)).map(|(name, _)| Arc::clone(name));
         Self {
             id,
+            id_field,
             priority_name: priority_name.unwrap_or_default(),
             started,
             deadline: started + head.timeout,
@@ -447,20 +474,37 @@
     /// The request for the next attempt, or nothing when its body is gone.
     fn next_request(&mut self, call: &Call) -> Option<Request<CallBody>> {
         let body = match &mut self.body {
-            OutgoingBody::Kept(bytes) => CallBody::from(bytes.clone()),
-            OutgoingBody::Stream(stream) => stream.take()?,
+            OutgoingBody::Kept { data, trailers } => CallBody::kept(data.clone(), trailers.clone()),
+            OutgoingBody::Stream { body, .. } => body.take()?,
         };
         let mut request = Request::from_parts(self.parts.clone(), body);
         *request.uri_mut() = origin_form(&self.parts.uri);
         *request.version_mut() = http::Version::default();
-        let left_ms = call.deadline.saturating_duration_since(Instant::now()).as_millis();
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         let fields = request.headers_mut();
-        insert(fields, headers::CALL, &call.id.to_string());
+        fields.insert(headers::CALL, call.id_field.clone());
         insert(fields, headers::SERVICE, &call.head.service);
         insert(fields, headers::PRIORITY, &call.priority_name);
-        insert(fields, headers::TIMEOUT_MS, &left_ms.to_string());
+        fields.insert(headers::TIMEOUT_MS, HeaderValue::from(left_ms));
         Some(request)
     }
+
+    /// The answer to the caller when an attempt failed because of its own body.
+    fn explain(&self, answer: ErrorAnswer) -> ErrorAnswer {
+        let OutgoingBody::Stream { watch, .. } = &self.body else {
+            return answer;
+        };
+        if !watch.too_large() {
+            return answer;
+        }
+        let refused =
+            ErrorAnswer::new(ErrorKind::BodyTooLarge, "the body is larger than the service accepts");
+        match answer.execution {
+            Execution::NotExecuted => refused,
+            Execution::OutcomeUnknown => refused.maybe_executed(),
+        }
+    }
 }
 
 /// One call that this node has under way at an upstream.
@@ -498,17 +542,17 @@
     fn ended(&mut self, whole: bool) {
         let outcome = if whole { ANSWERED } else { "cut_short" };
         count_call(&self.metrics, &self.service, self.priority, outcome);
-        let labels = LatencyLabels { service: self.service.to_string(), priority: u32::from(self.priority) };
+        let labels = LatencyLabels {
+            service: ServiceLabel(Arc::clone(&self.service)),
+            priority: u32::from(self.priority),
+        };
         self.metrics.call_latency.get_or_create(&labels).observe(self.started.elapsed().as_secs_f64());
     }
 }
 
-fn count_call(metrics: &Metrics, service: &str, priority: u8, outcome: &str) {
-    let labels = CallLabels {
-        service: service.to_owned(),
-        priority: u32::from(priority),
-        outcome: outcome.to_owned(),
-    };
+fn count_call(metrics: &Metrics, service: &Arc<str>, priority: u8, outcome: &'static str) {
+    let labels =
+        CallLabels { service: ServiceLabel(Arc::clone(service)), priority: u32::from(priority), outcome };
     metrics.calls.get_or_create(&labels).inc();
 }
 
@@ -526,17 +570,20 @@
     })
 }
 
-fn absolute(target: &Uri, peer: SocketAddr) -> Uri {
-    let path = target.path_and_query().map_or("/", |path| path.as_str());
-    format!("http://{peer}{path}").parse().unwrap_or_else(|_| target.clone())
-}
-
-fn insert(fields: &mut http::HeaderMap, name: http::HeaderName, value: &str) {
+fn insert(fields: &mut HeaderMap, name: http::HeaderName, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         fields.insert(name, value);
     }
 }
 
+/// Gives a request of HTTP/2 the field that names its host in HTTP/1.1.
+fn name_host(parts: &mut Parts) {
+    let host = parts.uri.authority().and_then(|name| HeaderValue::from_str(name.as_str()).ok());
+    if let Some(host) = host {
+        parts.headers.entry(HOST).or_insert(host);
+    }
+}
+
 fn no_upstream() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::NoUpstream, "no upstream of this service takes work").retry_after(RETRY_HINT)
 }
--- a/lib/src/transport/peer_channel.rs
+++ b/lib/src/transport/peer_channel.rs
@@ -13,6 +13,9 @@
 use http::Request;
 use http::Response;
 use http::Uri;
+use http::uri::Authority;
+use http::uri::PathAndQuery;
+use http::uri::Scheme;
 use hyper::body::Incoming;
 use hyper::client::conn::http2;
 use hyper::client::conn::http2::SendRequest;
@@ -36,6 +39,9 @@
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest header section of an answer.
+const MAX_ANSWER_HEADER_BYTES: u32 = 1_048_576;
+
 /// Why a peer gave no answer.
 #[derive(Debug, Snafu)]
 pub enum PeerError {
@@ -77,6 +83,7 @@
 #[derive(Debug)]
 pub struct PeerChannel<B> {
     addr: SocketAddr,
+    authority: Option<Authority>,
     sender: ArcSwapOption<SendRequest<B>>,
     connecting: Mutex<()>,
 }
@@ -85,8 +92,19 @@
 where
     B: http_body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Unpin + 'static,
 {
-    const fn new(addr: SocketAddr) -> Self {
-        Self { addr, sender: ArcSwapOption::const_empty(), connecting: Mutex::const_new(()) }
+    fn new(addr: SocketAddr) -> Self {
+        let authority = addr.to_string().parse().ok();
+        Self { addr, authority, sender: ArcSwapOption::const_empty(), connecting: Mutex::const_new(()) }
+    }
+
+    /// The target of a request as HTTP/2 carries it to this peer.
+    #[must_use]
+    pub fn absolute(&self, target: &Uri) -> Uri {
+        let mut parts = target.clone().into_parts();
+        parts.scheme = Some(Scheme::HTTP);
+        parts.authority.clone_from(&self.authority);
+        parts.path_and_query.get_or_insert_with(|| PathAndQuery::from_static("/"));
+        Uri::from_parts(parts).unwrap_or_else(|_| target.clone())
     }
 
     /// Sends a request and waits for the header section of the answer.
@@ -138,7 +156,11 @@
     let stream = connecting.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
     stream.set_nodelay(true).context(ConnectSnafu)?;
     let mut builder = http2::Builder::new(TokioExecutor::new());
-    builder.timer(TokioTimer::new()).keep_alive_interval(PING_INTERVAL).keep_alive_timeout(PING_TIMEOUT);
+    builder
+        .timer(TokioTimer::new())
+        .max_header_list_size(MAX_ANSWER_HEADER_BYTES)
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT);
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
@@ -226,11 +248,7 @@
     fn call(&mut self, mut request: Request<tonic::body::Body>) -> Self::Future {
         let channel = Arc::clone(&self.channel);
         Box::pin(async move {
-            let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
-            let absolute = format!("http://{}{target}", channel.addr);
-            if let Ok(uri) = absolute.parse::<Uri>() {
-                *request.uri_mut() = uri;
-            }
+            *request.uri_mut() = channel.absolute(request.uri());
             channel.send(request).await
         })
     }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod daemon_process;
 pub mod http_call;
+pub mod raw_http;
+pub mod two_nodes;
 pub mod workspace;
--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -21,6 +21,7 @@
 use yuccatray::protocol::settings::LogSettings;
 use yuccatray::protocol::settings::NodeSettings;
 use yuccatray::protocol::settings::PlatformSettings;
+use yuccatray::protocol::settings::ProcessSettings;
 use yuccatray::protocol::settings::Settings;
 use yuccatray::protocol::settings::SettingsError;
 use yuccatray::transport::platform::Platform;
@@ -44,6 +45,7 @@
 
 /// Why a fleet did not start.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
 pub enum FleetError {
     /// A stand-in can't listen.
     #[snafu(display("a stand-in cannot listen"))]
@@ -200,6 +202,7 @@
         platform: PlatformSettings { addr: fleet.platform.addr, timeout_ms: 2_000 },
         limits: LimitSettings::default(),
         gossip: GossipSettings::default(),
+        process: ProcessSettings::default(),
         log: LogSettings::default(),
     }
 }
