load: compare by processes and turns, with processor time and memory

Cause: the comparison slept in the upstream by timers that tick once a millisecond and paced calls by the same timers, so that its quantiles held the timer as well as the path; it told neither what a call costs nor where it ends.

Change: the upstream answers at once; a thread of its own paces calls and latency counts from the moment of issue; legs alternate, and each added quantile is shown over all turns with the least and most of single turns; processor time per call and resident memory are read from the kernel's account of any processes; callers without pause show where it saturates; `--direct` and `--through` measure nodes that run as processes.

--- a/load/src/commands/compare.rs
+++ b/load/src/commands/compare.rs
@@ -1,104 +1,237 @@
 //! Compares the direct call with the call through two nodes, in turn in one run.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use clap::Args;
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
 use http::Method;
-use parking_lot::Mutex;
+use yuccatray_load::caller::CallPlan;
 use yuccatray_load::caller::Caller;
 use yuccatray_load::deployment::CallStream;
 use yuccatray_load::deployment::Deployment;
 use yuccatray_load::deployment::ServiceLoad;
 use yuccatray_load::embedded_fleet::EmbeddedFleet;
 use yuccatray_load::embedded_fleet::Result;
-use yuccatray_load::latency_table::LatencyTable;
-use yuccatray_load::open_loop::StreamPlan;
-use yuccatray_load::open_loop::run_stream;
+use yuccatray_load::leg::LegResult;
+use yuccatray_load::leg::Pace;
+use yuccatray_load::leg::RepeatedCall;
+use yuccatray_load::leg::run_leg;
+use yuccatray_load::process_usage::ProcessUsage;
 
 const TARGET_SERVICE: &str = "catalogue";
 const INGRESS_SERVICE: &str = "orders";
 const PRIORITY: &str = "browse";
-const MEAN_SERVICE_US: u64 = 1;
+const SLOTS: u32 = 40;
+const QUANTILES: [f64; 3] = [0.5, 0.99, 0.999];
+const MIB: f64 = 1_048_576.0;
 
-/// Compares the direct call with the call through two nodes.
+/// Compares the direct call with the call through two nodes, in turn in one run.
+///
+/// The upstream answers at once, so that what is measured is the path and not
+/// the service. Without addresses, two nodes and the upstream are started in
+/// this process; with them, nodes that run as processes of their own are measured.
 #[derive(Debug, Args)]
 pub struct CompareArgs {
     /// Rates to compare at, in calls per second.
     #[arg(long, value_delimiter = ',', default_value = "100,500,1000,2000")]
     rates: Vec<f64>,
+    /// Callers that call without pause after the rates, to find where it saturates.
+    #[arg(long, value_delimiter = ',', default_value = "1,10,40")]
+    callers: Vec<u32>,
     /// Length of each leg, in milliseconds.
-    #[arg(long, default_value_t = 3_000)]
+    #[arg(long, default_value_t = 2_000)]
     leg_ms: u64,
     /// Times that the two legs alternate at each rate.
     #[arg(long, default_value_t = 3)]
     turns: u32,
+    /// Address of an upstream that runs already.
+    #[arg(long, requires = "through")]
+    direct: Option<SocketAddr>,
+    /// Ingress address of a node that runs already and has no upstream of the service.
+    #[arg(long, requires = "direct")]
+    through: Option<SocketAddr>,
+    /// Processes whose processor time and memory are counted; this one by default.
+    #[arg(long, value_delimiter = ',')]
+    pids: Vec<u32>,
+}
+
+struct Comparison {
+    direct: Arc<RepeatedCall>,
+    through: Arc<RepeatedCall>,
+    leg: Duration,
+    turns: u32,
+    pids: Vec<u32>,
+}
+
+/// Legs of one kind, turn by turn.
+#[derive(Default)]
+struct Legs {
+    results: Vec<LegResult>,
+    processor: Duration,
 }
 
 /// Runs `yuccatray-load compare`.
 pub async fn cmd_compare(args: &CompareArgs) -> Result<()> {
-    let deployment = deployment();
-    let fleet = EmbeddedFleet::start(&deployment, Path::new("examples")).await?;
-    let direct = Arc::new(Caller::new(fleet.members[0].upstream.addr));
-    let through = Arc::new(Caller::new(fleet.ingress_addr(1)));
-    let table = Arc::new(Mutex::new(LatencyTable::default()));
-    for rate in &args.rates {
-        for turn in 0..args.turns {
-            leg("direct", *rate, turn, &direct, args, &table).await;
-            leg("two nodes", *rate, turn, &through, args, &table).await;
-        }
+    let mut fleet = None;
+    let (direct, through) = if let (Some(direct), Some(through)) = (args.direct, args.through) {
+        (direct, through)
+    } else {
+        let started = EmbeddedFleet::start(&deployment(), Path::new("examples")).await?;
+        let addrs = (started.members[0].upstream.addr, started.ingress_addr(1));
+        fleet = Some(started);
+        addrs
+    };
+    let comparison = Comparison {
+        direct: repeated(direct),
+        through: repeated(through),
+        leg: Duration::from_millis(args.leg_ms),
+        turns: args.turns,
+        pids: if args.pids.is_empty() { vec![std::process::id()] } else { args.pids.clone() },
+    };
+    comparison.run(args).await;
+    if let Some(fleet) = fleet {
+        fleet.stop().await;
     }
-    println!("{}", table.lock().render());
-    print_added(&table.lock());
-    fleet.stop().await;
     Ok(())
 }
 
-async fn leg(
-    name: &str,
-    rate: f64,
-    turn: u32,
-    caller: &Arc<Caller>,
-    args: &CompareArgs,
-    table: &Arc<Mutex<LatencyTable>>,
-) {
-    let own = Arc::new(Mutex::new(LatencyTable::default()));
-    let plan = StreamPlan {
-        service: Arc::from(TARGET_SERVICE),
-        priority: Arc::from(PRIORITY),
-        method: Method::GET,
-        calls_per_second: rate,
-        objective: Duration::from_secs(1),
-        seed: u64::from(turn),
-    };
-    run_stream(plan, vec![Arc::clone(caller)], Duration::from_millis(args.leg_ms), Arc::clone(&own)).await;
-    let rate_name = Arc::from(format!("{rate}/s"));
-    table.lock().merge(&own.lock(), &Arc::from(name), &rate_name);
+impl Comparison {
+    async fn run(&self, args: &CompareArgs) {
+        let mut table = Table::new();
+        table.load_style(NOTHING);
+        table.set_header([
+            "PACE",
+            "LEG",
+            "CALLS/S",
+            "FAILED",
+            "P50 MS",
+            "P99 MS",
+            "P99.9 MS",
+            "CPU US/CALL",
+            "RSS MIB",
+        ]);
+        self.warm_up().await;
+        let mut added = Vec::new();
+        for rate in &args.rates {
+            let pace = |turn: u32| Pace::OpenLoop { calls_per_second: *rate, seed: u64::from(turn) };
+            added.push(self.compare(&format!("{rate}/s"), pace, &mut table).await);
+        }
+        for callers in &args.callers {
+            let pace = |_turn| Pace::ClosedLoop { callers: *callers };
+            added.push(self.compare(&format!("{callers} callers"), pace, &mut table).await);
+        }
+        println!("{}", table.trim_fmt());
+        println!("\nAdded by two nodes (all turns together; least to most of single turns):");
+        for line in added {
+            println!("{line}");
+        }
+        let before = self.usage().processor;
+        tokio::time::sleep(self.leg).await;
+        let idle = self.usage().processor.saturating_sub(before).as_secs_f64() / self.leg.as_secs_f64();
+        println!("\nWithout calls: {:.2} % of a core", idle * 100.0);
+    }
+
+    async fn warm_up(&self) {
+        for call in [&self.direct, &self.through] {
+            let pace = Pace::ClosedLoop { callers: SLOTS };
+            run_leg(Arc::clone(call), pace, self.leg / 4).await;
+        }
+    }
+
+    async fn compare<F>(&self, name: &str, pace: F, table: &mut Table) -> String
+    where
+        F: Fn(u32) -> Pace,
+    {
+        let mut direct = Legs::default();
+        let mut through = Legs::default();
+        for turn in 0..self.turns {
+            self.leg(&self.direct, pace(turn), &mut direct).await;
+            self.leg(&self.through, pace(turn), &mut through).await;
+        }
+        table.add_row(self.row(name, "direct", &direct));
+        table.add_row(self.row(name, "two nodes", &through));
+        let figures: Vec<String> = QUANTILES.iter().map(|at| added(&direct, &through, *at)).collect();
+        format!("  {name}: {}", figures.join(", "))
+    }
+
+    async fn leg(&self, call: &Arc<RepeatedCall>, pace: Pace, legs: &mut Legs) {
+        let before = self.usage().processor;
+        legs.results.push(run_leg(Arc::clone(call), pace, self.leg).await);
+        legs.processor += self.usage().processor.saturating_sub(before);
+    }
+
+    fn usage(&self) -> ProcessUsage {
+        ProcessUsage::of(&self.pids).unwrap_or_default()
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "counts and sizes of one run are far below 2^52")]
+    fn row(&self, name: &str, leg: &str, legs: &Legs) -> Vec<String> {
+        let Some(all) = legs.together() else {
+            return Vec::new();
+        };
+        let calls = (all.answered() + all.failed).max(1) as f64;
+        vec![
+            name.to_owned(),
+            leg.to_owned(),
+            format!("{:.0}", all.answered() as f64 / all.elapsed.as_secs_f64()),
+            all.failed.to_string(),
+            format!("{:.3}", all.quantile_ms(0.5)),
+            format!("{:.3}", all.quantile_ms(0.99)),
+            format!("{:.3}", all.quantile_ms(0.999)),
+            format!("{:.0}", legs.processor.as_secs_f64() * 1e6 / calls),
+            format!("{:.1}", self.usage().resident_bytes as f64 / MIB),
+        ]
+    }
 }
 
-fn print_added(table: &LatencyTable) {
-    println!("\nAdded by two nodes:");
-    for ((name, rate), row) in table.rows().filter(|((name, _), _)| name.as_ref() == "two nodes") {
-        let direct = table.rows().find(|((other, at), _)| other != name && at == rate);
-        if let Some((_, direct)) = direct {
-            let added = |quantile| row.quantile_ms(quantile) - direct.quantile_ms(quantile);
-            println!(
-                "  {rate}: p50 {:.3} ms, p99 {:.3} ms, p99.9 {:.3} ms",
-                added(0.5),
-                added(0.99),
-                added(0.999)
-            );
+impl Legs {
+    fn together(&self) -> Option<LegResult> {
+        let (first, rest) = self.results.split_first()?;
+        let mut all = first.clone();
+        for result in rest {
+            all.add(result);
         }
+        Some(all)
     }
 }
 
+fn added(direct: &Legs, through: &Legs, quantile: f64) -> String {
+    let single: Vec<f64> = through
+        .results
+        .iter()
+        .zip(&direct.results)
+        .map(|(through, direct)| through.quantile_ms(quantile) - direct.quantile_ms(quantile))
+        .collect();
+    let least = single.iter().copied().fold(f64::INFINITY, f64::min);
+    let most = single.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    let all = through.together().zip(direct.together());
+    let all =
+        all.map_or(0.0, |(through, direct)| through.quantile_ms(quantile) - direct.quantile_ms(quantile));
+    format!("p{} {all:.3} ms ({least:.3} to {most:.3})", quantile * 100.0)
+}
+
+fn repeated(addr: SocketAddr) -> Arc<RepeatedCall> {
+    let plan = CallPlan {
+        method: Method::GET,
+        target: "/patterns/7".to_owned(),
+        service: TARGET_SERVICE.to_owned(),
+        priority: PRIORITY.to_owned(),
+        body: Bytes::new(),
+    };
+    Arc::new(RepeatedCall { caller: Arc::new(Caller::new(addr)), plan })
+}
+
 fn deployment() -> Deployment {
     let service = |name: &str| ServiceLoad {
         name: Arc::from(name),
         upstreams: 1,
-        slots: 40,
-        mean_service_us: MEAN_SERVICE_US,
+        slots: SLOTS,
+        mean_service_us: 0,
         streams: Vec::<CallStream>::new(),
     };
     Deployment {
--- a/load/src/deployment.rs
+++ b/load/src/deployment.rs
@@ -44,8 +44,8 @@
     /// Calls that each upstream runs at once.
     #[schemars(range(min = 1, max = 1_000))]
     pub slots: u32,
-    /// Mean service time, in microseconds.
-    #[schemars(range(min = 1, max = 10_000_000))]
+    /// Mean service time, in microseconds; 0 answers at once.
+    #[schemars(range(min = 0, max = 10_000_000))]
     pub mean_service_us: u64,
     /// What callers ask of it.
     pub streams: Vec<CallStream>,
--- a/standin/src/upstream.rs
+++ b/standin/src/upstream.rs
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct UpstreamBehaviour {
-    /// Mean service time, in microseconds; single ones are exponentially distributed.
+    /// Mean service time, in microseconds; single ones are exponentially distributed, and 0 is no time.
     pub mean_service_us: u64,
     /// Factor on every service time.
     pub slowdown: f64,
@@ -156,7 +156,9 @@
         };
         let execution = Execution { call, target, body_bytes: body.len() as u64 };
         self.shared.executions.lock().push(execution.clone());
-        tokio::time::sleep(self.service_time(&behaviour)).await;
+        if behaviour.mean_service_us > 0 {
+            tokio::time::sleep(self.service_time(&behaviour)).await;
+        }
         let echo = serde_json::to_string(&execution).unwrap_or_default();
         let mut response = text(StatusCode::OK, echo);
         response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
