load: experiments from files, with events, phases and baselines

Cause: decisions could not be compared with known ways to decide. Change: yuccatray-load experiment runs each variant on a fresh embedded fleet with the same seeds and reports latency, goodput and cost by phase.

--- a/lib/src/coordination/routing.rs
+++ b/lib/src/coordination/routing.rs
@@ -1,5 +1,7 @@
 //! Which upstream a call is sent to.
 
+use std::net::SocketAddr;
+
 use rand::Rng;
 use rand::RngExt;
 
@@ -13,6 +15,8 @@
 /// One upstream that a call may be sent to.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
+    /// Where the gate is reached; the same for as long as its node lives.
+    pub peer_addr: SocketAddr,
     /// What the ingress knows about its load.
     pub load: UpstreamLoad,
     /// Slots that the upstream declared.
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -14,6 +14,7 @@
 
 use crate::coordination::membership::Membership;
 use crate::coordination::membership::Patience;
+use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::routing::TwoChoices;
 use crate::protocol::call_id::CallIdSource;
 use crate::protocol::member::Member;
@@ -75,11 +76,13 @@
 
 /// A running node.
 #[derive(Debug)]
-pub struct Node {
+pub struct Node<P = TwoChoices> {
     addrs: NodeAddrs,
+    gate: Arc<Gate>,
+    metrics: SharedMetrics,
     gossip: Arc<Gossip>,
     desk: Arc<AnnounceDesk>,
-    ingress: Arc<Ingress<TwoChoices>>,
+    ingress: Arc<Ingress<P>>,
     stop_callers: CancellationToken,
     stop_rest: CancellationToken,
     caller_server: JoinHandle<bool>,
@@ -110,6 +113,20 @@
     ///
     /// When an address can't be listened on.
     pub async fn start(settings: &Settings) -> Result<Self> {
+        Self::start_with(settings, TwoChoices).await
+    }
+}
+
+impl<P> Node<P>
+where
+    P: RoutingPolicy + Send + Sync + 'static,
+{
+    /// Starts a node that chooses upstreams by the given policy.
+    ///
+    /// # Errors
+    ///
+    /// When an address can't be listened on.
+    pub async fn start_with(settings: &Settings, policy: P) -> Result<Self> {
         let listeners = Listeners::bind(settings).await?;
         let addrs = listeners.addrs()?;
         let me = describe_me(settings, addrs);
@@ -128,7 +145,7 @@
             channels: Arc::new(CallChannels::default()),
             control: Arc::clone(gossip.channels()),
             metrics: Arc::clone(&metrics),
-            policy: TwoChoices,
+            policy,
             max_replay_bytes: settings.limits.max_replay_bytes,
         }));
         let platform =
@@ -171,7 +188,19 @@
             addrs.announce,
             addrs.admin
         );
-        Ok(Self { addrs, gossip, desk, ingress, stop_callers, stop_rest, caller_server, peer_server, loops })
+        Ok(Self {
+            addrs,
+            gate,
+            metrics,
+            gossip,
+            desk,
+            ingress,
+            stop_callers,
+            stop_rest,
+            caller_server,
+            peer_server,
+            loops,
+        })
     }
 
     /// Where the node listens.
@@ -180,6 +209,18 @@
         self.addrs
     }
 
+    /// The gate beside the node's upstream.
+    #[must_use]
+    pub const fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
+    /// Counters of the node.
+    #[must_use]
+    pub const fn metrics(&self) -> &SharedMetrics {
+        &self.metrics
+    }
+
     /// Stops gracefully: announces it, takes nothing new, finishes what is under way.
     pub async fn stop(self) -> Shutdown {
         self.desk.drain();
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -260,6 +260,7 @@
 
     fn candidate(&self, entry: &DirectoryEntry, now: Instant) -> Candidate {
         Candidate {
+            peer_addr: entry.member.peer_addr,
             load: entry.stats.load(now),
             slots: entry.member.upstream.as_ref().map_or(1, |upstream| upstream.slots),
             same_zone: entry.member.zone == self.parts.me.zone,
--- a/load/src/caller.rs
+++ b/load/src/caller.rs
@@ -78,6 +78,7 @@
 #[derive(Debug)]
 pub struct Caller {
     addr: SocketAddr,
+    one_way_delay: Duration,
     idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
 }
 
@@ -85,7 +86,14 @@
     /// A caller of the node or upstream at `addr`.
     #[must_use]
     pub const fn new(addr: SocketAddr) -> Self {
-        Self { addr, idle: Mutex::new(Vec::new()) }
+        Self { addr, one_way_delay: Duration::ZERO, idle: Mutex::new(Vec::new()) }
+    }
+
+    /// The same caller at a distance: every request and every answer takes so long more.
+    #[must_use]
+    pub const fn at_distance(mut self, one_way_delay: Duration) -> Self {
+        self.one_way_delay = one_way_delay;
+        self
     }
 
     /// Sends one call and reads the whole answer.
@@ -104,15 +112,23 @@
             .body(Full::new(plan.body.clone()))
             .context(RequestSnafu)?;
         let started = Instant::now();
+        self.travel().await;
         let response = sender.send_request(request).await.context(ExchangeSnafu)?;
         let (head, body) = response.into_parts();
         let body = body.collect().await.context(ExchangeSnafu)?.to_bytes();
+        self.travel().await;
         let took = started.elapsed();
         self.idle.lock().push(sender);
         let error = head.headers.get(headers::ERROR).and_then(|value| value.to_str().ok());
         Ok(CallOutcome { status: head.status, error: error.map(str::to_owned), body, took })
     }
 
+    async fn travel(&self) {
+        if !self.one_way_delay.is_zero() {
+            tokio::time::sleep(self.one_way_delay).await;
+        }
+    }
+
     async fn checkout(&self) -> Result<SendRequest<Full<Bytes>>> {
         while let Some(mut sender) = self.pop_idle() {
             if sender.ready().await.is_ok() {
--- a/load/src/commands/compare.rs
+++ b/load/src/commands/compare.rs
@@ -99,6 +99,7 @@
         upstreams: 1,
         slots: 40,
         mean_service_us: MEAN_SERVICE_US,
+        service_stages: 1,
         streams: Vec::<CallStream>::new(),
     };
     Deployment {
--- a/load/src/commands/fleet.rs
+++ b/load/src/commands/fleet.rs
@@ -106,7 +106,8 @@
     }
 }
 
-fn objectives(path: &Path) -> Result<IndexMap<Arc<str>, PrioritySpec>> {
+/// The priorities that the objects in a file declare, by name.
+pub fn objectives(path: &Path) -> Result<IndexMap<Arc<str>, PrioritySpec>> {
     let mut objectives = IndexMap::new();
     for manifest in load_manifests(path)? {
         if manifest.object_kind() == Some(ObjectKind::PrioritySet) {
--- a/load/src/commands/mod.rs
+++ b/load/src/commands/mod.rs
@@ -1,4 +1,5 @@
 //! One module a command, each with its arguments and one function.
 
 pub mod compare;
+pub mod experiment;
 pub mod fleet;
--- a/load/src/deployment.rs
+++ b/load/src/deployment.rs
@@ -10,6 +10,7 @@
 use yuccatray::protocol::settings::checked_from_value;
 use yuccatray::protocol::settings::parse_jsonc;
 use yuccatray::protocol::settings::read_text;
+use yuccatray_standin::upstream::UpstreamBehaviour;
 
 /// A fleet and its load.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -47,6 +48,10 @@
     /// Mean service time, in microseconds.
     #[schemars(range(min = 1, max = 10_000_000))]
     pub mean_service_us: u64,
+    /// Exponential stages that make up one service time; more stages vary less.
+    #[serde(default = "default_service_stages")]
+    #[schemars(range(min = 1, max = 100))]
+    pub service_stages: u32,
     /// What callers ask of it.
     pub streams: Vec<CallStream>,
 }
@@ -76,6 +81,22 @@
     }
 }
 
+impl ServiceLoad {
+    /// How its upstreams behave while nothing disturbs them.
+    #[must_use]
+    pub fn behaviour(&self) -> UpstreamBehaviour {
+        UpstreamBehaviour {
+            mean_service_us: self.mean_service_us,
+            service_stages: self.service_stages,
+            ..UpstreamBehaviour::default()
+        }
+    }
+}
+
+const fn default_service_stages() -> u32 {
+    1
+}
+
 fn default_method() -> Arc<str> {
     Arc::from("GET")
 }
--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -29,11 +29,14 @@
 use yuccatray_standin::platform::PlatformStandin;
 use yuccatray_standin::platform::RunningPlatform;
 use yuccatray_standin::upstream::RunningUpstream;
-use yuccatray_standin::upstream::UpstreamBehaviour;
 use yuccatray_standin::upstream::UpstreamStandin;
 
+use crate::baselines::FleetPolicy;
+use crate::baselines::GateBoard;
 use crate::deployment::Deployment;
 use crate::deployment::ServiceLoad;
+use crate::policy_variant::AdmissionVariant;
+use crate::policy_variant::PolicyVariant;
 
 /// Result of running a fleet.
 pub type Result<T, E = FleetError> = std::result::Result<T, E>;
@@ -44,6 +47,7 @@
 
 /// Why a fleet did not start.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
 pub enum FleetError {
     /// A stand-in can't listen.
     #[snafu(display("a stand-in cannot listen"))]
@@ -69,6 +73,12 @@
         /// Why.
         source: PlatformError,
     },
+    /// The results can't be written.
+    #[snafu(display("cannot write the results"))]
+    WriteResults {
+        /// What the system said.
+        source: std::io::Error,
+    },
     /// The fleet did not become ready in time.
     #[snafu(display("not ready in time: {service}"))]
     NotReady {
@@ -83,7 +93,9 @@
     /// Service of the upstream.
     pub service: Arc<str>,
     /// The node.
-    pub node: Node,
+    pub node: Node<FleetPolicy>,
+    /// Availability zone of both.
+    pub zone: Arc<str>,
     /// The upstream.
     pub upstream: RunningUpstream,
 }
@@ -95,6 +107,8 @@
     pub platform: RunningPlatform,
     /// The nodes, service by service.
     pub members: Vec<FleetMember>,
+    /// The gates, for the baselines that look into them.
+    pub board: GateBoard,
 }
 
 impl EmbeddedFleet {
@@ -104,12 +118,26 @@
     ///
     /// When a part does not start or the fleet is not ready in time.
     pub async fn start(deployment: &Deployment, directory: &Path) -> Result<Self> {
+        Self::start_with(deployment, directory, &PolicyVariant::default()).await
+    }
+
+    /// Starts a fleet that decides by the given variant.
+    ///
+    /// # Errors
+    ///
+    /// When a part does not start or the fleet is not ready in time.
+    pub async fn start_with(
+        deployment: &Deployment,
+        directory: &Path,
+        variant: &PolicyVariant,
+    ) -> Result<Self> {
         let platform = PlatformStandin::start(any_port()).await.context(StandinSnafu)?;
-        apply_objects(&platform, &directory.join(deployment.objects.as_ref())).await?;
-        let mut fleet = Self { platform, members: Vec::new() };
+        apply_objects(&platform, &directory.join(deployment.objects.as_ref()), variant.admission).await?;
+        let board = GateBoard::default();
+        let mut fleet = Self { platform, members: Vec::new(), board };
         for service in &deployment.services {
             for index in 0..service.upstreams {
-                fleet.add(deployment, service, index).await?;
+                fleet.add(deployment, service, index, variant).await?;
             }
         }
         for service in &deployment.services {
@@ -134,17 +162,33 @@
         clean
     }
 
-    async fn add(&mut self, deployment: &Deployment, service: &ServiceLoad, index: u32) -> Result<()> {
+    async fn add(
+        &mut self,
+        deployment: &Deployment,
+        service: &ServiceLoad,
+        index: u32,
+        variant: &PolicyVariant,
+    ) -> Result<()> {
         let zone = &deployment.zones[index as usize % deployment.zones.len()];
         let settings = settings(deployment, service, index, zone, self);
-        let node = Node::start(&settings).await?;
-        let behaviour =
-            UpstreamBehaviour { mean_service_us: service.mean_service_us, ..UpstreamBehaviour::default() };
+        let policy = FleetPolicy::new(variant.routing, &self.board);
+        let node = Node::start_with(&settings, policy).await?;
+        self.board.add(node.addrs().peer, node.gate());
+        let behaviour = service.behaviour();
         let seed = deployment.seed.wrapping_add(self.members.len() as u64);
         let standin = UpstreamStandin::new(service.slots, behaviour, seed);
         let upstream = standin.start(any_port()).await.context(StandinSnafu)?;
-        upstream.announce(node.addrs().announce, &service.name, service.slots);
-        self.members.push(FleetMember { service: Arc::clone(&service.name), node, upstream });
+        upstream.announce(
+            node.addrs().announce,
+            &service.name,
+            variant.admission.announced_slots(service.slots),
+        );
+        self.members.push(FleetMember {
+            service: Arc::clone(&service.name),
+            node,
+            zone: Arc::clone(zone),
+            upstream,
+        });
         Ok(())
     }
 
@@ -167,11 +211,13 @@
     }
 }
 
-async fn apply_objects(platform: &RunningPlatform, path: &Path) -> Result<()> {
+async fn apply_objects(platform: &RunningPlatform, path: &Path, admission: AdmissionVariant) -> Result<()> {
     let api = HttpPlatform::new(platform.addr, PLATFORM_TIMEOUT);
     for manifest in load_manifests(path)? {
         if let Some(kind) = manifest.object_kind() {
-            api.put(kind, &manifest.name, &manifest.spec, Precondition::Absent).await?;
+            let mut spec = manifest.spec;
+            admission.adjust(kind, &mut spec);
+            api.put(kind, &manifest.name, &spec, Precondition::Absent).await?;
         }
     }
     Ok(())
--- a/load/src/latency_table.rs
+++ b/load/src/latency_table.rs
@@ -46,6 +46,13 @@
         self.answered + self.errors.values().sum::<u64>()
     }
 
+    /// Failures by error kind, as text.
+    #[must_use]
+    pub fn errors_text(&self) -> String {
+        let errors: Vec<String> = self.errors.iter().map(|(kind, count)| format!("{kind}={count}")).collect();
+        if errors.is_empty() { "-".to_owned() } else { errors.join(" ") }
+    }
+
     /// Calls that an upstream answered.
     #[must_use]
     pub const fn answered(&self) -> u64 {
@@ -114,8 +121,6 @@
             "ERRORS",
         ]);
         for ((service, priority), row) in &self.rows {
-            let errors: Vec<String> =
-                row.errors.iter().map(|(kind, count)| format!("{kind}={count}")).collect();
             table.add_row([
                 service.to_string(),
                 priority.to_string(),
@@ -125,7 +130,7 @@
                 format!("{:.2}", row.quantile_ms(0.5)),
                 format!("{:.2}", row.quantile_ms(0.99)),
                 format!("{:.2}", row.quantile_ms(0.999)),
-                if errors.is_empty() { "-".to_owned() } else { errors.join(" ") },
+                row.errors_text(),
             ]);
         }
         table.trim_fmt()
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -8,6 +8,7 @@
 use clap::Subcommand;
 
 use crate::commands::compare;
+use crate::commands::experiment;
 use crate::commands::fleet;
 
 #[global_allocator]
@@ -25,6 +26,7 @@
 enum Command {
     Fleet(fleet::FleetArgs),
     Compare(compare::CompareArgs),
+    Experiment(experiment::ExperimentArgs),
 }
 
 #[tokio::main]
@@ -32,6 +34,7 @@
     let result = match Args::parse().command {
         Command::Fleet(args) => fleet::cmd_fleet(&args).await,
         Command::Compare(args) => compare::cmd_compare(&args).await,
+        Command::Experiment(args) => experiment::cmd_experiment(&args).await,
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/load/src/open_loop.rs
+++ b/load/src/open_loop.rs
@@ -33,13 +33,38 @@
     pub seed: u64,
 }
 
+/// What became of one call of a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamCall<'a> {
+    /// The stream.
+    pub plan: &'a StreamPlan,
+    /// When the call was due.
+    pub due: Instant,
+    /// From then to the last byte of its answer, or the name of its error.
+    pub result: Result<Duration, &'a str>,
+}
+
+/// Takes down what became of calls.
+pub trait CallRecorder: Send + Sync + 'static {
+    /// Takes down one call.
+    fn record(&self, call: StreamCall<'_>);
+}
+
+impl CallRecorder for Mutex<LatencyTable> {
+    fn record(&self, call: StreamCall<'_>) {
+        let plan = call.plan;
+        match call.result {
+            Ok(took) => self.lock().answered(&plan.service, &plan.priority, took, plan.objective),
+            Err(error) => self.lock().failed(&plan.service, &plan.priority, error),
+        }
+    }
+}
+
 /// Sends one stream of calls for a time, over the callers in turn.
-pub async fn run_stream(
-    plan: StreamPlan,
-    callers: Vec<Arc<Caller>>,
-    duration: Duration,
-    table: Arc<Mutex<LatencyTable>>,
-) {
+pub async fn run_stream<R>(plan: StreamPlan, callers: Vec<Arc<Caller>>, duration: Duration, recorder: Arc<R>)
+where
+    R: CallRecorder,
+{
     let mut rng = Pcg64Mcg::seed_from_u64(plan.seed);
     let plan = Arc::new(plan);
     let mut calls = JoinSet::new();
@@ -53,19 +78,21 @@
         }
         tokio::time::sleep_until(start + at).await;
         let caller = Arc::clone(&callers[sequence % callers.len()]);
-        calls.spawn(call_once(Arc::clone(&plan), caller, sequence, start + at, Arc::clone(&table)));
+        calls.spawn(call_once(Arc::clone(&plan), caller, sequence, start + at, Arc::clone(&recorder)));
         while calls.try_join_next().is_some() {}
     }
     calls.join_all().await;
 }
 
-async fn call_once(
+async fn call_once<R>(
     plan: Arc<StreamPlan>,
     caller: Arc<Caller>,
     sequence: usize,
     due: Instant,
-    table: Arc<Mutex<LatencyTable>>,
-) {
+    recorder: Arc<R>,
+) where
+    R: CallRecorder,
+{
     let call = CallPlan {
         method: plan.method.clone(),
         target: format!("/{}/{sequence}", plan.priority),
@@ -73,19 +100,16 @@
         priority: plan.priority.to_string(),
         body: Bytes::new(),
     };
-    let outcome = caller.call(&call).await;
-    let mut table = table.lock();
-    match outcome {
+    let error = match caller.call(&call).await {
         Ok(outcome) if outcome.error.is_none() && outcome.status.is_success() => {
-            table.answered(&plan.service, &plan.priority, due.elapsed(), plan.objective);
-        }
-        Ok(outcome) => {
-            let error = outcome.error.unwrap_or_else(|| format!("status_{}", outcome.status.as_u16()));
-            table.failed(&plan.service, &plan.priority, &error);
+            recorder.record(StreamCall { plan: &plan, due, result: Ok(due.elapsed()) });
+            return;
         }
+        Ok(outcome) => outcome.error.unwrap_or_else(|| format!("status_{}", outcome.status.as_u16())),
         Err(error) => {
             log::debug!("call failed; service={} error={error}", plan.service);
-            table.failed(&plan.service, &plan.priority, "no_answer");
+            "no_answer".to_owned()
         }
-    }
+    };
+    recorder.record(StreamCall { plan: &plan, due, result: Err(&error) });
 }
--- a/standin/src/upstream.rs
+++ b/standin/src/upstream.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -44,13 +46,15 @@
     pub mean_service_us: u64,
     /// Factor on every service time.
     pub slowdown: f64,
+    /// Exponential stages that make up one service time; more stages vary less.
+    pub service_stages: u32,
     /// Answers 500 at once without work.
     pub fail_fast: bool,
 }
 
 impl Default for UpstreamBehaviour {
     fn default() -> Self {
-        Self { mean_service_us: 2_000, slowdown: 1.0, fail_fast: false }
+        Self { mean_service_us: 2_000, slowdown: 1.0, service_stages: 1, fail_fast: false }
     }
 }
 
@@ -86,6 +90,7 @@
     pub addr: SocketAddr,
     /// The stand-in, to change its behaviour and read its log.
     pub standin: UpstreamStandin,
+    draining: Arc<AtomicBool>,
     stop: CancellationToken,
 }
 
@@ -119,7 +124,7 @@
         let stop = CancellationToken::new();
         let limits = ServerLimits { shutdown_timeout: Duration::ZERO, ..ServerLimits::default() };
         tokio::spawn(serve(listener, limits, self.clone(), stop.clone()));
-        Ok(RunningUpstream { addr, standin: self, stop })
+        Ok(RunningUpstream { addr, standin: self, draining: Arc::default(), stop })
     }
 
     /// Changes how it behaves from now on.
@@ -134,8 +139,10 @@
     }
 
     fn service_time(&self, behaviour: &UpstreamBehaviour) -> Duration {
-        let uniform: f64 = self.shared.rng.lock().random_range(f64::EPSILON..1.0);
-        let factor = (-uniform.ln()).min(MEAN_FACTOR_MAX) * behaviour.slowdown;
+        let stages = behaviour.service_stages.max(1);
+        let mut rng = self.shared.rng.lock();
+        let total: f64 = (0..stages).map(|_| -rng.random_range(f64::EPSILON..1.0).ln()).sum();
+        let factor = (total / f64::from(stages)).min(MEAN_FACTOR_MAX) * behaviour.slowdown;
         Duration::from_micros(behaviour.mean_service_us).mul_f64(factor)
     }
 
@@ -199,13 +206,20 @@
 }
 
 impl RunningUpstream {
+    /// Announces from the next renewal on whether it takes no new work.
+    pub fn set_draining(&self, draining: bool) {
+        self.draining.store(draining, Ordering::Relaxed);
+    }
+
     /// Announces itself to the node beside, again and again until dropped.
     pub fn announce(&self, node: SocketAddr, service: &str, slots: u32) {
-        let announcement =
+        let mut announcement =
             Announcement { service: Arc::from(service), addr: self.addr, slots, draining: false };
         let stop = self.stop.clone();
+        let draining = Arc::clone(&self.draining);
         tokio::spawn(async move {
             loop {
+                announcement.draining = draining.load(Ordering::Relaxed);
                 if let Err(error) = put_announcement(node, &announcement).await {
                     log::debug!("cannot announce; node={node} error={error}");
                 }
