admission: shares of slot time, early refusal, live estimates

Change: accounts of slot time by priority; calls that can't meet their objective are refused before they queue; a live estimate of service time from calls still running; a concurrency limit that follows latency; a retry hint from the drain. Tests: admission against an oracle, shares within 2 % at 1, 2 and 10 slots.

--- a/lib/src/protocol/load_report.rs
+++ b/lib/src/protocol/load_report.rs
@@ -12,11 +12,13 @@
     pub queued: u32,
     /// Slots that the gate grants at present.
     pub limit: u32,
+    /// Time that a good answer costs at present, in microseconds; 0 when nothing is known.
+    pub service_time_us: u64,
 }
 
 impl fmt::Display for LoadReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/{}", self.running, self.queued, self.limit)
+        write!(f, "{}/{}/{}/{}", self.running, self.queued, self.limit, self.service_time_us)
     }
 }
 
@@ -24,8 +26,10 @@
     type Err = ();
 
     fn from_str(text: &str) -> Result<Self, ()> {
-        let mut parts = text.split('/').map(|part| part.parse().ok());
-        let mut next = || parts.next().flatten().ok_or(());
-        Ok(Self { running: next()?, queued: next()?, limit: next()? })
+        let mut parts = text.split('/');
+        let mut next = || parts.next().and_then(|part| part.parse().ok()).ok_or(());
+        let (running, queued, limit) = (next()?, next()?, next()?);
+        let service_time_us = parts.next().and_then(|part| part.parse().ok()).ok_or(())?;
+        Ok(Self { running, queued, limit, service_time_us })
     }
 }
--- a/lib/src/protocol/service_spec.rs
+++ b/lib/src/protocol/service_spec.rs
@@ -128,6 +128,8 @@
     /// Share of a service's upstreams that may be ejected at once, in percent.
     #[schemars(range(min = 0, max = 100))]
     pub max_ejected_percent: u32,
+    /// Whether a gate lets fewer calls run at once while latency grows with their number.
+    pub adaptive_limit: bool,
 }
 
 impl Default for RetrySpec {
@@ -156,6 +158,7 @@
             drain_timeout_ms: 30_000,
             max_connections: 200,
             max_ejected_percent: 34,
+            adaptive_limit: true,
         }
     }
 }
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -133,8 +133,8 @@
         if announcement.draining {
             self.gate.drain();
         } else {
-            let max_connections = rule(published.as_deref()).max_connections;
-            self.gate.set_upstream(announcement.addr, announcement.slots, max_connections);
+            let rule = rule(published.as_deref());
+            self.gate.set_upstream(announcement.addr, announcement.slots, &rule);
         }
         self.gossip.set_upstream(Some(UpstreamInfo {
             service: Arc::clone(&announcement.service),
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -10,6 +10,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header::HOST;
 use hyper::body::Incoming;
 use indexmap::IndexMap;
@@ -18,17 +19,20 @@
 use tokio::time::Instant;
 
 use crate::coordination::admission::Admission;
+use crate::coordination::admission::Grant;
 use crate::coordination::admission::Offer;
 use crate::coordination::admission::PriorityRule;
 use crate::coordination::admission::Refusal;
 use crate::coordination::admission::Ticket;
 use crate::coordination::admission::TicketKey;
 use crate::coordination::admission::Verdict;
+use crate::coordination::service_estimate::Ended;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::headers;
 use crate::protocol::load_report::LoadReport;
+use crate::protocol::service_spec::UpstreamRuleSpec;
 use crate::state::call_records::CallRecords;
 use crate::state::call_records::CallState;
 use crate::state::metrics::Metrics;
@@ -55,6 +59,8 @@
     pub priority: u8,
     /// When the call is of no more use.
     pub deadline: Instant,
+    /// Longest time in all for which it is worth staying here, when another gate may be better.
+    pub patience: Option<Duration>,
 }
 
 /// An answer of the upstream on its way out of the gate.
@@ -63,7 +69,7 @@
 #[derive(Debug)]
 struct Queue {
     admission: Admission,
-    waiters: IndexMap<TicketKey, oneshot::Sender<Result<(), Refusal>>>,
+    waiters: IndexMap<TicketKey, oneshot::Sender<Result<Grant, Refusal>>>,
 }
 
 /// The gate of one node.
@@ -79,7 +85,7 @@
     /// A gate without an upstream.
     #[must_use]
     pub fn new(metrics: SharedMetrics) -> Self {
-        let queue = Queue { admission: Admission::new(0, &[]), waiters: IndexMap::new() };
+        let queue = Queue { admission: Admission::new(0, &[], Instant::now()), waiters: IndexMap::new() };
         Self {
             queue: Mutex::new(queue),
             records: CallRecords::default(),
@@ -89,13 +95,14 @@
     }
 
     /// An upstream announced itself, or changed what it says of itself.
-    pub fn set_upstream(&self, addr: SocketAddr, slots: u32, max_connections: u32) {
+    pub fn set_upstream(&self, addr: SocketAddr, slots: u32, rule: &UpstreamRuleSpec) {
         let same = self.pool.load().as_ref().is_some_and(|pool| pool.addr() == addr);
         if !same {
-            self.pool.store(Some(Arc::new(UpstreamPool::new(addr, max_connections))));
+            self.pool.store(Some(Arc::new(UpstreamPool::new(addr, rule.max_connections))));
         }
         let mut queue = self.queue.lock();
         queue.admission.resume();
+        queue.admission.set_adaptive(rule.adaptive_limit);
         let verdicts = queue.admission.set_limit(slots, Instant::now());
         queue.deliver(verdicts);
     }
@@ -117,7 +124,7 @@
     /// The exact load at this moment.
     #[must_use]
     pub fn load(&self) -> LoadReport {
-        self.queue.lock().admission.load()
+        self.queue.lock().admission.load(Instant::now())
     }
 
     /// What became of a call, fencing it when it was never seen.
@@ -136,14 +143,22 @@
             self.count("duplicate");
             return Err(ErrorAnswer::new(ErrorKind::DuplicateCall, "this call was already here"));
         }
-        let mut slot = Slot { gate: Arc::clone(self), call: call.clone(), granted: false };
+        let mut slot =
+            Slot { gate: Arc::clone(self), id: call.id.clone(), grant: None, ended: Ended::Abandoned };
         self.admit(&call, &mut slot).await?;
         let pool = self.pool.load_full().ok_or_else(no_upstream)?;
         let sent = tokio::time::timeout_at(call.deadline, pool.send(for_upstream(request, pool.addr())));
         match sent.await {
-            Ok(Ok((response, connection))) => Ok(self.answered(response, slot, pool, connection)),
-            Ok(Err(error)) => Err(self.failed(&call, &error)),
+            Ok(Ok((response, connection))) => {
+                slot.judge(response.status());
+                Ok(self.answered(response, slot, pool, connection))
+            }
+            Ok(Err(error)) => {
+                slot.ended = Ended::Failed;
+                Err(self.failed(&call, &error))
+            }
             Err(_) => {
+                slot.ended = Ended::Failed;
                 self.count("deadline_while_running");
                 Err(ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "the upstream did not answer in time"))
             }
@@ -151,16 +166,19 @@
     }
 
     async fn admit(self: &Arc<Self>, call: &GateCall, slot: &mut Slot) -> Result<()> {
-        let Some((key, verdict)) = self.offer(call)? else {
-            slot.granted = true;
-            self.count("admitted");
-            return Ok(());
+        let (key, verdict) = match self.offer(call)? {
+            Entry::Granted(grant) => {
+                slot.grant = Some(grant);
+                self.count("admitted");
+                return Ok(());
+            }
+            Entry::Queued(key, verdict) => (key, verdict),
         };
-        let mut waiting = Waiting { gate: self, key, priority: call.priority, verdict, settled: false };
+        let mut waiting = Waiting { gate: self, key, verdict, settled: false };
         let verdict = tokio::time::timeout_at(call.deadline, waiting.verdict()).await;
         match verdict {
-            Ok(Ok(())) => {
-                slot.granted = true;
+            Ok(Ok(grant)) => {
+                slot.grant = Some(grant);
                 self.count("admitted_after_wait");
                 Ok(())
             }
@@ -169,18 +187,20 @@
         }
     }
 
-    #[expect(clippy::type_complexity, reason = "the pair is taken apart at once by the only caller")]
-    fn offer(&self, call: &GateCall) -> Result<Option<(TicketKey, oneshot::Receiver<Result<(), Refusal>>)>> {
-        let ticket = Ticket { priority: call.priority, deadline: call.deadline };
+    fn offer(&self, call: &GateCall) -> Result<Entry> {
+        let ticket = Ticket { priority: call.priority, deadline: call.deadline, patience: call.patience };
         let mut queue = self.queue.lock();
         match queue.admission.offer(ticket, Instant::now()) {
-            Offer::Admitted => Ok(None),
+            Offer::Admitted(grant) => Ok(Entry::Granted(grant)),
             Offer::Queued(key) => {
                 let (sender, receiver) = oneshot::channel();
                 queue.waiters.insert(key, sender);
-                Ok(Some((key, receiver)))
+                Ok(Entry::Queued(key, receiver))
+            }
+            Offer::Refused(refusal) => {
+                drop(queue);
+                Err(self.refused(refusal))
             }
-            Offer::Refused(refusal) => Err(self.refused(refusal)),
         }
     }
 
@@ -215,15 +235,20 @@
         let (kind, reason, message) = match refusal {
             Refusal::QueueFull => (ErrorKind::Overloaded, "queue_full", "the queue of this priority is full"),
             Refusal::TooLate => (ErrorKind::DeadlineBeforeStart, "too_late", "no slot was free in time"),
+            Refusal::ObjectiveMissed => {
+                (ErrorKind::ObjectiveMissed, "objective_missed", "the objective could not be met any more")
+            }
+            Refusal::Impatient => (ErrorKind::Overloaded, "impatient", "another gate may be faster"),
             Refusal::Draining => (ErrorKind::Draining, "draining", "the upstream takes no new work"),
         };
         self.count(reason);
-        ErrorAnswer::new(kind, message).retry_after(RETRY_HINT)
+        let hint = self.queue.lock().admission.retry_hint();
+        ErrorAnswer::new(kind, message).retry_after(hint)
     }
 
-    fn release(&self, priority: u8) {
+    fn release(&self, grant: Grant, ended: Ended) {
         let mut queue = self.queue.lock();
-        let verdicts = queue.admission.release(priority, Instant::now());
+        let verdicts = queue.admission.release(grant, ended, Instant::now());
         queue.deliver(verdicts);
     }
 
@@ -236,7 +261,7 @@
     fn deliver(&mut self, verdicts: Vec<Verdict>) {
         for verdict in verdicts {
             let (key, outcome) = match verdict {
-                Verdict::Admit(key) => (key, Ok(())),
+                Verdict::Admit(key, grant) => (key, Ok(grant)),
                 Verdict::Refuse(key, refusal) => (key, Err(refusal)),
             };
             if let Some(waiter) = self.waiters.swap_remove(&key) {
@@ -247,18 +272,23 @@
     }
 }
 
+/// How a call came through the door.
+enum Entry {
+    Granted(Grant),
+    Queued(TicketKey, oneshot::Receiver<Result<Grant, Refusal>>),
+}
+
 /// A call in the queue; dropped before its verdict, it leaves the queue.
 #[derive(Debug)]
 struct Waiting<'a> {
     gate: &'a Gate,
     key: TicketKey,
-    priority: u8,
-    verdict: oneshot::Receiver<Result<(), Refusal>>,
+    verdict: oneshot::Receiver<Result<Grant, Refusal>>,
     settled: bool,
 }
 
 impl Waiting<'_> {
-    async fn verdict(&mut self) -> Result<(), Refusal> {
+    async fn verdict(&mut self) -> Result<Grant, Refusal> {
         let verdict = (&mut self.verdict).await.unwrap_or(Err(Refusal::Draining));
         self.settled = true;
         verdict
@@ -275,8 +305,8 @@
             queue.waiters.swap_remove(&self.key);
             queue.admission.cancel(self.key)
         };
-        if !still_waiting && matches!(self.verdict.try_recv(), Ok(Ok(()))) {
-            self.gate.release(self.priority);
+        if !still_waiting && let Ok(Ok(grant)) = self.verdict.try_recv() {
+            self.gate.release(grant, Ended::Abandoned);
         }
     }
 }
@@ -285,15 +315,26 @@
 #[derive(Debug)]
 struct Slot {
     gate: Arc<Gate>,
-    call: GateCall,
-    granted: bool,
+    id: CallId,
+    grant: Option<Grant>,
+    ended: Ended,
+}
+
+impl Slot {
+    /// Takes in what the header section of the upstream's answer says of the upstream.
+    fn judge(&mut self, status: StatusCode) {
+        self.ended = match &self.grant {
+            Some(grant) if !status.is_server_error() => Ended::Good(grant.started().elapsed()),
+            _ => Ended::Failed,
+        };
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.gate.records.finish(&self.call.id);
-        if self.granted {
-            self.gate.release(self.call.priority);
+        self.gate.records.finish(&self.id);
+        if let Some(grant) = self.grant {
+            self.gate.release(grant, self.ended);
         }
     }
 }
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -301,8 +301,12 @@
         call: &Call,
         request: Request<CallBody>,
     ) -> Result<Response<AnswerBody>> {
-        let gate_call =
-            GateCall { id: call.id.clone(), priority: call.head.priority, deadline: call.deadline };
+        let gate_call = GateCall {
+            id: call.id.clone(),
+            priority: call.head.priority,
+            deadline: call.deadline,
+            patience: None,
+        };
         let response = self.parts.gate.call(gate_call, request).await?;
         Ok(response.map(Either::Right))
     }
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -73,6 +73,7 @@
             id,
             priority: self.priority(fields),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
+            patience: None,
         })
     }
 
--- /dev/null
+++ b/lib/tests/admission.rs
@@ -0,0 +1,313 @@
+//! Admission against a simple oracle and under steady overload.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::test_runner::TestCaseError;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tokio::time::Instant;
+use yuccatray::coordination::admission::Admission;
+use yuccatray::coordination::admission::Grant;
+use yuccatray::coordination::admission::Offer;
+use yuccatray::coordination::admission::PriorityRule;
+use yuccatray::coordination::admission::Refusal;
+use yuccatray::coordination::admission::Ticket;
+use yuccatray::coordination::admission::TicketKey;
+use yuccatray::coordination::admission::Verdict;
+use yuccatray::coordination::service_estimate::Ended;
+
+const SHARES: [u32; 4] = [30, 20, 10, 10];
+const SERVICE_TIME: Duration = Duration::from_millis(30);
+
+fn rule(min_share_percent: u32) -> PriorityRule {
+    PriorityRule { min_share_percent, max_queue: 20, objective: Duration::from_secs(1) }
+}
+
+fn rules(shares: &[u32]) -> Vec<PriorityRule> {
+    shares.iter().map(|share| rule(*share)).collect()
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer { priority: u8, timeout_ms: u64, patience_ms: Option<u64> },
+    Release { pick: usize, good: bool },
+    Cancel { pick: usize },
+    SetLimit(u32),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..4_u8, 1..2_000_u64, proptest::option::of(1..100_u64)).prop_map(
+            |(priority, timeout_ms, patience_ms)| Step::Offer { priority, timeout_ms, patience_ms }
+        ),
+        4 => (any::<usize>(), any::<bool>()).prop_map(|(pick, good)| Step::Release { pick, good }),
+        1 => any::<usize>().prop_map(|pick| Step::Cancel { pick }),
+        1 => (0..8_u32).prop_map(Step::SetLimit),
+        3 => (0..50_u64).prop_map(Step::Wait),
+        1 => Just(Step::Wait(1_500)),
+    ]
+}
+
+/// What the gate should know: who waits, with which priority, and who holds a slot.
+struct Oracle {
+    admission: Admission,
+    now: Instant,
+    waiting: BTreeMap<TicketKey, (u8, Instant)>,
+    running: Vec<Grant>,
+}
+
+impl Oracle {
+    fn new() -> Self {
+        let now = Instant::now();
+        let mut admission = Admission::new(3, &rules(&SHARES), now);
+        admission.set_adaptive(false);
+        Self { admission, now, waiting: BTreeMap::new(), running: Vec::new() }
+    }
+
+    fn apply(&mut self, step: &Step) -> Result<(), TestCaseError> {
+        match step {
+            Step::Offer { priority, timeout_ms, patience_ms } => {
+                self.offer(*priority, *timeout_ms, *patience_ms)?;
+            }
+            Step::Release { pick, good } if !self.running.is_empty() => {
+                let grant = self.running.swap_remove(pick % self.running.len());
+                let ended = if *good { Ended::Good(self.now - grant.started()) } else { Ended::Failed };
+                let verdicts = self.admission.release(grant, ended, self.now);
+                self.deliver(verdicts)?;
+            }
+            Step::Cancel { pick } if !self.waiting.is_empty() => {
+                let key = *self.waiting.keys().nth(pick % self.waiting.len()).expect("one waits");
+                prop_assert!(self.admission.cancel(key), "a waiting call can leave");
+                prop_assert!(!self.admission.cancel(key), "it leaves once");
+                self.waiting.remove(&key);
+            }
+            Step::SetLimit(limit) => {
+                let verdicts = self.admission.set_limit(*limit, self.now);
+                self.deliver(verdicts)?;
+            }
+            Step::Wait(millis) => self.now += Duration::from_millis(*millis),
+            Step::Release { .. } | Step::Cancel { .. } => {}
+        }
+        self.check()
+    }
+
+    fn offer(
+        &mut self,
+        priority: u8,
+        timeout_ms: u64,
+        patience_ms: Option<u64>,
+    ) -> Result<(), TestCaseError> {
+        let deadline = self.now + Duration::from_millis(timeout_ms);
+        let ticket = Ticket { priority, deadline, patience: patience_ms.map(Duration::from_millis) };
+        let load = self.admission.load(self.now);
+        match self.admission.offer(ticket, self.now) {
+            Offer::Admitted(grant) => {
+                prop_assert!(load.running < load.limit, "no slot is given twice");
+                prop_assert_eq!(load.queued, 0, "nobody overtakes the queue");
+                self.running.push(grant);
+            }
+            Offer::Queued(key) => {
+                prop_assert!(!self.waiting.contains_key(&key), "keys are given once");
+                self.waiting.insert(key, (priority, deadline));
+            }
+            Offer::Refused(refusal) => {
+                let idle = load.running < load.limit && load.queued == 0;
+                prop_assert!(!idle || refusal == Refusal::Impatient, "an idle slot refuses no patient call");
+            }
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self, verdicts: Vec<Verdict>) -> Result<(), TestCaseError> {
+        for verdict in verdicts {
+            match verdict {
+                Verdict::Admit(key, grant) => {
+                    let (priority, deadline) =
+                        self.waiting.remove(&key).expect("only a waiting call is let in");
+                    prop_assert!(deadline > self.now, "nothing starts after its deadline");
+                    let earlier = self
+                        .waiting
+                        .values()
+                        .any(|(other, at)| *other == priority && *at < deadline && *at > self.now);
+                    prop_assert!(!earlier, "the earliest deadline of a priority goes first");
+                    self.running.push(grant);
+                }
+                Verdict::Refuse(key, _) => {
+                    prop_assert!(self.waiting.remove(&key).is_some(), "only a waiting call is refused");
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        let load = self.admission.load(self.now);
+        prop_assert_eq!(load.running as usize, self.running.len(), "slots held");
+        prop_assert_eq!(load.queued as usize, self.waiting.len(), "no ticket is lost");
+        prop_assert!(load.queued == 0 || load.running >= load.limit, "no slot idles while a call waits");
+        Ok(())
+    }
+}
+
+proptest! {
+    #[test]
+    fn admission_matches_oracle(steps in vec(step(), 1..200)) {
+        let mut oracle = Oracle::new();
+        for step in &steps {
+            oracle.apply(step)?;
+        }
+    }
+}
+
+/// One gate under open arrivals at fixed rates, in simulated time.
+struct Overload {
+    admission: Admission,
+    rng: Pcg64Mcg,
+    start: Instant,
+    arrivals: Vec<(Duration, Instant)>,
+    service_time: [Duration; 4],
+    running: Vec<(Instant, usize, Grant)>,
+    waiting: BTreeMap<TicketKey, (usize, Instant)>,
+    slot_time: [Duration; 4],
+    longest_wait: [Duration; 4],
+    refused: [u32; 4],
+}
+
+impl Overload {
+    fn new(slots: u32, per_second: [f64; 4], service_time: [Duration; 4]) -> Self {
+        let start = Instant::now();
+        let mut admission = Admission::new(slots, &rules(&SHARES), start);
+        admission.set_adaptive(false);
+        let arrivals = per_second.map(|rate| (Duration::from_secs_f64(1.0 / rate), start)).to_vec();
+        Self {
+            admission,
+            rng: Pcg64Mcg::seed_from_u64(5),
+            start,
+            arrivals,
+            service_time,
+            running: Vec::new(),
+            waiting: BTreeMap::new(),
+            slot_time: [Duration::ZERO; 4],
+            longest_wait: [Duration::ZERO; 4],
+            refused: [0; 4],
+        }
+    }
+
+    fn run(&mut self, duration: Duration) {
+        loop {
+            let next_arrival = (0..4).min_by_key(|index| self.arrivals[*index].1).expect("four priorities");
+            let next_end = (0..self.running.len()).min_by_key(|index| self.running[*index].0);
+            let arrival_at = self.arrivals[next_arrival].1;
+            let end = next_end.filter(|index| self.running[*index].0 <= arrival_at);
+            let now = end.map_or(arrival_at, |index| self.running[index].0);
+            if now > self.start + duration {
+                return;
+            }
+            match end {
+                Some(index) => self.end(index, now),
+                None => self.arrive(next_arrival, now),
+            }
+        }
+    }
+
+    fn arrive(&mut self, lane: usize, now: Instant) {
+        let gap = self.arrivals[lane].0;
+        self.arrivals[lane].1 = now + gap.mul_f64(self.rng.random_range(0.0..2.0));
+        let priority = u8::try_from(lane).expect("four priorities");
+        let ticket = Ticket { priority, deadline: now + Duration::from_secs(10), patience: None };
+        match self.admission.offer(ticket, now) {
+            Offer::Admitted(grant) => self.start(lane, grant, now),
+            Offer::Queued(key) => {
+                self.waiting.insert(key, (lane, now));
+            }
+            Offer::Refused(_) => self.refused[lane] += 1,
+        }
+    }
+
+    fn start(&mut self, lane: usize, grant: Grant, now: Instant) {
+        let took = self.service_time[lane].mul_f64(self.rng.random_range(0.2..1.8));
+        self.running.push((now + took, lane, grant));
+    }
+
+    fn end(&mut self, index: usize, now: Instant) {
+        let (_, lane, grant) = self.running.swap_remove(index);
+        let took = now - grant.started();
+        self.slot_time[lane] += took;
+        for verdict in self.admission.release(grant, Ended::Good(took), now) {
+            match verdict {
+                Verdict::Admit(key, grant) => {
+                    let (lane, since) = self.waiting.remove(&key).expect("it was waiting");
+                    self.longest_wait[lane] = self.longest_wait[lane].max(now - since);
+                    self.start(lane, grant, now);
+                }
+                Verdict::Refuse(key, _) => {
+                    let (lane, _) = self.waiting.remove(&key).expect("it was waiting");
+                    self.refused[lane] += 1;
+                }
+            }
+        }
+    }
+
+    fn share_percent(&self, lane: usize, slots: u32, duration: Duration) -> f64 {
+        100.0 * self.slot_time[lane].as_secs_f64() / (duration.as_secs_f64() * f64::from(slots))
+    }
+}
+
+fn assert_shares_kept(slots: u32, per_second: [f64; 4], service_time: [Duration; 4]) {
+    let duration = Duration::from_mins(1);
+    let mut overload = Overload::new(slots, per_second, service_time);
+    overload.run(duration);
+    let total: f64 = (0..4).map(|lane| overload.share_percent(lane, slots, duration)).sum();
+    assert!(total > 98.0, "slots are in use, not {total} percent");
+    for (lane, share) in SHARES.iter().enumerate() {
+        let kept = overload.share_percent(lane, slots, duration);
+        assert!(kept >= f64::from(*share) * 0.98, "lane {lane} keeps {kept} of {share} percent");
+    }
+}
+
+#[test]
+fn shares_most_urgent_overloaded() {
+    assert_shares_kept(10, [3_333.0, 500.0, 500.0, 500.0], [SERVICE_TIME; 4]);
+}
+
+#[test]
+fn shares_all_overloaded() {
+    assert_shares_kept(10, [3_333.0; 4], [SERVICE_TIME; 4]);
+}
+
+#[test]
+fn shares_fraction_of_a_slot() {
+    assert_shares_kept(2, [700.0, 200.0, 200.0, 200.0], [SERVICE_TIME; 4]);
+}
+
+#[test]
+fn shares_one_slot() {
+    assert_shares_kept(1, [330.0, 200.0, 200.0, 200.0], [SERVICE_TIME; 4]);
+}
+
+#[test]
+fn shares_unequal_service_times() {
+    let long = SERVICE_TIME * 5;
+    assert_shares_kept(10, [3_333.0, 500.0, 500.0, 500.0], [SERVICE_TIME, SERVICE_TIME, long, SERVICE_TIME]);
+}
+
+#[test]
+fn urgent_least_overloaded() {
+    let slots = 10;
+    let mut overload = Overload::new(slots, [60.0, 60.0, 30.0, 3_333.0], [SERVICE_TIME; 4]);
+    overload.run(Duration::from_mins(1));
+    assert_eq!(overload.refused[..3], [0, 0, 0], "none of the urgent is refused");
+    let longest = overload.longest_wait[0];
+    assert!(longest < SERVICE_TIME, "the most urgent waits {longest:?} for the next free slot");
+}
--- a/load/src/policy_variant.rs
+++ b/load/src/policy_variant.rs
@@ -78,6 +78,7 @@
             }
             (Self::Open, ObjectKind::UpstreamRule) => {
                 spec["max_connections"] = Value::from(OPEN_SLOTS);
+                spec["adaptive_limit"] = Value::from(false);
             }
             _ => {}
         }
