burn: calls held against their objectives at each ingress

Cause: a node counted calls by outcome, but not against the objective of their priority, nor over time, nor with what made a call miss. Change: each ingress counts every call once, by service and priority, in rings of time slots (1 m to 6 h) and mergeable histograms; a miss has a cause (queueing, upstream time, upstream error, rejection, unknown outcome, retries, caller gone). Threads count in shards of their own. The admin port answers /v1/burn; members carry their admin address. Conclusion: lib/tests/burn_counts.rs shows windows, causes and single counting with the clock paused.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions: pure state machines fed with snapshots, clock readings and events.
 
 pub mod admission;
+pub mod burn_tally;
 pub mod lease;
 pub mod manifest;
 pub mod membership;
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -10,6 +10,7 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::membership::Membership;
@@ -20,6 +21,7 @@
 use crate::protocol::member::MemberId;
 use crate::protocol::member::MemberState;
 use crate::protocol::settings::Settings;
+use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
 use crate::state::directory::Directory;
 use crate::state::metrics::Metrics;
@@ -116,6 +118,7 @@
         let metrics = SharedMetrics::new(Metrics::default());
         let config = Arc::new(ConfigTable::new());
         let directory = Arc::new(Directory::default());
+        let burn = Arc::new(BurnCounts::new(Instant::now()));
         let gate = Arc::new(Gate::new(Arc::clone(&metrics)));
         let gossip = Arc::new(gossip(settings, &me, &config, &directory));
         let desk = Arc::new(AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&config)));
@@ -128,6 +131,7 @@
             channels: Arc::new(CallChannels::default()),
             control: Arc::clone(gossip.channels()),
             metrics: Arc::clone(&metrics),
+            burn: Arc::clone(&burn),
             policy: TwoChoices,
             max_replay_bytes: settings.limits.max_replay_bytes,
         }));
@@ -145,11 +149,12 @@
         let limits = server_limits(settings);
         let peer_handler = PeerHandler::new(Arc::clone(&gate), Arc::clone(&config), Arc::clone(&gossip));
         let admin_handler = AdminHandler {
-            name: Arc::clone(&me.id.name),
+            me: me.clone(),
             directory: Arc::clone(&directory),
             config: Arc::clone(&config),
             gate: Arc::clone(&gate),
             metrics: Arc::clone(&metrics),
+            burn,
         };
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
         let caller_server = spawn_server(listeners.ingress, limits, caller_handler, &stop_callers);
@@ -238,6 +243,7 @@
         ingress_addr: addrs.ingress,
         upstream: None,
         config_digest: 0,
+        admin_addr: addrs.admin,
     }
 }
 
--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -20,6 +20,8 @@
 pub const CALL: HeaderName = HeaderName::from_static("yuccatray-call");
 /// Load of the gate that answered, for the ingress only.
 pub const LOAD: HeaderName = HeaderName::from_static("yuccatray-load");
+/// Time that the gate queued the call, in microseconds, for the ingress only.
+pub const QUEUED_US: HeaderName = HeaderName::from_static("yuccatray-queued-us");
 /// Name of the error kind on an answer that no upstream gave.
 pub const ERROR: HeaderName = HeaderName::from_static("yuccatray-error");
 /// What the answer proves about execution.
--- a/lib/src/protocol/member.rs
+++ b/lib/src/protocol/member.rs
@@ -59,6 +59,8 @@
     pub upstream: Option<UpstreamInfo>,
     /// Digest of the services and revisions that it has applied.
     pub config_digest: u64,
+    /// Where operators and their tools reach it.
+    pub admin_addr: SocketAddr,
 }
 
 impl Member {
@@ -91,6 +93,7 @@
             ingress_addr: member.ingress_addr.to_string(),
             upstream: member.upstream.as_ref().map(wire::Upstream::from),
             config_digest: member.config_digest,
+            admin_addr: member.admin_addr.to_string(),
         }
     }
 }
@@ -125,6 +128,7 @@
         ingress_addr: message.ingress_addr.parse().ok()?,
         upstream: message.upstream.as_ref().map(upstream_from_wire),
         config_digest: message.config_digest,
+        admin_addr: message.admin_addr.parse().ok()?,
     })
 }
 
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -1,6 +1,7 @@
 //! What travels and what is declared: object kinds, headers, error kinds, settings.
 
 pub mod answer;
+pub mod burn;
 pub mod call_head;
 pub mod call_id;
 pub mod error_kind;
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -1,7 +1,9 @@
 //! What a node knows: members, configuration, calls in flight, counters.
 
+pub mod burn_counts;
 pub mod call_records;
 pub mod config_table;
 pub mod directory;
 pub mod metrics;
+pub mod time_ring;
 pub mod upstream_stats;
--- a/lib/src/transport/admin_server.rs
+++ b/lib/src/transport/admin_server.rs
@@ -9,14 +9,19 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Uri;
 use http::header::CONTENT_TYPE;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::time::Instant;
 
+use crate::protocol::burn::BurnReport;
+use crate::protocol::member::Member;
 use crate::protocol::member::MemberState;
+use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
 use crate::state::directory::Directory;
 use crate::state::metrics::SharedMetrics;
@@ -55,6 +60,8 @@
     pub zone: Arc<str>,
     /// Where callers reach it.
     pub ingress_addr: SocketAddr,
+    /// Where operators and their tools reach it.
+    pub admin_addr: SocketAddr,
     /// Service of its upstream.
     pub service: Option<Arc<str>>,
     /// Slots of its upstream.
@@ -66,8 +73,8 @@
 /// Answers operators.
 #[derive(Clone, Debug)]
 pub struct AdminHandler {
-    /// Name of the node.
-    pub name: Arc<str>,
+    /// The node as it started.
+    pub me: Member,
     /// Members and their upstreams.
     pub directory: Arc<Directory>,
     /// Configuration in force.
@@ -76,6 +83,8 @@
     pub gate: Arc<Gate>,
     /// Counters.
     pub metrics: SharedMetrics,
+    /// Calls held against their objectives.
+    pub burn: Arc<BurnCounts>,
 }
 
 impl AdminHandler {
@@ -91,6 +100,7 @@
                 region: Arc::clone(&member.region),
                 zone: Arc::clone(&member.zone),
                 ingress_addr: member.ingress_addr,
+                admin_addr: member.admin_addr,
                 service: member.upstream.as_ref().map(|upstream| Arc::clone(&upstream.service)),
                 slots: member.upstream.as_ref().map_or(0, |upstream| upstream.slots),
                 draining: member.upstream.as_ref().is_some_and(|upstream| upstream.draining),
@@ -98,7 +108,7 @@
         });
         let config = self.config.snapshot();
         NodeReport {
-            name: Arc::clone(&self.name),
+            name: Arc::clone(&self.me.id.name),
             running: load.running,
             queued: load.queued,
             limit: load.limit,
@@ -108,6 +118,21 @@
     }
 }
 
+impl AdminHandler {
+    fn burn_report(&self, service: Option<&str>) -> BurnReport {
+        let now = Instant::now();
+        let uptime_ms = self.burn.uptime(now).as_millis();
+        BurnReport {
+            node: Arc::clone(&self.me.id.name),
+            incarnation: self.me.id.incarnation,
+            region: Arc::clone(&self.me.region),
+            zone: Arc::clone(&self.me.zone),
+            uptime_ms: u64::try_from(uptime_ms).unwrap_or(u64::MAX),
+            rows: self.burn.rows(service, &self.config.snapshot(), now),
+        }
+    }
+}
+
 impl Handler for AdminHandler {
     type Body = Full<Bytes>;
 
@@ -123,14 +148,12 @@
                 "application/openmetrics-text; version=1.0.0; charset=utf-8",
                 self.metrics.encode(),
             ),
-            (&Method::GET, "/v1/node") => {
-                let report = serde_json::to_string(&self.report()).unwrap_or_default();
-                answer(StatusCode::OK, "application/json", report)
-            }
+            (&Method::GET, "/v1/node") => json(&self.report()),
+            (&Method::GET, "/v1/burn") => json(&self.burn_report(queried(request.uri(), "service"))),
             _ => answer(
                 StatusCode::NOT_FOUND,
                 "text/plain",
-                "GET /livez, /readyz, /metrics or /v1/node\n".to_owned(),
+                "GET /livez, /readyz, /metrics, /v1/node or /v1/burn\n".to_owned(),
             ),
         }
     }
@@ -147,6 +170,22 @@
     }
 }
 
+fn json<T>(report: &T) -> Response<Full<Bytes>>
+where
+    T: Serialize,
+{
+    match serde_json::to_string(report) {
+        Ok(text) => answer(StatusCode::OK, "application/json", text),
+        Err(error) => answer(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", format!("{error}\n")),
+    }
+}
+
+/// The value of a query parameter; names in reports need no escapes.
+fn queried<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+    let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
+}
+
 fn answer(status: StatusCode, content_type: &'static str, body: String) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
--- a/lib/src/transport/call_body.rs
+++ b/lib/src/transport/call_body.rs
@@ -114,6 +114,11 @@
 pub trait BodyGuard {
     /// The body ended, whole or not; called at most once.
     fn ended(&mut self, whole: bool);
+
+    /// The body was dropped before its end; called in place of [`Self::ended`].
+    fn dropped(&mut self) {
+        self.ended(false);
+    }
 }
 
 /// A body that tells its guard how it ended.
@@ -191,6 +196,9 @@
     G: BodyGuard,
 {
     fn drop(&mut self) {
-        self.tell(false);
+        if !self.told {
+            self.told = true;
+            self.guard.dropped();
+        }
     }
 }
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -137,11 +137,17 @@
             return Err(ErrorAnswer::new(ErrorKind::DuplicateCall, "this call was already here"));
         }
         let mut slot = Slot { gate: Arc::clone(self), call: call.clone(), granted: false };
+        let arrived = Instant::now();
         self.admit(&call, &mut slot).await?;
+        let queued = arrived.elapsed();
         let pool = self.pool.load_full().ok_or_else(no_upstream)?;
         let sent = tokio::time::timeout_at(call.deadline, pool.send(for_upstream(request, pool.addr())));
         match sent.await {
-            Ok(Ok((response, connection))) => Ok(self.answered(response, slot, pool, connection)),
+            Ok(Ok((response, connection))) => {
+                let mut response = self.answered(response, slot, pool, connection);
+                tell_queued(response.headers_mut(), queued);
+                Ok(response)
+            }
             Ok(Err(error)) => Err(self.failed(&call, &error)),
             Err(_) => {
                 self.count("deadline_while_running");
@@ -328,6 +334,11 @@
     Request::from_parts(head, body)
 }
 
+fn tell_queued(fields: &mut HeaderMap, queued: Duration) {
+    let queued_us = u64::try_from(queued.as_micros()).unwrap_or(u64::MAX);
+    fields.insert(headers::QUEUED_US, HeaderValue::from(queued_us));
+}
+
 fn strip_own_fields(fields: &mut HeaderMap) {
     let own: Vec<HeaderName> =
         fields.keys().filter(|name| name.as_str().starts_with(OWN_FIELD_PREFIX)).cloned().collect();
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -23,6 +23,8 @@
 use yuccatray_proto::peer_v1 as wire;
 use yuccatray_proto::peer_v1::peer_client::PeerClient;
 
+use crate::coordination::burn_tally::BodyEnd;
+use crate::coordination::burn_tally::BurnTally;
 use crate::coordination::retry_budget::RetryBudget;
 use crate::coordination::routing::Candidate;
 use crate::coordination::routing::RoutingPolicy;
@@ -37,6 +39,8 @@
 use crate::protocol::headers;
 use crate::protocol::member::Member;
 use crate::protocol::published::PublishedConfig;
+use crate::state::burn_counts::BurnCounts;
+use crate::state::burn_counts::BurnKey;
 use crate::state::config_table::ConfigTable;
 use crate::state::directory::Directory;
 use crate::state::directory::DirectoryEntry;
@@ -88,6 +92,8 @@
     pub control: Arc<ControlChannels>,
     /// Counters.
     pub metrics: SharedMetrics,
+    /// Calls held against their objectives.
+    pub burn: Arc<BurnCounts>,
     /// How upstreams are chosen.
     pub policy: P,
     /// Largest body kept for a retry, in bytes.
@@ -111,6 +117,7 @@
     started: Instant,
     deadline: Instant,
     max_attempts: u32,
+    tally: Arc<BurnTally>,
 }
 
 /// What is needed to send the same request again.
@@ -170,11 +177,12 @@
             ErrorAnswer::new(ErrorKind::UnknownService, format!("no published service is named {service:?}"))
         })?;
         let head = CallHead::read(service, request.headers(), request.method(), config)?;
-        let call = Call::new(id, head, config);
+        let call = Call::new(id, head, config, &self.parts.burn);
         let result = self.see_through(&call, config, request).await;
         if let Err(answer) = &result {
             log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
             self.count(&call, answer.kind.name());
+            call.tally.failed(answer.kind, Instant::now());
         }
         result
     }
@@ -207,6 +215,7 @@
                 return Err(answer);
             }
             Metrics::count(&self.parts.metrics.retries, answer.kind.name());
+            call.tally.retried(Instant::now());
             last = Some(answer);
         }
         Err(last.unwrap_or_else(no_upstream))
@@ -360,11 +369,14 @@
         let (mut head, body) = response.into_parts();
         headers::strip_hop_by_hop(&mut head.headers);
         in_flight.take_report(head.headers.remove(headers::LOAD).as_ref());
+        let queued = head.headers.remove(headers::QUEUED_US);
+        call.tally.answered(head.status, queued_time(queued.as_ref()));
         let guard = IngressGuard {
             metrics: Arc::clone(&self.parts.metrics),
             service: Arc::clone(&call.head.service),
             priority: call.head.priority,
             started: call.started,
+            tally: Arc::clone(&call.tally),
             _in_flight: in_flight,
         };
         Response::from_parts(head, GuardedBody::new(body, guard))
@@ -420,16 +432,19 @@
 }
 
 impl Call {
-    fn new(id: CallId, head: CallHead, config: &PublishedConfig) -> Self {
+    fn new(id: CallId, head: CallHead, config: &PublishedConfig, burn: &Arc<BurnCounts>) -> Self {
         let started = Instant::now();
-        let names = &config.priorities.priorities;
-        let priority_name = names.get_index(usize::from(head.priority)).map(|(name, _)| Arc::clone(name));
+        let declared = config.priorities.priorities.get_index(usize::from(head.priority));
+        let priority_name = declared.map(|(name, _)| Arc::clone(name)).unwrap_or_default();
+        let objective = declared.map_or(head.timeout, |(_, spec)| Duration::from_millis(spec.objective_ms));
+        let key = BurnKey { service: Arc::clone(&head.service), priority: Arc::clone(&priority_name) };
         Self {
             id,
-            priority_name: priority_name.unwrap_or_default(),
+            priority_name,
             started,
             deadline: started + head.timeout,
             max_attempts: config.service.retry.max_attempts,
+            tally: Arc::new(BurnTally::new(Arc::clone(burn), key, objective, started)),
             head,
         }
     }
@@ -491,11 +506,24 @@
     service: Arc<str>,
     priority: u8,
     started: Instant,
+    tally: Arc<BurnTally>,
     _in_flight: InFlight,
 }
 
 impl BodyGuard for IngressGuard {
     fn ended(&mut self, whole: bool) {
+        self.tally.ended(if whole { BodyEnd::Whole } else { BodyEnd::Broken }, Instant::now());
+        self.count(whole);
+    }
+
+    fn dropped(&mut self) {
+        self.tally.ended(BodyEnd::Dropped, Instant::now());
+        self.count(false);
+    }
+}
+
+impl IngressGuard {
+    fn count(&self, whole: bool) {
         let outcome = if whole { ANSWERED } else { "cut_short" };
         count_call(&self.metrics, &self.service, self.priority, outcome);
         let labels = LatencyLabels { service: self.service.to_string(), priority: u32::from(self.priority) };
@@ -512,6 +540,11 @@
     metrics.calls.get_or_create(&labels).inc();
 }
 
+fn queued_time(field: Option<&HeaderValue>) -> Duration {
+    let micros = field.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
+    Duration::from_micros(micros.unwrap_or(0))
+}
+
 fn refusal_or_answer(response: Response<Incoming>) -> Result<Response<AnswerBody>> {
     let kind = response.headers().get(headers::ERROR).and_then(|value| value.to_str().ok());
     let Some(kind) = kind.and_then(ErrorKind::from_name) else {
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets: callers, peers, upstreams, the platform and operators.
 
+pub mod admin_client;
 pub mod admin_server;
 pub mod announce_server;
 pub mod call_body;
--- /dev/null
+++ b/lib/tests/burn_counts.rs
@@ -0,0 +1,187 @@
+//! Calls held against their objectives: windows, causes and what forgets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use serde_json::json;
+use tokio::time::Instant;
+use tokio::time::advance;
+use yuccatray::coordination::burn_tally::BodyEnd;
+use yuccatray::coordination::burn_tally::BurnTally;
+use yuccatray::coordination::burn_tally::cause_of;
+use yuccatray::protocol::burn::BurnRow;
+use yuccatray::protocol::burn::CallCounts;
+use yuccatray::protocol::burn::MissCause;
+use yuccatray::protocol::burn::Window;
+use yuccatray::protocol::error_kind::ErrorKind;
+use yuccatray::protocol::error_kind::Execution;
+use yuccatray::protocol::published::Published;
+use yuccatray::state::burn_counts::BurnCounts;
+use yuccatray::state::burn_counts::BurnKey;
+use yuccatray::state::config_table::ConfigTable;
+
+const OBJECTIVE: Duration = Duration::from_millis(100);
+
+fn key() -> BurnKey {
+    BurnKey { service: Arc::from("deposits"), priority: Arc::from("deposit") }
+}
+
+fn tally(counts: &Arc<BurnCounts>) -> BurnTally {
+    BurnTally::new(Arc::clone(counts), key(), OBJECTIVE, Instant::now())
+}
+
+fn row(counts: &BurnCounts) -> BurnRow {
+    let rows = counts.rows(None, &ConfigTable::new().snapshot(), Instant::now());
+    assert_eq!(rows.len(), 1);
+    rows.into_iter().next().expect("one row was asserted")
+}
+
+fn window(row: &BurnRow, window: Window) -> CallCounts {
+    let found = row.windows.iter().find(|counts| counts.window == window);
+    found.expect("every window is reported").counts
+}
+
+async fn answered_after(counts: &Arc<BurnCounts>, queued: Duration, took: Duration, status: StatusCode) {
+    let tally = tally(counts);
+    advance(took).await;
+    tally.answered(status, queued);
+    tally.ended(BodyEnd::Whole, Instant::now());
+}
+
+#[tokio::test(start_paused = true)]
+async fn record_late_answer_by_slowest_part() {
+    let counts = Arc::new(BurnCounts::new(Instant::now()));
+    answered_after(&counts, Duration::ZERO, OBJECTIVE, StatusCode::OK).await;
+    answered_after(&counts, Duration::from_millis(90), Duration::from_millis(150), StatusCode::OK).await;
+    answered_after(&counts, Duration::from_millis(10), Duration::from_millis(150), StatusCode::OK).await;
+    answered_after(&counts, Duration::ZERO, Duration::from_millis(1), StatusCode::BAD_GATEWAY).await;
+    answered_after(&counts, Duration::ZERO, Duration::from_millis(1), StatusCode::NOT_FOUND).await;
+    let retried = tally(&counts);
+    advance(Duration::from_millis(120)).await;
+    retried.retried(Instant::now());
+    advance(Duration::from_millis(20)).await;
+    retried.answered(StatusCode::OK, Duration::ZERO);
+    retried.ended(BodyEnd::Whole, Instant::now());
+
+    let counted = window(&row(&counts), Window::OneMinute);
+    assert_eq!(counted.good, 2);
+    assert_eq!(counted.missed.of(MissCause::Queueing), 1);
+    assert_eq!(counted.missed.of(MissCause::UpstreamTime), 1);
+    assert_eq!(counted.missed.of(MissCause::UpstreamError), 1);
+    assert_eq!(counted.missed.of(MissCause::Retries), 1);
+    assert_eq!(counted.calls(), 6);
+}
+
+#[tokio::test(start_paused = true)]
+async fn record_caller_gone_misses_only_after_objective() {
+    let counts = Arc::new(BurnCounts::new(Instant::now()));
+    drop(tally(&counts));
+    let late = tally(&counts);
+    advance(OBJECTIVE + Duration::from_millis(1)).await;
+    drop(late);
+
+    let counted = window(&row(&counts), Window::OneMinute);
+    assert_eq!(counted.left, 1);
+    assert_eq!(counted.missed.of(MissCause::CallerGone), 1);
+    assert_eq!(counted.calls(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn record_counts_once_each_call() {
+    let counts = Arc::new(BurnCounts::new(Instant::now()));
+    let tally = tally(&counts);
+    tally.failed(ErrorKind::Overloaded, Instant::now());
+    tally.ended(BodyEnd::Dropped, Instant::now());
+    drop(tally);
+
+    let counted = window(&row(&counts), Window::OneMinute);
+    assert_eq!(counted.missed.of(MissCause::Rejection), 1);
+    assert_eq!((counted.calls(), counted.left), (1, 0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn record_callers_own_fault_counts_nothing() {
+    let counts = Arc::new(BurnCounts::new(Instant::now()));
+    tally(&counts).failed(ErrorKind::BodyTooLarge, Instant::now());
+    let rows = counts.rows(None, &ConfigTable::new().snapshot(), Instant::now());
+    assert_eq!(rows, []);
+}
+
+#[test]
+fn cause_of_unknown_outcome_is_never_a_rejection() {
+    for kind in ErrorKind::ALL {
+        let unknown = kind.row().execution == Execution::OutcomeUnknown;
+        assert_eq!(cause_of(kind) == Some(MissCause::UnknownOutcome), unknown, "{kind}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn rows_windows_forget_at_their_own_length() {
+    let counts = Arc::new(BurnCounts::new(Instant::now()));
+    answered_after(&counts, Duration::ZERO, Duration::from_millis(1), StatusCode::OK).await;
+    let lengths = [
+        (Duration::from_secs(30), 5),
+        (Duration::from_mins(2), 4),
+        (Duration::from_mins(10), 3),
+        (Duration::from_mins(40), 2),
+        (Duration::from_hours(2), 1),
+    ];
+    let started = Instant::now();
+    for (age, holding) in lengths {
+        advance(age - started.elapsed()).await;
+        let row = row(&counts);
+        let held = row.windows.iter().filter(|counts| counts.counts.good == 1).count();
+        assert_eq!(held, holding, "after {age:?}");
+    }
+    advance(Duration::from_hours(7)).await;
+    assert_eq!(counts.rows(None, &ConfigTable::new().snapshot(), Instant::now()), []);
+}
+
+#[tokio::test(start_paused = true)]
+async fn rows_add_up_over_threads() {
+    let counts = Arc::new(BurnCounts::new(Instant::now()));
+    let now = Instant::now();
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            let counts = Arc::clone(&counts);
+            scope.spawn(move || {
+                for _ in 0..1_000 {
+                    let tally = BurnTally::new(Arc::clone(&counts), key(), OBJECTIVE, now);
+                    tally.answered(StatusCode::OK, Duration::ZERO);
+                    tally.ended(BodyEnd::Whole, now);
+                }
+            });
+        }
+    });
+    assert_eq!(window(&row(&counts), Window::SixHours).good, 8_000);
+}
+
+#[tokio::test(start_paused = true)]
+async fn rows_objective_follows_configuration() {
+    let counts = Arc::new(BurnCounts::new(Instant::now()));
+    answered_after(&counts, Duration::ZERO, Duration::from_millis(1), StatusCode::OK).await;
+    let config = ConfigTable::new();
+    let published: Published = serde_json::from_value(json!({
+        "service": "deposits",
+        "revision": 1,
+        "epoch": 1,
+        "config": {
+            "sources": {
+                "service_uid": "u",
+                "service_version": 1,
+                "priority_set_version": 1,
+                "upstream_rule_version": 1
+            },
+            "service": { "priority_set": "p", "upstream_rule": "r", "default_priority": "deposit" },
+            "priorities": { "priorities": { "deposit": { "objective_ms": 100, "target_percent": 99.9 } } },
+            "upstream_rule": {},
+        }
+    }))
+    .expect("the publication is whole");
+    assert_eq!(row(&counts).objective, None);
+    config.apply(published);
+    let rows = counts.rows(Some("deposits"), &config.snapshot(), Instant::now());
+    assert_eq!(rows[0].objective.map(|objective| objective.objective_ms), Some(100));
+    assert_eq!(counts.rows(Some("orders"), &config.snapshot(), Instant::now()), []);
+}
