burn: report on service-level burn over the whole fleet

Cause: yuccatray-burn was empty and the load tool printed a little sum of its own. Change: yuccatray-burn gathers from every member that one node knows, adds up counts and histograms by service, priority and availability zone, and gives burn rates, budget left, two-window alerts and the main cause; table, JSON and a page with plots. Nodes that give no counts are named as missing. yuccatray-load fleet prints it. Found on the way: a latency histogram that clamped instead of growing, so that every latency above 4 ms was wrong; rows_latency_within_stated_error shows the repair. Conclusion: calls, good calls and causes equal the callers' own count of the same calls (gather_counts_equal_callers_own); a stopped node is missing, never fine (gather_unreachable_node_is_missing).

--- a/burn/src/main.rs
+++ b/burn/src/main.rs
@@ -1,2 +1,105 @@
-//! Placeholder.
-fn main() {}
+//! Service-level burn report of a yuccatray fleet.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Parser;
+use clap::ValueEnum;
+use snafu::ResultExt;
+use snafu::Snafu;
+use yuccatray::transport::admin_client::AdminClientError;
+use yuccatray_burn::fleet_burn::FleetBurn;
+use yuccatray_burn::gather::GatherPlan;
+use yuccatray_burn::gather::gather;
+use yuccatray_burn::page;
+use yuccatray_burn::page::PageError;
+use yuccatray_burn::table;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_ALERT: u8 = 3;
+const EXIT_MISSING: u8 = 4;
+
+/// Service-level burn report of a yuccatray fleet.
+#[derive(Debug, Parser)]
+#[command(name = "yuccatray-burn", version)]
+struct Args {
+    /// Admin address of any node; it names the others.
+    #[arg(long, env = "YUCCATRAY_NODE", default_value = "127.0.0.1:7301")]
+    node: SocketAddr,
+    /// Report this service only.
+    #[arg(long)]
+    service: Option<String>,
+    /// Form of the output.
+    #[arg(long, short, value_enum, default_value_t = Form::Table)]
+    output: Form,
+    /// Write a self-contained page with plots to this file as well.
+    #[arg(long)]
+    html: Option<PathBuf>,
+    /// Time that one node may take to answer, in milliseconds.
+    #[arg(long, default_value_t = 3_000)]
+    node_timeout_ms: u64,
+    /// Exit with 3 when an alert fires, else with 4 when nodes are missing.
+    #[arg(long)]
+    check: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Form {
+    /// A table for people.
+    Table,
+    /// JSON for programs.
+    Json,
+}
+
+#[derive(Debug, Snafu)]
+enum BurnError {
+    #[snafu(display("node at {node} gave no list of members: {source}"))]
+    Members { node: SocketAddr, source: AdminClientError },
+    #[snafu(display("{source}"), context(false))]
+    Draw { source: PageError },
+    #[snafu(display("cannot write {}: {source}", path.display()))]
+    WritePage { path: PathBuf, source: std::io::Error },
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let args = Args::parse();
+    match run(&args).await {
+        Ok(burn) => verdict(&args, &burn),
+        Err(error) => {
+            eprintln!("error: {error}");
+            eprintln!("hint: --node (or YUCCATRAY_NODE) is the admin address of any node of the fleet");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+async fn run(args: &Args) -> Result<FleetBurn, BurnError> {
+    let plan = GatherPlan {
+        node: args.node,
+        service: args.service.clone(),
+        timeout: Duration::from_millis(args.node_timeout_ms),
+    };
+    let gathered = gather(&plan).await.context(MembersSnafu { node: args.node })?;
+    let burn = FleetBurn::new(&gathered);
+    match args.output {
+        Form::Table => println!("{}", table::render(&burn)),
+        Form::Json => println!("{}", serde_json::to_string_pretty(&burn).unwrap_or_default()),
+    }
+    if let Some(path) = &args.html {
+        std::fs::write(path, page::render(&burn)?).context(WritePageSnafu { path })?;
+    }
+    Ok(burn)
+}
+
+fn verdict(args: &Args, burn: &FleetBurn) -> ExitCode {
+    if args.check && burn.alert_count() > 0 {
+        return ExitCode::from(EXIT_ALERT);
+    }
+    if args.check && !burn.missing.is_empty() {
+        return ExitCode::from(EXIT_MISSING);
+    }
+    ExitCode::SUCCESS
+}
--- a/lib/src/state/burn_counts.rs
+++ b/lib/src/state/burn_counts.rs
@@ -130,7 +130,8 @@
         count(self.long.at(at, CallCounts::default), result);
         if matches!(result, CallResult::Good | CallResult::AnsweredMissed(_)) {
             let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-            self.latency.at(at, latency_histogram).saturating_record(micros.min(LATENCY_MAX_US));
+            // The histogram grows as far as its largest latency, which bounds the value.
+            let _recorded = self.latency.at(at, latency_histogram).record(micros.min(LATENCY_MAX_US));
         }
     }
 
--- a/lib/tests/burn_counts.rs
+++ b/lib/tests/burn_counts.rs
@@ -3,6 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use hdrhistogram::Histogram;
+use hdrhistogram::serialization::Deserializer;
 use http::StatusCode;
 use serde_json::json;
 use tokio::time::Instant;
@@ -12,6 +16,7 @@
 use yuccatray::coordination::burn_tally::cause_of;
 use yuccatray::protocol::burn::BurnRow;
 use yuccatray::protocol::burn::CallCounts;
+use yuccatray::protocol::burn::LATENCY_RESOLUTION_US;
 use yuccatray::protocol::burn::MissCause;
 use yuccatray::protocol::burn::Window;
 use yuccatray::protocol::error_kind::ErrorKind;
@@ -129,7 +134,7 @@
     ];
     let started = Instant::now();
     for (age, holding) in lengths {
-        advance(age - started.elapsed()).await;
+        advance(age.saturating_sub(started.elapsed())).await;
         let row = row(&counts);
         let held = row.windows.iter().filter(|counts| counts.counts.good == 1).count();
         assert_eq!(held, holding, "after {age:?}");
@@ -185,3 +190,24 @@
     assert_eq!(rows[0].objective.map(|objective| objective.objective_ms), Some(100));
     assert_eq!(counts.rows(Some("orders"), &config.snapshot(), Instant::now()), []);
 }
+
+#[tokio::test(start_paused = true)]
+async fn rows_latency_within_stated_error() {
+    let counts = Arc::new(BurnCounts::new(Instant::now()));
+    let mut exact_us = Vec::new();
+    for step in 1..=1_000_u64 {
+        let took = Duration::from_micros(step * step * 7);
+        answered_after(&counts, Duration::ZERO, took, StatusCode::OK).await;
+        exact_us.push(step * step * 7);
+    }
+    let bytes = STANDARD.decode(row(&counts).latency_us).expect("it is Base64");
+    let held: Histogram<u32> =
+        Deserializer::new().deserialize(&mut bytes.as_slice()).expect("it is a histogram");
+    assert_eq!(held.len(), 1_000);
+    for place in [0, 100, 499, 899, 989, 998, 999] {
+        let exact = exact_us[place];
+        let read = held.value_at_quantile(f64::from(u32::try_from(place).expect("it fits") + 1) / 1_000.0);
+        let error = exact / 100 + LATENCY_RESOLUTION_US;
+        assert!(read.abs_diff(exact) <= error, "place {place}: {read} for {exact}");
+    }
+}
--- a/load/src/commands/fleet.rs
+++ b/load/src/commands/fleet.rs
@@ -15,6 +15,11 @@
 use yuccatray::protocol::object::ObjectKind;
 use yuccatray::protocol::service_spec::PrioritySetSpec;
 use yuccatray::protocol::service_spec::PrioritySpec;
+use yuccatray_burn::fleet_burn::FleetBurn;
+use yuccatray_burn::gather::GatherPlan;
+use yuccatray_burn::gather::gather;
+use yuccatray_burn::page;
+use yuccatray_burn::table;
 use yuccatray_load::caller::Caller;
 use yuccatray_load::deployment::Deployment;
 use yuccatray_load::embedded_fleet::EmbeddedFleet;
@@ -24,12 +29,17 @@
 use yuccatray_load::open_loop::StreamPlan;
 use yuccatray_load::open_loop::run_stream;
 
+const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Runs a deployment's fleet in one process and prints what it served.
 #[derive(Debug, Args)]
 pub struct FleetArgs {
     /// Deployment file: JSON with comments.
     #[arg(default_value = "examples/dakar.jsonc")]
     deployment: PathBuf,
+    /// Write the burn report as a page with plots to this file as well.
+    #[arg(long)]
+    html: Option<PathBuf>,
 }
 
 /// Runs `yuccatray-load fleet`.
@@ -47,7 +57,11 @@
     let table = call(&deployment, &fleet, &objectives).await;
     println!("{}", table.lock().render());
     println!();
-    print_burn(&table.lock(), &objectives);
+    let burn = gather_burn(&fleet).await?;
+    println!("{}", table::render(&burn));
+    if let Some(path) = &args.html {
+        write_page(&burn, path)?;
+    }
     let counts = fleet.platform.standin.counts();
     println!(
         "\nplatform calls: {} reads, {} watches, {} writes",
@@ -91,19 +105,16 @@
     table
 }
 
-fn print_burn(table: &LatencyTable, objectives: &IndexMap<Arc<str>, PrioritySpec>) {
-    println!("Error budget burned (1.00 spends exactly the budget of this run):");
-    for ((service, priority), row) in table.rows() {
-        let Some(objective) = objectives.get(priority) else {
-            continue;
-        };
-        let calls = row.calls().max(1);
-        let missed = calls - row.in_objective();
-        #[expect(clippy::cast_precision_loss, reason = "counts of one run are far below 2^52")]
-        let missed_share = missed as f64 / calls as f64;
-        let allowed = 1.0 - objective.target_percent / 100.0;
-        println!("  {service} {priority}: {:.2}", missed_share / allowed);
-    }
+async fn gather_burn(fleet: &EmbeddedFleet) -> Result<FleetBurn> {
+    let node = fleet.members[0].node.addrs().admin;
+    let plan = GatherPlan { node, service: None, timeout: REPORT_TIMEOUT };
+    let gathered = gather(&plan).await.map_err(|error| FleetError::Burn { reason: error.to_string() })?;
+    Ok(FleetBurn::new(&gathered))
+}
+
+fn write_page(burn: &FleetBurn, path: &Path) -> Result<()> {
+    let page = page::render(burn).map_err(|error| FleetError::Burn { reason: error.to_string() })?;
+    std::fs::write(path, page).map_err(|error| FleetError::Burn { reason: error.to_string() })
 }
 
 fn objectives(path: &Path) -> Result<IndexMap<Arc<str>, PrioritySpec>> {
--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -69,6 +69,12 @@
         /// Why.
         source: PlatformError,
     },
+    /// The nodes gave no burn report.
+    #[snafu(display("no burn report: {reason}"))]
+    Burn {
+        /// What went wrong.
+        reason: String,
+    },
     /// The fleet did not become ready in time.
     #[snafu(display("not ready in time: {service}"))]
     NotReady {
--- /dev/null
+++ b/load/tests/burn_report.rs
@@ -0,0 +1,175 @@
+//! The burn report held against the callers' own count of the same calls.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::task::JoinSet;
+use yuccatray::protocol::burn::MissCause;
+use yuccatray::protocol::burn::Window;
+use yuccatray_burn::fleet_burn::FleetBurn;
+use yuccatray_burn::fleet_burn::FleetRow;
+use yuccatray_burn::gather::GatherPlan;
+use yuccatray_burn::gather::gather;
+use yuccatray_burn::page;
+use yuccatray_burn::table;
+use yuccatray_load::caller::CallPlan;
+use yuccatray_load::caller::Caller;
+use yuccatray_load::deployment::Deployment;
+use yuccatray_load::deployment::ServiceLoad;
+use yuccatray_load::embedded_fleet::EmbeddedFleet;
+use yuccatray_load::latency_table::LatencyTable;
+use yuccatray_standin::upstream::UpstreamBehaviour;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+const HOUR: Duration = Duration::from_hours(1);
+const CALLS: u64 = 120;
+
+/// Services "steady", which is answered; "failing", with errors; "stuck", beyond any deadline.
+fn write_objects(directory: &Path) {
+    let service = |name: &str, timeout_ms: u64| {
+        json!({ "kind": "Service", "name": name, "spec": {
+            "priority_set": "one", "upstream_rule": "workers", "default_priority": "normal",
+            "default_timeout_ms": timeout_ms
+        } })
+    };
+    let objects = json!([
+        { "kind": "PrioritySet", "name": "one", "spec": { "priorities": {
+            "normal": { "objective_ms": 3_600_000, "target_percent": 90 }
+        } } },
+        { "kind": "UpstreamRule", "name": "workers", "spec": { "ramp_ms": 0 } },
+        service("steady", 60_000),
+        service("failing", 60_000),
+        service("stuck", 200),
+    ]);
+    std::fs::write(directory.join("objects.jsonc"), objects.to_string()).expect("the file can be written");
+}
+
+fn deployment() -> Deployment {
+    let service = |name: &str, mean_service_us: u64| ServiceLoad {
+        name: Arc::from(name),
+        upstreams: 2,
+        slots: 50,
+        mean_service_us,
+        streams: Vec::new(),
+    };
+    let mut deployment =
+        Deployment::load(&yuccatray_testutils::workspace::root().join("examples/dakar.jsonc"))
+            .expect("the example is valid");
+    deployment.objects = Arc::from("objects.jsonc");
+    deployment.zones.truncate(2);
+    deployment.services =
+        vec![service("steady", 3_000), service("failing", 1_000), service("stuck", 9_000_000)];
+    deployment
+}
+
+async fn fleet() -> EmbeddedFleet {
+    let directory = TempDir::new().expect("a temporary directory can be made");
+    write_objects(directory.path());
+    let fleet = EmbeddedFleet::start(&deployment(), directory.path()).await.expect("the fleet starts");
+    for member in fleet.members.iter().filter(|member| &*member.service == "failing") {
+        member
+            .upstream
+            .standin
+            .set_behaviour(UpstreamBehaviour { fail_fast: true, ..UpstreamBehaviour::default() });
+    }
+    fleet
+}
+
+async fn call(fleet: &EmbeddedFleet, service: &str, calls: u64) -> LatencyTable {
+    let mut running = JoinSet::new();
+    for sequence in 0..calls {
+        let node = usize::try_from(sequence).expect("a small number fits");
+        let caller = Caller::new(fleet.ingress_addr(node));
+        let plan = CallPlan {
+            method: Method::POST,
+            target: format!("/{sequence}"),
+            service: service.to_owned(),
+            priority: "normal".to_owned(),
+            body: Bytes::from_static(b"x"),
+        };
+        running.spawn(async move { caller.call(&plan).await });
+    }
+    let (name, priority) = (Arc::from(service), Arc::from("normal"));
+    let mut table = LatencyTable::default();
+    for outcome in running.join_all().await {
+        let outcome = outcome.expect("every call is answered");
+        if outcome.error.is_none() && outcome.status.is_success() {
+            table.answered(&name, &priority, outcome.took, HOUR);
+        } else {
+            table.failed(&name, &priority, &outcome.error.unwrap_or_else(|| "status".to_owned()));
+        }
+    }
+    table
+}
+
+async fn report(fleet: &EmbeddedFleet) -> FleetBurn {
+    let node = fleet.members[0].node.addrs().admin;
+    let gathered = gather(&GatherPlan { node, service: None, timeout: TIMEOUT }).await;
+    FleetBurn::new(&gathered.expect("the node lists its members"))
+}
+
+fn row<'a>(burn: &'a FleetBurn, service: &str) -> &'a FleetRow {
+    burn.rows.iter().find(|row| &*row.service == service).expect("the service was called")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gather_counts_equal_callers_own() {
+    let fleet = fleet().await;
+    let steady = call(&fleet, "steady", CALLS).await;
+    let failing = call(&fleet, "failing", CALLS).await;
+    let stuck = call(&fleet, "stuck", 20).await;
+    let burn = report(&fleet).await;
+
+    assert_eq!(burn.missing, []);
+    assert_eq!(burn.nodes.len(), 6);
+    for (service, own) in [("steady", &steady), ("failing", &failing), ("stuck", &stuck)] {
+        let (_, own) = own.rows().next().expect("calls were made");
+        for window in Window::ALL {
+            let counted = row(&burn, service).window(window).expect("every window is reported");
+            assert_eq!(counted.calls, own.calls(), "{service}");
+            assert_eq!(counted.counts.good, own.in_objective(), "{service}");
+        }
+        let by_zone = burn.zone_rows.iter().filter(|row| &*row.service == service);
+        let zone_calls: u64 =
+            by_zone.filter_map(|row| row.window(Window::OneHour)).map(|burn| burn.calls).sum();
+        assert_eq!(zone_calls, own.calls(), "{service} over the zones");
+    }
+    let (_, own) = steady.rows().next().expect("calls were made");
+    let counted = row(&burn, "steady");
+    assert_eq!(counted.latency.answered, CALLS);
+    for quantile in [0.5, 0.9, 0.99] {
+        // The ingress starts its clock after the caller and stops it before.
+        let error = 1.0 + burn.latency_error_percent / 100.0;
+        let resolution_ms = f64::from(u32::try_from(burn.latency_resolution_us).expect("it fits")) / 1_000.0;
+        assert!(counted.quantile_ms(quantile) <= own.quantile_ms(quantile) * error + resolution_ms);
+    }
+    let failed = row(&burn, "failing").window(Window::OneHour).expect("it is reported").counts.missed;
+    assert_eq!(failed.of(MissCause::UpstreamError), CALLS);
+    let stuck = row(&burn, "stuck").window(Window::OneHour).expect("it is reported");
+    assert_eq!(stuck.main_cause, Some(MissCause::UnknownOutcome));
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gather_unreachable_node_is_missing() {
+    let mut fleet = fleet().await;
+    call(&fleet, "failing", CALLS).await;
+    let whole = report(&fleet).await;
+    assert!(whole.missing.is_empty());
+    assert!(whole.alert_count() > 0, "every call failed");
+
+    let last = fleet.members.pop().expect("there are nodes");
+    let name = last.node.addrs().admin;
+    last.node.stop().await;
+    let partial = report(&fleet).await;
+    assert_eq!(partial.nodes.len() + partial.missing.len(), whole.nodes.len(), "no node vanishes from view");
+    assert_eq!(partial.missing.len(), 1, "the node at {name} stopped");
+    assert!(table::render(&partial).contains("MISSING 1 nodes"));
+    assert!(page::render(&partial).expect("the page can be drawn").contains("class=\"missing\""));
+    fleet.stop().await;
+}
