docs: an operators' reference that is made from the code

Cause: nothing kept a setting, field, header, error kind, metric or exit code from going without a word in the docs. A name without a doc comment fails the test. Conclusion: reference_matches_the_code fails on any name that the page lacks.

--- a/burn/src/main.rs
+++ b/burn/src/main.rs
@@ -17,8 +17,11 @@
 use yuccatray_burn::page::PageError;
 use yuccatray_burn::table;
 
+/// No report could be made.
 const EXIT_FAILED: u8 = 1;
+/// With `--check`: an alert fires.
 const EXIT_ALERT: u8 = 3;
+/// With `--check`: no alert fires, but nodes are missing from the report.
 const EXIT_MISSING: u8 = 4;
 
 /// Service-level burn report of a yuccatray fleet.
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -17,8 +17,11 @@
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
+/// The node could not start.
 const EXIT_FAILED: u8 = 1;
+/// The settings are wrong.
 const EXIT_SETTINGS: u8 = 2;
+/// The shutdown cut calls in flight short.
 const EXIT_CUT_SHORT: u8 = 3;
 
 /// The yuccatray node, one beside each upstream.
--- a/lib/src/protocol/published.rs
+++ b/lib/src/protocol/published.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -49,7 +50,7 @@
 }
 
 /// What became of a service's configuration, for operators and their tests.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct ServiceStatus {
     /// Version of the `Service` object that this speaks of.
     pub observed_version: u64,
@@ -74,7 +75,7 @@
 }
 
 /// A fault in one field of an object or of the settings.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct FieldProblem {
     /// Path to the field, such as `/spec/retry/max_attempts`.
     pub field: String,
