--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -79,6 +79,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The nodes gave no burn report.
+    #[snafu(display("no burn report: {reason}"))]
+    Burn {
+        /// What went wrong.
+        reason: String,
+    },
     /// The fleet did not become ready in time.
     #[snafu(display("not ready in time: {service}"))]
     NotReady {
