--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -10,16 +10,19 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::membership::Membership;
 use crate::coordination::membership::Patience;
+use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::routing::TwoChoices;
 use crate::protocol::call_id::CallIdSource;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberId;
 use crate::protocol::member::MemberState;
 use crate::protocol::settings::Settings;
+use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
 use crate::state::directory::Directory;
 use crate::state::metrics::Metrics;
@@ -75,11 +78,13 @@
 
 /// A running node.
 #[derive(Debug)]
-pub struct Node {
+pub struct Node<P = TwoChoices> {
     addrs: NodeAddrs,
+    gate: Arc<Gate>,
+    metrics: SharedMetrics,
     gossip: Arc<Gossip>,
     desk: Arc<AnnounceDesk>,
-    ingress: Arc<Ingress<TwoChoices>>,
+    ingress: Arc<Ingress<P>>,
     stop_callers: CancellationToken,
     stop_rest: CancellationToken,
     caller_server: JoinHandle<bool>,
@@ -110,12 +115,27 @@
     ///
     /// When an address can't be listened on.
     pub async fn start(settings: &Settings) -> Result<Self> {
+        Self::start_with(settings, TwoChoices).await
+    }
+}
+
+impl<P> Node<P>
+where
+    P: RoutingPolicy + Send + Sync + 'static,
+{
+    /// Starts a node that chooses upstreams by the given policy.
+    ///
+    /// # Errors
+    ///
+    /// When an address can't be listened on.
+    pub async fn start_with(settings: &Settings, policy: P) -> Result<Self> {
         let listeners = Listeners::bind(settings).await?;
         let addrs = listeners.addrs()?;
         let me = describe_me(settings, addrs);
         let metrics = SharedMetrics::new(Metrics::default());
         let config = Arc::new(ConfigTable::new());
         let directory = Arc::new(Directory::default());
+        let burn = Arc::new(BurnCounts::new(Instant::now()));
         let gate = Arc::new(Gate::new(Arc::clone(&metrics)));
         let gossip = Arc::new(gossip(settings, &me, &config, &directory));
         let desk = Arc::new(AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&config)));
@@ -128,7 +148,8 @@
             channels: Arc::new(CallChannels::default()),
             control: Arc::clone(gossip.channels()),
             metrics: Arc::clone(&metrics),
-            policy: TwoChoices,
+            burn: Arc::clone(&burn),
+            policy,
             max_replay_bytes: settings.limits.max_replay_bytes,
             max_header_bytes: settings.limits.max_header_bytes,
         }));
@@ -146,11 +167,12 @@
         let limits = server_limits(settings);
         let peer_handler = PeerHandler::new(Arc::clone(&gate), Arc::clone(&config), Arc::clone(&gossip));
         let admin_handler = AdminHandler {
-            name: Arc::clone(&me.id.name),
+            me: me.clone(),
             directory: Arc::clone(&directory),
             config: Arc::clone(&config),
             gate: Arc::clone(&gate),
             metrics: Arc::clone(&metrics),
+            burn,
         };
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
         let caller_server = spawn_server(listeners.ingress, limits, caller_handler, &stop_callers);
@@ -173,7 +195,19 @@
             addrs.announce,
             addrs.admin
         );
-        Ok(Self { addrs, gossip, desk, ingress, stop_callers, stop_rest, caller_server, peer_server, loops })
+        Ok(Self {
+            addrs,
+            gate,
+            metrics,
+            gossip,
+            desk,
+            ingress,
+            stop_callers,
+            stop_rest,
+            caller_server,
+            peer_server,
+            loops,
+        })
     }
 
     /// Where the node listens.
@@ -182,6 +216,18 @@
         self.addrs
     }
 
+    /// The gate beside the node's upstream.
+    #[must_use]
+    pub const fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
+    /// Counters of the node.
+    #[must_use]
+    pub const fn metrics(&self) -> &SharedMetrics {
+        &self.metrics
+    }
+
     /// Stops gracefully: announces it, takes nothing new, finishes what is under way.
     pub async fn stop(self) -> Shutdown {
         self.desk.drain();
@@ -240,6 +286,7 @@
         ingress_addr: addrs.ingress,
         upstream: None,
         config_digest: 0,
+        admin_addr: addrs.admin,
     }
 }
 
--- a/lib/src/transport/call_body.rs
+++ b/lib/src/transport/call_body.rs
@@ -155,6 +155,11 @@
 pub trait BodyGuard {
     /// The body ended, whole or not; called at most once.
     fn ended(&mut self, whole: bool);
+
+    /// The body was dropped before its end; called in place of [`Self::ended`].
+    fn dropped(&mut self) {
+        self.ended(false);
+    }
 }
 
 /// A body that tells its guard how it ended.
@@ -232,6 +237,9 @@
     G: BodyGuard,
 {
     fn drop(&mut self) {
-        self.tell(false);
+        if !self.told {
+            self.told = true;
+            self.guard.dropped();
+        }
     }
 }
--- a/load/src/commands/compare.rs
+++ b/load/src/commands/compare.rs
@@ -232,6 +232,7 @@
         upstreams: 1,
         slots: SLOTS,
         mean_service_us: 0,
+        service_stages: 1,
         streams: Vec::<CallStream>::new(),
     };
     Deployment {
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -8,6 +8,7 @@
 use clap::Subcommand;
 
 use crate::commands::compare;
+use crate::commands::experiment;
 use crate::commands::fleet;
 use crate::commands::peer_bodies;
 
@@ -27,6 +28,7 @@
     Fleet(fleet::FleetArgs),
     Compare(compare::CompareArgs),
     PeerBodies(peer_bodies::PeerBodiesArgs),
+    Experiment(experiment::ExperimentArgs),
 }
 
 #[tokio::main]
@@ -35,6 +37,7 @@
         Command::Fleet(args) => fleet::cmd_fleet(&args).await,
         Command::Compare(args) => compare::cmd_compare(&args).await,
         Command::PeerBodies(args) => peer_bodies::cmd_peer_bodies(&args).await,
+        Command::Experiment(args) => experiment::cmd_experiment(&args).await,
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
