--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -136,7 +136,8 @@
             let rule = rule(published.as_deref());
             self.gate.set_upstream(announcement.addr, announcement.slots, &rule);
         }
-        self.gossip.set_upstream(Some(UpstreamInfo {
+        // Nobody hears of the upstream before the gate has the rules to take its calls by.
+        self.gossip.set_upstream(published.map(|_| UpstreamInfo {
             service: Arc::clone(&announcement.service),
             slots: announcement.slots,
             draining: announcement.draining,
