settings: each mistake says where it is, what is wrong and what is allowed

Cause: a duplicate key was taken without a word, an address that can't be read hid behind every other mistake and had no path, and unknown or missing fields were reported on the object around them in the words of the schema library.

Change: `checked_json` reads JSON with comments whole: duplicate keys by the library's syntax tree, addresses by a format of the schema, and each fault with its own path and what is allowed there. Objects, announcements and deployments are read by the same functions.

--- a/cli/src/cli_error.rs
+++ b/cli/src/cli_error.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use snafu::Snafu;
-use yuccatray::protocol::settings::SettingsError;
+use yuccatray::protocol::checked_json::JsonError;
 use yuccatray::transport::platform::PlatformError;
 
 /// Result of a command.
@@ -24,7 +24,7 @@
     #[snafu(display("{source}"), context(false))]
     Objects {
         /// Every fault found.
-        source: SettingsError,
+        source: JsonError,
     },
     /// The object named does not exist.
     #[snafu(display("no {kind} named {name:?}"))]
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -11,9 +11,9 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use yuccatray::node::Node;
+use yuccatray::protocol::checked_json::JsonError;
 use yuccatray::protocol::settings::LogLevel;
 use yuccatray::protocol::settings::Settings;
-use yuccatray::protocol::settings::SettingsError;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -108,7 +108,7 @@
     ExitCode::from(EXIT_CUT_SHORT)
 }
 
-fn report(path: &std::path::Path, error: &SettingsError) {
+fn report(path: &std::path::Path, error: &JsonError) {
     eprintln!("error: {}: {error}", path.display());
     for problem in error.problems() {
         eprintln!("  {}: {}", problem.field, problem.problem);
--- a/lib/src/coordination/manifest.rs
+++ b/lib/src/coordination/manifest.rs
@@ -9,14 +9,14 @@
 use serde_json::Value;
 
 use crate::coordination::publication::object_problems;
+use crate::protocol::checked_json::JsonError;
+use crate::protocol::checked_json::Result;
+use crate::protocol::checked_json::checked_from_value;
+use crate::protocol::checked_json::parse_jsonc;
+use crate::protocol::checked_json::read_text;
 use crate::protocol::object::Object;
 use crate::protocol::object::ObjectKind;
 use crate::protocol::published::FieldProblem;
-use crate::protocol::settings::Result;
-use crate::protocol::settings::SettingsError;
-use crate::protocol::settings::checked_from_value;
-use crate::protocol::settings::parse_jsonc;
-use crate::protocol::settings::read_text;
 
 /// One object as an operator writes it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -69,7 +69,7 @@
             Err(error) => problems.extend(error.problems().iter().map(|found| under(index, "", found))),
         }
     }
-    if problems.is_empty() { Ok(manifests) } else { Err(SettingsError::Problems { problems }) }
+    if problems.is_empty() { Ok(manifests) } else { Err(JsonError::Problems { problems }) }
 }
 
 fn spec_problems(index: usize, manifest: &Manifest) -> Vec<FieldProblem> {
--- a/lib/src/coordination/publication.rs
+++ b/lib/src/coordination/publication.rs
@@ -6,6 +6,7 @@
 use schemars::JsonSchema;
 use serde::de::DeserializeOwned;
 
+use crate::protocol::checked_json::checked_from_value;
 use crate::protocol::object::Object;
 use crate::protocol::published::FieldProblem;
 use crate::protocol::published::Published;
@@ -14,7 +15,6 @@
 use crate::protocol::service_spec::PrioritySetSpec;
 use crate::protocol::service_spec::ServiceSpec;
 use crate::protocol::service_spec::UpstreamRuleSpec;
-use crate::protocol::settings::checked_from_value;
 
 /// Result of validating an object.
 pub type Result<T, E = Vec<FieldProblem>> = std::result::Result<T, E>;
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -4,6 +4,7 @@
 pub mod burn;
 pub mod call_head;
 pub mod call_id;
+pub mod checked_json;
 pub mod error_kind;
 pub mod headers;
 pub mod load_report;
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -4,22 +4,19 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use jsonc_parser::ParseOptions;
 use schemars::JsonSchema;
-use schemars::schema_for;
 use serde::Deserialize;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
-use serde_json::Value;
-use snafu::OptionExt;
-use snafu::ResultExt;
-use snafu::Snafu;
 
+use crate::protocol::checked_json::Result;
+use crate::protocol::checked_json::addr_list_schema;
+use crate::protocol::checked_json::addr_schema;
+use crate::protocol::checked_json::checked_from_value;
+use crate::protocol::checked_json::parse_jsonc;
+use crate::protocol::checked_json::read_text;
+use crate::protocol::checked_json::refuse;
 use crate::protocol::published::FieldProblem;
 
-/// Result of reading settings.
-pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
-
 /// Everything that a node is told at start.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -30,6 +27,7 @@
     pub listen: ListenSettings,
     /// Peer addresses to join through, besides those that the platform lists.
     #[serde(default)]
+    #[schemars(schema_with = "addr_list_schema")]
     pub seeds: Vec<SocketAddr>,
     /// The platform's object API.
     pub platform: PlatformSettings,
@@ -67,12 +65,16 @@
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
     /// For callers.
+    #[schemars(schema_with = "addr_schema")]
     pub ingress_addr: SocketAddr,
     /// For the other nodes.
+    #[schemars(schema_with = "addr_schema")]
     pub peer_addr: SocketAddr,
     /// For the node's own upstream; a loopback address.
+    #[schemars(schema_with = "addr_schema")]
     pub announce_addr: SocketAddr,
     /// For operators: metrics, readiness, status.
+    #[schemars(schema_with = "addr_schema")]
     pub admin_addr: SocketAddr,
 }
 
@@ -81,6 +83,7 @@
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Address of the object API.
+    #[schemars(schema_with = "addr_schema")]
     pub addr: SocketAddr,
     /// Time that one call of it may take, in milliseconds.
     #[serde(default = "default_platform_timeout_ms")]
@@ -157,45 +160,6 @@
     Trace,
 }
 
-/// Why settings were refused.
-#[derive(Debug, Snafu)]
-pub enum SettingsError {
-    /// The file could not be read.
-    #[snafu(display("cannot read {path}"))]
-    Read {
-        /// The file.
-        path: String,
-        /// What the system said.
-        source: std::io::Error,
-    },
-    /// The text is not JSON with comments.
-    #[snafu(display("not JSON with comments: {source}"))]
-    Syntax {
-        /// Where and what.
-        source: jsonc_parser::errors::ParseError,
-    },
-    /// The file holds nothing.
-    #[snafu(display("the file holds no value"))]
-    Empty,
-    /// Fields are wrong; every one of them is listed.
-    #[snafu(display("{} problem(s)", problems.len()))]
-    Problems {
-        /// The faults, in the order of the fields.
-        problems: Vec<FieldProblem>,
-    },
-}
-
-impl SettingsError {
-    /// The faults by field, when that is what is wrong.
-    #[must_use]
-    pub fn problems(&self) -> &[FieldProblem] {
-        match self {
-            Self::Problems { problems } => problems,
-            _ => &[],
-        }
-    }
-}
-
 impl Settings {
     /// Reads and checks the settings in a file.
     ///
@@ -215,7 +179,7 @@
         let value = parse_jsonc(text)?;
         let settings: Self = checked_from_value(&value)?;
         let problems = settings.cross_field_problems();
-        if problems.is_empty() { Ok(settings) } else { ProblemsSnafu { problems }.fail() }
+        if problems.is_empty() { Ok(settings) } else { refuse(problems) }
     }
 
     fn cross_field_problems(&self) -> Vec<FieldProblem> {
@@ -237,73 +201,6 @@
     }
 }
 
-/// Reads a file as text.
-///
-/// # Errors
-///
-/// When the file can't be read.
-pub fn read_text(path: &Path) -> Result<String> {
-    std::fs::read_to_string(path).context(ReadSnafu { path: path.display().to_string() })
-}
-
-/// Reads JSON with comments into a value.
-///
-/// # Errors
-///
-/// When the text is not JSON with comments or holds no value.
-pub fn parse_jsonc(text: &str) -> Result<Value> {
-    let options = ParseOptions {
-        allow_comments: true,
-        allow_trailing_commas: true,
-        allow_loose_object_property_names: false,
-        allow_missing_commas: false,
-        allow_single_quoted_strings: false,
-        allow_hexadecimal_numbers: false,
-        allow_unary_plus_numbers: false,
-        allow_bare_decimal_point_numbers: false,
-        allow_non_finite_numbers: false,
-        allow_extended_string_escapes: false,
-    };
-    jsonc_parser::parse_to_serde_value::<Option<Value>>(text, &options)
-        .context(SyntaxSnafu)?
-        .context(EmptySnafu)
-}
-
-/// Reads a value as a type after checking it against the type's schema.
-///
-/// # Errors
-///
-/// When fields are unknown, missing or out of range; all of them are listed.
-pub fn checked_from_value<T>(value: &Value) -> Result<T>
-where
-    T: DeserializeOwned + JsonSchema,
-{
-    let problems = schema_problems::<T>(value);
-    if !problems.is_empty() {
-        return ProblemsSnafu { problems }.fail();
-    }
-    serde_json::from_value(value.clone()).map_err(|error| SettingsError::Problems {
-        problems: vec![FieldProblem { field: String::new(), problem: error.to_string() }],
-    })
-}
-
-fn schema_problems<T>(value: &Value) -> Vec<FieldProblem>
-where
-    T: JsonSchema,
-{
-    let schema = schema_for!(T);
-    match jsonschema::validator_for(schema.as_value()) {
-        Ok(validator) => validator
-            .iter_errors(value)
-            .map(|error| FieldProblem {
-                field: error.instance_path().to_string(),
-                problem: error.to_string(),
-            })
-            .collect(),
-        Err(error) => vec![FieldProblem { field: String::new(), problem: error.to_string() }],
-    }
-}
-
 impl Default for LimitSettings {
     fn default() -> Self {
         Self {
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -21,11 +21,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::admission::PriorityRule;
+use crate::protocol::checked_json::addr_schema;
+use crate::protocol::checked_json::checked_from_value;
+use crate::protocol::checked_json::parse_jsonc;
 use crate::protocol::member::UpstreamInfo;
 use crate::protocol::published::Published;
 use crate::protocol::service_spec::UpstreamRuleSpec;
-use crate::protocol::settings::checked_from_value;
-use crate::protocol::settings::parse_jsonc;
 use crate::state::config_table::ConfigTable;
 use crate::transport::gate::Gate;
 use crate::transport::gossip::Gossip;
@@ -42,6 +43,7 @@
     #[schemars(length(min = 1, max = 255))]
     pub service: Arc<str>,
     /// Where it listens for calls.
+    #[schemars(schema_with = "addr_schema")]
     pub addr: SocketAddr,
     /// Calls that it runs at once.
     #[schemars(range(min = 1, max = 100_000))]
--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -12,6 +12,7 @@
 use yuccatray::coordination::manifest::load_manifests;
 use yuccatray::node::Node;
 use yuccatray::node::NodeError;
+use yuccatray::protocol::checked_json::JsonError;
 use yuccatray::protocol::object::ObjectKind;
 use yuccatray::protocol::object::Precondition;
 use yuccatray::protocol::published::ServiceStatus;
@@ -23,7 +24,6 @@
 use yuccatray::protocol::settings::PlatformSettings;
 use yuccatray::protocol::settings::ProcessSettings;
 use yuccatray::protocol::settings::Settings;
-use yuccatray::protocol::settings::SettingsError;
 use yuccatray::transport::platform::Platform;
 use yuccatray::transport::platform::PlatformError;
 use yuccatray::transport::platform_http::HttpPlatform;
@@ -66,7 +66,7 @@
     #[snafu(display("the objects are wrong: {source}"), context(false))]
     Objects {
         /// Why.
-        source: SettingsError,
+        source: JsonError,
     },
     /// The platform's stand-in refused.
     #[snafu(display("the platform refused: {source}"), context(false))]
--- a/load/src/experiment.rs
+++ b/load/src/experiment.rs
@@ -6,10 +6,10 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
-use yuccatray::protocol::settings::Result;
-use yuccatray::protocol::settings::checked_from_value;
-use yuccatray::protocol::settings::parse_jsonc;
-use yuccatray::protocol::settings::read_text;
+use yuccatray::protocol::checked_json::Result;
+use yuccatray::protocol::checked_json::checked_from_value;
+use yuccatray::protocol::checked_json::parse_jsonc;
+use yuccatray::protocol::checked_json::read_text;
 
 use crate::deployment::Deployment;
 use crate::policy_variant::PolicyVariant;
