membership: probes, news and digests in place of full-state heartbeats

Cause: every node sent its whole table every 200 ms, the lease holder listed the platform every 500 ms and every node polled the lease, so that bytes grew with the square of the fleet and platform calls with the fleet. Change: a pure machine per node probes one member a period, directly and through three others, suspects before it declares dead, and spreads news a bounded number of times on authenticated-size datagrams; digests ride on every probe, and two nodes exchange only the buckets that differ. Two nodes of each availability zone, by hash over the live ones, watch published configurations; one of them collects what the zone has applied, keeps the zone's rendezvous object and tries for the lease. The holder watches instead of listing, plans each publication on a record of what it wrote, and resolves a lost answer by reading back.

--- a/lib/src/coordination/lease.rs
+++ b/lib/src/coordination/lease.rs
@@ -32,6 +32,14 @@
     Wait,
 }
 
+impl LeaseValue {
+    /// Name of the node that holds it.
+    #[must_use]
+    pub fn holder_name(&self) -> &str {
+        self.holder.rsplit_once('.').map_or(&self.holder, |(name, _)| name)
+    }
+}
+
 /// Follows one lease on behalf of one node.
 #[derive(Debug)]
 pub struct LeaseWatch {
@@ -63,6 +71,12 @@
         }
     }
 
+    /// The value that hands the lease back, so that others need not wait for it to lapse.
+    #[must_use]
+    pub fn released(value: &LeaseValue) -> LeaseValue {
+        LeaseValue { renewal: value.renewal + 1, ttl_ms: 0, ..value.clone() }
+    }
+
     fn lapsed(&mut self, value: &LeaseValue, now: Instant) -> bool {
         let unchanged_since = match &self.seen {
             Some((seen, since)) if seen == value => *since,
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -1,9 +1,18 @@
 //! Decisions: pure state machines fed with snapshots, clock readings and events.
 
 pub mod admission;
+pub mod anti_entropy;
+pub mod applied_fleet;
+pub mod applied_report;
+pub mod backoff;
+pub mod fleet_view;
 pub mod lease;
 pub mod manifest;
 pub mod membership;
+pub mod news_queue;
+pub mod platform_role;
+pub mod probe;
 pub mod publication;
+pub mod publication_ledger;
 pub mod retry_budget;
 pub mod routing;
--- a/lib/src/coordination/publication.rs
+++ b/lib/src/coordination/publication.rs
@@ -80,18 +80,23 @@
 }
 
 /// The next publication of a name, or nothing when the last one still says it.
+///
+/// `floor` is a revision that some node may already have applied: whatever became of the platform's
+/// object since, the next one is higher.
 #[must_use]
 pub fn next_publication(
     name: &Arc<str>,
     config: Option<PublishedConfig>,
     last: Option<&Published>,
+    floor: u64,
     epoch: u64,
 ) -> Option<Published> {
+    let last_revision = last.map_or(0, |last| last.revision);
     let unchanged = last.map_or(config.is_none(), |last| last.config == config);
-    if unchanged {
+    if unchanged && last_revision >= floor {
         return None;
     }
-    let revision = last.map_or(0, |last| last.revision) + 1;
+    let revision = last_revision.max(floor) + 1;
     Some(Published { service: Arc::clone(name), revision, epoch, config })
 }
 
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -6,14 +6,16 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::coordination::membership::Membership;
-use crate::coordination::membership::Patience;
+use crate::coordination::fleet_view::FleetView;
 use crate::coordination::routing::TwoChoices;
 use crate::protocol::call_id::CallIdSource;
 use crate::protocol::member::Member;
@@ -27,8 +29,11 @@
 use crate::transport::admin_server::AdminHandler;
 use crate::transport::announce_server::AnnounceDesk;
 use crate::transport::announce_server::AnnounceHandler;
+use crate::transport::config_reader::ConfigReader;
+use crate::transport::datagram_keys::DatagramKeys;
 use crate::transport::gate::Gate;
 use crate::transport::gossip::Gossip;
+use crate::transport::gossip::GossipParts;
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::ServerLimits;
 use crate::transport::http_server::serve;
@@ -36,14 +41,18 @@
 use crate::transport::ingress::IngressHandler;
 use crate::transport::ingress::IngressParts;
 use crate::transport::peer_channel::CallChannels;
+use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_server::PeerHandler;
 use crate::transport::platform_http::HttpPlatform;
 use crate::transport::publisher::Publisher;
+use crate::transport::publisher::PublisherParts;
+use crate::transport::rendezvous::Rendezvous;
 
 /// Result of starting a node.
 pub type Result<T, E = NodeError> = std::result::Result<T, E>;
 
-const FORGET_AFTER: Duration = Duration::from_mins(1);
+/// Attempts to find one port that is free for both streams and datagrams.
+const PORT_ATTEMPTS: u32 = 16;
 
 /// Why a node did not start.
 #[derive(Debug, Snafu)]
@@ -99,6 +108,7 @@
 struct Listeners {
     ingress: TcpListener,
     peer: TcpListener,
+    gossip: UdpSocket,
     announce: TcpListener,
     admin: TcpListener,
 }
@@ -117,7 +127,12 @@
         let config = Arc::new(ConfigTable::new());
         let directory = Arc::new(Directory::default());
         let gate = Arc::new(Gate::new(Arc::clone(&metrics)));
-        let gossip = Arc::new(gossip(settings, &me, &config, &directory));
+        let shared = SharedParts {
+            config: Arc::clone(&config),
+            directory: Arc::clone(&directory),
+            metrics: Arc::clone(&metrics),
+        };
+        let gossip = Arc::new(gossip(settings, &me, listeners.gossip, shared));
         let desk = Arc::new(AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&config)));
         let ingress = Arc::new(Ingress::new(IngressParts {
             me: Arc::new(me.clone()),
@@ -134,12 +149,26 @@
         let platform =
             HttpPlatform::new(settings.platform.addr, Duration::from_millis(settings.platform.timeout_ms));
         let publisher = Publisher::new(
-            platform,
+            PublisherParts {
+                platform: platform.clone(),
+                gossip: Arc::clone(&gossip),
+                config: Arc::clone(&config),
+                directory: Arc::clone(&directory),
+                metrics: Arc::clone(&metrics),
+            },
             &me.id,
-            Arc::clone(&config),
-            Arc::clone(&directory),
-            Arc::clone(&metrics),
         );
+        let reader = ConfigReader {
+            platform: platform.clone(),
+            gossip: Arc::clone(&gossip),
+            metrics: Arc::clone(&metrics),
+        };
+        let rendezvous = Rendezvous {
+            platform,
+            gossip: Arc::clone(&gossip),
+            has_seeds: !settings.seeds.is_empty(),
+            metrics: Arc::clone(&metrics),
+        };
         let stop_callers = CancellationToken::new();
         let stop_rest = CancellationToken::new();
         let limits = server_limits(settings);
@@ -161,6 +190,8 @@
             tokio::spawn(Arc::clone(&gossip).run(stop_rest.clone())),
             tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
             tokio::spawn(publisher.run(stop_rest.clone())),
+            tokio::spawn(reader.run(stop_rest.clone())),
+            tokio::spawn(rendezvous.run(stop_rest.clone())),
         ];
         log::info!(
             "node started; node={} incarnation={:x} ingress={} peer={} announce={} admin={}",
@@ -200,9 +231,11 @@
 impl Listeners {
     async fn bind(settings: &Settings) -> Result<Self> {
         let listen = &settings.listen;
+        let (peer, gossip) = bind_peer(listen.peer_addr).await?;
         Ok(Self {
             ingress: bind(listen.ingress_addr, "/listen/ingress_addr").await?,
-            peer: bind(listen.peer_addr, "/listen/peer_addr").await?,
+            peer,
+            gossip,
             announce: bind(listen.announce_addr, "/listen/announce_addr").await?,
             admin: bind(listen.admin_addr, "/listen/admin_addr").await?,
         })
@@ -222,6 +255,21 @@
     TcpListener::bind(addr).await.context(ListenSnafu { addr, purpose })
 }
 
+/// Streams and datagrams of peers share one port, so that members need to name only one.
+async fn bind_peer(addr: SocketAddr) -> Result<(TcpListener, UdpSocket)> {
+    let purpose = "/listen/peer_addr";
+    let mut attempt = 1;
+    loop {
+        let listener = bind(addr, purpose).await?;
+        let shared = local_addr(&listener)?;
+        match UdpSocket::bind(shared).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(_) if addr.port() == 0 && attempt < PORT_ATTEMPTS => attempt += 1,
+            Err(source) => return Err(NodeError::Listen { addr: shared, purpose, source }),
+        }
+    }
+}
+
 fn local_addr(listener: &TcpListener) -> Result<SocketAddr> {
     let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
     listener.local_addr().context(ListenSnafu { addr: unknown, purpose: "the address in use" })
@@ -237,7 +285,6 @@
         peer_addr: addrs.peer,
         ingress_addr: addrs.ingress,
         upstream: None,
-        config_digest: 0,
     }
 }
 
@@ -247,19 +294,31 @@
     u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
 }
 
-fn gossip(settings: &Settings, me: &Member, config: &Arc<ConfigTable>, directory: &Arc<Directory>) -> Gossip {
-    let patience = Patience {
-        suspect_after: Duration::from_millis(settings.gossip.suspect_after_ms),
-        dead_after: Duration::from_millis(settings.gossip.dead_after_ms),
-        forget_after: FORGET_AFTER,
-    };
-    Gossip::new(
-        Membership::new(me.clone(), patience),
-        Arc::clone(config),
-        Arc::clone(directory),
+/// Parts that gossip shares with the rest of the node.
+struct SharedParts {
+    config: Arc<ConfigTable>,
+    directory: Arc<Directory>,
+    metrics: SharedMetrics,
+}
+
+fn gossip(settings: &Settings, me: &Member, socket: UdpSocket, shared: SharedParts) -> Gossip {
+    let view = FleetView::new(
+        me.clone(),
+        settings.gossip.clone(),
         settings.seeds.clone(),
-        Duration::from_millis(settings.gossip.interval_ms),
-    )
+        Arc::clone(&shared.config),
+        Pcg64Mcg::from_rng(&mut rand::rng()),
+        tokio::time::Instant::now(),
+    );
+    Gossip::new(GossipParts {
+        view,
+        config: shared.config,
+        directory: shared.directory,
+        socket,
+        keys: DatagramKeys::default(),
+        channels: Arc::new(ControlChannels::default()),
+        metrics: shared.metrics,
+    })
 }
 
 fn server_limits(settings: &Settings) -> ServerLimits {
--- a/lib/src/protocol/member.rs
+++ b/lib/src/protocol/member.rs
@@ -57,8 +57,6 @@
     pub ingress_addr: SocketAddr,
     /// Its upstream, once one has announced itself.
     pub upstream: Option<UpstreamInfo>,
-    /// Digest of the services and revisions that it has applied.
-    pub config_digest: u64,
 }
 
 impl Member {
@@ -90,7 +88,6 @@
             peer_addr: member.peer_addr.to_string(),
             ingress_addr: member.ingress_addr.to_string(),
             upstream: member.upstream.as_ref().map(wire::Upstream::from),
-            config_digest: member.config_digest,
         }
     }
 }
@@ -124,7 +121,6 @@
         peer_addr: message.peer_addr.parse().ok()?,
         ingress_addr: message.ingress_addr.parse().ok()?,
         upstream: message.upstream.as_ref().map(upstream_from_wire),
-        config_digest: message.config_digest,
     })
 }
 
--- a/lib/src/protocol/published.rs
+++ b/lib/src/protocol/published.rs
@@ -64,13 +64,33 @@
     pub applied_nodes: u32,
     /// Nodes known to be alive.
     pub known_nodes: u32,
-    /// Names of nodes that have not applied it.
+    /// Live nodes of which it is not known what they have applied.
     #[serde(default)]
-    pub lagging_nodes: Vec<Arc<str>>,
+    pub unknown_nodes: u32,
+    /// Some of the nodes known to hold less.
+    #[serde(default)]
+    pub lagging_nodes: Vec<LaggingNode>,
     /// Whether every known node has applied it.
     pub applied: bool,
     /// Upstreams of the service that take work.
     pub ready_upstreams: u32,
+    /// Lease epoch of the node that wrote this.
+    #[serde(default)]
+    pub epoch: u64,
+    /// When this was written, in milliseconds since 1970 by the writer's clock.
+    #[serde(default)]
+    pub written_unix_ms: u64,
+}
+
+/// A node that holds less than the published revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LaggingNode {
+    /// Name of the node.
+    pub node: Arc<str>,
+    /// Revision that it holds, 0 for none.
+    pub revision: u64,
+    /// When it was first seen to lag, in milliseconds since 1970 by the writer's clock.
+    pub since_unix_ms: u64,
 }
 
 /// A fault in one field of an object or of the settings.
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -110,15 +110,27 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct GossipSettings {
-    /// Time between two rounds, in milliseconds.
+    /// Time between two sendings of news, in milliseconds.
     #[schemars(range(min = 10, max = 60_000))]
     pub interval_ms: u64,
-    /// Silence after which a member is suspected, in milliseconds.
+    /// Time between two probes, in milliseconds.
+    #[schemars(range(min = 50, max = 60_000))]
+    pub probe_interval_ms: u64,
+    /// Time for a direct answer before others are asked to probe, in milliseconds.
+    #[schemars(range(min = 10, max = 60_000))]
+    pub probe_timeout_ms: u64,
+    /// Time to refute a suspicion among ten nodes, in milliseconds; grows with the logarithm.
     #[schemars(range(min = 50, max = 600_000))]
-    pub suspect_after_ms: u64,
-    /// Suspicion after which a member is taken for dead, in milliseconds.
+    pub suspicion_ms: u64,
+    /// Time between two attempts to reach dead members and seeds, in milliseconds.
     #[schemars(range(min = 50, max = 600_000))]
-    pub dead_after_ms: u64,
+    pub rejoin_interval_ms: u64,
+    /// Time for which a dead member is remembered, in milliseconds.
+    #[schemars(range(min = 1_000, max = 86_400_000))]
+    pub forget_after_ms: u64,
+    /// News sent per second at most, in bytes, probes apart.
+    #[schemars(range(min = 500, max = 10_000_000))]
+    pub max_news_bytes_per_second: u32,
 }
 
 /// What is logged.
@@ -215,10 +227,10 @@
                     .to_owned(),
             });
         }
-        if self.gossip.dead_after_ms < self.gossip.interval_ms {
+        if self.gossip.probe_timeout_ms >= self.gossip.probe_interval_ms {
             problems.push(FieldProblem {
-                field: "/gossip/dead_after_ms".to_owned(),
-                problem: "has to be at least /gossip/interval_ms".to_owned(),
+                field: "/gossip/probe_timeout_ms".to_owned(),
+                problem: "has to be less than /gossip/probe_interval_ms".to_owned(),
             });
         }
         problems
@@ -306,7 +318,15 @@
 
 impl Default for GossipSettings {
     fn default() -> Self {
-        Self { interval_ms: 200, suspect_after_ms: 1_500, dead_after_ms: 4_000 }
+        Self {
+            interval_ms: 200,
+            probe_interval_ms: 1_000,
+            probe_timeout_ms: 300,
+            suspicion_ms: 3_000,
+            rejoin_interval_ms: 5_000,
+            forget_after_ms: 3_600_000,
+            max_news_bytes_per_second: 2_000,
+        }
     }
 }
 
--- a/lib/src/state/config_table.rs
+++ b/lib/src/state/config_table.rs
@@ -39,9 +39,8 @@
     /// Digest of the services and revisions held, the same on nodes that hold the same.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        self.current.load().iter().fold(0, |digest, (service, published)| {
-            digest ^ xxh3_64_with_seed(service.as_bytes(), published.revision)
-        })
+        let table = self.current.load();
+        revisions_digest(table.iter().map(|(service, published)| (service.as_ref(), published.revision)))
     }
 
     /// Takes over a publication unless the table holds one at least as new.
@@ -64,3 +63,13 @@
 fn is_newer(table: &ConfigSnapshot, published: &Published) -> bool {
     table.get(&published.service).is_none_or(|held| held.revision < published.revision)
 }
+
+/// Digest of services and revisions, whatever their order.
+pub fn revisions_digest<'a, I>(revisions: I) -> u64
+where
+    I: IntoIterator<Item = (&'a str, u64)>,
+{
+    let digests =
+        revisions.into_iter().map(|(service, revision)| xxh3_64_with_seed(service.as_bytes(), revision));
+    digests.fold(0, |digest, one| digest ^ one)
+}
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
 
+use crate::state::control_metrics::ControlMetrics;
+
 const LATENCY_BUCKETS_SECONDS: [f64; 14] =
     [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
 
@@ -55,6 +57,8 @@
     pub retries: Family<ReasonLabels, Counter>,
     /// Calls of the platform, by outcome.
     pub platform_calls: Family<ReasonLabels, Counter>,
+    /// What acting together costs.
+    pub control: ControlMetrics,
 }
 
 impl fmt::Debug for Metrics {
@@ -81,7 +85,17 @@
         registry.register("gate_decisions", "Decisions of the gate by reason", gate_decisions.clone());
         registry.register("retries", "Attempts after the first by reason", retries.clone());
         registry.register("platform_calls", "Calls of the platform by outcome", platform_calls.clone());
-        Self { registry: Mutex::new(registry), calls, call_latency, gate_decisions, retries, platform_calls }
+        let control = ControlMetrics::default();
+        control.register(&mut registry);
+        Self {
+            registry: Mutex::new(registry),
+            calls,
+            call_latency,
+            gate_decisions,
+            retries,
+            platform_calls,
+            control,
+        }
     }
 }
 
--- a/lib/src/transport/peer_channel.rs
+++ b/lib/src/transport/peer_channel.rs
@@ -184,6 +184,11 @@
         self.by_addr.load().get(&addr).map_or(fresh, Arc::clone)
     }
 
+    /// A channel that nobody else uses and whose connection ends with it.
+    pub fn fresh(&self, addr: SocketAddr) -> Arc<PeerChannel<B>> {
+        Arc::new(PeerChannel::new(addr))
+    }
+
     /// Forgets the channels to addresses that `keep` refuses.
     pub fn retain<F>(&self, keep: F)
     where
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -114,12 +114,15 @@
         &self,
         request: tonic::Request<wire::ExchangeRequest>,
     ) -> Result<tonic::Response<wire::ExchangeReply>, Status> {
-        let request = request.into_inner();
-        self.gossip.take_in(&request.members, &request.published);
-        Ok(tonic::Response::new(wire::ExchangeReply {
-            members: self.gossip.wire_members(),
-            published: self.gossip.wire_published(),
-        }))
+        Ok(tonic::Response::new(self.gossip.answer_exchange(request.get_ref()).await))
+    }
+
+    async fn report_zone(
+        &self,
+        request: tonic::Request<wire::ZoneReport>,
+    ) -> Result<tonic::Response<wire::ZoneReportReply>, Status> {
+        let complete = self.gossip.take_zone_report(request.get_ref());
+        Ok(tonic::Response::new(wire::ZoneReportReply { complete }))
     }
 
     async fn resolve_call(
--- a/lib/src/transport/publisher.rs
+++ b/lib/src/transport/publisher.rs
@@ -2,50 +2,105 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use indexmap::IndexMap;
+use parking_lot::Mutex;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::coordination::applied_fleet::ZoneReporter;
+use crate::coordination::backoff::jittered;
 use crate::coordination::lease::LeaseStep;
 use crate::coordination::lease::LeaseValue;
 use crate::coordination::lease::LeaseWatch;
 use crate::coordination::lease::PUBLISHER_LEASE;
 use crate::coordination::publication::Declared;
-use crate::coordination::publication::next_publication;
-use crate::coordination::publication::resolve;
+use crate::coordination::publication_ledger::Plan;
+use crate::coordination::publication_ledger::PublicationLedger;
 use crate::protocol::member::MemberId;
 use crate::protocol::member::MemberState;
 use crate::protocol::object::Object;
 use crate::protocol::object::ObjectKind;
 use crate::protocol::object::Precondition;
 use crate::protocol::published::FieldProblem;
-use crate::protocol::published::Published;
-use crate::protocol::published::PublishedConfig;
 use crate::protocol::published::ServiceStatus;
 use crate::state::config_table::ConfigTable;
 use crate::state::directory::Directory;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
+use crate::transport::gossip::Gossip;
+use crate::transport::kind_watch::KindEvent;
+use crate::transport::kind_watch::follow_kind;
+use crate::transport::kind_watch::platform_backoff;
 use crate::transport::platform::Platform;
 use crate::transport::platform::PlatformError;
 use crate::transport::platform::Result;
+use crate::transport::settled_write::Settled;
+use crate::transport::settled_write::write_settled;
 
-const LEASE_TTL: Duration = Duration::from_secs(3);
-const HOLDER_INTERVAL: Duration = Duration::from_millis(500);
-const OTHER_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without renewal after which others take the lease.
+const LEASE_TTL: Duration = Duration::from_secs(4);
+
+/// Part of that time for which the holder itself relies on a renewal.
+const SURE_FOR: Duration = Duration::from_millis(2_500);
+
+const RENEW_INTERVAL: Duration = Duration::from_secs(1);
+const CANDIDATE_INTERVAL: Duration = Duration::from_secs(1);
+const STATUS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Statuses written in one round at most; the others wait for the next.
+const MAX_STATUS_WRITES: usize = 20;
+
+/// What a publisher works with.
+#[derive(Debug)]
+pub struct PublisherParts<P> {
+    /// The platform.
+    pub platform: P,
+    /// The members and what they have applied.
+    pub gossip: Arc<Gossip>,
+    /// Configuration in force.
+    pub config: Arc<ConfigTable>,
+    /// Members and their upstreams.
+    pub directory: Arc<Directory>,
+    /// Counters.
+    pub metrics: SharedMetrics,
+}
 
 /// Publishes configurations while its node holds the lease.
 #[derive(Debug)]
 pub struct Publisher<P> {
-    platform: P,
+    parts: PublisherParts<P>,
     lease: LeaseWatch,
-    config: Arc<ConfigTable>,
-    directory: Arc<Directory>,
-    metrics: SharedMetrics,
+    zone_reporter: ZoneReporter,
+}
+
+/// A lease in hand and until when it is relied on.
+#[derive(Debug)]
+struct Held {
+    value: LeaseValue,
+    version: u64,
+    sure_until: Instant,
+}
+
+/// What one read of the lease came to.
+enum LeaseState {
+    Mine(Held),
+    Other(LeaseValue),
+}
+
+/// The objects that operators wrote, kept up by watches.
+#[derive(Debug, Default)]
+struct DeclaredWatch {
+    declared: Mutex<Declared>,
+    listed: Mutex<Vec<ObjectKind>>,
+    changed: Notify,
 }
 
 impl<P> Publisher<P>
@@ -54,29 +109,26 @@
 {
     /// A publisher on behalf of `me`; nothing runs yet.
     #[must_use]
-    pub fn new(
-        platform: P,
-        me: &MemberId,
-        config: Arc<ConfigTable>,
-        directory: Arc<Directory>,
-        metrics: SharedMetrics,
-    ) -> Self {
+    pub fn new(parts: PublisherParts<P>, me: &MemberId) -> Self {
         let holder = Arc::from(format!("{}.{:x}", me.name, me.incarnation));
-        Self { platform, lease: LeaseWatch::new(holder, LEASE_TTL), config, directory, metrics }
+        Self { parts, lease: LeaseWatch::new(holder, LEASE_TTL), zone_reporter: ZoneReporter::default() }
     }
 
     /// Works until told to stop.
     pub async fn run(mut self, stop: CancellationToken) {
-        loop {
-            let pause = match self.round().await {
-                Ok(true) => HOLDER_INTERVAL,
-                Ok(false) => OTHER_INTERVAL,
-                Err(error) => {
-                    Metrics::count(&self.metrics.platform_calls, "failed");
-                    log::debug!("platform round failed; error={error}");
-                    OTHER_INTERVAL
+        let mut backoff = platform_backoff();
+        while !stop.is_cancelled() {
+            let mut pause = jittered(CANDIDATE_INTERVAL, &mut rand::rng());
+            if self.parts.gossip.role().leads_zone {
+                match self.candidate_round(&stop).await {
+                    Ok(()) => backoff.reset(),
+                    Err(error) => {
+                        self.count("failed");
+                        log::debug!("platform round failed; error={error}");
+                        pause = pause.max(backoff.next(&mut rand::rng()));
+                    }
                 }
-            };
+            }
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = tokio::time::sleep(pause) => {}
@@ -84,135 +136,372 @@
         }
     }
 
-    async fn round(&mut self) -> Result<bool> {
-        let Some(lease) = self.hold_lease().await? else {
-            return Ok(false);
+    async fn candidate_round(&mut self, stop: &CancellationToken) -> Result<()> {
+        match self.try_lease().await? {
+            LeaseState::Mine(held) => self.hold(held, stop).await,
+            LeaseState::Other(value) => {
+                self.report_zone(&value).await;
+                Ok(())
+            }
+        }
+    }
+
+    async fn try_lease(&mut self) -> Result<LeaseState> {
+        self.count("lease");
+        let object = self.parts.platform.get(ObjectKind::Lease, PUBLISHER_LEASE).await?;
+        let read = object.as_ref().map(read_value::<LeaseValue>).transpose()?;
+        let step = self.lease.step(read.clone(), Instant::now());
+        let LeaseStep::Write(value) = step else {
+            let holder =
+                read.ok_or_else(|| PlatformError::BadAnswer { reason: "no lease to wait for".to_owned() })?;
+            return Ok(LeaseState::Other(holder));
         };
-        let declared = self.declared().await?;
-        let published = self.by_name(ObjectKind::Published).await?;
-        let statuses = self.by_name(ObjectKind::ServiceStatus).await?;
-        for service in declared.services.values() {
-            self.publish_service(service, &declared, &published, &statuses, lease.epoch).await?;
+        let precondition =
+            object.map_or(Precondition::Absent, |object| Precondition::Version(object.version));
+        self.write_lease(value, precondition).await
+    }
+
+    async fn write_lease(&self, value: LeaseValue, precondition: Precondition) -> Result<LeaseState> {
+        let sure_until = Instant::now() + SURE_FOR;
+        match self.write(ObjectKind::Lease, PUBLISHER_LEASE, &value, precondition).await? {
+            Settled::Written(version) => Ok(LeaseState::Mine(Held { value, version, sure_until })),
+            Settled::Lost(current) => {
+                let current = current.as_deref().map(read_value::<LeaseValue>).transpose()?;
+                Ok(LeaseState::Other(current.unwrap_or(value)))
+            }
         }
-        for (name, object) in &published {
-            if !declared.services.contains_key(name) {
-                self.publish(name, None, Some(object), lease.epoch).await?;
+    }
+
+    /// Publishes and writes status for as long as the lease is renewed.
+    async fn hold(&mut self, mut held: Held, stop: &CancellationToken) -> Result<()> {
+        log::info!("lease held; epoch={}", held.value.epoch);
+        let watch = Arc::new(DeclaredWatch::default());
+        let _watchers = self.spawn_watchers(&watch);
+        let mut ledger = self.load_ledger().await?;
+        let mut renewals = tokio::time::interval(RENEW_INTERVAL);
+        let mut status_rounds = tokio::time::interval(STATUS_INTERVAL);
+        renewals.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        status_rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                () = stop.cancelled() => return self.release(&held).await,
+                _ = renewals.tick() => match self.renew(&held).await? {
+                    Some(renewed) => held = renewed,
+                    None => return Ok(()),
+                },
+                () = watch.changed.notified() => {
+                    if !self.publish(&mut ledger, &watch, &held).await? {
+                        return Ok(());
+                    }
+                }
+                _ = status_rounds.tick() => self.write_statuses(&mut ledger, &watch, &held).await?,
             }
         }
-        Ok(true)
     }
 
-    async fn hold_lease(&mut self) -> Result<Option<LeaseValue>> {
-        Metrics::count(&self.metrics.platform_calls, "lease");
-        let object = self.platform.get(ObjectKind::Lease, PUBLISHER_LEASE).await?;
-        let read = object.as_ref().map(read_value::<LeaseValue>).transpose()?;
-        let LeaseStep::Write(value) = self.lease.step(read, Instant::now()) else {
+    fn spawn_watchers(&self, watch: &Arc<DeclaredWatch>) -> JoinSet<()> {
+        let mut watchers = JoinSet::new();
+        for kind in ObjectKind::WRITABLE {
+            let watch = Arc::clone(watch);
+            let platform = self.parts.platform.clone();
+            let metrics = Arc::clone(&self.parts.metrics);
+            watchers.spawn(follow_kind(platform, kind, metrics, move |event| watch.take(kind, event)));
+        }
+        watchers
+    }
+
+    async fn load_ledger(&self) -> Result<PublicationLedger> {
+        self.count("list");
+        let published = self.parts.platform.list(ObjectKind::Published).await?;
+        self.count("list");
+        let statuses = self.parts.platform.list(ObjectKind::ServiceStatus).await?;
+        Ok(PublicationLedger::new(&published.objects, &statuses.objects))
+    }
+
+    /// The renewed lease, or nothing when it is another's, or this node no longer leads its zone.
+    async fn renew(&self, held: &Held) -> Result<Option<Held>> {
+        if !self.parts.gossip.role().leads_zone {
+            log::info!("lease handed back, since another node leads the zone; epoch={}", held.value.epoch);
+            self.release(held).await?;
             return Ok(None);
-        };
-        let written = self.write(ObjectKind::Lease, PUBLISHER_LEASE, &value, object.as_ref()).await;
-        match written {
-            Ok(_) => Ok(Some(value)),
-            Err(PlatformError::Conflict { .. }) => Ok(None),
+        }
+        let value = LeaseValue { renewal: held.value.renewal + 1, ..held.value.clone() };
+        match self.write_lease(value, Precondition::Version(held.version)).await {
+            Ok(LeaseState::Mine(renewed)) => Ok(Some(renewed)),
+            Ok(LeaseState::Other(value)) => {
+                log::info!("lease lost; epoch={} holder={}", held.value.epoch, value.holder);
+                Ok(None)
+            }
+            // The lease is still relied on for a while; the next tick tries again.
+            Err(error) if Instant::now() < held.sure_until => {
+                log::debug!("lease not renewed; error={error}");
+                let value = held.value.clone();
+                Ok(Some(Held { value, version: held.version, sure_until: held.sure_until }))
+            }
             Err(error) => Err(error),
         }
     }
 
-    async fn declared(&self) -> Result<Declared> {
-        Ok(Declared {
-            services: self.by_name(ObjectKind::Service).await?,
-            priority_sets: self.by_name(ObjectKind::PrioritySet).await?,
-            upstream_rules: self.by_name(ObjectKind::UpstreamRule).await?,
-        })
+    async fn release(&self, held: &Held) -> Result<()> {
+        let value = LeaseWatch::released(&held.value);
+        self.write(ObjectKind::Lease, PUBLISHER_LEASE, &value, Precondition::Version(held.version)).await?;
+        Ok(())
     }
 
-    async fn by_name(&self, kind: ObjectKind) -> Result<IndexMap<Arc<str>, Object>> {
-        Metrics::count(&self.metrics.platform_calls, "list");
-        let listing = self.platform.list(kind).await?;
-        Ok(listing.objects.into_iter().map(|object| (Arc::clone(&object.name), object)).collect())
+    /// Writes every publication that is due; false when the lease is over.
+    async fn publish(
+        &self,
+        ledger: &mut PublicationLedger,
+        watch: &DeclaredWatch,
+        held: &Held,
+    ) -> Result<bool> {
+        let Some(declared) = watch.snapshot() else {
+            return Ok(true);
+        };
+        let epoch = held.value.epoch;
+        let floor = |service: &str| self.parts.config.get(service).map_or(0, |held| held.revision);
+        loop {
+            if Instant::now() >= held.sure_until {
+                watch.changed.notify_one();
+                return Ok(true);
+            }
+            let planned = match ledger.plan(&declared, floor, epoch) {
+                Plan::Publish(planned) => planned,
+                Plan::Abdicate => return Ok(false),
+                Plan::Settled => return Ok(true),
+            };
+            let name = Arc::clone(&planned.published.service);
+            let settled = self.write(ObjectKind::Published, &name, &planned.published, planned.precondition);
+            match settled.await {
+                Ok(Settled::Written(version)) => {
+                    log::info!(
+                        "published; service={name} revision={} epoch={epoch}",
+                        planned.published.revision
+                    );
+                    ledger.note_published(planned.published.clone(), version);
+                    self.parts.gossip.apply(planned.published);
+                }
+                Ok(Settled::Lost(current)) => ledger.correct_published(&name, current.as_deref()),
+                Err(error) => {
+                    log::debug!("not published; service={name} error={error}");
+                    watch.changed.notify_one();
+                    return self.pause_after(&error).await;
+                }
+            }
+        }
     }
 
-    async fn publish_service(
+    /// Lets the platform breathe before the same write is tried again on the same condition.
+    async fn pause_after(&self, _error: &PlatformError) -> Result<bool> {
+        self.count("failed");
+        let pause = platform_backoff().next(&mut rand::rng());
+        tokio::time::sleep(pause).await;
+        Ok(true)
+    }
+
+    async fn write_statuses(
+        &self,
+        ledger: &mut PublicationLedger,
+        watch: &DeclaredWatch,
+        held: &Held,
+    ) -> Result<()> {
+        let Some(declared) = watch.snapshot() else {
+            return Ok(());
+        };
+        let summary = self.parts.gossip.zone_summary();
+        self.parts.gossip.with_fleet_applied(|fleet| {
+            fleet.take(&summary, Instant::now());
+            fleet.expire(Instant::now());
+        });
+        let mut writes = 0;
+        for service in declared.services.values() {
+            if writes >= MAX_STATUS_WRITES || Instant::now() >= held.sure_until {
+                return Ok(());
+            }
+            if let Some(status) = self.due_status(ledger, service, &declared, held.value.epoch) {
+                self.write_status(ledger, &service.name, status).await?;
+                writes += 1;
+            }
+        }
+        self.delete_obsolete(ledger, &declared).await
+    }
+
+    /// The status to write, or nothing when the one written still says it.
+    fn due_status(
         &self,
+        ledger: &mut PublicationLedger,
         service: &Object,
         declared: &Declared,
-        published: &IndexMap<Arc<str>, Object>,
-        statuses: &IndexMap<Arc<str>, Object>,
         epoch: u64,
+    ) -> Option<ServiceStatus> {
+        let (revision, problems) = ledger.verdict(service, declared)?;
+        let last = ledger.status(&service.name).and_then(|last| last.value.as_ref());
+        if last.is_some_and(|last| last.epoch > epoch) {
+            return None;
+        }
+        let mut status = self.status(service, revision, problems);
+        status.epoch = epoch;
+        status.written_unix_ms = unix_ms();
+        let same = last.is_some_and(|last| says_the_same(last, &status));
+        (!same).then_some(status)
+    }
+
+    async fn write_status(
+        &self,
+        ledger: &mut PublicationLedger,
+        name: &Arc<str>,
+        status: ServiceStatus,
     ) -> Result<()> {
-        let name = &service.name;
-        let last = published.get(name);
-        let (revision, problems) = match resolve(service, declared) {
-            Ok(config) => (self.publish(name, Some(config), last, epoch).await?, Vec::new()),
-            Err(problems) => {
-                (last.map(read_value::<Published>).transpose()?.map(|last| last.revision), problems)
+        let precondition = ledger.status_precondition(name);
+        match self.write(ObjectKind::ServiceStatus, name, &status, precondition).await {
+            Ok(Settled::Written(version)) => ledger.note_status(name, status, version),
+            Ok(Settled::Lost(current)) => ledger.correct_status(name, current.as_deref()),
+            // A status is worth no more than its moment: the next round says what is so then.
+            Err(error) => {
+                self.count("failed");
+                log::debug!("status not written; service={name} error={error}");
             }
-        };
-        let status = self.status(service, revision, problems);
-        let last = statuses.get(name);
-        if last.is_some_and(|last| read_value::<ServiceStatus>(last).is_ok_and(|last| last == status)) {
-            return Ok(());
         }
-        self.write(ObjectKind::ServiceStatus, name, &status, last).await?;
         Ok(())
     }
 
-    /// Publishes the configuration unless it is already; the revision that stands.
-    async fn publish(
-        &self,
-        name: &Arc<str>,
-        config: Option<PublishedConfig>,
-        last: Option<&Object>,
-        epoch: u64,
-    ) -> Result<Option<u64>> {
-        let last_published = last.map(read_value::<Published>).transpose()?;
-        let Some(next) = next_publication(name, config, last_published.as_ref(), epoch) else {
-            let revision = last_published.as_ref().map(|last| last.revision);
-            if let Some(last) = last_published {
-                self.config.apply(last);
+    async fn delete_obsolete(&self, ledger: &mut PublicationLedger, declared: &Declared) -> Result<()> {
+        for (name, version) in ledger.obsolete_statuses(declared) {
+            self.count("write");
+            match self.parts.platform.delete(ObjectKind::ServiceStatus, &name, version).await {
+                Ok(()) | Err(PlatformError::Refused { status: 404, .. }) => {
+                    ledger.correct_status(&name, None);
+                }
+                Err(PlatformError::Conflict { current }) => ledger.correct_status(&name, current.as_deref()),
+                Err(error) => return Err(error),
             }
-            return Ok(revision);
-        };
-        self.write(ObjectKind::Published, name, &next, last).await?;
-        log::info!("published; service={name} revision={} epoch={epoch}", next.revision);
-        let revision = next.revision;
-        self.config.apply(next);
-        Ok(Some(revision))
+        }
+        Ok(())
     }
 
     fn status(&self, service: &Object, revision: Option<u64>, problems: Vec<FieldProblem>) -> ServiceStatus {
-        let snapshot = self.directory.snapshot();
-        let digest = self.config.digest();
-        let alive = || snapshot.entries().filter(|entry| entry.member.state != MemberState::Dead);
-        let lagging = alive().filter(|entry| entry.member.config_digest != digest);
-        let lagging_nodes: Vec<Arc<str>> = lagging.map(|entry| Arc::clone(&entry.member.id.name)).collect();
-        let known = alive().count();
+        let snapshot = self.parts.directory.snapshot();
+        let is_live = |state| matches!(state, MemberState::Alive | MemberState::Suspect);
+        let known = snapshot.entries().filter(|entry| is_live(entry.member.state)).count();
+        let known_nodes = u32::try_from(known).unwrap_or(u32::MAX);
         let ready = snapshot.upstreams_of(&service.name).len();
+        let (count, lagging_nodes) = self.parts.gossip.with_fleet_applied(|fleet| {
+            let count = revision.map(|revision| fleet.count(&service.name, revision)).unwrap_or_default();
+            let lagging = fleet.lagging_since(&service.name, &count.lagging_named, unix_ms());
+            (count, lagging)
+        });
         ServiceStatus {
             observed_version: service.version,
             accepted: problems.is_empty(),
             problems,
             revision,
-            applied_nodes: count(known - lagging_nodes.len()),
-            known_nodes: count(known),
-            applied: revision.is_some() && lagging_nodes.is_empty(),
+            applied_nodes: count.applied,
+            known_nodes,
+            unknown_nodes: known_nodes.saturating_sub(count.applied + count.lagging),
+            applied: revision.is_some() && count.lagging == 0 && count.applied >= known_nodes,
             lagging_nodes,
-            ready_upstreams: count(ready),
+            ready_upstreams: u32::try_from(ready).unwrap_or(u32::MAX),
+            epoch: 0,
+            written_unix_ms: 0,
         }
     }
 
-    async fn write<T>(&self, kind: ObjectKind, name: &str, value: &T, last: Option<&Object>) -> Result<Object>
+    /// Tells the holder of the lease what this zone has applied.
+    async fn report_zone(&mut self, lease: &LeaseValue) {
+        let snapshot = self.parts.directory.snapshot();
+        let Some(holder) = snapshot.by_name(lease.holder_name()) else {
+            return;
+        };
+        let summary = self.parts.gossip.zone_summary();
+        let Some(report) = self.zone_reporter.due(&lease.holder, &summary, Instant::now()) else {
+            return;
+        };
+        let taken = self.parts.gossip.send_zone_report(holder.member.peer_addr, report.clone()).await;
+        if taken {
+            self.zone_reporter.taken(&report, Instant::now());
+        } else {
+            self.zone_reporter.refused();
+        }
+    }
+
+    async fn write<T>(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        value: &T,
+        precondition: Precondition,
+    ) -> Result<Settled>
     where
         T: Serialize + Sync,
     {
-        Metrics::count(&self.metrics.platform_calls, "write");
+        self.count("write");
         let value = serde_json::to_value(value).unwrap_or(Value::Null);
-        let precondition = last.map_or(Precondition::Absent, |last| Precondition::Version(last.version));
-        self.platform.put(kind, name, &value, precondition).await
+        write_settled(&self.parts.platform, kind, name, &value, precondition).await
+    }
+
+    fn count(&self, reason: &str) {
+        Metrics::count(&self.parts.metrics.platform_calls, reason);
+    }
+}
+
+impl DeclaredWatch {
+    fn take(&self, kind: ObjectKind, event: KindEvent) {
+        {
+            let mut declared = self.declared.lock();
+            let objects = objects_of(&mut declared, kind);
+            match event {
+                KindEvent::Listed(listed) => {
+                    *objects = listed.into_iter().map(|object| (Arc::clone(&object.name), object)).collect();
+                    self.note_listed(kind);
+                }
+                KindEvent::Changed(changes) => {
+                    for change in changes {
+                        let name = Arc::clone(&change.object.name);
+                        if change.deleted {
+                            objects.shift_remove(&name);
+                        } else {
+                            objects.insert(name, change.object);
+                        }
+                    }
+                }
+            }
+        }
+        self.changed.notify_one();
     }
+
+    fn note_listed(&self, kind: ObjectKind) {
+        let mut listed = self.listed.lock();
+        if !listed.contains(&kind) {
+            listed.push(kind);
+        }
+    }
+
+    /// What is declared, once every kind has been read.
+    fn snapshot(&self) -> Option<Declared> {
+        let complete = self.listed.lock().len() == ObjectKind::WRITABLE.len();
+        complete.then(|| self.declared.lock().clone())
+    }
+}
+
+fn objects_of(declared: &mut Declared, kind: ObjectKind) -> &mut IndexMap<Arc<str>, Object> {
+    match kind {
+        ObjectKind::PrioritySet => &mut declared.priority_sets,
+        ObjectKind::UpstreamRule => &mut declared.upstream_rules,
+        _ => &mut declared.services,
+    }
+}
+
+/// Whether two statuses differ in nothing but who wrote them and when.
+fn says_the_same(last: &ServiceStatus, next: &ServiceStatus) -> bool {
+    let unsigned = |status: &ServiceStatus| ServiceStatus { epoch: 0, written_unix_ms: 0, ..status.clone() };
+    unsigned(last) == unsigned(next)
 }
 
-fn count(number: usize) -> u32 {
-    u32::try_from(number).unwrap_or(u32::MAX)
+/// The wall clock, for people who read a status.
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
 
 fn read_value<T>(object: &Object) -> Result<T>
--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -152,18 +152,20 @@
         let api = HttpPlatform::new(self.platform.addr, PLATFORM_TIMEOUT);
         let until = Instant::now() + READY_TIMEOUT;
         let nodes = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        let mut last = None;
         while Instant::now() < until {
             let status = api.get(ObjectKind::ServiceStatus, &service.name).await?;
             let status = status.and_then(|status| serde_json::from_value::<ServiceStatus>(status.value).ok());
-            let ready = status.is_some_and(|status| {
+            let ready = status.as_ref().is_some_and(|status| {
                 status.applied && status.applied_nodes == nodes && status.ready_upstreams == service.upstreams
             });
             if ready {
                 return Ok(());
             }
+            last = status;
             tokio::time::sleep(READY_POLL).await;
         }
-        NotReadySnafu { service: service.name.as_ref() }.fail()
+        NotReadySnafu { service: format!("{}, status {last:?}", service.name) }.fail()
     }
 }
 
