--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -13,15 +13,18 @@
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::fleet_view::FleetView;
+use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::routing::TwoChoices;
 use crate::protocol::call_id::CallIdSource;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberId;
 use crate::protocol::member::MemberState;
 use crate::protocol::settings::Settings;
+use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
 use crate::state::directory::Directory;
 use crate::state::metrics::Metrics;
@@ -31,6 +34,7 @@
 use crate::transport::announce_server::AnnounceHandler;
 use crate::transport::config_reader::ConfigReader;
 use crate::transport::datagram_keys::DatagramKeys;
+use crate::transport::fleet_link::GossipLink;
 use crate::transport::gate::Gate;
 use crate::transport::gossip::Gossip;
 use crate::transport::gossip::GossipParts;
@@ -45,7 +49,6 @@
 use crate::transport::peer_server::PeerHandler;
 use crate::transport::platform_http::HttpPlatform;
 use crate::transport::publisher::Publisher;
-use crate::transport::publisher::PublisherParts;
 use crate::transport::rendezvous::Rendezvous;
 
 /// Result of starting a node.
@@ -84,11 +87,13 @@
 
 /// A running node.
 #[derive(Debug)]
-pub struct Node {
+pub struct Node<P = TwoChoices> {
     addrs: NodeAddrs,
+    gate: Arc<Gate>,
+    metrics: SharedMetrics,
     gossip: Arc<Gossip>,
     desk: Arc<AnnounceDesk>,
-    ingress: Arc<Ingress<TwoChoices>>,
+    ingress: Arc<Ingress<P>>,
     stop_callers: CancellationToken,
     stop_rest: CancellationToken,
     caller_server: JoinHandle<bool>,
@@ -120,12 +125,27 @@
     ///
     /// When an address can't be listened on.
     pub async fn start(settings: &Settings) -> Result<Self> {
+        Self::start_with(settings, TwoChoices).await
+    }
+}
+
+impl<P> Node<P>
+where
+    P: RoutingPolicy + Send + Sync + 'static,
+{
+    /// Starts a node that chooses upstreams by the given policy.
+    ///
+    /// # Errors
+    ///
+    /// When an address can't be listened on.
+    pub async fn start_with(settings: &Settings, policy: P) -> Result<Self> {
         let listeners = Listeners::bind(settings).await?;
         let addrs = listeners.addrs()?;
         let me = describe_me(settings, addrs);
         let metrics = SharedMetrics::new(Metrics::default());
         let config = Arc::new(ConfigTable::new());
         let directory = Arc::new(Directory::default());
+        let burn = Arc::new(BurnCounts::new(Instant::now()));
         let gate = Arc::new(Gate::new(Arc::clone(&metrics)));
         let shared = SharedParts {
             config: Arc::clone(&config),
@@ -143,21 +163,14 @@
             channels: Arc::new(CallChannels::default()),
             control: Arc::clone(gossip.channels()),
             metrics: Arc::clone(&metrics),
-            policy: TwoChoices,
+            burn: Arc::clone(&burn),
+            policy,
             max_replay_bytes: settings.limits.max_replay_bytes,
         }));
         let platform =
             HttpPlatform::new(settings.platform.addr, Duration::from_millis(settings.platform.timeout_ms));
-        let publisher = Publisher::new(
-            PublisherParts {
-                platform: platform.clone(),
-                gossip: Arc::clone(&gossip),
-                config: Arc::clone(&config),
-                directory: Arc::clone(&directory),
-                metrics: Arc::clone(&metrics),
-            },
-            &me.id,
-        );
+        let link = GossipLink::new(Arc::clone(&gossip), Arc::clone(&config), Arc::clone(&directory));
+        let publisher = Publisher::new(platform.clone(), link, Arc::clone(&metrics), &me.id);
         let reader = ConfigReader {
             platform: platform.clone(),
             gossip: Arc::clone(&gossip),
@@ -174,11 +187,12 @@
         let limits = server_limits(settings);
         let peer_handler = PeerHandler::new(Arc::clone(&gate), Arc::clone(&config), Arc::clone(&gossip));
         let admin_handler = AdminHandler {
-            name: Arc::clone(&me.id.name),
+            me: me.clone(),
             directory: Arc::clone(&directory),
             config: Arc::clone(&config),
             gate: Arc::clone(&gate),
             metrics: Arc::clone(&metrics),
+            burn,
         };
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
         let caller_server = spawn_server(listeners.ingress, limits, caller_handler, &stop_callers);
@@ -202,7 +216,19 @@
             addrs.announce,
             addrs.admin
         );
-        Ok(Self { addrs, gossip, desk, ingress, stop_callers, stop_rest, caller_server, peer_server, loops })
+        Ok(Self {
+            addrs,
+            gate,
+            metrics,
+            gossip,
+            desk,
+            ingress,
+            stop_callers,
+            stop_rest,
+            caller_server,
+            peer_server,
+            loops,
+        })
     }
 
     /// Where the node listens.
@@ -211,6 +237,18 @@
         self.addrs
     }
 
+    /// The gate beside the node's upstream.
+    #[must_use]
+    pub const fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
+    /// Counters of the node.
+    #[must_use]
+    pub const fn metrics(&self) -> &SharedMetrics {
+        &self.metrics
+    }
+
     /// Stops gracefully: announces it, takes nothing new, finishes what is under way.
     pub async fn stop(self) -> Shutdown {
         self.desk.drain();
@@ -285,6 +323,7 @@
         peer_addr: addrs.peer,
         ingress_addr: addrs.ingress,
         upstream: None,
+        admin_addr: addrs.admin,
     }
 }
 
--- a/lib/src/protocol/member.rs
+++ b/lib/src/protocol/member.rs
@@ -57,6 +57,8 @@
     pub ingress_addr: SocketAddr,
     /// Its upstream, once one has announced itself.
     pub upstream: Option<UpstreamInfo>,
+    /// Where operators and their tools reach it.
+    pub admin_addr: SocketAddr,
 }
 
 impl Member {
@@ -88,6 +90,7 @@
             peer_addr: member.peer_addr.to_string(),
             ingress_addr: member.ingress_addr.to_string(),
             upstream: member.upstream.as_ref().map(wire::Upstream::from),
+            admin_addr: member.admin_addr.to_string(),
         }
     }
 }
@@ -121,6 +124,7 @@
         peer_addr: message.peer_addr.parse().ok()?,
         ingress_addr: message.ingress_addr.parse().ok()?,
         upstream: message.upstream.as_ref().map(upstream_from_wire),
+        admin_addr: message.admin_addr.parse().ok()?,
     })
 }
 
--- a/lib/src/protocol/published.rs
+++ b/lib/src/protocol/published.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -49,7 +50,7 @@
 }
 
 /// What became of a service's configuration, for operators and their tests.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct ServiceStatus {
     /// Version of the `Service` object that this speaks of.
     pub observed_version: u64,
@@ -72,7 +73,7 @@
     pub lagging_nodes: Vec<LaggingNode>,
     /// Whether every known node has applied it.
     pub applied: bool,
-    /// Upstreams of the service that take work.
+    /// Upstreams of the service that take work and that every node has had time to hear of.
     pub ready_upstreams: u32,
     /// Lease epoch of the node that wrote this.
     #[serde(default)]
@@ -83,7 +84,7 @@
 }
 
 /// A node that holds less than the published revision.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct LaggingNode {
     /// Name of the node.
     pub node: Arc<str>,
@@ -94,7 +95,7 @@
 }
 
 /// A fault in one field of an object or of the settings.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct FieldProblem {
     /// Path to the field, such as `/spec/retry/max_attempts`.
     pub field: String,
--- a/lib/src/state/control_metrics.rs
+++ b/lib/src/state/control_metrics.rs
@@ -30,7 +30,7 @@
 
 impl ControlMetrics {
     /// Adds the counters to a registry.
-    pub fn register(&self, registry: &mut Registry) {
+    pub fn add_to(&self, registry: &mut Registry) {
         registry.register("control_messages", "Control messages between nodes", self.messages.clone());
         registry.register("control_bytes", "Bytes of control messages between nodes", self.bytes.clone());
         registry.register(
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -86,7 +86,7 @@
         registry.register("retries", "Attempts after the first by reason", retries.clone());
         registry.register("platform_calls", "Calls of the platform by outcome", platform_calls.clone());
         let control = ControlMetrics::default();
-        control.register(&mut registry);
+        control.add_to(&mut registry);
         Self {
             registry: Mutex::new(registry),
             calls,
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -1,8 +1,10 @@
 //! What a node knows: members, configuration, calls in flight, counters.
 
+pub mod burn_counts;
 pub mod call_records;
 pub mod config_table;
 pub mod control_metrics;
 pub mod directory;
 pub mod metrics;
+pub mod time_ring;
 pub mod upstream_stats;
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -1,10 +1,12 @@
 //! Sockets: callers, peers, upstreams, the platform and operators.
 
+pub mod admin_client;
 pub mod admin_server;
 pub mod announce_server;
 pub mod call_body;
 pub mod config_reader;
 pub mod datagram_keys;
+pub mod fleet_link;
 pub mod gate;
 pub mod gossip;
 pub mod http_server;
--- a/lib/src/transport/publisher.rs
+++ b/lib/src/transport/publisher.rs
@@ -15,7 +15,6 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::coordination::applied_fleet::ZoneReporter;
 use crate::coordination::backoff::jittered;
 use crate::coordination::lease::LeaseStep;
 use crate::coordination::lease::LeaseValue;
@@ -25,17 +24,14 @@
 use crate::coordination::publication_ledger::Plan;
 use crate::coordination::publication_ledger::PublicationLedger;
 use crate::protocol::member::MemberId;
-use crate::protocol::member::MemberState;
 use crate::protocol::object::Object;
 use crate::protocol::object::ObjectKind;
 use crate::protocol::object::Precondition;
 use crate::protocol::published::FieldProblem;
 use crate::protocol::published::ServiceStatus;
-use crate::state::config_table::ConfigTable;
-use crate::state::directory::Directory;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
-use crate::transport::gossip::Gossip;
+use crate::transport::fleet_link::FleetLink;
 use crate::transport::kind_watch::KindEvent;
 use crate::transport::kind_watch::follow_kind;
 use crate::transport::kind_watch::platform_backoff;
@@ -58,27 +54,13 @@
 /// Statuses written in one round at most; the others wait for the next.
 const MAX_STATUS_WRITES: usize = 20;
 
-/// What a publisher works with.
-#[derive(Debug)]
-pub struct PublisherParts<P> {
-    /// The platform.
-    pub platform: P,
-    /// The members and what they have applied.
-    pub gossip: Arc<Gossip>,
-    /// Configuration in force.
-    pub config: Arc<ConfigTable>,
-    /// Members and their upstreams.
-    pub directory: Arc<Directory>,
-    /// Counters.
-    pub metrics: SharedMetrics,
-}
-
 /// Publishes configurations while its node holds the lease.
 #[derive(Debug)]
-pub struct Publisher<P> {
-    parts: PublisherParts<P>,
+pub struct Publisher<P, F> {
+    platform: P,
+    fleet: F,
+    metrics: SharedMetrics,
     lease: LeaseWatch,
-    zone_reporter: ZoneReporter,
 }
 
 /// A lease in hand and until when it is relied on.
@@ -103,15 +85,16 @@
     changed: Notify,
 }
 
-impl<P> Publisher<P>
+impl<P, F> Publisher<P, F>
 where
     P: Platform,
+    F: FleetLink,
 {
     /// A publisher on behalf of `me`; nothing runs yet.
     #[must_use]
-    pub fn new(parts: PublisherParts<P>, me: &MemberId) -> Self {
+    pub fn new(platform: P, fleet: F, metrics: SharedMetrics, me: &MemberId) -> Self {
         let holder = Arc::from(format!("{}.{:x}", me.name, me.incarnation));
-        Self { parts, lease: LeaseWatch::new(holder, LEASE_TTL), zone_reporter: ZoneReporter::default() }
+        Self { platform, fleet, metrics, lease: LeaseWatch::new(holder, LEASE_TTL) }
     }
 
     /// Works until told to stop.
@@ -119,7 +102,7 @@
         let mut backoff = platform_backoff();
         while !stop.is_cancelled() {
             let mut pause = jittered(CANDIDATE_INTERVAL, &mut rand::rng());
-            if self.parts.gossip.role().leads_zone {
+            if self.fleet.leads_zone() {
                 match self.candidate_round(&stop).await {
                     Ok(()) => backoff.reset(),
                     Err(error) => {
@@ -140,7 +123,7 @@
         match self.try_lease().await? {
             LeaseState::Mine(held) => self.hold(held, stop).await,
             LeaseState::Other(value) => {
-                self.report_zone(&value).await;
+                self.fleet.report_zone(&value).await;
                 Ok(())
             }
         }
@@ -148,7 +131,7 @@
 
     async fn try_lease(&mut self) -> Result<LeaseState> {
         self.count("lease");
-        let object = self.parts.platform.get(ObjectKind::Lease, PUBLISHER_LEASE).await?;
+        let object = self.platform.get(ObjectKind::Lease, PUBLISHER_LEASE).await?;
         let read = object.as_ref().map(read_value::<LeaseValue>).transpose()?;
         let step = self.lease.step(read.clone(), Instant::now());
         let LeaseStep::Write(value) = step else {
@@ -204,8 +187,8 @@
         let mut watchers = JoinSet::new();
         for kind in ObjectKind::WRITABLE {
             let watch = Arc::clone(watch);
-            let platform = self.parts.platform.clone();
-            let metrics = Arc::clone(&self.parts.metrics);
+            let platform = self.platform.clone();
+            let metrics = Arc::clone(&self.metrics);
             watchers.spawn(follow_kind(platform, kind, metrics, move |event| watch.take(kind, event)));
         }
         watchers
@@ -213,15 +196,15 @@
 
     async fn load_ledger(&self) -> Result<PublicationLedger> {
         self.count("list");
-        let published = self.parts.platform.list(ObjectKind::Published).await?;
+        let published = self.platform.list(ObjectKind::Published).await?;
         self.count("list");
-        let statuses = self.parts.platform.list(ObjectKind::ServiceStatus).await?;
+        let statuses = self.platform.list(ObjectKind::ServiceStatus).await?;
         Ok(PublicationLedger::new(&published.objects, &statuses.objects))
     }
 
     /// The renewed lease, or nothing when it is another's, or this node no longer leads its zone.
     async fn renew(&self, held: &Held) -> Result<Option<Held>> {
-        if !self.parts.gossip.role().leads_zone {
+        if !self.fleet.leads_zone() {
             log::info!("lease handed back, since another node leads the zone; epoch={}", held.value.epoch);
             self.release(held).await?;
             return Ok(None);
@@ -260,7 +243,7 @@
             return Ok(true);
         };
         let epoch = held.value.epoch;
-        let floor = |service: &str| self.parts.config.get(service).map_or(0, |held| held.revision);
+        let floor = |service: &str| self.fleet.revision(service);
         loop {
             if Instant::now() >= held.sure_until {
                 watch.changed.notify_one();
@@ -280,7 +263,7 @@
                         planned.published.revision
                     );
                     ledger.note_published(planned.published.clone(), version);
-                    self.parts.gossip.apply(planned.published);
+                    self.fleet.apply(planned.published);
                 }
                 Ok(Settled::Lost(current)) => ledger.correct_published(&name, current.as_deref()),
                 Err(error) => {
@@ -309,11 +292,7 @@
         let Some(declared) = watch.snapshot() else {
             return Ok(());
         };
-        let summary = self.parts.gossip.zone_summary();
-        self.parts.gossip.with_fleet_applied(|fleet| {
-            fleet.take(&summary, Instant::now());
-            fleet.expire(Instant::now());
-        });
+        self.fleet.refresh();
         let mut writes = 0;
         for service in declared.services.values() {
             if writes >= MAX_STATUS_WRITES || Instant::now() >= held.sure_until {
@@ -369,7 +348,7 @@
     async fn delete_obsolete(&self, ledger: &mut PublicationLedger, declared: &Declared) -> Result<()> {
         for (name, version) in ledger.obsolete_statuses(declared) {
             self.count("write");
-            match self.parts.platform.delete(ObjectKind::ServiceStatus, &name, version).await {
+            match self.platform.delete(ObjectKind::ServiceStatus, &name, version).await {
                 Ok(()) | Err(PlatformError::Refused { status: 404, .. }) => {
                     ledger.correct_status(&name, None);
                 }
@@ -381,50 +360,27 @@
     }
 
     fn status(&self, service: &Object, revision: Option<u64>, problems: Vec<FieldProblem>) -> ServiceStatus {
-        let snapshot = self.parts.directory.snapshot();
-        let is_live = |state| matches!(state, MemberState::Alive | MemberState::Suspect);
-        let known = snapshot.entries().filter(|entry| is_live(entry.member.state)).count();
-        let known_nodes = u32::try_from(known).unwrap_or(u32::MAX);
-        let ready = snapshot.upstreams_of(&service.name).len();
-        let (count, lagging_nodes) = self.parts.gossip.with_fleet_applied(|fleet| {
-            let count = revision.map(|revision| fleet.count(&service.name, revision)).unwrap_or_default();
-            let lagging = fleet.lagging_since(&service.name, &count.lagging_named, unix_ms());
-            (count, lagging)
-        });
+        let known_nodes = self.fleet.live_nodes();
+        let progress = revision
+            .map(|revision| self.fleet.progress(&service.name, revision, unix_ms()))
+            .unwrap_or_default();
+        let behind = progress.lagging > 0 || progress.applied < known_nodes;
         ServiceStatus {
             observed_version: service.version,
             accepted: problems.is_empty(),
             problems,
             revision,
-            applied_nodes: count.applied,
+            applied_nodes: progress.applied,
             known_nodes,
-            unknown_nodes: known_nodes.saturating_sub(count.applied + count.lagging),
-            applied: revision.is_some() && count.lagging == 0 && count.applied >= known_nodes,
-            lagging_nodes,
-            ready_upstreams: u32::try_from(ready).unwrap_or(u32::MAX),
+            unknown_nodes: known_nodes.saturating_sub(progress.applied + progress.lagging),
+            applied: revision.is_some() && !behind,
+            lagging_nodes: progress.lagging_nodes,
+            ready_upstreams: self.fleet.ready_upstreams(&service.name),
             epoch: 0,
             written_unix_ms: 0,
         }
     }
 
-    /// Tells the holder of the lease what this zone has applied.
-    async fn report_zone(&mut self, lease: &LeaseValue) {
-        let snapshot = self.parts.directory.snapshot();
-        let Some(holder) = snapshot.by_name(lease.holder_name()) else {
-            return;
-        };
-        let summary = self.parts.gossip.zone_summary();
-        let Some(report) = self.zone_reporter.due(&lease.holder, &summary, Instant::now()) else {
-            return;
-        };
-        let taken = self.parts.gossip.send_zone_report(holder.member.peer_addr, report.clone()).await;
-        if taken {
-            self.zone_reporter.taken(&report, Instant::now());
-        } else {
-            self.zone_reporter.refused();
-        }
-    }
-
     async fn write<T>(
         &self,
         kind: ObjectKind,
@@ -437,11 +393,11 @@
     {
         self.count("write");
         let value = serde_json::to_value(value).unwrap_or(Value::Null);
-        write_settled(&self.parts.platform, kind, name, &value, precondition).await
+        write_settled(&self.platform, kind, name, &value, precondition).await
     }
 
     fn count(&self, reason: &str) {
-        Metrics::count(&self.parts.metrics.platform_calls, reason);
+        Metrics::count(&self.metrics.platform_calls, reason);
     }
 }
 
--- a/lib/testutils/src/fleet_harness.rs
+++ b/lib/testutils/src/fleet_harness.rs
@@ -131,6 +131,7 @@
             zone: Arc::from(format!("z{}", place % self.zones)),
             peer_addr: addr(place),
             ingress_addr: addr(place),
+            admin_addr: addr(place),
             upstream: None,
         };
         let config = Arc::new(ConfigTable::new());
