--- a/lib/src/transport/publisher.rs
+++ b/lib/src/transport/publisher.rs
@@ -148,7 +148,7 @@
         let sure_until = Instant::now() + SURE_FOR;
         match self.write(ObjectKind::Lease, PUBLISHER_LEASE, &value, precondition).await? {
             Settled::Written(version) => Ok(LeaseState::Mine(Held { value, version, sure_until })),
-            Settled::Lost(current) => {
+            Settled::Lost(current) | Settled::Overtaken(current) => {
                 let current = current.as_deref().map(read_value::<LeaseValue>).transpose()?;
                 Ok(LeaseState::Other(current.unwrap_or(value)))
             }
@@ -265,7 +265,9 @@
                     ledger.note_published(planned.published.clone(), version);
                     self.fleet.apply(planned.published);
                 }
-                Ok(Settled::Lost(current)) => ledger.correct_published(&name, current.as_deref()),
+                Ok(Settled::Lost(current) | Settled::Overtaken(current)) => {
+                    ledger.correct_published(&name, current.as_deref());
+                }
                 Err(error) => {
                     log::debug!("not published; service={name} error={error}");
                     watch.changed.notify_one();
@@ -335,7 +337,9 @@
         let precondition = ledger.status_precondition(name);
         match self.write(ObjectKind::ServiceStatus, name, &status, precondition).await {
             Ok(Settled::Written(version)) => ledger.note_status(name, status, version),
-            Ok(Settled::Lost(current)) => ledger.correct_status(name, current.as_deref()),
+            Ok(Settled::Lost(current) | Settled::Overtaken(current)) => {
+                ledger.correct_status(name, current.as_deref());
+            }
             // A status is worth no more than its moment: the next round says what is so then.
             Err(error) => {
                 self.count("failed");
--- a/lib/src/transport/rendezvous.rs
+++ b/lib/src/transport/rendezvous.rs
@@ -123,7 +123,7 @@
         Metrics::count(&self.metrics.platform_calls, "write");
         let settled =
             write_settled(&self.platform, ObjectKind::Rendezvous, &name, &value, precondition).await?;
-        if let Settled::Lost(Some(current)) = settled {
+        if let Settled::Lost(Some(current)) | Settled::Overtaken(Some(current)) = settled {
             self.gossip.add_contacts(addrs_in(&current));
         }
         Ok(())
--- a/lib/src/transport/settled_write.rs
+++ b/lib/src/transport/settled_write.rs
@@ -14,8 +14,10 @@
 pub enum Settled {
     /// It took effect at this version.
     Written(u64),
-    /// Something else is there now.
+    /// It never takes effect; this is there instead.
     Lost(Option<Box<Object>>),
+    /// This is there now; whether the write was there before it can't be known any more.
+    Overtaken(Option<Box<Object>>),
 }
 
 /// Writes on a condition and finds out what became of it.
@@ -39,7 +41,7 @@
 {
     match platform.put(kind, name, value, precondition).await {
         Ok(object) => Ok(Settled::Written(object.version)),
-        Err(PlatformError::Conflict { current }) => Ok(compare(value, current.map(|current| *current))),
+        Err(PlatformError::Conflict { current }) => Ok(Settled::Lost(current)),
         Err(lost @ (PlatformError::NoAnswer { .. } | PlatformError::BadAnswer { .. })) => {
             let current = platform.get(kind, name).await?;
             let untouched = match (precondition, &current) {
@@ -47,15 +49,12 @@
                 (Precondition::Version(version), Some(current)) => current.version == version,
                 _ => false,
             };
-            if untouched { Err(lost) } else { Ok(compare(value, current)) }
+            match current {
+                _ if untouched => Err(lost),
+                Some(current) if current.value == *value => Ok(Settled::Written(current.version)),
+                current => Ok(Settled::Overtaken(current.map(Box::new))),
+            }
         }
         Err(refused) => Err(refused),
     }
 }
-
-fn compare(value: &Value, current: Option<Object>) -> Settled {
-    match current {
-        Some(current) if current.value == *value => Settled::Written(current.version),
-        current => Settled::Lost(current.map(Box::new)),
-    }
-}
