--- a/lib/tests/operators_reference.rs
+++ b/lib/tests/operators_reference.rs
@@ -188,7 +188,7 @@
 
 /// Metrics by the calls that register them: name, unit and help.
 fn metrics(page: &mut String) -> usize {
-    let source = read("lib/src/state/metrics.rs");
+    let source = ["lib/src/state/metrics.rs", "lib/src/state/control_metrics.rs"].map(read).concat();
     page.push_str("\n## Metrics\n\n`GET /metrics` of the admin port, in the OpenMetrics text format, where a count ends in `_total`\nand a histogram in `_bucket`, `_sum` and `_count`.\n\n| metric | meaning |\n|---|---|\n");
     let mut count = 0;
     for call in source.split(".register").skip(1) {
