cli: describe, watch, drain, version and completions; lost answers are read back

Cause: operators lacked commands that the issue names; a lost answer to a write left them with an error though the write had taken effect; errors had no JSON form; a drain of a node's upstream was undone by the upstream's next announcement half a second later, also while the node was stopping.

Change: the commands, one file each; `settled` reads back after a lost answer and never writes again; `--expect-version`; errors as JSON with `--output json`; exit code 6. A node keeps the order to drain beside the announcement; the admin address takes it at /v1/draining.

--- a/cli/src/cli_error.rs
+++ b/cli/src/cli_error.rs
@@ -2,10 +2,13 @@
 
 use std::fmt::Write;
 
+use serde_json::json;
 use snafu::Snafu;
 use yuccatray::protocol::checked_json::JsonError;
 use yuccatray::transport::platform::PlatformError;
 
+use crate::output::OutputFormat;
+
 /// Result of a command.
 pub type Result<T, E = CliError> = std::result::Result<T, E>;
 
@@ -42,6 +45,12 @@
         /// What it is now.
         current: String,
     },
+    /// The answer to a write was lost, and reading back did not show that it took effect.
+    #[snafu(display("{name}: the answer to the write was lost, and it shows no effect so far"))]
+    Unsettled {
+        /// Name of the object.
+        name: String,
+    },
     /// The condition did not come true in time.
     #[snafu(display("timed out: {message}"))]
     Timeout {
@@ -63,7 +72,7 @@
 }
 
 impl CliError {
-    /// The exit code: 1 failed, 2 usage or bad objects, 3 not found, 4 conflict, 5 timed out.
+    /// The exit code of a failed command.
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Platform { .. } | Self::Node { .. } => 1,
@@ -71,11 +80,15 @@
             Self::NotFound { .. } => 3,
             Self::Conflict { .. } => 4,
             Self::Timeout { .. } => 5,
+            Self::Unsettled { .. } => 6,
         }
     }
 
     /// The whole text for standard error.
-    pub fn report(&self) -> String {
+    pub fn report(&self, format: OutputFormat) -> String {
+        if format == OutputFormat::Json {
+            return format!("{}\n", self.as_json());
+        }
         let mut text = format!("error: {self}\n");
         if let Self::Objects { source } = self {
             for found in source.problems() {
@@ -89,12 +102,29 @@
         text
     }
 
+    fn as_json(&self) -> serde_json::Value {
+        let problems = match self {
+            Self::Objects { source } => source.problems(),
+            _ => &[],
+        };
+        let (error, exit_code) = (self.to_string(), self.exit_code());
+        json!({ "error": error, "exit_code": exit_code, "problems": problems, "hint": self.hint() })
+    }
+
     fn hint(&self) -> Option<String> {
         match self {
             Self::Usage { hint, .. } => Some(hint.clone()),
             Self::Conflict { current, .. } => {
                 Some(format!("it is now {current}; read it again, then apply again"))
             }
+            Self::Unsettled { .. } => Some(
+                "run the same command again: it writes only if nobody changed the object meanwhile"
+                    .to_owned(),
+            ),
+            Self::NotFound { kind, .. } => Some(format!("`yuccactl list {kind}` shows what there is")),
+            Self::Node { .. } => {
+                Some("is --node (or YUCCATRAY_NODE) the admin address of a node?".to_owned())
+            }
             Self::Platform { source: PlatformError::NoAnswer { .. } } => {
                 Some("is --platform (or YUCCATRAY_PLATFORM) the address of the object API?".to_owned())
             }
--- a/cli/src/commands/apply.rs
+++ b/cli/src/commands/apply.rs
@@ -8,13 +8,13 @@
 use yuccatray::protocol::object::ObjectKind;
 use yuccatray::protocol::object::Precondition;
 use yuccatray::transport::platform::Platform;
-use yuccatray::transport::platform::PlatformError;
 
 use crate::CommandContext;
 use crate::cli_error::CliError;
 use crate::cli_error::Result;
 use crate::output::OutputFormat;
 use crate::output::print_json;
+use crate::settled::put_settled;
 
 /// Writes the objects of a file, each on condition that nobody changed it meanwhile.
 #[derive(Debug, Args)]
@@ -25,17 +25,26 @@
     /// Check and compare, but write nothing.
     #[arg(long)]
     dry_run: bool,
+    /// Write only over this version; 0 stands for no object at all.
+    #[arg(long)]
+    expect_version: Option<u64>,
 }
 
 /// Runs `yuccactl apply`.
 pub async fn cmd_apply(context: &CommandContext, args: &ApplyArgs) -> Result<()> {
     let manifests = load_manifests(&args.file)?;
+    if args.expect_version.is_some() && manifests.len() != 1 {
+        return Err(CliError::Usage {
+            message: format!("--expect-version goes with one object, and the file has {}", manifests.len()),
+            hint: "apply the objects one by one, each with the version that `yuccactl get` shows".to_owned(),
+        });
+    }
     let mut outcomes = Vec::new();
     for manifest in &manifests {
         let Some(kind) = manifest.object_kind() else {
             continue;
         };
-        let outcome = apply_one(context, kind, manifest, args.dry_run).await?;
+        let outcome = apply_one(context, kind, manifest, args).await?;
         if context.output == OutputFormat::Table {
             println!("{}/{} {outcome}", kind, manifest.name);
         }
@@ -51,25 +60,24 @@
     context: &CommandContext,
     kind: ObjectKind,
     manifest: &Manifest,
-    dry_run: bool,
+    args: &ApplyArgs,
 ) -> Result<&'static str> {
     let current = context.platform.get(kind, &manifest.name).await?;
+    let version = current.as_ref().map_or(0, |current| current.version);
+    if args.expect_version.is_some_and(|expected| expected != version) {
+        return Err(CliError::Conflict {
+            name: format!("{kind}/{}", manifest.name),
+            current: format!("at version {version}"),
+        });
+    }
     if current.as_ref().is_some_and(|current| current.value == manifest.spec) {
         return Ok("unchanged");
     }
     let outcome = if current.is_some() { "changed" } else { "created" };
-    if dry_run {
+    if args.dry_run {
         return Ok(outcome);
     }
     let precondition = current.map_or(Precondition::Absent, |current| Precondition::Version(current.version));
-    let written = context.platform.put(kind, &manifest.name, &manifest.spec, precondition).await;
-    match written {
-        Ok(_) => Ok(outcome),
-        Err(PlatformError::Conflict { current }) => Err(CliError::Conflict {
-            name: format!("{kind}/{}", manifest.name),
-            current: current
-                .map_or_else(|| "deleted".to_owned(), |current| format!("at version {}", current.version)),
-        }),
-        Err(error) => Err(error.into()),
-    }
+    put_settled(&context.platform, kind, &manifest.name, &manifest.spec, precondition).await?;
+    Ok(outcome)
 }
--- /dev/null
+++ b/cli/src/commands/completions.rs
@@ -0,0 +1,18 @@
+//! Prints completions for a shell.
+
+use clap::Args;
+use clap::Command;
+use clap_complete::Shell;
+
+/// Prints completions for a shell.
+#[derive(Debug, Args)]
+pub struct CompletionsArgs {
+    /// The shell.
+    #[arg(value_enum)]
+    shell: Shell,
+}
+
+/// Runs `yuccactl completions`.
+pub fn cmd_completions(args: &CompletionsArgs, mut command: Command) {
+    clap_complete::generate(args.shell, &mut command, "yuccactl", &mut std::io::stdout());
+}
--- a/cli/src/commands/delete.rs
+++ b/cli/src/commands/delete.rs
@@ -1,12 +1,14 @@
 //! Deletes an object.
 
 use clap::Args;
-use yuccatray::transport::platform::Platform;
 
 use crate::CommandContext;
-use crate::cli_error::CliError;
 use crate::cli_error::Result;
+use crate::commands::existing;
 use crate::commands::parse_kind;
+use crate::output::OutputFormat;
+use crate::output::print_json;
+use crate::settled::delete_settled;
 
 /// Deletes an object, on condition that nobody changed it meanwhile.
 #[derive(Debug, Args)]
@@ -20,10 +22,12 @@
 /// Runs `yuccactl delete`.
 pub async fn cmd_delete(context: &CommandContext, args: &DeleteArgs) -> Result<()> {
     let kind = parse_kind(&args.kind)?;
-    let current = context.platform.get(kind, &args.name).await?;
-    let current =
-        current.ok_or_else(|| CliError::NotFound { kind: kind.to_string(), name: args.name.clone() })?;
-    context.platform.delete(kind, &args.name, current.version).await?;
+    let current = existing(context, kind, &args.name).await?;
+    delete_settled(&context.platform, kind, &args.name, current.version).await?;
+    if context.output == OutputFormat::Json {
+        print_json(&serde_json::json!({ "kind": kind, "name": args.name, "outcome": "deleted" }));
+        return Ok(());
+    }
     println!("{kind}/{} deleted", args.name);
     Ok(())
 }
--- a/cli/src/commands/wait.rs
+++ b/cli/src/commands/wait.rs
@@ -45,7 +45,11 @@
 pub async fn cmd_wait(context: &CommandContext, args: &WaitArgs) -> Result<()> {
     let until = Instant::now() + Duration::from_millis(args.timeout_ms);
     loop {
-        let status = current_status(context, &args.service).await?;
+        let status = match current_status(context, &args.service).await {
+            // The platform may be back before the time is up.
+            Err(CliError::Platform { .. }) if Instant::now() < until => None,
+            status => status?,
+        };
         if let Some(status) = status.as_ref().filter(|status| holds(args.condition, status)) {
             if context.output == OutputFormat::Json {
                 print_json(status);
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,23 +2,31 @@
 
 mod cli_error;
 mod commands;
+mod node_client;
 mod output;
+mod settled;
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
 
+use clap::CommandFactory;
 use clap::Parser;
 use clap::Subcommand;
 use yuccatray::transport::platform_http::HttpPlatform;
 
 use crate::cli_error::Result;
 use crate::commands::apply;
+use crate::commands::completions;
 use crate::commands::delete;
+use crate::commands::describe;
+use crate::commands::drain;
 use crate::commands::get;
 use crate::commands::list;
 use crate::commands::nodes;
+use crate::commands::version;
 use crate::commands::wait;
+use crate::commands::watch;
 use crate::output::OutputFormat;
 
 /// Drives a yuccatray fleet through the platform's object API.
@@ -48,17 +56,24 @@
 #[derive(Debug, Subcommand)]
 enum Command {
     Apply(apply::ApplyArgs),
+    Completions(completions::CompletionsArgs),
     Delete(delete::DeleteArgs),
+    Describe(describe::DescribeArgs),
+    Drain(drain::DrainArgs),
     Get(get::GetArgs),
     List(list::ListArgs),
     Nodes(nodes::NodesArgs),
+    /// Prints the version.
+    Version,
     Wait(wait::WaitArgs),
+    Watch(watch::WatchArgs),
 }
 
 /// What a command works with.
 #[derive(Debug)]
 struct CommandContext {
     platform: HttpPlatform,
+    timeout: Duration,
     output: OutputFormat,
 }
 
@@ -68,12 +83,13 @@
     let timeout = Duration::from_millis(args.globals.request_timeout_ms);
     let context = CommandContext {
         platform: HttpPlatform::new(args.globals.platform, timeout),
+        timeout,
         output: args.globals.output,
     };
     match run(&context, &args.command).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprint!("{}", error.report());
+            eprint!("{}", error.report(context.output));
             ExitCode::from(error.exit_code())
         }
     }
@@ -82,10 +98,21 @@
 async fn run(context: &CommandContext, command: &Command) -> Result<()> {
     match command {
         Command::Apply(args) => apply::cmd_apply(context, args).await,
+        Command::Completions(args) => {
+            completions::cmd_completions(args, Args::command());
+            Ok(())
+        }
         Command::Delete(args) => delete::cmd_delete(context, args).await,
+        Command::Describe(args) => describe::cmd_describe(context, args).await,
+        Command::Drain(args) => drain::cmd_drain(context, args).await,
         Command::Get(args) => get::cmd_get(context, args).await,
         Command::List(args) => list::cmd_list(context, args).await,
         Command::Nodes(args) => nodes::cmd_nodes(context, args).await,
+        Command::Version => {
+            version::cmd_version(context);
+            Ok(())
+        }
         Command::Wait(args) => wait::cmd_wait(context, args).await,
+        Command::Watch(args) => watch::cmd_watch(context, args).await,
     }
 }
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -171,6 +171,7 @@
             directory: Arc::clone(&directory),
             config: Arc::clone(&config),
             gate: Arc::clone(&gate),
+            desk: Arc::clone(&desk),
             metrics: Arc::clone(&metrics),
             burn,
         };
--- a/lib/src/transport/admin_server.rs
+++ b/lib/src/transport/admin_server.rs
@@ -25,9 +25,13 @@
 use crate::state::config_table::ConfigTable;
 use crate::state::directory::Directory;
 use crate::state::metrics::SharedMetrics;
+use crate::transport::announce_server::AnnounceDesk;
 use crate::transport::gate::Gate;
 use crate::transport::http_server::Handler;
 
+/// Put to drain the node's upstream, deleted to let it take work again.
+pub const DRAINING_PATH: &str = "/v1/draining";
+
 /// What a node says of itself and of the members that it knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeReport {
@@ -39,6 +43,8 @@
     pub queued: u32,
     /// Slots that its gate grants.
     pub limit: u32,
+    /// Whether operators told it to drain its upstream.
+    pub draining: bool,
     /// Revision applied, by service.
     pub revisions: IndexMap<Arc<str>, u64>,
     /// Members that it knows.
@@ -81,6 +87,8 @@
     pub config: Arc<ConfigTable>,
     /// The node's gate.
     pub gate: Arc<Gate>,
+    /// The node's upstream, to drain it.
+    pub desk: Arc<AnnounceDesk>,
     /// Counters.
     pub metrics: SharedMetrics,
     /// Calls held against their objectives.
@@ -112,6 +120,7 @@
             running: load.running,
             queued: load.queued,
             limit: load.limit,
+            draining: self.desk.is_draining(),
             revisions: config.iter().map(|(name, held)| (Arc::clone(name), held.revision)).collect(),
             members: members.collect(),
         }
@@ -150,10 +159,19 @@
             ),
             (&Method::GET, "/v1/node") => json(&self.report()),
             (&Method::GET, "/v1/burn") => json(&self.burn_report(queried(request.uri(), "service"))),
+            (&Method::PUT, DRAINING_PATH) => {
+                self.desk.drain();
+                json(&self.report())
+            }
+            (&Method::DELETE, DRAINING_PATH) => {
+                self.desk.resume();
+                json(&self.report())
+            }
             _ => answer(
                 StatusCode::NOT_FOUND,
                 "text/plain",
-                "GET /livez, /readyz, /metrics, /v1/node or /v1/burn\n".to_owned(),
+                "GET /livez, /readyz, /metrics, /v1/node or /v1/burn; PUT or DELETE /v1/draining\n"
+                    .to_owned(),
             ),
         }
     }
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -67,13 +69,14 @@
     gossip: Arc<Gossip>,
     config: Arc<ConfigTable>,
     announced: Mutex<Option<Announced>>,
+    draining: AtomicBool,
 }
 
 impl AnnounceDesk {
     /// A desk at which nobody has announced itself yet.
     #[must_use]
     pub fn new(gate: Arc<Gate>, gossip: Arc<Gossip>, config: Arc<ConfigTable>) -> Self {
-        Self { gate, gossip, config, announced: Mutex::new(None) }
+        Self { gate, gossip, config, announced: Mutex::new(None), draining: AtomicBool::new(false) }
     }
 
     /// Lets announcements lapse and follows the configuration until told to stop.
@@ -86,11 +89,26 @@
         }
     }
 
-    /// The upstream takes no new work from now on.
+    /// The upstream takes no new work from now on, whatever it announces.
     pub fn drain(&self) {
+        self.set_draining(true);
+    }
+
+    /// The upstream takes work again if it says so itself.
+    pub fn resume(&self) {
+        self.set_draining(false);
+    }
+
+    /// Whether the node was told to drain its upstream.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    fn set_draining(&self, draining: bool) {
         let mut announced = self.announced.lock();
+        self.draining.store(draining, Ordering::Relaxed);
         if let Some(announced) = announced.as_mut() {
-            announced.announcement.draining = true;
             self.follow(announced);
         }
     }
@@ -132,7 +150,8 @@
         let published = self.config.get(&announcement.service);
         held.revision = published.as_ref().map(|published| published.revision);
         self.gate.set_rules(&priority_rules(published.as_deref()));
-        if announcement.draining {
+        let draining = announcement.draining || self.is_draining();
+        if draining {
             self.gate.drain();
         } else {
             let rule = rule(published.as_deref());
@@ -142,7 +161,7 @@
         self.gossip.set_upstream(published.map(|_| UpstreamInfo {
             service: Arc::clone(&announcement.service),
             slots: announcement.slots,
-            draining: announcement.draining,
+            draining,
         }));
     }
 }
