log, platform: one form of line, a limit on floods, kept connections for reads

Change: `log_event!` writes a fixed message and fields, quoted where needed; `log_event_limited!` writes at most ten lines a second from one place and says how many it left out. Reads of the platform use a kept connection and are sent again over a new one when it is dead; a write always has a new connection and is never sent again.

--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -8,6 +8,7 @@
 pub mod error_kind;
 pub mod headers;
 pub mod load_report;
+pub mod log_event;
 pub mod member;
 pub mod object;
 pub mod published;
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -23,6 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::admission::PriorityRule;
+use crate::log_event;
 use crate::protocol::checked_json::addr_schema;
 use crate::protocol::checked_json::checked_from_value;
 use crate::protocol::checked_json::parse_jsonc;
@@ -134,7 +135,7 @@
         let published = self.config.get(&held.announcement.service);
         let ttl = Duration::from_millis(rule(published.as_deref()).announce_ttl_ms);
         if now - held.renewed_at >= ttl {
-            log::warn!("announcement lapsed; service={}", held.announcement.service);
+            log_event!(Warn, "announcement lapsed", service = &held.announcement.service);
             *announced = None;
             drop(announced);
             self.withdraw();
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -20,6 +20,8 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
+use crate::log_event;
+use crate::log_event_limited;
 use crate::transport::call_body::BoxError;
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -91,7 +93,7 @@
             continue;
         };
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            log::debug!("connection closed at the limit; remote={remote}");
+            log_event_limited!(Warn, "connection closed at the limit", remote = remote);
             continue;
         };
         let connection = serve_connection(&builder, stream, remote, handler.clone(), &graceful);
@@ -132,7 +134,7 @@
     H: Handler,
 {
     if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("cannot set nodelay; remote={remote} error={error}");
+        log_event!(Debug, "cannot set nodelay", remote = remote, error = error);
     }
     let service = service_fn(move |request| {
         let handler = handler.clone();
@@ -142,7 +144,7 @@
     let connection = graceful.watch(connection);
     async move {
         if let Err(error) = connection.await {
-            log::debug!("connection ended; remote={remote} error={error}");
+            log_event!(Debug, "connection ended", remote = remote, error = error);
         }
     }
 }
--- a/lib/src/transport/peer_channel.rs
+++ b/lib/src/transport/peer_channel.rs
@@ -29,6 +29,7 @@
 use tokio::sync::Mutex;
 use tower_service::Service;
 
+use crate::log_event_limited;
 use crate::transport::call_body::BoxError;
 use crate::transport::call_body::CallBody;
 
@@ -164,7 +165,7 @@
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
-            log::debug!("peer connection ended; peer={addr} error={error}");
+            log_event_limited!(Info, "peer connection ended", peer = addr, error = error);
         }
     });
     Ok(sender)
--- a/lib/src/transport/platform_http.rs
+++ b/lib/src/transport/platform_http.rs
@@ -1,6 +1,7 @@
 //! The platform's object API over HTTP and JSON; all knowledge of its wire form.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,11 +16,15 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
+use crate::log_event;
 use crate::protocol::object::Object;
 use crate::protocol::object::ObjectKind;
 use crate::protocol::object::Precondition;
@@ -31,22 +36,37 @@
 
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
-/// A client of the platform; each call uses a connection of its own.
+/// Kept connections, and how long one may have been idle to be used again.
+const MAX_IDLE_CONNECTIONS: usize = 4;
+const MAX_IDLE: Duration = Duration::from_secs(5);
+
+/// A client of the platform.
+///
+/// Reads use a kept connection when there is one, and are sent again over a new one
+/// when it turns out to be dead. A write always has a connection of its own, so that it
+/// is never lost to an old one, and is never sent again.
 #[derive(Clone, Debug)]
 pub struct HttpPlatform {
     addr: SocketAddr,
     timeout: Duration,
+    idle: Arc<Mutex<Vec<IdleConnection>>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    since: Instant,
 }
 
 impl HttpPlatform {
     /// A client of the object API at `addr`.
     #[must_use]
-    pub const fn new(addr: SocketAddr, timeout: Duration) -> Self {
-        Self { addr, timeout }
+    pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
+        Self { addr, timeout, idle: Arc::default() }
     }
 
     async fn send(&self, request: Request<Full<Bytes>>, timeout: Duration) -> Result<Response<Bytes>> {
-        let exchange = exchange(self.addr, request);
+        let exchange = self.exchange(request);
         match tokio::time::timeout(timeout, exchange).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(reason)) => Err(PlatformError::NoAnswer { reason }),
@@ -54,6 +74,40 @@
         }
     }
 
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, String> {
+        if request.method() == Method::GET {
+            while let Some(sender) = self.pop_idle() {
+                if let Ok(response) = self.over(sender, request.clone()).await {
+                    return Ok(response);
+                }
+            }
+        }
+        self.over(connect(self.addr).await?, request).await
+    }
+
+    /// Sends a request over a connection, which is kept when the whole answer came.
+    async fn over(
+        &self,
+        mut sender: SendRequest<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, String> {
+        let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
+        let (head, body) = response.into_parts();
+        let bytes = body.collect().await.map_err(|error| error.to_string())?.to_bytes();
+        let mut idle = self.idle.lock();
+        if idle.len() < MAX_IDLE_CONNECTIONS {
+            idle.push(IdleConnection { sender, since: Instant::now() });
+        }
+        drop(idle);
+        Ok(Response::from_parts(head, bytes))
+    }
+
+    fn pop_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let mut idle = self.idle.lock();
+        idle.retain(|connection| connection.since.elapsed() < MAX_IDLE && !connection.sender.is_closed());
+        idle.pop().map(|connection| connection.sender)
+    }
+
     fn request(&self, method: Method, target: &str) -> http::request::Builder {
         Request::builder().method(method).uri(target).header(HOST, self.addr.to_string())
     }
@@ -121,20 +175,17 @@
     })
 }
 
-async fn exchange(addr: SocketAddr, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, String> {
+async fn connect(addr: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
     let stream = TcpStream::connect(addr).await.map_err(|error| error.to_string())?;
-    let (mut sender, connection) =
+    stream.set_nodelay(true).map_err(|error| error.to_string())?;
+    let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
-    let driver = tokio::spawn(connection);
-    let answer = async {
-        let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
-        let (head, body) = response.into_parts();
-        let bytes = body.collect().await.map_err(|error| error.to_string())?.to_bytes();
-        Ok(Response::from_parts(head, bytes))
-    };
-    let answer = answer.await;
-    driver.abort();
-    answer
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log_event!(Debug, "platform connection ended", platform = addr, error = error);
+        }
+    });
+    Ok(sender)
 }
 
 fn read<T>(response: &Response<Bytes>) -> Result<T>
--- /dev/null
+++ b/lib/tests/log_event.rs
@@ -0,0 +1,33 @@
+//! The form of log lines and the limit on those that a fault could flood.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use yuccatray::protocol::log_event::Field;
+use yuccatray::protocol::log_event::LineLimit;
+
+#[test]
+fn field_one_word_as_it_is() {
+    assert_eq!(Field("vm-1.a.7").to_string(), "vm-1.a.7");
+    assert_eq!(Field(7).to_string(), "7");
+}
+
+#[test]
+fn field_other_text_quoted() {
+    assert_eq!(Field("").to_string(), r#""""#);
+    assert_eq!(Field("two words").to_string(), r#""two words""#);
+    assert_eq!(Field("a\nINFO forged; line=1").to_string(), r#""a\nINFO forged; line=1""#);
+    assert_eq!(Field("say \"no\"").to_string(), r#""say \"no\"""#);
+}
+
+#[tokio::test(start_paused = true)]
+async fn line_limit_counts_what_it_leaves_out() {
+    let limit = LineLimit::new();
+    let admitted = (0..100).filter(|_| limit.admit(Instant::now()).is_some()).count();
+    assert_eq!(admitted, 10);
+    tokio::time::advance(Duration::from_millis(999)).await;
+    assert_eq!(limit.admit(Instant::now()), None);
+    tokio::time::advance(Duration::from_millis(1)).await;
+    assert_eq!(limit.admit(Instant::now()), Some(91));
+    assert_eq!(limit.admit(Instant::now()), Some(0));
+}
