--- a/lib/tests/http_forms.rs
+++ b/lib/tests/http_forms.rs
@@ -155,6 +155,10 @@
     assert_refusal(&answer, "431", "headers_too_large", "not_executed");
     let answer = raw_exchange(nodes.ingress(), sized(400_000).as_bytes()).await;
     assert_eq!(parts(&answer).0, "431", "hyper's own answer: {answer}");
+    let fields = "x-many: 1\r\n".repeat(101);
+    let answer =
+        raw_exchange(nodes.ingress(), format!("GET /a HTTP/1.1\r\n{FIELDS}{fields}\r\n").as_bytes()).await;
+    assert_eq!(parts(&answer).0, "431", "hyper's own answer: {answer}");
     assert_eq!(upstream.requests().len(), 1);
 }
 
--- a/lib/tests/http_streams.rs
+++ b/lib/tests/http_streams.rs
@@ -159,6 +159,24 @@
     assert_eq!(body, "one quilt");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn http2_caller_headers_too_large() {
+    let (_opener, open) = watch::channel(true);
+    let nodes = fleet(open).await;
+    let sized = |bytes: usize| {
+        let mut request = http2_request("one quilt");
+        request.headers_mut().insert("x-big", "x".repeat(bytes).parse().expect("a valid field"));
+        request
+    };
+    let mut sender = http2_sender(nodes.ingress()).await;
+    let response = sender.send_request(sized(70_000)).await.expect("an answer comes");
+    assert_eq!(response.headers()["yuccatray-error"], "headers_too_large");
+    let mut sender = http2_sender(nodes.ingress()).await;
+    let response = sender.send_request(sized(200_000)).await.expect("an answer comes");
+    assert_eq!(response.status(), 431, "the library's own answer");
+    assert!(!response.headers().contains_key("yuccatray-error"));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn http2_caller_truncated_answer() {
     let upstream = RawUpstream::start("HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nquilt").await;
--- a/load/src/commands/compare.rs
+++ b/load/src/commands/compare.rs
@@ -1,4 +1,4 @@
-//! Compares the direct call with the call through two nodes, in turn in one run.
+//! Compares the direct call with calls through two relays and two nodes, in turn in one run.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -10,6 +10,7 @@
 use comfy_table::Table;
 use comfy_table::presets::NOTHING;
 use http::Method;
+use snafu::ResultExt;
 use yuccatray_load::caller::CallPlan;
 use yuccatray_load::caller::Caller;
 use yuccatray_load::deployment::CallStream;
@@ -17,22 +18,26 @@
 use yuccatray_load::deployment::ServiceLoad;
 use yuccatray_load::embedded_fleet::EmbeddedFleet;
 use yuccatray_load::embedded_fleet::Result;
+use yuccatray_load::embedded_fleet::StandinSnafu;
 use yuccatray_load::leg::LegResult;
 use yuccatray_load::leg::Pace;
 use yuccatray_load::leg::RepeatedCall;
 use yuccatray_load::leg::run_leg;
 use yuccatray_load::process_usage::ProcessUsage;
+use yuccatray_load::relay::start_relay;
 
 const TARGET_SERVICE: &str = "catalogue";
 const INGRESS_SERVICE: &str = "orders";
 const PRIORITY: &str = "browse";
 const SLOTS: u32 = 40;
 const QUANTILES: [f64; 3] = [0.5, 0.99, 0.999];
+const DIRECT: &str = "direct";
 const MIB: f64 = 1_048_576.0;
 
-/// Compares the direct call with the call through two nodes, in turn in one run.
+/// Compares the direct call with calls through two relays and two nodes, in turn in one run.
 ///
-/// The upstream answers at once, so that what is measured is the path and not
+/// The relays only copy bytes: what they add is what two more processes on the path cost on
+/// this machine, whatever they do. The upstream answers at once, so that what is measured is the path and not
 /// the service. Without addresses, two nodes and the upstream are started in
 /// this process; with them, nodes that run as processes of their own are measured.
 #[derive(Debug, Args)]
@@ -55,14 +60,16 @@
     /// Ingress address of a node that runs already and has no upstream of the service.
     #[arg(long, requires = "direct")]
     through: Option<SocketAddr>,
+    /// Address of the first of two relays that run already.
+    #[arg(long, requires = "direct")]
+    relayed: Option<SocketAddr>,
     /// Processes whose processor time and memory are counted; this one by default.
     #[arg(long, value_delimiter = ',')]
     pids: Vec<u32>,
 }
 
 struct Comparison {
-    direct: Arc<RepeatedCall>,
-    through: Arc<RepeatedCall>,
+    ways: Vec<(&'static str, Arc<RepeatedCall>)>,
     leg: Duration,
     turns: u32,
     pids: Vec<u32>,
@@ -86,9 +93,16 @@
         fleet = Some(started);
         addrs
     };
+    let relayed = match args.relayed {
+        Some(relayed) => relayed,
+        None => start_relay(start_relay(direct).await.context(StandinSnafu)?).await.context(StandinSnafu)?,
+    };
     let comparison = Comparison {
-        direct: repeated(direct),
-        through: repeated(through),
+        ways: vec![
+            (DIRECT, repeated(direct)),
+            ("two relays", repeated(relayed)),
+            ("two nodes", repeated(through)),
+        ],
         leg: Duration::from_millis(args.leg_ms),
         turns: args.turns,
         pids: if args.pids.is_empty() { vec![std::process::id()] } else { args.pids.clone() },
@@ -126,7 +140,7 @@
             added.push(self.compare(&format!("{callers} callers"), pace, &mut table).await);
         }
         println!("{}", table.trim_fmt());
-        println!("\nAdded by two nodes (all turns together; least to most of single turns):");
+        println!("\nAdded to the direct call (all turns together; least to most of single turns):");
         for line in added {
             println!("{line}");
         }
@@ -137,7 +151,7 @@
     }
 
     async fn warm_up(&self) {
-        for call in [&self.direct, &self.through] {
+        for (_, call) in &self.ways {
             let pace = Pace::ClosedLoop { callers: SLOTS };
             run_leg(Arc::clone(call), pace, self.leg / 4).await;
         }
@@ -147,16 +161,21 @@
     where
         F: Fn(u32) -> Pace,
     {
-        let mut direct = Legs::default();
-        let mut through = Legs::default();
+        let mut all: Vec<Legs> = self.ways.iter().map(|_| Legs::default()).collect();
         for turn in 0..self.turns {
-            self.leg(&self.direct, pace(turn), &mut direct).await;
-            self.leg(&self.through, pace(turn), &mut through).await;
+            for ((_, call), legs) in self.ways.iter().zip(&mut all) {
+                self.leg(call, pace(turn), legs).await;
+            }
+        }
+        let mut lines = Vec::new();
+        for ((way, _), legs) in self.ways.iter().zip(&all) {
+            table.add_row(self.row(name, way, legs));
+            if *way != DIRECT {
+                let figures: Vec<String> = QUANTILES.iter().map(|at| added(&all[0], legs, *at)).collect();
+                lines.push(format!("  {name}, {way}: {}", figures.join(", ")));
+            }
         }
-        table.add_row(self.row(name, "direct", &direct));
-        table.add_row(self.row(name, "two nodes", &through));
-        let figures: Vec<String> = QUANTILES.iter().map(|at| added(&direct, &through, *at)).collect();
-        format!("  {name}: {}", figures.join(", "))
+        lines.join("\n")
     }
 
     async fn leg(&self, call: &Arc<RepeatedCall>, pace: Pace, legs: &mut Legs) {
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod policy_variant;
 pub mod probe_pool;
 pub mod process_usage;
+pub mod relay;
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -11,6 +11,7 @@
 use crate::commands::experiment;
 use crate::commands::fleet;
 use crate::commands::peer_bodies;
+use crate::commands::relay;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -28,6 +29,7 @@
     Fleet(fleet::FleetArgs),
     Compare(compare::CompareArgs),
     PeerBodies(peer_bodies::PeerBodiesArgs),
+    Relay(relay::RelayArgs),
     Experiment(experiment::ExperimentArgs),
 }
 
@@ -37,6 +39,7 @@
         Command::Fleet(args) => fleet::cmd_fleet(&args).await,
         Command::Compare(args) => compare::cmd_compare(&args).await,
         Command::PeerBodies(args) => peer_bodies::cmd_peer_bodies(&args).await,
+        Command::Relay(args) => relay::cmd_relay(&args).await,
         Command::Experiment(args) => experiment::cmd_experiment(&args).await,
     };
     match result {
