--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -10,6 +10,7 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use yuccatray::log_event;
 use yuccatray::node::Node;
 use yuccatray::protocol::checked_json::JsonError;
 use yuccatray::protocol::settings::LogLevel;
@@ -94,16 +95,21 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    log::info!("stopping; a second signal cuts calls in flight short");
+    log_event!(Info, "stopping", second_signal = "cuts calls in flight short");
     tokio::select! {
         shutdown = node.stop() => {
             if shutdown.callers_finished && shutdown.peers_finished {
                 return ExitCode::SUCCESS;
             }
-            log::error!("calls were cut short; callers_finished={} peers_finished={}", shutdown.callers_finished, shutdown.peers_finished);
+            log_event!(
+                Error,
+                "calls were cut short",
+                callers_finished = shutdown.callers_finished,
+                peers_finished = shutdown.peers_finished,
+            );
         }
-        _ = terminate.recv() => log::error!("a second signal cut calls in flight short"),
-        _ = interrupt.recv() => log::error!("a second signal cut calls in flight short"),
+        _ = terminate.recv() => log_event!(Error, "calls were cut short", by = "a second signal"),
+        _ = interrupt.recv() => log_event!(Error, "calls were cut short", by = "a second signal"),
     }
     ExitCode::from(EXIT_CUT_SHORT)
 }
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -17,6 +17,7 @@
 use crate::coordination::membership::Patience;
 use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::routing::TwoChoices;
+use crate::log_event;
 use crate::protocol::call_id::CallIdSource;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberId;
@@ -187,14 +188,15 @@
             tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
             tokio::spawn(publisher.run(stop_rest.clone())),
         ];
-        log::info!(
-            "node started; node={} incarnation={:x} ingress={} peer={} announce={} admin={}",
-            me.id.name,
-            me.id.incarnation,
-            addrs.ingress,
-            addrs.peer,
-            addrs.announce,
-            addrs.admin
+        log_event!(
+            Info,
+            "node started",
+            node = &me.id.name,
+            incarnation = format_args!("{:x}", me.id.incarnation),
+            ingress = addrs.ingress,
+            peer = addrs.peer,
+            announce = addrs.announce,
+            admin = addrs.admin,
         );
         Ok(Self {
             addrs,
