transport: trailers after a body of declared length reach an HTTP/1.1 upstream

Cause: HTTP/2 may send trailers after a declared length; a short body kept for a retry went on with that length, behind which HTTP/1.1 has no place for trailers.

Change: such a body goes on in chunks, without the length.

Conclusion: lib/tests/http_streams http2_caller_trailers_after_declared_length.

--- a/lib/src/transport/call_body.rs
+++ b/lib/src/transport/call_body.rs
@@ -132,6 +132,8 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
+            // Trailers can't follow a body of declared length in HTTP/1.1.
+            Self::Kept { trailers: Some(_), .. } => SizeHint::default(),
             Self::Kept { data, .. } => {
                 SizeHint::with_exact(data.as_ref().map_or(0, |data| data.len() as u64))
             }
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -13,6 +13,7 @@
 use http::Request;
 use http::Response;
 use http::Version;
+use http::header::CONTENT_LENGTH;
 use http::header::HOST;
 use http::request::Parts;
 use http_body::Body;
@@ -272,6 +273,9 @@
             ErrorAnswer::new(ErrorKind::MalformedRequest, format!("unreadable body: {error}"))
         })?;
         let trailers = collected.trailers().cloned();
+        if trailers.is_some() {
+            parts.headers.remove(CONTENT_LENGTH);
+        }
         Ok(Outgoing { parts, body: OutgoingBody::Kept { data: collected.to_bytes(), trailers } })
     }
 
--- a/lib/tests/http_streams.rs
+++ b/lib/tests/http_streams.rs
@@ -159,6 +159,24 @@
     assert_eq!(body, "one quilt");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn http2_caller_trailers_after_declared_length() {
+    let upstream = RawUpstream::start("HTTP/1.1 204 No Content\r\n\r\n").await;
+    let nodes = TwoNodes::start(upstream.addr, TOTAL_BYTES).await;
+    let mut trailers = http::HeaderMap::new();
+    trailers.insert("x-check", "4".parse().expect("a valid field"));
+    let frames = [Frame::data(Bytes::from_static(b"tree")), Frame::trailers(trailers)];
+    let body = StreamBody::new(stream::iter(frames.map(Ok::<_, BoxError>)));
+    let mut request = http2_request("").map(|_| BodyExt::boxed(body));
+    request.headers_mut().insert("content-length", "4".parse().expect("a valid field"));
+    request.headers_mut().insert("trailer", "x-check".parse().expect("a valid field"));
+    let mut sender = http2_sender(nodes.ingress()).await;
+    let response = sender.send_request(request).await.expect("an answer comes");
+    assert_eq!(response.status(), 204);
+    let seen = &upstream.requests()[0];
+    assert!(seen.ends_with("4\r\ntree\r\n0\r\nx-check: 4\r\n\r\n"), "{seen}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn http2_caller_headers_too_large() {
     let (_opener, open) = watch::channel(true);
