--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -12,6 +12,7 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -19,6 +20,7 @@
 use crate::coordination::fleet_view::FleetView;
 use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::routing::TwoChoices;
+use crate::log_event;
 use crate::protocol::call_id::CallIdSource;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberId;
@@ -139,6 +141,15 @@
     ///
     /// When an address can't be listened on.
     pub async fn start_with(settings: &Settings, policy: P) -> Result<Self> {
+        Self::start_on(settings, policy, &Handle::current()).await
+    }
+
+    /// Starts a node whose calls run on a runtime of their own, apart from control.
+    ///
+    /// # Errors
+    ///
+    /// When an address can't be listened on.
+    pub async fn start_on(settings: &Settings, policy: P, calls: &Handle) -> Result<Self> {
         let listeners = Listeners::bind(settings).await?;
         let addrs = listeners.addrs()?;
         let me = describe_me(settings, addrs);
@@ -192,16 +203,24 @@
             directory: Arc::clone(&directory),
             config: Arc::clone(&config),
             gate: Arc::clone(&gate),
+            desk: Arc::clone(&desk),
             metrics: Arc::clone(&metrics),
             burn,
         };
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
-        let caller_server = spawn_server(listeners.ingress, limits, caller_handler, &stop_callers);
+        let caller_server = spawn_server(calls, listeners.ingress, limits, caller_handler, &stop_callers);
         let peer_limits = ServerLimits { max_connections: usize::from(u16::MAX), ..limits };
-        let peer_server = spawn_server(listeners.peer, peer_limits, peer_handler, &stop_rest);
+        let peer_server = spawn_server(calls, listeners.peer, peer_limits, peer_handler, &stop_rest);
         let announce_handler = AnnounceHandler::new(Arc::clone(&desk));
-        drop(spawn_server(listeners.announce, ServerLimits::default(), announce_handler, &stop_rest));
-        drop(spawn_server(listeners.admin, ServerLimits::default(), admin_handler, &stop_rest));
+        let control = Handle::current();
+        drop(spawn_server(
+            &control,
+            listeners.announce,
+            ServerLimits::default(),
+            announce_handler,
+            &stop_rest,
+        ));
+        drop(spawn_server(&control, listeners.admin, ServerLimits::default(), admin_handler, &stop_rest));
         let loops = vec![
             tokio::spawn(Arc::clone(&gossip).run(stop_rest.clone())),
             tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
@@ -209,15 +228,7 @@
             tokio::spawn(reader.run(stop_rest.clone())),
             tokio::spawn(rendezvous.run(stop_rest.clone())),
         ];
-        log::info!(
-            "node started; node={} incarnation={:x} ingress={} peer={} announce={} admin={}",
-            me.id.name,
-            me.id.incarnation,
-            addrs.ingress,
-            addrs.peer,
-            addrs.announce,
-            addrs.admin
-        );
+        log_started(&me, addrs);
         Ok(Self {
             addrs,
             gate,
@@ -362,6 +373,19 @@
     })
 }
 
+fn log_started(me: &Member, addrs: NodeAddrs) {
+    log_event!(
+        Info,
+        "node started",
+        node = &me.id.name,
+        incarnation = format_args!("{:x}", me.id.incarnation),
+        ingress = addrs.ingress,
+        peer = addrs.peer,
+        announce = addrs.announce,
+        admin = addrs.admin,
+    );
+}
+
 fn server_limits(settings: &Settings) -> ServerLimits {
     ServerLimits {
         max_connections: settings.limits.max_caller_connections as usize,
@@ -372,6 +396,7 @@
 }
 
 fn spawn_server<H>(
+    runtime: &Handle,
     listener: TcpListener,
     limits: ServerLimits,
     handler: H,
@@ -380,5 +405,5 @@
 where
     H: Handler,
 {
-    tokio::spawn(serve(listener, limits, handler, stop.clone()))
+    runtime.spawn(serve(listener, limits, handler, stop.clone()))
 }
