peers: mutual TLS on connections, tagged datagrams, keys changed without a restart

Cause: any host that reached the peer port could join, publish and pass calls. Change: /peer_security names a certificate, its key, the authorities to trust and the datagram keys; connections need certificates on both sides and datagrams a tag of HMAC-SHA256. Without the setting nothing is proved, which the node says in its log. A node that returns from a long pause under a later incarnation still finds its own gate.

--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -33,7 +33,6 @@
 use crate::transport::announce_server::AnnounceDesk;
 use crate::transport::announce_server::AnnounceHandler;
 use crate::transport::config_reader::ConfigReader;
-use crate::transport::datagram_keys::DatagramKeys;
 use crate::transport::fleet_link::GossipLink;
 use crate::transport::gate::Gate;
 use crate::transport::gossip::Gossip;
@@ -41,11 +40,14 @@
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::ServerLimits;
 use crate::transport::http_server::serve;
+use crate::transport::http_server::serve_secured;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressHandler;
 use crate::transport::ingress::IngressParts;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::ControlChannels;
+use crate::transport::peer_security::PeerSecurity;
+use crate::transport::peer_security::SecurityError;
 use crate::transport::peer_server::PeerHandler;
 use crate::transport::platform_http::HttpPlatform;
 use crate::transport::publisher::Publisher;
@@ -70,6 +72,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The keys and certificates for peers can't be used.
+    #[snafu(display("/peer_security: {source}"), context(false))]
+    Security {
+        /// Why.
+        source: SecurityError,
+    },
 }
 
 /// Where a node listens once it has started.
@@ -139,6 +147,10 @@
     ///
     /// When an address can't be listened on.
     pub async fn start_with(settings: &Settings, policy: P) -> Result<Self> {
+        let security = Arc::new(PeerSecurity::load(settings.peer_security.as_ref())?);
+        if !security.is_on() {
+            log::warn!("peers are not authenticated: /peer_security is not set, so any host may join");
+        }
         let listeners = Listeners::bind(settings).await?;
         let addrs = listeners.addrs()?;
         let me = describe_me(settings, addrs);
@@ -151,8 +163,9 @@
             config: Arc::clone(&config),
             directory: Arc::clone(&directory),
             metrics: Arc::clone(&metrics),
+            security: Arc::clone(&security),
         };
-        let gossip = Arc::new(gossip(settings, &me, listeners.gossip, shared));
+        let gossip = Arc::new(gossip(settings, &me, listeners.gossip, &shared));
         let desk = Arc::new(AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&config)));
         let ingress = Arc::new(Ingress::new(IngressParts {
             me: Arc::new(me.clone()),
@@ -160,28 +173,13 @@
             directory: Arc::clone(&directory),
             config: Arc::clone(&config),
             gate: Arc::clone(&gate),
-            channels: Arc::new(CallChannels::default()),
+            channels: Arc::new(CallChannels::new(Arc::clone(&security))),
             control: Arc::clone(gossip.channels()),
             metrics: Arc::clone(&metrics),
             burn: Arc::clone(&burn),
             policy,
             max_replay_bytes: settings.limits.max_replay_bytes,
         }));
-        let platform =
-            HttpPlatform::new(settings.platform.addr, Duration::from_millis(settings.platform.timeout_ms));
-        let link = GossipLink::new(Arc::clone(&gossip), Arc::clone(&config), Arc::clone(&directory));
-        let publisher = Publisher::new(platform.clone(), link, Arc::clone(&metrics), &me.id);
-        let reader = ConfigReader {
-            platform: platform.clone(),
-            gossip: Arc::clone(&gossip),
-            metrics: Arc::clone(&metrics),
-        };
-        let rendezvous = Rendezvous {
-            platform,
-            gossip: Arc::clone(&gossip),
-            has_seeds: !settings.seeds.is_empty(),
-            metrics: Arc::clone(&metrics),
-        };
         let stop_callers = CancellationToken::new();
         let stop_rest = CancellationToken::new();
         let limits = server_limits(settings);
@@ -196,17 +194,22 @@
         };
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
         let caller_server = spawn_server(listeners.ingress, limits, caller_handler, &stop_callers);
-        let peer_server = spawn_server(listeners.peer, ServerLimits::default(), peer_handler, &stop_rest);
+        let peer_server = tokio::spawn(serve_secured(
+            listeners.peer,
+            ServerLimits::default(),
+            peer_handler,
+            Arc::clone(&security),
+            stop_rest.clone(),
+        ));
         let announce_handler = AnnounceHandler::new(Arc::clone(&desk));
         drop(spawn_server(listeners.announce, ServerLimits::default(), announce_handler, &stop_rest));
         drop(spawn_server(listeners.admin, ServerLimits::default(), admin_handler, &stop_rest));
-        let loops = vec![
+        let mut loops = spawn_platform_loops(settings, &gossip, &shared, &stop_rest);
+        loops.extend([
             tokio::spawn(Arc::clone(&gossip).run(stop_rest.clone())),
             tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
-            tokio::spawn(publisher.run(stop_rest.clone())),
-            tokio::spawn(reader.run(stop_rest.clone())),
-            tokio::spawn(rendezvous.run(stop_rest.clone())),
-        ];
+            tokio::spawn(security.run(stop_rest.clone())),
+        ]);
         log::info!(
             "node started; node={} incarnation={:x} ingress={} peer={} announce={} admin={}",
             me.id.name,
@@ -338,9 +341,10 @@
     config: Arc<ConfigTable>,
     directory: Arc<Directory>,
     metrics: SharedMetrics,
+    security: Arc<PeerSecurity>,
 }
 
-fn gossip(settings: &Settings, me: &Member, socket: UdpSocket, shared: SharedParts) -> Gossip {
+fn gossip(settings: &Settings, me: &Member, socket: UdpSocket, shared: &SharedParts) -> Gossip {
     let view = FleetView::new(
         me.clone(),
         settings.gossip.clone(),
@@ -351,15 +355,42 @@
     );
     Gossip::new(GossipParts {
         view,
-        config: shared.config,
-        directory: shared.directory,
+        config: Arc::clone(&shared.config),
+        directory: Arc::clone(&shared.directory),
         socket,
-        keys: DatagramKeys::default(),
-        channels: Arc::new(ControlChannels::default()),
-        metrics: shared.metrics,
+        channels: Arc::new(ControlChannels::new(Arc::clone(&shared.security))),
+        security: Arc::clone(&shared.security),
+        metrics: Arc::clone(&shared.metrics),
     })
 }
 
+/// Starts what the node does about the platform while it has a role there.
+fn spawn_platform_loops(
+    settings: &Settings,
+    gossip: &Arc<Gossip>,
+    shared: &SharedParts,
+    stop: &CancellationToken,
+) -> Vec<JoinHandle<()>> {
+    let timeout = Duration::from_millis(settings.platform.timeout_ms);
+    let platform = HttpPlatform::new(settings.platform.addr, timeout);
+    let metrics = &shared.metrics;
+    let link = GossipLink::new(Arc::clone(gossip), Arc::clone(&shared.config), Arc::clone(&shared.directory));
+    let publisher = Publisher::new(platform.clone(), link, Arc::clone(metrics), &gossip.me().id);
+    let reader =
+        ConfigReader { platform: platform.clone(), gossip: Arc::clone(gossip), metrics: Arc::clone(metrics) };
+    let rendezvous = Rendezvous {
+        platform,
+        gossip: Arc::clone(gossip),
+        has_seeds: !settings.seeds.is_empty(),
+        metrics: Arc::clone(metrics),
+    };
+    vec![
+        tokio::spawn(publisher.run(stop.clone())),
+        tokio::spawn(reader.run(stop.clone())),
+        tokio::spawn(rendezvous.run(stop.clone())),
+    ]
+}
+
 fn server_limits(settings: &Settings) -> ServerLimits {
     ServerLimits {
         max_connections: settings.limits.max_caller_connections as usize,
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -39,11 +39,31 @@
     /// How nodes talk to one another.
     #[serde(default)]
     pub gossip: GossipSettings,
+    /// How nodes prove to one another that they belong to the fleet; without it any host may join.
+    #[serde(default)]
+    pub peer_security: Option<PeerSecuritySettings>,
     /// What is logged.
     #[serde(default)]
     pub log: LogSettings,
 }
 
+/// How nodes prove to one another that they belong to the fleet.
+///
+/// The files are read again every few seconds, so that keys are rotated without a restart.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSecuritySettings {
+    /// Files with a secret of at least 32 bytes each; the first signs datagrams, all are accepted.
+    #[schemars(length(min = 1))]
+    pub datagram_key_files: Vec<Arc<str>>,
+    /// PEM file with the node's certificate, whose subject names include `yuccatray-peer`.
+    pub certificate_file: Arc<str>,
+    /// PEM file with the certificate's private key.
+    pub private_key_file: Arc<str>,
+    /// PEM file with the certificates of the authorities that sign the nodes' certificates.
+    pub authority_file: Arc<str>,
+}
+
 /// Who a node is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/lib/src/transport/gossip.rs
+++ b/lib/src/transport/gossip.rs
@@ -30,9 +30,9 @@
 use crate::state::control_metrics::UDP_HEAD_BYTES;
 use crate::state::directory::Directory;
 use crate::state::metrics::SharedMetrics;
-use crate::transport::datagram_keys::DatagramKeys;
 use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_channel::ControlClient;
+use crate::transport::peer_security::PeerSecurity;
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
@@ -60,8 +60,8 @@
     pub directory: Arc<Directory>,
     /// Where datagrams come and go.
     pub socket: UdpSocket,
-    /// What proves them.
-    pub keys: DatagramKeys,
+    /// What proves datagrams and connections.
+    pub security: Arc<PeerSecurity>,
     /// Channels for questions about calls.
     pub channels: Arc<ControlChannels>,
     /// Counters.
@@ -83,7 +83,7 @@
     config: Arc<ConfigTable>,
     directory: Arc<Directory>,
     socket: UdpSocket,
-    keys: DatagramKeys,
+    security: Arc<PeerSecurity>,
     channels: Arc<ControlChannels>,
     metrics: SharedMetrics,
     exchanges: Arc<Semaphore>,
@@ -106,7 +106,7 @@
             config: parts.config,
             directory: parts.directory,
             socket: parts.socket,
-            keys: parts.keys,
+            security: parts.security,
             channels: parts.channels,
             metrics: parts.metrics,
             exchanges: Arc::new(Semaphore::new(MAX_EXCHANGES)),
@@ -281,7 +281,7 @@
     }
 
     async fn take_datagram(self: &Arc<Self>, signed: &[u8], from: SocketAddr) {
-        let read = self.keys.verified(signed).and_then(|bytes| wire::Datagram::decode(bytes).ok());
+        let read = self.security.keys().verified(signed).and_then(|bytes| wire::Datagram::decode(bytes).ok());
         let Some(datagram) = read else {
             self.metrics.control.refused_datagrams.inc();
             return;
@@ -331,7 +331,7 @@
 
     async fn send(&self, to: SocketAddr, datagram: &wire::Datagram) {
         let mut bytes = datagram.encode_to_vec();
-        self.keys.sign(&mut bytes);
+        self.security.keys().sign(&mut bytes);
         match self.socket.send_to(&bytes, to).await {
             Ok(length) => {
                 self.metrics.control.count("sent", "datagram", length as u64 + UDP_HEAD_BYTES);
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -15,12 +15,17 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::server::graceful::Watcher;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
 use crate::transport::call_body::BoxError;
+use crate::transport::peer_security::PeerSecurity;
+use crate::transport::peer_security::PeerStream;
+
+/// Time for a host to prove itself.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 const PING_INTERVAL: Duration = Duration::from_secs(2);
@@ -71,6 +76,20 @@
     handler: H,
     stop: CancellationToken,
 ) -> bool
+where
+    H: Handler,
+{
+    serve_secured(listener, limits, handler, Arc::default(), stop).await
+}
+
+/// Serves as [`serve`] does, but only hosts that prove themselves as `security` asks.
+pub async fn serve_secured<H>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: H,
+    security: Arc<PeerSecurity>,
+    stop: CancellationToken,
+) -> bool
 where
     H: Handler,
 {
@@ -87,13 +106,24 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("cannot set nodelay; remote={remote} error={error}");
+        }
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             log::debug!("connection closed at the limit; remote={remote}");
             continue;
         };
-        let connection = serve_connection(&builder, stream, remote, handler.clone(), &graceful);
+        let builder = builder.clone();
+        let handler = handler.clone();
+        let security = Arc::clone(&security);
+        let watcher = graceful.watcher();
         tokio::spawn(async move {
-            connection.await;
+            let secured = tokio::time::timeout(HANDSHAKE_TIMEOUT, security.accept(stream)).await;
+            match secured {
+                Ok(Ok(stream)) => serve_connection(&builder, stream, remote, handler, watcher).await,
+                Ok(Err(error)) => log::debug!("host refused; remote={remote} error={error}"),
+                Err(_) => log::debug!("host did not prove itself in time; remote={remote}"),
+            }
             drop(permit);
         });
     }
@@ -118,28 +148,21 @@
     builder
 }
 
-fn serve_connection<H>(
+async fn serve_connection<H>(
     builder: &auto::Builder<TokioExecutor>,
-    stream: TcpStream,
+    stream: PeerStream,
     remote: SocketAddr,
     handler: H,
-    graceful: &GracefulShutdown,
-) -> impl Future<Output = ()> + Send + 'static
-where
+    watcher: Watcher,
+) where
     H: Handler,
 {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("cannot set nodelay; remote={remote} error={error}");
-    }
     let service = service_fn(move |request| {
         let handler = handler.clone();
         async move { Ok::<_, std::convert::Infallible>(handler.handle(request, remote).await) }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-    let connection = graceful.watch(connection);
-    async move {
-        if let Err(error) = connection.await {
-            log::debug!("connection ended; remote={remote} error={error}");
-        }
+    if let Err(error) = watcher.watch(connection).await {
+        log::debug!("connection ended; remote={remote} error={error}");
     }
 }
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -285,7 +285,8 @@
         entry.stats.start();
         let in_flight = InFlight { stats: Arc::clone(&entry.stats) };
         let sent_at = Instant::now();
-        let local = entry.member.id == self.parts.me.id;
+        // The name alone: after a long pause the node lives on under a later incarnation.
+        let local = entry.member.id.name == self.parts.me.id.name;
         let result = if local {
             self.through_own_gate(call, request).await
         } else {
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -13,6 +13,7 @@
 pub mod ingress;
 pub mod kind_watch;
 pub mod peer_channel;
+pub mod peer_security;
 pub mod peer_server;
 pub mod platform;
 pub mod platform_http;
--- a/lib/src/transport/peer_channel.rs
+++ b/lib/src/transport/peer_channel.rs
@@ -28,6 +28,7 @@
 
 use crate::transport::call_body::BoxError;
 use crate::transport::call_body::CallBody;
+use crate::transport::peer_security::PeerSecurity;
 
 /// Result of talking to a peer.
 pub type Result<T, E = PeerError> = std::result::Result<T, E>;
@@ -77,6 +78,7 @@
 #[derive(Debug)]
 pub struct PeerChannel<B> {
     addr: SocketAddr,
+    security: Arc<PeerSecurity>,
     sender: ArcSwapOption<SendRequest<B>>,
     connecting: Mutex<()>,
 }
@@ -85,8 +87,8 @@
 where
     B: http_body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Unpin + 'static,
 {
-    const fn new(addr: SocketAddr) -> Self {
-        Self { addr, sender: ArcSwapOption::const_empty(), connecting: Mutex::const_new(()) }
+    const fn new(addr: SocketAddr, security: Arc<PeerSecurity>) -> Self {
+        Self { addr, security, sender: ArcSwapOption::const_empty(), connecting: Mutex::const_new(()) }
     }
 
     /// Sends a request and waits for the header section of the answer.
@@ -119,7 +121,7 @@
         if let Some(sender) = self.open_sender() {
             return Ok(sender);
         }
-        let sender = connect(self.addr).await?;
+        let sender = connect(self.addr, &self.security).await?;
         self.sender.store(Some(Arc::new(sender.clone())));
         Ok(sender)
     }
@@ -130,13 +132,15 @@
     }
 }
 
-async fn connect<B>(addr: SocketAddr) -> Result<SendRequest<B>>
+async fn connect<B>(addr: SocketAddr, security: &PeerSecurity) -> Result<SendRequest<B>>
 where
     B: http_body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Unpin + 'static,
 {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
     let stream = connecting.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
     stream.set_nodelay(true).context(ConnectSnafu)?;
+    let securing = tokio::time::timeout(CONNECT_TIMEOUT, security.connect(stream));
+    let stream = securing.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
     let mut builder = http2::Builder::new(TokioExecutor::new());
     builder.timer(TokioTimer::new()).keep_alive_interval(PING_INTERVAL).keep_alive_timeout(PING_TIMEOUT);
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
@@ -152,6 +156,7 @@
 #[derive(Debug)]
 pub struct PeerChannels<B> {
     by_addr: ArcSwap<IndexMap<SocketAddr, Arc<PeerChannel<B>>>>,
+    security: Arc<PeerSecurity>,
 }
 
 /// Channels that carry calls.
@@ -162,7 +167,15 @@
 
 impl<B> Default for PeerChannels<B> {
     fn default() -> Self {
-        Self { by_addr: ArcSwap::default() }
+        Self::new(Arc::default())
+    }
+}
+
+impl<B> PeerChannels<B> {
+    /// Channels to peers that prove themselves as `security` asks.
+    #[must_use]
+    pub fn new(security: Arc<PeerSecurity>) -> Self {
+        Self { by_addr: ArcSwap::default(), security }
     }
 }
 
@@ -175,7 +188,7 @@
         if let Some(channel) = self.by_addr.load().get(&addr) {
             return Arc::clone(channel);
         }
-        let fresh = Arc::new(PeerChannel::new(addr));
+        let fresh = Arc::new(PeerChannel::new(addr, Arc::clone(&self.security)));
         self.by_addr.rcu(|channels| {
             let mut next = IndexMap::clone(channels);
             next.entry(addr).or_insert_with(|| Arc::clone(&fresh));
@@ -186,7 +199,7 @@
 
     /// A channel that nobody else uses and whose connection ends with it.
     pub fn fresh(&self, addr: SocketAddr) -> Arc<PeerChannel<B>> {
-        Arc::new(PeerChannel::new(addr))
+        Arc::new(PeerChannel::new(addr, Arc::clone(&self.security)))
     }
 
     /// Forgets the channels to addresses that `keep` refuses.
--- a/lib/tests/publishing.rs
+++ b/lib/tests/publishing.rs
@@ -246,7 +246,9 @@
     tokio::time::sleep(FAULTY_TIME).await;
     faults.abort();
     platform.set_faults(CallFaults::default());
-    clients.iter().for_each(|client| client.pause(false));
+    for client in &clients {
+        client.pause(false);
+    }
     for operator in operators {
         operator.await.expect("an operator does not panic");
     }
--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -254,6 +254,7 @@
         platform: PlatformSettings { addr: fleet.platform.addr, timeout_ms: 2_000 },
         limits: LimitSettings::default(),
         gossip: GossipSettings::default(),
+        peer_security: None,
         log: LogSettings::default(),
     }
 }
