--- a/lib/src/coordination/fleet_view.rs
+++ b/lib/src/coordination/fleet_view.rs
@@ -40,7 +40,7 @@
 const MAX_NEWS_BYTES: usize = 1_100;
 
 /// News that may be saved up, in seconds of the allowance.
-const NEWS_BURST_SECONDS: f64 = 4.0;
+const NEWS_BURST_SECONDS: f64 = 30.0;
 
 /// Time that differing digests get to agree by news alone.
 const MISMATCH_PATIENCE: Duration = Duration::from_secs(2);
@@ -148,6 +148,7 @@
             exchange: now,
             mismatch: None,
         };
+        let news_allowance = f64::from(settings.max_news_bytes_per_second) * NEWS_BURST_SECONDS;
         let mut news = NewsQueue::default();
         let membership = Membership::new(me, state_times);
         news.push_member(Arc::clone(membership.me()));
@@ -161,7 +162,7 @@
             contacts,
             wanted: IndexMap::new(),
             timers,
-            news_allowance: 0.0,
+            news_allowance,
             superseded: false,
         }
     }
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -179,6 +179,7 @@
             burn: Arc::clone(&burn),
             policy,
             max_replay_bytes: settings.limits.max_replay_bytes,
+            max_header_bytes: settings.limits.max_header_bytes,
         }));
         let stop_callers = CancellationToken::new();
         let stop_rest = CancellationToken::new();
@@ -194,9 +195,10 @@
         };
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
         let caller_server = spawn_server(listeners.ingress, limits, caller_handler, &stop_callers);
+        let peer_limits = ServerLimits { max_connections: usize::from(u16::MAX), ..limits };
         let peer_server = tokio::spawn(serve_secured(
             listeners.peer,
-            ServerLimits::default(),
+            peer_limits,
             peer_handler,
             Arc::clone(&security),
             stop_rest.clone(),
--- a/lib/src/transport/publisher.rs
+++ b/lib/src/transport/publisher.rs
@@ -400,7 +400,7 @@
         write_settled(&self.platform, kind, name, &value, precondition).await
     }
 
-    fn count(&self, reason: &str) {
+    fn count(&self, reason: &'static str) {
         Metrics::count(&self.metrics.platform_calls, reason);
     }
 }
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -10,6 +10,7 @@
 use crate::commands::compare;
 use crate::commands::experiment;
 use crate::commands::fleet;
+use crate::commands::peer_bodies;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -26,6 +27,7 @@
 enum Command {
     Fleet(fleet::FleetArgs),
     Compare(compare::CompareArgs),
+    PeerBodies(peer_bodies::PeerBodiesArgs),
     Experiment(experiment::ExperimentArgs),
 }
 
@@ -34,6 +36,7 @@
     let result = match Args::parse().command {
         Command::Fleet(args) => fleet::cmd_fleet(&args).await,
         Command::Compare(args) => compare::cmd_compare(&args).await,
+        Command::PeerBodies(args) => peer_bodies::cmd_peer_bodies(&args).await,
         Command::Experiment(args) => experiment::cmd_experiment(&args).await,
     };
     match result {
