load: measure a fleet of node processes at several sizes

Change: yuccatray-load scale starts up to 300 nodes on loopback in seven zones of three regions, and measures joining, rest, configuration changes, a leave, a crash and a mass restart.

--- a/load/src/commands/mod.rs
+++ b/load/src/commands/mod.rs
@@ -4,3 +4,4 @@
 pub mod experiment;
 pub mod fleet;
 pub mod peer_bodies;
+pub mod scale;
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod open_loop;
 pub mod policy_variant;
 pub mod probe_pool;
+pub mod process_fleet;
 pub mod process_usage;
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -11,6 +11,7 @@
 use crate::commands::experiment;
 use crate::commands::fleet;
 use crate::commands::peer_bodies;
+use crate::commands::scale;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -29,6 +30,7 @@
     Compare(compare::CompareArgs),
     PeerBodies(peer_bodies::PeerBodiesArgs),
     Experiment(experiment::ExperimentArgs),
+    Scale(scale::ScaleArgs),
 }
 
 #[tokio::main]
@@ -38,9 +40,17 @@
         Command::Compare(args) => compare::cmd_compare(&args).await,
         Command::PeerBodies(args) => peer_bodies::cmd_peer_bodies(&args).await,
         Command::Experiment(args) => experiment::cmd_experiment(&args).await,
+        Command::Scale(args) => return finish(scale::cmd_scale(&args).await),
     };
+    finish(result)
+}
+
+fn finish<T, E>(result: Result<T, E>) -> ExitCode
+where
+    E: std::fmt::Display,
+{
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
             ExitCode::FAILURE
