--- a/lib/src/coordination/anti_entropy.rs
+++ b/lib/src/coordination/anti_entropy.rs
@@ -1,6 +1,8 @@
 //! Exchanges in which two nodes compare digests and pass on only what differs.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng;
 use tokio::time::Instant;
@@ -11,6 +13,27 @@
 use crate::coordination::membership::bucket;
 use crate::protocol::published::Published;
 
+/// Time that differing digests get to agree by news alone.
+const MISMATCH_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Time between two exchanges for differing digests.
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// What a node holds, in short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Digests {
+    members: u64,
+    config: u64,
+}
+
+/// A peer that holds something else, and when to exchange with it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Mismatch {
+    peer: SocketAddr,
+    theirs: Digests,
+    due: Instant,
+}
+
 impl<R> FleetView<R>
 where
     R: Rng,
@@ -74,6 +97,51 @@
         (Some(request), actions)
     }
 
+    /// Notes a peer that holds something else, or that no longer does.
+    pub(super) fn compare_digests(
+        &mut self,
+        from: SocketAddr,
+        datagram: &wire::Datagram,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let theirs = Digests { members: datagram.member_digest, config: datagram.config_digest };
+        let mine = self.digests();
+        let pending = self.timers.mismatch.as_ref();
+        if theirs == mine {
+            if pending.is_some_and(|pending| pending.peer == from) {
+                self.timers.mismatch = None;
+            }
+            return;
+        }
+        let stranger = self.membership.get(&datagram.name).is_none();
+        if pending.is_none() || stranger {
+            let due = if stranger { now } else { now + MISMATCH_PATIENCE };
+            self.timers.mismatch = Some(Mismatch { peer: from, theirs, due });
+        }
+        self.settle_mismatch(now, actions);
+    }
+
+    /// Exchanges with a peer whose digests differed, unless news has made them agree meanwhile.
+    pub(super) fn settle_mismatch(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mine = self.digests();
+        let timers = &mut self.timers;
+        let Some(mismatch) =
+            timers.mismatch.take_if(|mismatch| mismatch.due <= now && timers.exchange <= now)
+        else {
+            return;
+        };
+        if mismatch.theirs == mine {
+            return;
+        }
+        self.timers.exchange = now + self.jittered(EXCHANGE_INTERVAL);
+        actions.push(Action::Exchange { with: mismatch.peer, compare: true, wanted: Vec::new() });
+    }
+
+    fn digests(&self) -> Digests {
+        Digests { members: self.membership.digest(), config: self.config.digest() }
+    }
+
     /// Every revision held, in the form that travels.
     #[must_use]
     pub fn revisions(&self) -> Vec<wire::Revision> {
--- a/lib/src/coordination/fleet_view.rs
+++ b/lib/src/coordination/fleet_view.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 use yuccatray_proto::peer_v1 as wire;
 
+use crate::coordination::anti_entropy::Mismatch;
 use crate::coordination::membership::Membership;
 use crate::coordination::membership::Merged;
 use crate::coordination::membership::StateTimes;
@@ -42,17 +43,11 @@
 /// News that may be saved up, in seconds of the allowance.
 const NEWS_BURST_SECONDS: f64 = 30.0;
 
-/// Time that differing digests get to agree by news alone.
-const MISMATCH_PATIENCE: Duration = Duration::from_secs(2);
-
-/// Time between two exchanges for differing digests.
-const EXCHANGE_INTERVAL: Duration = Duration::from_secs(5);
-
 /// Time after which a configuration asked for is asked for again.
 const WANTED_TTL: Duration = Duration::from_secs(1);
 
 /// Time between attempts of a node that knows nobody, at first.
-const FIRST_JOIN_PAUSE: Duration = Duration::from_millis(250);
+pub(super) const FIRST_JOIN_PAUSE: Duration = Duration::from_millis(250);
 
 /// What the node is to do.
 #[derive(Clone, Debug, PartialEq)]
@@ -85,40 +80,25 @@
     pub(super) membership: Membership,
     pub(super) config: Arc<ConfigTable>,
     pub(super) news: NewsQueue,
-    settings: GossipSettings,
-    rng: R,
-    contacts: Vec<SocketAddr>,
-    probes: ProbeSchedule,
+    pub(super) settings: GossipSettings,
+    pub(super) rng: R,
+    pub(super) contacts: Vec<SocketAddr>,
+    pub(super) probes: ProbeSchedule,
     wanted: IndexMap<Arc<str>, (u64, Instant)>,
-    timers: Timers,
+    pub(super) timers: Timers,
     news_allowance: f64,
     superseded: bool,
 }
 
 #[derive(Debug)]
-struct Timers {
+pub(super) struct Timers {
     ticked: Instant,
     probe: Instant,
     news: Instant,
-    rejoin: Instant,
-    join_pause: Duration,
-    exchange: Instant,
-    mismatch: Option<Mismatch>,
-}
-
-/// What a node holds, in short.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Digests {
-    members: u64,
-    config: u64,
-}
-
-/// A peer that holds something else, and when to exchange with it.
-#[derive(Clone, Copy, Debug)]
-struct Mismatch {
-    peer: SocketAddr,
-    theirs: Digests,
-    due: Instant,
+    pub(super) rejoin: Instant,
+    pub(super) join_pause: Duration,
+    pub(super) exchange: Instant,
+    pub(super) mismatch: Option<Mismatch>,
 }
 
 impl<R> FleetView<R>
@@ -349,50 +329,6 @@
         actions.push(send(addr, ping));
     }
 
-    fn compare_digests(
-        &mut self,
-        from: SocketAddr,
-        datagram: &wire::Datagram,
-        now: Instant,
-        actions: &mut Vec<Action>,
-    ) {
-        let theirs = Digests { members: datagram.member_digest, config: datagram.config_digest };
-        let mine = self.digests();
-        let pending = self.timers.mismatch.as_ref();
-        if theirs == mine {
-            if pending.is_some_and(|pending| pending.peer == from) {
-                self.timers.mismatch = None;
-            }
-            return;
-        }
-        let stranger = self.membership.get(&datagram.name).is_none();
-        if pending.is_none() || stranger {
-            let due = if stranger { now } else { now + MISMATCH_PATIENCE };
-            self.timers.mismatch = Some(Mismatch { peer: from, theirs, due });
-        }
-        self.settle_mismatch(now, actions);
-    }
-
-    /// Exchanges with a peer whose digests differed, unless news has made them agree meanwhile.
-    fn settle_mismatch(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let mine = self.digests();
-        let timers = &mut self.timers;
-        let Some(mismatch) =
-            timers.mismatch.take_if(|mismatch| mismatch.due <= now && timers.exchange <= now)
-        else {
-            return;
-        };
-        if mismatch.theirs == mine {
-            return;
-        }
-        self.timers.exchange = now + self.jittered(EXCHANGE_INTERVAL);
-        actions.push(Action::Exchange { with: mismatch.peer, compare: true, wanted: Vec::new() });
-    }
-
-    fn digests(&self) -> Digests {
-        Digests { members: self.membership.digest(), config: self.config.digest() }
-    }
-
     fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let dead = self.membership.expire(now);
         if dead.is_empty() {
@@ -446,36 +382,6 @@
         }
     }
 
-    /// Tries a contact or a dead member, so that cut parts of the fleet find each other again.
-    fn rejoin(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if now < self.timers.rejoin {
-            return;
-        }
-        let me = self.membership.me().peer_addr;
-        let alone = self.membership.live_count() == 1;
-        if alone {
-            self.timers.rejoin = now + self.jittered(self.timers.join_pause);
-            let longest = Duration::from_millis(self.settings.rejoin_interval_ms);
-            self.timers.join_pause = (self.timers.join_pause * 2).min(longest);
-            let contact = self.contacts.iter().filter(|contact| **contact != me).choose(&mut self.rng);
-            if let Some(contact) = contact {
-                actions.push(Action::Exchange { with: *contact, compare: true, wanted: Vec::new() });
-            }
-        } else {
-            self.timers.join_pause = FIRST_JOIN_PAUSE;
-            self.timers.rejoin = now + self.jittered(Duration::from_millis(self.settings.rejoin_interval_ms));
-        }
-        let sequence = self.probes.next_sequence();
-        if let Some(dead) = self.random_dead() {
-            let ping = self.ping(&dead, sequence);
-            actions.push(send(dead.peer_addr, ping));
-        }
-        if let Some(contact) = self.random_absent_contact().filter(|_| !alone) {
-            let ping = self.datagram(wire::DatagramKind::Ping, sequence);
-            actions.push(send(contact, ping));
-        }
-    }
-
     fn send_news(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if now < self.timers.news || self.news.is_empty() {
             return;
@@ -492,7 +398,7 @@
     }
 
     /// A ping that tells a suspect or dead member what is said of it.
-    fn ping(&mut self, target: &Member, sequence: u32) -> wire::Datagram {
+    pub(super) fn ping(&mut self, target: &Member, sequence: u32) -> wire::Datagram {
         let mut ping = self.datagram(wire::DatagramKind::Ping, sequence);
         ping.target = target.id.name.to_string();
         if target.state != MemberState::Alive {
@@ -550,20 +456,7 @@
         live.sample(&mut self.rng, count).into_iter().map(Arc::clone).collect()
     }
 
-    fn random_dead(&mut self) -> Option<Arc<Member>> {
-        let others = self.membership.others().values().map(|known| &known.member);
-        others.filter(|member| member.state == MemberState::Dead).choose(&mut self.rng).map(Arc::clone)
-    }
-
-    fn random_absent_contact(&mut self) -> Option<SocketAddr> {
-        let membership = &self.membership;
-        let live = |addr: &SocketAddr| {
-            membership.members().any(|member| member.peer_addr == *addr && member.state != MemberState::Dead)
-        };
-        self.contacts.iter().filter(|contact| !live(contact)).choose(&mut self.rng).copied()
-    }
-
-    fn jittered(&mut self, pause: Duration) -> Duration {
+    pub(super) fn jittered(&mut self, pause: Duration) -> Duration {
         pause.mul_f64(self.rng.random_range(0.5..1.5))
     }
 }
@@ -575,6 +468,6 @@
     later_life || doubted
 }
 
-fn send(to: SocketAddr, datagram: wire::Datagram) -> Action {
+pub(super) fn send(to: SocketAddr, datagram: wire::Datagram) -> Action {
     Action::Send { to, datagram: Box::new(datagram) }
 }
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 pub mod probe;
 pub mod publication;
 pub mod publication_ledger;
+mod rejoin;
 pub mod retry_budget;
 pub mod routing;
 pub mod service_estimate;
