--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -35,7 +35,6 @@
 use crate::transport::announce_server::AnnounceDesk;
 use crate::transport::announce_server::AnnounceHandler;
 use crate::transport::config_reader::ConfigReader;
-use crate::transport::datagram_keys::DatagramKeys;
 use crate::transport::fleet_link::GossipLink;
 use crate::transport::gate::Gate;
 use crate::transport::gossip::Gossip;
@@ -43,11 +42,14 @@
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::ServerLimits;
 use crate::transport::http_server::serve;
+use crate::transport::http_server::serve_secured;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressHandler;
 use crate::transport::ingress::IngressParts;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::ControlChannels;
+use crate::transport::peer_security::PeerSecurity;
+use crate::transport::peer_security::SecurityError;
 use crate::transport::peer_server::PeerHandler;
 use crate::transport::platform_http::HttpPlatform;
 use crate::transport::publisher::Publisher;
@@ -72,6 +74,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The keys and certificates for peers can't be used.
+    #[snafu(display("/peer_security: {source}"), context(false))]
+    Security {
+        /// Why.
+        source: SecurityError,
+    },
 }
 
 /// Where a node listens once it has started.
@@ -150,6 +158,10 @@
     ///
     /// When an address can't be listened on.
     pub async fn start_on(settings: &Settings, policy: P, calls: &Handle) -> Result<Self> {
+        let security = Arc::new(PeerSecurity::load(settings.peer_security.as_ref())?);
+        if !security.is_on() {
+            log_event!(Warn, "peers are not authenticated: /peer_security is not set, so any host may join");
+        }
         let listeners = Listeners::bind(settings).await?;
         let addrs = listeners.addrs()?;
         let me = describe_me(settings, addrs);
@@ -162,8 +174,9 @@
             config: Arc::clone(&config),
             directory: Arc::clone(&directory),
             metrics: Arc::clone(&metrics),
+            security: Arc::clone(&security),
         };
-        let gossip = Arc::new(gossip(settings, &me, listeners.gossip, shared));
+        let gossip = Arc::new(gossip(settings, &me, listeners.gossip, &shared));
         let desk = Arc::new(AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&config)));
         let ingress = Arc::new(Ingress::new(IngressParts {
             me: Arc::new(me.clone()),
@@ -171,7 +184,7 @@
             directory: Arc::clone(&directory),
             config: Arc::clone(&config),
             gate: Arc::clone(&gate),
-            channels: Arc::new(CallChannels::default()),
+            channels: Arc::new(CallChannels::new(Arc::clone(&security))),
             control: Arc::clone(gossip.channels()),
             metrics: Arc::clone(&metrics),
             burn: Arc::clone(&burn),
@@ -179,21 +192,6 @@
             max_replay_bytes: settings.limits.max_replay_bytes,
             max_header_bytes: settings.limits.max_header_bytes,
         }));
-        let platform =
-            HttpPlatform::new(settings.platform.addr, Duration::from_millis(settings.platform.timeout_ms));
-        let link = GossipLink::new(Arc::clone(&gossip), Arc::clone(&config), Arc::clone(&directory));
-        let publisher = Publisher::new(platform.clone(), link, Arc::clone(&metrics), &me.id);
-        let reader = ConfigReader {
-            platform: platform.clone(),
-            gossip: Arc::clone(&gossip),
-            metrics: Arc::clone(&metrics),
-        };
-        let rendezvous = Rendezvous {
-            platform,
-            gossip: Arc::clone(&gossip),
-            has_seeds: !settings.seeds.is_empty(),
-            metrics: Arc::clone(&metrics),
-        };
         let stop_callers = CancellationToken::new();
         let stop_rest = CancellationToken::new();
         let limits = server_limits(settings);
@@ -210,24 +208,24 @@
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
         let caller_server = spawn_server(calls, listeners.ingress, limits, caller_handler, &stop_callers);
         let peer_limits = ServerLimits { max_connections: usize::from(u16::MAX), ..limits };
-        let peer_server = spawn_server(calls, listeners.peer, peer_limits, peer_handler, &stop_rest);
+        let peer_server = calls.spawn(serve_secured(
+            listeners.peer,
+            peer_limits,
+            peer_handler,
+            Arc::clone(&security),
+            stop_rest.clone(),
+        ));
         let announce_handler = AnnounceHandler::new(Arc::clone(&desk));
         let control = Handle::current();
-        drop(spawn_server(
-            &control,
-            listeners.announce,
-            ServerLimits::default(),
-            announce_handler,
-            &stop_rest,
-        ));
-        drop(spawn_server(&control, listeners.admin, ServerLimits::default(), admin_handler, &stop_rest));
-        let loops = vec![
+        let control_limits = ServerLimits::default();
+        drop(spawn_server(&control, listeners.announce, control_limits, announce_handler, &stop_rest));
+        drop(spawn_server(&control, listeners.admin, control_limits, admin_handler, &stop_rest));
+        let mut loops = spawn_platform_loops(settings, &gossip, &shared, &stop_rest);
+        loops.extend([
             tokio::spawn(Arc::clone(&gossip).run(stop_rest.clone())),
             tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
-            tokio::spawn(publisher.run(stop_rest.clone())),
-            tokio::spawn(reader.run(stop_rest.clone())),
-            tokio::spawn(rendezvous.run(stop_rest.clone())),
-        ];
+            tokio::spawn(security.run(stop_rest.clone())),
+        ]);
         log_started(&me, addrs);
         Ok(Self {
             addrs,
@@ -351,9 +349,10 @@
     config: Arc<ConfigTable>,
     directory: Arc<Directory>,
     metrics: SharedMetrics,
+    security: Arc<PeerSecurity>,
 }
 
-fn gossip(settings: &Settings, me: &Member, socket: UdpSocket, shared: SharedParts) -> Gossip {
+fn gossip(settings: &Settings, me: &Member, socket: UdpSocket, shared: &SharedParts) -> Gossip {
     let view = FleetView::new(
         me.clone(),
         settings.gossip.clone(),
@@ -364,12 +363,12 @@
     );
     Gossip::new(GossipParts {
         view,
-        config: shared.config,
-        directory: shared.directory,
+        config: Arc::clone(&shared.config),
+        directory: Arc::clone(&shared.directory),
         socket,
-        keys: DatagramKeys::default(),
-        channels: Arc::new(ControlChannels::default()),
-        metrics: shared.metrics,
+        channels: Arc::new(ControlChannels::new(Arc::clone(&shared.security))),
+        security: Arc::clone(&shared.security),
+        metrics: Arc::clone(&shared.metrics),
     })
 }
 
@@ -386,6 +385,33 @@
     );
 }
 
+/// Starts what the node does about the platform while it has a role there.
+fn spawn_platform_loops(
+    settings: &Settings,
+    gossip: &Arc<Gossip>,
+    shared: &SharedParts,
+    stop: &CancellationToken,
+) -> Vec<JoinHandle<()>> {
+    let timeout = Duration::from_millis(settings.platform.timeout_ms);
+    let platform = HttpPlatform::new(settings.platform.addr, timeout);
+    let metrics = &shared.metrics;
+    let link = GossipLink::new(Arc::clone(gossip), Arc::clone(&shared.config), Arc::clone(&shared.directory));
+    let publisher = Publisher::new(platform.clone(), link, Arc::clone(metrics), &gossip.me().id);
+    let reader =
+        ConfigReader { platform: platform.clone(), gossip: Arc::clone(gossip), metrics: Arc::clone(metrics) };
+    let rendezvous = Rendezvous {
+        platform,
+        gossip: Arc::clone(gossip),
+        has_seeds: !settings.seeds.is_empty(),
+        metrics: Arc::clone(metrics),
+    };
+    vec![
+        tokio::spawn(publisher.run(stop.clone())),
+        tokio::spawn(reader.run(stop.clone())),
+        tokio::spawn(rendezvous.run(stop.clone())),
+    ]
+}
+
 fn server_limits(settings: &Settings) -> ServerLimits {
     ServerLimits {
         max_connections: settings.limits.max_caller_connections as usize,
--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -255,6 +255,7 @@
         platform: PlatformSettings { addr: fleet.platform.addr, timeout_ms: 2_000 },
         limits: LimitSettings::default(),
         gossip: GossipSettings::default(),
+        peer_security: None,
         process: ProcessSettings::default(),
         log: LogSettings::default(),
     }
