load: slopes, what single parts of a node cost

Change: yuccatray-load slopes measures memory of members, services and burn counts, the time to replace the directory, to apply a publication and to count a call, and the processor time that ingress and gate add to a call.

--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -241,9 +241,9 @@
         zone: Arc::clone(&settings.node.zone),
         peer_addr: addrs.peer,
         ingress_addr: addrs.ingress,
+        admin_addr: addrs.admin,
         upstream: None,
         config_digest: 0,
-        admin_addr: addrs.admin,
     }
 }
 
--- a/lib/src/protocol/member.rs
+++ b/lib/src/protocol/member.rs
@@ -55,12 +55,12 @@
     pub peer_addr: SocketAddr,
     /// Where callers reach it.
     pub ingress_addr: SocketAddr,
+    /// Where operators and their tools reach it.
+    pub admin_addr: SocketAddr,
     /// Its upstream, once one has announced itself.
     pub upstream: Option<UpstreamInfo>,
     /// Digest of the services and revisions that it has applied.
     pub config_digest: u64,
-    /// Where operators and their tools reach it.
-    pub admin_addr: SocketAddr,
 }
 
 impl Member {
@@ -91,9 +91,9 @@
             zone: member.zone.to_string(),
             peer_addr: member.peer_addr.to_string(),
             ingress_addr: member.ingress_addr.to_string(),
+            admin_addr: member.admin_addr.to_string(),
             upstream: member.upstream.as_ref().map(wire::Upstream::from),
             config_digest: member.config_digest,
-            admin_addr: member.admin_addr.to_string(),
         }
     }
 }
@@ -126,9 +126,9 @@
         zone: Arc::from(message.zone.as_str()),
         peer_addr: message.peer_addr.parse().ok()?,
         ingress_addr: message.ingress_addr.parse().ok()?,
+        admin_addr: message.admin_addr.parse().ok()?,
         upstream: message.upstream.as_ref().map(upstream_from_wire),
         config_digest: message.config_digest,
-        admin_addr: message.admin_addr.parse().ok()?,
     })
 }
 
--- a/lib/tests/operators_reference.rs
+++ b/lib/tests/operators_reference.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeSet;
 use std::fmt::Write;
+use std::path::PathBuf;
 
 use schemars::JsonSchema;
 use schemars::schema_for;
@@ -18,6 +19,7 @@
 use yuccatray::protocol::settings::Settings;
 use yuccatray::transport::announce_server::Announcement;
 use yuccatray_testutils::workspace::read;
+use yuccatray_testutils::workspace::root;
 
 const INTRO: &str = "# Reference
 
@@ -186,13 +188,26 @@
     ErrorKind::ALL.len()
 }
 
+/// Every module of the state layer that holds metrics.
+fn metric_sources() -> String {
+    let directory = root().join("lib/src/state");
+    let entries = std::fs::read_dir(directory).expect("the state layer is where the test looks");
+    let mut paths: Vec<PathBuf> = entries.map(|entry| entry.expect("the entry can be read").path()).collect();
+    paths.sort();
+    let named = paths.iter().filter(|path| path.to_string_lossy().ends_with("metrics.rs"));
+    named.map(|path| std::fs::read_to_string(path).expect("a source file is text")).collect()
+}
+
 /// Metrics by the calls that register them: name, unit and help.
 fn metrics(page: &mut String) -> usize {
-    let source = read("lib/src/state/metrics.rs");
+    let source = metric_sources();
     page.push_str("\n## Metrics\n\n`GET /metrics` of the admin port, in the OpenMetrics text format, where a count ends in `_total`\nand a histogram in `_bucket`, `_sum` and `_count`.\n\n| metric | meaning |\n|---|---|\n");
     let mut count = 0;
     for call in source.split(".register").skip(1) {
         let arguments = call.split(";\n").next().unwrap_or_default();
+        if !arguments.contains('"') {
+            continue;
+        }
         let mut literals = arguments.split('"').skip(1).step_by(2);
         let (Some(name), Some(help)) = (literals.next(), literals.next()) else {
             panic!("a registration without name and help: {arguments}");
--- a/load/src/commands/compare.rs
+++ b/load/src/commands/compare.rs
@@ -93,7 +93,8 @@
     }
 }
 
-fn deployment() -> Deployment {
+/// Two services of one upstream each, of which one is only an ingress.
+pub fn deployment() -> Deployment {
     let service = |name: &str| ServiceLoad {
         name: Arc::from(name),
         upstreams: 1,
--- a/load/src/commands/mod.rs
+++ b/load/src/commands/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod compare;
 pub mod fleet;
+pub mod slopes;
--- /dev/null
+++ b/load/src/commands/slopes.rs
@@ -0,0 +1,344 @@
+//! Measures what single parts of a node cost, one slope a line.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant as WallInstant;
+
+use clap::Args;
+use http::Method;
+use http::StatusCode;
+use nix::sys::resource::UsageWho;
+use nix::sys::resource::getrusage;
+use nix::sys::time::TimeValLike;
+use parking_lot::Mutex;
+use prost::Message;
+use tokio::time::Instant;
+use yuccatray::coordination::burn_tally::BodyEnd;
+use yuccatray::coordination::burn_tally::BurnTally;
+use yuccatray::protocol::member::Member;
+use yuccatray::protocol::member::member_from_wire;
+use yuccatray::protocol::published::Published;
+use yuccatray::state::burn_counts::BurnCounts;
+use yuccatray::state::burn_counts::BurnKey;
+use yuccatray::state::config_table::ConfigTable;
+use yuccatray::state::directory::Directory;
+use yuccatray_load::caller::Caller;
+use yuccatray_load::embedded_fleet::EmbeddedFleet;
+use yuccatray_load::embedded_fleet::Result;
+use yuccatray_load::latency_table::LatencyTable;
+use yuccatray_load::open_loop::StreamPlan;
+use yuccatray_load::open_loop::run_stream;
+use yuccatray_proto::peer_v1 as wire;
+
+use crate::commands::compare::deployment;
+
+const PAGE_BYTES: usize = 4_096;
+const COPIES: usize = 20;
+const OBJECTIVE: Duration = Duration::from_millis(100);
+const RECORDS: u32 = 1_000_000;
+const RECORD_THREADS: u32 = 4;
+const REPEATS: u32 = 200;
+
+/// Measures what single parts of a node cost.
+#[derive(Debug, Args)]
+pub struct SlopesArgs {
+    /// Members of the fleet.
+    #[arg(long, default_value_t = 1_300)]
+    members: u32,
+    /// Services of the fleet.
+    #[arg(long, default_value_t = 170)]
+    services: u32,
+    /// Priorities of a service.
+    #[arg(long, default_value_t = 4)]
+    priorities: u32,
+    /// Rates at which the processor time of a call is measured, in calls per second.
+    #[arg(long, value_delimiter = ',', default_value = "500,1000,2000")]
+    rates: Vec<f64>,
+    /// Length of each leg, in milliseconds.
+    #[arg(long, default_value_t = 3_000)]
+    leg_ms: u64,
+}
+
+/// Runs `yuccatray-load slopes`.
+pub async fn cmd_slopes(args: &SlopesArgs) -> Result<()> {
+    memory(args);
+    directory(args);
+    config_table(args);
+    burn_counts(args);
+    processor_time(args).await
+}
+
+fn print(slope: &str, value: f64, unit: &str) {
+    println!("{slope}: {value:.2} {unit}");
+}
+
+/// Resident memory of each kind of state; what was made is kept, so that none is taken from freed memory.
+fn memory(args: &SlopesArgs) {
+    let (directories, grown) = grown_by(|| filled_directory(args));
+    print("member in the directory", per(grown, args.members), "bytes");
+    let (tables, grown) = grown_by(|| filled_table(args));
+    print("service in the configuration table", per(grown, args.services), "bytes");
+    let keys = burn_keys(args);
+    let (counts, grown) = grown_by(|| filled_counts(&keys));
+    print(
+        "service x priority in one shard of the burn counts, one slot each",
+        per(grown, pairs(args)),
+        "bytes",
+    );
+    drop((directories, tables, counts));
+}
+
+/// Copies of a state, and the resident bytes of one.
+fn grown_by<T, F>(make: F) -> (Vec<T>, usize)
+where
+    F: Fn() -> T,
+{
+    let mut copies = Vec::with_capacity(COPIES + 1);
+    copies.push(make());
+    let before = resident_bytes();
+    for _ in 0..COPIES {
+        copies.push(make());
+    }
+    let grown = resident_bytes().saturating_sub(before) / COPIES;
+    (copies, grown)
+}
+
+fn directory(args: &SlopesArgs) {
+    let members = members(args);
+    let encoded: usize = members.iter().map(|member| wire::Member::from(&**member).encoded_len()).sum();
+    print("member on the wire", per(encoded, args.members), "bytes");
+    let directory = Directory::default();
+    let took = timed(REPEATS, || directory.replace(members.iter().map(Arc::clone), Instant::now()));
+    print("directory replaced as a whole", took, "us");
+    let took = timed(RECORDS, || {
+        std::hint::black_box(directory.snapshot().upstreams_of("service-7").len());
+    });
+    print("upstreams of a service looked up", took, "us");
+}
+
+fn filled_directory(args: &SlopesArgs) -> Directory {
+    let directory = Directory::default();
+    directory.replace(members(args), Instant::now());
+    directory
+}
+
+fn members(args: &SlopesArgs) -> Vec<Arc<Member>> {
+    let named = |index: u32| wire::Member {
+        name: format!("vm-{index:05}"),
+        incarnation: 1_700_000_000_000_000 + u64::from(index),
+        version: u64::from(index),
+        state: wire::MemberState::Alive.into(),
+        region: format!("region-{}", index % 3),
+        zone: format!("zone-{}", index % 7),
+        peer_addr: format!("10.20.{}.{}:7101", index / 250, index % 250),
+        ingress_addr: format!("10.20.{}.{}:7001", index / 250, index % 250),
+        admin_addr: format!("10.20.{}.{}:7301", index / 250, index % 250),
+        upstream: Some(wire::Upstream {
+            service: format!("service-{}", index % args.services),
+            slots: 10,
+            draining: false,
+        }),
+        ..wire::Member::default()
+    };
+    (0..args.members).filter_map(|index| member_from_wire(&named(index))).map(Arc::new).collect()
+}
+
+fn config_table(args: &SlopesArgs) {
+    let text = published(args, 0, 1).to_string();
+    print("publication of a service as JSON", per(text.len(), 1), "bytes");
+    let table = filled_table(args);
+    let mut revision = 1;
+    let took = timed(REPEATS, || {
+        revision += 1;
+        let published = serde_json::from_value::<Published>(published(args, 0, revision));
+        assert!(published.is_ok_and(|published| table.apply(published)), "a later revision is applied");
+    });
+    print("publication read and applied", took, "us");
+    let took = timed(REPEATS, || {
+        std::hint::black_box(table.digest());
+    });
+    print("digest of the configuration", took, "us");
+}
+
+fn filled_table(args: &SlopesArgs) -> ConfigTable {
+    let table = ConfigTable::new();
+    for index in 0..args.services {
+        let published = serde_json::from_value::<Published>(published(args, index, 1));
+        assert!(published.is_ok_and(|published| table.apply(published)), "a first revision is applied");
+    }
+    table
+}
+
+fn published(args: &SlopesArgs, index: u32, revision: u64) -> serde_json::Value {
+    let priorities: serde_json::Map<_, _> = (0..args.priorities)
+        .map(|rank| {
+            let spec = serde_json::json!({ "objective_ms": 100, "target_percent": 99.9, "weight": 10 });
+            (format!("priority-{rank}"), spec)
+        })
+        .collect();
+    serde_json::json!({
+        "service": format!("service-{index}"), "revision": revision, "epoch": 1,
+        "config": {
+            "sources": {
+                "service_uid": "3f1c9a2e77d0", "service_version": 1,
+                "priority_set_version": 1, "upstream_rule_version": 1
+            },
+            "service": {
+                "priority_set": "all", "upstream_rule": "workers", "default_priority": "priority-0"
+            },
+            "priorities": { "priorities": priorities },
+            "upstream_rule": {}
+        }
+    })
+}
+
+fn burn_counts(args: &SlopesArgs) {
+    let keys = burn_keys(args);
+    let counts = filled_counts(&keys);
+    let rows = counts.rows(None, &ConfigTable::new().snapshot(), Instant::now());
+    let text = serde_json::to_string(&rows).unwrap_or_default();
+    print("row of a node's burn report", per(text.len(), pairs(args)), "bytes");
+    let mut key = 0;
+    let took = timed(RECORDS, || {
+        key = (key + 1) % keys.len();
+        tally(&counts, &keys[key]);
+    });
+    print("call counted, one thread", took, "us");
+    let took = timed(1, || count_on_threads(&counts, &keys)) / f64::from(RECORDS);
+    print("call counted, four threads at once, by the wall clock", took, "us");
+}
+
+fn filled_counts(keys: &[BurnKey]) -> Arc<BurnCounts> {
+    let counts = Arc::new(BurnCounts::new(Instant::now()));
+    for (index, key) in keys.iter().enumerate() {
+        count_latencies(&counts, key, index);
+    }
+    counts
+}
+
+fn burn_keys(args: &SlopesArgs) -> Vec<BurnKey> {
+    let pair = |index: u32| BurnKey {
+        service: Arc::from(format!("service-{}", index / args.priorities)),
+        priority: Arc::from(format!("priority-{}", index % args.priorities)),
+    };
+    (0..pairs(args)).map(pair).collect()
+}
+
+const fn pairs(args: &SlopesArgs) -> u32 {
+    args.services * args.priorities
+}
+
+/// Latencies from 0.2 ms to 1.2 s, as a busy service has them.
+fn count_latencies(counts: &Arc<BurnCounts>, key: &BurnKey, index: usize) {
+    let started = Instant::now();
+    for step in 0..200_u64 {
+        let latency = Duration::from_micros(200 + step * step * 30 + index as u64);
+        let tally = BurnTally::new(Arc::clone(counts), key.clone(), OBJECTIVE, started);
+        tally.answered(StatusCode::OK, Duration::ZERO);
+        tally.ended(BodyEnd::Whole, started + latency);
+    }
+}
+
+fn tally(counts: &Arc<BurnCounts>, key: &BurnKey) {
+    let now = Instant::now();
+    let tally = BurnTally::new(Arc::clone(counts), key.clone(), OBJECTIVE, now);
+    tally.answered(StatusCode::OK, Duration::ZERO);
+    tally.ended(BodyEnd::Whole, now);
+}
+
+fn count_on_threads(counts: &Arc<BurnCounts>, keys: &[BurnKey]) {
+    std::thread::scope(|scope| {
+        for _ in 0..RECORD_THREADS {
+            scope.spawn(|| {
+                for step in 0..RECORDS / RECORD_THREADS {
+                    tally(counts, &keys[step as usize % keys.len()]);
+                }
+            });
+        }
+    });
+}
+
+/// Processor time of a call through two nodes over that of the direct call, callers and upstream included in both.
+async fn processor_time(args: &SlopesArgs) -> Result<()> {
+    let fleet = EmbeddedFleet::start(&deployment(), Path::new("examples")).await?;
+    let direct = Arc::new(Caller::new(fleet.members[0].upstream.addr));
+    let through = Arc::new(Caller::new(fleet.ingress_addr(1)));
+    let idle = cpu_of(tokio::time::sleep(Duration::from_millis(args.leg_ms))).await;
+    let nodes = u32::try_from(fleet.members.len()).unwrap_or(u32::MAX);
+    print(
+        "idle node with its share of the stand-ins",
+        share(idle, args.leg_ms) / f64::from(nodes),
+        "% of a core",
+    );
+    for rate in &args.rates {
+        let direct_us = call_cpu_us(&direct, *rate, args.leg_ms, idle).await;
+        let through_us = call_cpu_us(&through, *rate, args.leg_ms, idle).await;
+        print(&format!("processor time of a direct call at {rate}/s"), direct_us, "us");
+        print(&format!("added by ingress and gate at {rate}/s"), through_us - direct_us, "us");
+    }
+    fleet.stop().await;
+    Ok(())
+}
+
+async fn call_cpu_us(caller: &Arc<Caller>, rate: f64, leg_ms: u64, idle: Duration) -> f64 {
+    let plan = StreamPlan {
+        service: Arc::from("catalogue"),
+        priority: Arc::from("browse"),
+        method: Method::GET,
+        calls_per_second: rate,
+        objective: OBJECTIVE,
+        seed: 1,
+    };
+    let table = Arc::new(Mutex::new(LatencyTable::default()));
+    let leg = Duration::from_millis(leg_ms);
+    let spent = cpu_of(run_stream(plan, vec![Arc::clone(caller)], leg, Arc::clone(&table))).await;
+    let calls: u64 = table.lock().rows().map(|(_, row)| row.calls()).sum();
+    let calls = u32::try_from(calls).unwrap_or(u32::MAX).max(1);
+    spent.saturating_sub(idle).as_secs_f64() * 1e6 / f64::from(calls)
+}
+
+async fn cpu_of<F>(work: F) -> Duration
+where
+    F: Future,
+{
+    let before = cpu_time();
+    work.await;
+    cpu_time().saturating_sub(before)
+}
+
+/// Processor time of this process so far.
+fn cpu_time() -> Duration {
+    let Ok(usage) = getrusage(UsageWho::RUSAGE_SELF) else {
+        return Duration::ZERO;
+    };
+    let micros = usage.user_time().num_microseconds() + usage.system_time().num_microseconds();
+    Duration::from_micros(u64::try_from(micros).unwrap_or(0))
+}
+
+/// Memory that this process has resident, in bytes.
+fn resident_bytes() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<usize>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+/// Mean time of one run, in microseconds.
+fn timed<F>(runs: u32, mut run: F) -> f64
+where
+    F: FnMut(),
+{
+    let started = WallInstant::now();
+    for _ in 0..runs {
+        run();
+    }
+    started.elapsed().as_secs_f64() * 1e6 / f64::from(runs)
+}
+
+fn share(spent: Duration, of_ms: u64) -> f64 {
+    spent.as_secs_f64() / Duration::from_millis(of_ms).as_secs_f64() * 100.0
+}
+
+fn per(bytes: usize, count: u32) -> f64 {
+    f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / f64::from(count)
+}
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -9,6 +9,7 @@
 
 use crate::commands::compare;
 use crate::commands::fleet;
+use crate::commands::slopes;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -25,6 +26,7 @@
 enum Command {
     Fleet(fleet::FleetArgs),
     Compare(compare::CompareArgs),
+    Slopes(slopes::SlopesArgs),
 }
 
 #[tokio::main]
@@ -32,6 +34,7 @@
     let result = match Args::parse().command {
         Command::Fleet(args) => fleet::cmd_fleet(&args).await,
         Command::Compare(args) => compare::cmd_compare(&args).await,
+        Command::Slopes(args) => slopes::cmd_slopes(&args).await,
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
