--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -269,6 +269,7 @@
 
     fn candidate(&self, entry: &DirectoryEntry, now: Instant) -> Candidate {
         Candidate {
+            peer_addr: entry.member.peer_addr,
             load: entry.stats.load(now),
             slots: entry.member.upstream.as_ref().map_or(1, |upstream| upstream.slots),
             same_zone: entry.member.zone == self.parts.me.zone,
@@ -309,8 +310,12 @@
         call: &Call,
         request: Request<CallBody>,
     ) -> Result<Response<AnswerBody>> {
-        let gate_call =
-            GateCall { id: call.id.clone(), priority: call.head.priority, deadline: call.deadline };
+        let gate_call = GateCall {
+            id: call.id.clone(),
+            priority: call.head.priority,
+            deadline: call.deadline,
+            patience: None,
+        };
         let response = self.parts.gate.call(gate_call, request).await?;
         Ok(response.map(Either::Right))
     }
--- a/load/src/commands/compare.rs
+++ b/load/src/commands/compare.rs
@@ -100,6 +100,7 @@
         upstreams: 1,
         slots: 40,
         mean_service_us: MEAN_SERVICE_US,
+        service_stages: 1,
         streams: Vec::<CallStream>::new(),
     };
     Deployment {
--- a/load/src/commands/fleet.rs
+++ b/load/src/commands/fleet.rs
@@ -117,7 +117,8 @@
     std::fs::write(path, page).map_err(|error| FleetError::Burn { reason: error.to_string() })
 }
 
-fn objectives(path: &Path) -> Result<IndexMap<Arc<str>, PrioritySpec>> {
+/// The priorities that the objects in a file declare, by name.
+pub fn objectives(path: &Path) -> Result<IndexMap<Arc<str>, PrioritySpec>> {
     let mut objectives = IndexMap::new();
     for manifest in load_manifests(path)? {
         if manifest.object_kind() == Some(ObjectKind::PrioritySet) {
--- a/load/tests/burn_report.rs
+++ b/load/tests/burn_report.rs
@@ -55,6 +55,7 @@
         upstreams: 2,
         slots: 50,
         mean_service_us,
+        service_stages: 1,
         streams: Vec::new(),
     };
     let mut deployment =
