cli: top and trace, what is served now and what was decided about one call

Cause: an operator could see counters of one node, but neither the fleet's service now nor what became of one call.

--- a/burn/src/gather.rs
+++ b/burn/src/gather.rs
@@ -6,17 +6,14 @@
 
 use indexmap::IndexMap;
 use serde::Serialize;
-use tokio::sync::Semaphore;
-use tokio::task::JoinSet;
 use yuccatray::protocol::burn::BurnReport;
+use yuccatray::transport::admin_client::MemberAnswer;
 use yuccatray::transport::admin_client::Result;
+use yuccatray::transport::admin_client::read_from_members;
 use yuccatray::transport::admin_client::read_report;
 use yuccatray::transport::admin_server::MemberReport;
 use yuccatray::transport::admin_server::NodeReport;
 
-const NODES_AT_ONCE: usize = 32;
-const DEAD: &str = "dead";
-
 /// What to read and how long to wait for it.
 #[derive(Clone, Debug)]
 pub struct GatherPlan {
@@ -57,34 +54,11 @@
     let known: NodeReport = read_report(plan.node, "/v1/node", plan.timeout).await?;
     let target =
         plan.service.as_ref().map_or("/v1/burn".to_owned(), |name| format!("/v1/burn?service={name}"));
-    let target = Arc::<str>::from(target);
-    let permits = Arc::new(Semaphore::new(NODES_AT_ONCE));
-    let mut reads = JoinSet::new();
-    for member in known.members {
-        reads.spawn(read_member(member, Arc::clone(&target), plan.timeout, Arc::clone(&permits)));
-    }
-    let mut read = reads.join_all().await;
-    read.sort_by(|(left, _), (right, _)| left.name.cmp(&right.name));
-    Ok(sorted_out(read))
-}
-
-async fn read_member(
-    member: MemberReport,
-    target: Arc<str>,
-    timeout: Duration,
-    permits: Arc<Semaphore>,
-) -> (MemberReport, std::result::Result<BurnReport, String>) {
-    if &*member.state == DEAD {
-        return (member, Err("it is dead, and its counts with it".to_owned()));
-    }
-    // The semaphore is never closed; without a permit the read goes on all the same.
-    let _permit = permits.acquire().await;
-    let report = read_report::<BurnReport>(member.admin_addr, &target, timeout).await;
-    let report = report.map_err(|error| error.to_string());
-    (member, report)
+    let answers = read_from_members(known.members, &target, plan.timeout).await;
+    Ok(sorted_out(answers))
 }
 
-fn sorted_out(read: Vec<(MemberReport, std::result::Result<BurnReport, String>)>) -> Gathered {
+fn sorted_out(read: Vec<MemberAnswer<BurnReport>>) -> Gathered {
     let mut reports = IndexMap::<(Arc<str>, u64), BurnReport>::new();
     let mut missing = Vec::new();
     for (member, report) in read {
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -5,6 +5,8 @@
 pub mod get;
 pub mod list;
 pub mod nodes;
+pub mod top;
+pub mod trace;
 pub mod wait;
 
 use yuccatray::protocol::object::ObjectKind;
--- /dev/null
+++ b/cli/src/commands/top.rs
@@ -0,0 +1,170 @@
+//! Shows live what is served, by service and priority.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::Args;
+use indexmap::IndexMap;
+use serde::Serialize;
+use yuccatray::protocol::burn::MissCause;
+use yuccatray::protocol::burn::Window;
+use yuccatray::transport::admin_client::read_from_members;
+use yuccatray::transport::admin_client::read_report;
+use yuccatray::transport::admin_server::NodeReport;
+use yuccatray_burn::fleet_burn::FleetBurn;
+use yuccatray_burn::fleet_burn::FleetRow;
+use yuccatray_burn::gather::GatherPlan;
+use yuccatray_burn::gather::gather;
+
+use crate::CommandContext;
+use crate::cli_error::CliError;
+use crate::cli_error::Result;
+use crate::output::OutputFormat;
+use crate::output::print_json;
+use crate::output::print_table;
+
+const CLEAR_SCREEN: &str = "\x1b[2J\x1b[H";
+const NONE: &str = "-";
+const PERCENT: f64 = 100.0;
+
+/// Shows live what is served, by service and priority.
+#[derive(Debug, Args)]
+pub struct TopArgs {
+    /// Admin address of any node.
+    #[arg(long, env = "YUCCATRAY_NODE", default_value = "127.0.0.1:7301")]
+    node: SocketAddr,
+    /// Show it once and stop.
+    #[arg(long)]
+    once: bool,
+    /// Time between two views, in milliseconds.
+    #[arg(long, default_value_t = 2_000)]
+    interval_ms: u64,
+    /// Time that one node may take to answer, in milliseconds.
+    #[arg(long, default_value_t = 3_000)]
+    node_timeout_ms: u64,
+}
+
+/// The gates of one service, added up.
+#[derive(Debug, Default, Serialize)]
+struct GateLoad {
+    gates: u32,
+    running: u32,
+    queued: u32,
+    limit: u32,
+}
+
+/// One service and priority over the last minute.
+#[derive(Debug, Serialize)]
+struct TopRow {
+    service: Arc<str>,
+    priority: Arc<str>,
+    calls_per_second: f64,
+    good_percent: Option<f64>,
+    burn_rate_5m: Option<f64>,
+    main_cause: Option<MissCause>,
+}
+
+#[derive(Debug, Serialize)]
+struct View {
+    services: IndexMap<Arc<str>, GateLoad>,
+    rows: Vec<TopRow>,
+    missing_nodes: Vec<Arc<str>>,
+}
+
+/// Runs `yuccactl top`; JSON is given once.
+pub async fn cmd_top(context: &CommandContext, args: &TopArgs) -> Result<()> {
+    if context.output == OutputFormat::Json {
+        print_json(&view(args).await?);
+        return Ok(());
+    }
+    if args.once {
+        print(&view(args).await?);
+        return Ok(());
+    }
+    loop {
+        let view = view(args).await?;
+        print!("{CLEAR_SCREEN}");
+        print(&view);
+        tokio::time::sleep(Duration::from_millis(args.interval_ms)).await;
+    }
+}
+
+async fn view(args: &TopArgs) -> Result<View> {
+    let timeout = Duration::from_millis(args.node_timeout_ms);
+    let failed =
+        |error| CliError::Node { message: format!("node at {} gave no list of members: {error}", args.node) };
+    let plan = GatherPlan { node: args.node, service: None, timeout };
+    let burn = FleetBurn::new(&gather(&plan).await.map_err(failed)?);
+    let known = read_report::<NodeReport>(args.node, "/v1/node", timeout).await.map_err(failed)?;
+    let mut services = IndexMap::<Arc<str>, GateLoad>::new();
+    for (member, answer) in read_from_members::<NodeReport>(known.members, "/v1/node", timeout).await {
+        if let (Some(service), Ok(report)) = (member.service, answer) {
+            services.entry(service).or_default().add(&report);
+        }
+    }
+    services.sort_unstable_keys();
+    Ok(View {
+        services,
+        rows: burn.rows.iter().map(top_row).collect(),
+        missing_nodes: burn.missing.iter().map(|missing| Arc::clone(&missing.node)).collect(),
+    })
+}
+
+impl GateLoad {
+    const fn add(&mut self, report: &NodeReport) {
+        self.gates += 1;
+        self.running += report.running;
+        self.queued += report.queued;
+        self.limit += report.limit;
+    }
+}
+
+fn top_row(row: &FleetRow) -> TopRow {
+    let last = row.window(Window::OneMinute);
+    let calls = last.map_or(0, |burn| burn.calls);
+    let good = last.map_or(0, |burn| burn.counts.good);
+    TopRow {
+        service: Arc::clone(&row.service),
+        priority: Arc::clone(&row.priority),
+        calls_per_second: as_f64(calls) / Window::OneMinute.length().as_secs_f64(),
+        good_percent: (calls > 0).then(|| as_f64(good) / as_f64(calls) * PERCENT),
+        burn_rate_5m: row.window(Window::FiveMinutes).and_then(|burn| burn.burn_rate),
+        main_cause: last.and_then(|burn| burn.main_cause),
+    }
+}
+
+fn print(view: &View) {
+    let services = view.services.iter().map(|(name, load)| {
+        vec![
+            name.to_string(),
+            load.gates.to_string(),
+            load.running.to_string(),
+            load.queued.to_string(),
+            load.limit.to_string(),
+        ]
+    });
+    print_table(&["SERVICE", "GATES", "RUNNING", "QUEUED", "SLOTS"], services.collect());
+    println!();
+    let rows = view.rows.iter().map(|row| {
+        vec![
+            row.service.to_string(),
+            row.priority.to_string(),
+            format!("{:.1}", row.calls_per_second),
+            row.good_percent.map_or(NONE.to_owned(), |good| format!("{good:.2} %")),
+            row.burn_rate_5m.map_or(NONE.to_owned(), |rate| format!("{rate:.2}")),
+            row.main_cause.map_or(NONE, MissCause::name).to_owned(),
+        ]
+    });
+    let header = ["SERVICE", "PRIORITY", "CALLS/S 1M", "IN OBJECTIVE 1M", "BURN 5M", "BURNED BY"];
+    print_table(&header, rows.collect());
+    if !view.missing_nodes.is_empty() {
+        let names: Vec<&str> = view.missing_nodes.iter().map(AsRef::as_ref).collect();
+        println!("\nMISSING, not in these figures: {}", names.join(", "));
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "calls of a minute are far below 2^52")]
+const fn as_f64(number: u64) -> f64 {
+    number as f64
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -18,6 +18,8 @@
 use crate::commands::get;
 use crate::commands::list;
 use crate::commands::nodes;
+use crate::commands::top;
+use crate::commands::trace;
 use crate::commands::wait;
 use crate::output::OutputFormat;
 
@@ -52,6 +54,8 @@
     Get(get::GetArgs),
     List(list::ListArgs),
     Nodes(nodes::NodesArgs),
+    Top(top::TopArgs),
+    Trace(trace::TraceArgs),
     Wait(wait::WaitArgs),
 }
 
@@ -86,6 +90,8 @@
         Command::Get(args) => get::cmd_get(context, args).await,
         Command::List(args) => list::cmd_list(context, args).await,
         Command::Nodes(args) => nodes::cmd_nodes(context, args).await,
+        Command::Top(args) => top::cmd_top(context, args).await,
+        Command::Trace(args) => trace::cmd_trace(context, args).await,
         Command::Wait(args) => wait::cmd_wait(context, args).await,
     }
 }
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -24,6 +24,7 @@
 use crate::protocol::settings::Settings;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
+use crate::state::decision_log::DecisionLog;
 use crate::state::directory::Directory;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
@@ -136,6 +137,7 @@
         let config = Arc::new(ConfigTable::new());
         let directory = Arc::new(Directory::default());
         let burn = Arc::new(BurnCounts::new(Instant::now()));
+        let decisions = Arc::new(DecisionLog::new(Instant::now()));
         let gate = Arc::new(Gate::new(Arc::clone(&metrics)));
         let gossip = Arc::new(gossip(settings, &me, &config, &directory));
         let desk = Arc::new(AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&config)));
@@ -149,6 +151,7 @@
             control: Arc::clone(gossip.channels()),
             metrics: Arc::clone(&metrics),
             burn: Arc::clone(&burn),
+            decisions: Arc::clone(&decisions),
             policy,
             max_replay_bytes: settings.limits.max_replay_bytes,
         }));
@@ -164,7 +167,12 @@
         let stop_callers = CancellationToken::new();
         let stop_rest = CancellationToken::new();
         let limits = server_limits(settings);
-        let peer_handler = PeerHandler::new(Arc::clone(&gate), Arc::clone(&config), Arc::clone(&gossip));
+        let peer_handler = PeerHandler::new(
+            Arc::clone(&gate),
+            Arc::clone(&config),
+            Arc::clone(&gossip),
+            Arc::clone(&decisions),
+        );
         let admin_handler = AdminHandler {
             me: me.clone(),
             directory: Arc::clone(&directory),
@@ -172,6 +180,7 @@
             gate: Arc::clone(&gate),
             metrics: Arc::clone(&metrics),
             burn,
+            decisions,
         };
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
         let caller_server = spawn_server(listeners.ingress, limits, caller_handler, &stop_callers);
--- a/lib/src/protocol/error_kind.rs
+++ b/lib/src/protocol/error_kind.rs
@@ -3,7 +3,12 @@
 use std::fmt;
 
 use http::StatusCode;
+use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::Serializer;
+use serde::de::Error;
+use serde::de::Visitor;
 
 /// Why a call was not answered by an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -136,6 +141,43 @@
     }
 }
 
+impl Serialize for ErrorKind {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.serialize_str(self.name())
+    }
+}
+
+impl<'de> Deserialize<'de> for ErrorKind {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserializer.deserialize_str(NameVisitor)
+    }
+}
+
+/// Reads a kind from its stable name.
+#[derive(Debug)]
+struct NameVisitor;
+
+impl Visitor<'_> for NameVisitor {
+    type Value = ErrorKind;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the name of an error kind")
+    }
+
+    fn visit_str<E>(self, name: &str) -> Result<ErrorKind, E>
+    where
+        E: Error,
+    {
+        ErrorKind::from_name(name).ok_or_else(|| E::custom(format!("no error kind is named {name:?}")))
+    }
+}
+
 impl fmt::Display for ErrorKind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.name())
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -12,3 +12,4 @@
 pub mod published;
 pub mod service_spec;
 pub mod settings;
+pub mod trace;
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -3,6 +3,7 @@
 pub mod burn_counts;
 pub mod call_records;
 pub mod config_table;
+pub mod decision_log;
 pub mod directory;
 pub mod metrics;
 pub mod time_ring;
--- a/lib/src/transport/admin_client.rs
+++ b/lib/src/transport/admin_client.rs
@@ -1,6 +1,7 @@
 //! Reading the reports of nodes over their admin port.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,10 +17,17 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+
+use crate::protocol::member::MemberState;
+use crate::transport::admin_server::MemberReport;
+use crate::transport::admin_server::state_name;
 
 /// Result of reading a report.
 pub type Result<T, E = AdminClientError> = std::result::Result<T, E>;
 
+const NODES_AT_ONCE: usize = 32;
 const MAX_REPORT_BYTES: usize = 64 * 1024 * 1024;
 
 /// Why a node's report can't be read.
@@ -84,6 +92,48 @@
     }
 }
 
+/// What one member answered, or why it gave no answer.
+pub type MemberAnswer<T> = (MemberReport, std::result::Result<T, String>);
+
+/// Reads one report from each member, a few at a time; a dead one is not asked.
+pub async fn read_from_members<T>(
+    members: Vec<MemberReport>,
+    target: &str,
+    timeout: Duration,
+) -> Vec<MemberAnswer<T>>
+where
+    T: DeserializeOwned + Send + 'static,
+{
+    let target = Arc::<str>::from(target);
+    let permits = Arc::new(Semaphore::new(NODES_AT_ONCE));
+    let mut reads = JoinSet::new();
+    for member in members {
+        reads.spawn(read_from_member(member, Arc::clone(&target), timeout, Arc::clone(&permits)));
+    }
+    let mut answers = reads.join_all().await;
+    answers.sort_by(|(left, _), (right, _)| left.name.cmp(&right.name));
+    answers
+}
+
+async fn read_from_member<T>(
+    member: MemberReport,
+    target: Arc<str>,
+    timeout: Duration,
+    permits: Arc<Semaphore>,
+) -> MemberAnswer<T>
+where
+    T: DeserializeOwned,
+{
+    if &*member.state == state_name(MemberState::Dead) {
+        return (member, Err("it is dead, and what it counted with it".to_owned()));
+    }
+    // The semaphore is never closed; without a permit the read goes on all the same.
+    let _permit = permits.acquire().await;
+    let report = read_report(member.admin_addr, &target, timeout).await;
+    let report = report.map_err(|error| error.to_string());
+    (member, report)
+}
+
 async fn exchange(node: SocketAddr, target: &str) -> Result<Bytes> {
     let request = Request::get(target).header(HOST, node.to_string());
     let request = request.body(Empty::<Bytes>::new()).context(RequestSnafu)?;
--- a/lib/src/transport/admin_server.rs
+++ b/lib/src/transport/admin_server.rs
@@ -19,10 +19,13 @@
 use tokio::time::Instant;
 
 use crate::protocol::burn::BurnReport;
+use crate::protocol::call_id::CallId;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberState;
+use crate::protocol::trace::TraceReport;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
+use crate::state::decision_log::DecisionLog;
 use crate::state::directory::Directory;
 use crate::state::metrics::SharedMetrics;
 use crate::transport::gate::Gate;
@@ -85,6 +88,8 @@
     pub metrics: SharedMetrics,
     /// Calls held against their objectives.
     pub burn: Arc<BurnCounts>,
+    /// The latest decisions, for traces.
+    pub decisions: Arc<DecisionLog>,
 }
 
 impl AdminHandler {
@@ -131,6 +136,24 @@
             rows: self.burn.rows(service, &self.config.snapshot(), now),
         }
     }
+
+    fn trace(&self, call: Option<&str>) -> Response<Full<Bytes>> {
+        match call.map(str::parse::<CallId>) {
+            Some(Ok(call)) => json(&self.trace_report(&call)),
+            Some(Err(error)) => answer(StatusCode::BAD_REQUEST, "text/plain", format!("{error}\n")),
+            None => answer(StatusCode::BAD_REQUEST, "text/plain", "no call named\n".to_owned()),
+        }
+    }
+
+    fn trace_report(&self, call: &CallId) -> TraceReport {
+        let remembered_ms = self.decisions.remembered(call, Instant::now()).as_millis();
+        TraceReport {
+            node: Arc::clone(&self.me.id.name),
+            incarnation: self.me.id.incarnation,
+            remembered_ms: u64::try_from(remembered_ms).unwrap_or(u64::MAX),
+            decisions: self.decisions.of(call),
+        }
+    }
 }
 
 impl Handler for AdminHandler {
@@ -150,10 +173,11 @@
             ),
             (&Method::GET, "/v1/node") => json(&self.report()),
             (&Method::GET, "/v1/burn") => json(&self.burn_report(queried(request.uri(), "service"))),
+            (&Method::GET, "/v1/trace") => self.trace(queried(request.uri(), "call")),
             _ => answer(
                 StatusCode::NOT_FOUND,
                 "text/plain",
-                "GET /livez, /readyz, /metrics, /v1/node or /v1/burn\n".to_owned(),
+                "GET /livez, /readyz, /metrics, /v1/node, /v1/burn or /v1/trace\n".to_owned(),
             ),
         }
     }
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -39,9 +39,11 @@
 use crate::protocol::headers;
 use crate::protocol::member::Member;
 use crate::protocol::published::PublishedConfig;
+use crate::protocol::trace::Step;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::burn_counts::BurnKey;
 use crate::state::config_table::ConfigTable;
+use crate::state::decision_log::DecisionLog;
 use crate::state::directory::Directory;
 use crate::state::directory::DirectoryEntry;
 use crate::state::metrics::CallLabels;
@@ -94,6 +96,8 @@
     pub metrics: SharedMetrics,
     /// Calls held against their objectives.
     pub burn: Arc<BurnCounts>,
+    /// The latest decisions, for traces.
+    pub decisions: Arc<DecisionLog>,
     /// How upstreams are chosen.
     pub policy: P,
     /// Largest body kept for a retry, in bytes.
@@ -183,6 +187,7 @@
             log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
             self.count(&call, answer.kind.name());
             call.tally.failed(answer.kind, Instant::now());
+            self.trace(&call, Step::CallFailed { kind: answer.kind });
         }
         result
     }
@@ -285,6 +290,7 @@
         entry.stats.start();
         let in_flight = InFlight { stats: Arc::clone(&entry.stats) };
         let sent_at = Instant::now();
+        self.trace(call, Step::Sent { to: Arc::clone(&entry.member.id.name) });
         let local = entry.member.id == self.parts.me.id;
         let result = if local {
             self.through_own_gate(call, request).await
@@ -297,6 +303,7 @@
                 Ok(self.answered(call, response, in_flight))
             }
             Err(answer) => {
+                self.trace(call, Step::AttemptFailed { kind: answer.kind });
                 if answer.kind != ErrorKind::Overloaded {
                     entry.stats.fail();
                 }
@@ -375,7 +382,10 @@
         headers::strip_hop_by_hop(&mut head.headers);
         in_flight.take_report(head.headers.remove(headers::LOAD).as_ref());
         let queued = head.headers.remove(headers::QUEUED_US);
-        call.tally.answered(head.status, queued_time(queued.as_ref()));
+        let queued = queued_time(queued.as_ref());
+        call.tally.answered(head.status, queued);
+        let queued_us = u64::try_from(queued.as_micros()).unwrap_or(u64::MAX);
+        self.trace(call, Step::Answered { status: head.status.as_u16(), queued_us });
         let guard = IngressGuard {
             metrics: Arc::clone(&self.parts.metrics),
             service: Arc::clone(&call.head.service),
@@ -400,6 +410,10 @@
         self.budgets.load().get(service).map_or(fresh, Arc::clone)
     }
 
+    fn trace(&self, call: &Call, step: Step) {
+        self.parts.decisions.record(&call.id, step, Instant::now());
+    }
+
     fn count(&self, call: &Call, outcome: &str) {
         count_call(&self.parts.metrics, &call.head.service, call.head.priority, outcome);
     }
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -23,13 +23,16 @@
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::headers;
+use crate::protocol::trace::Step;
 use crate::state::call_records::CallState;
 use crate::state::config_table::ConfigTable;
+use crate::state::decision_log::DecisionLog;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
 use crate::transport::gate::Gate;
 use crate::transport::gate::GateCall;
 use crate::transport::gate::GateGuard;
+use crate::transport::gate::GateResponse;
 use crate::transport::gossip::Gossip;
 use crate::transport::http_server::Handler;
 
@@ -43,15 +46,21 @@
 pub struct PeerHandler {
     gate: Arc<Gate>,
     config: Arc<ConfigTable>,
+    decisions: Arc<DecisionLog>,
     control: PeerServer<Control>,
 }
 
 impl PeerHandler {
     /// A handler over the node's gate and gossip.
     #[must_use]
-    pub fn new(gate: Arc<Gate>, config: Arc<ConfigTable>, gossip: Arc<Gossip>) -> Self {
+    pub fn new(
+        gate: Arc<Gate>,
+        config: Arc<ConfigTable>,
+        gossip: Arc<Gossip>,
+        decisions: Arc<DecisionLog>,
+    ) -> Self {
         let control = PeerServer::new(Control { gate: Arc::clone(&gate), gossip });
-        Self { gate, config, control }
+        Self { gate, config, decisions, control }
     }
 
     async fn call(&self, request: Request<Incoming>) -> Response<PeerBody> {
@@ -60,7 +69,10 @@
             Err(answer) => return refusal(answer, None),
         };
         let id = call.id.clone();
-        match self.gate.call(call, request.map(CallBody::unlimited)).await {
+        self.decisions.record(&id, Step::Arrived, Instant::now());
+        let result = self.gate.call(call, request.map(CallBody::unlimited)).await;
+        self.decisions.record(&id, gate_step(&result), Instant::now());
+        match result {
             Ok(response) => response.map(|body| Either::Right(Either::Left(body))),
             Err(answer) => refusal(answer, Some(&id)),
         }
@@ -88,6 +100,13 @@
     }
 }
 
+fn gate_step(result: &Result<GateResponse, ErrorAnswer>) -> Step {
+    match result {
+        Ok(response) => Step::Passed { status: response.status().as_u16() },
+        Err(answer) => Step::Refused { kind: answer.kind },
+    }
+}
+
 impl Handler for PeerHandler {
     type Body = PeerBody;
 
--- a/load/src/commands/slopes.rs
+++ b/load/src/commands/slopes.rs
@@ -16,12 +16,15 @@
 use tokio::time::Instant;
 use yuccatray::coordination::burn_tally::BodyEnd;
 use yuccatray::coordination::burn_tally::BurnTally;
+use yuccatray::protocol::call_id::CallIdSource;
 use yuccatray::protocol::member::Member;
 use yuccatray::protocol::member::member_from_wire;
 use yuccatray::protocol::published::Published;
+use yuccatray::protocol::trace::Step;
 use yuccatray::state::burn_counts::BurnCounts;
 use yuccatray::state::burn_counts::BurnKey;
 use yuccatray::state::config_table::ConfigTable;
+use yuccatray::state::decision_log::DecisionLog;
 use yuccatray::state::directory::Directory;
 use yuccatray_load::caller::Caller;
 use yuccatray_load::embedded_fleet::EmbeddedFleet;
@@ -205,6 +208,10 @@
         tally(&counts, &keys[key]);
     });
     print("call counted, one thread", took, "us");
+    let log = DecisionLog::new(Instant::now());
+    let ids = CallIdSource::new(Arc::from("vm-00007"), 1);
+    let took = timed(RECORDS, || log.record(&ids.next(), Step::Arrived, Instant::now()));
+    print("decision logged for traces", took, "us");
     let took = timed(1, || count_on_threads(&counts, &keys)) / f64::from(RECORDS);
     print("call counted, four threads at once, by the wall clock", took, "us");
 }
