--- /dev/null
+++ b/daemon/tests/check_settings.rs
@@ -0,0 +1,30 @@
+//! `yuccatrayd --check` on the example settings of both deployments, and on wrong ones.
+
+use std::path::Path;
+use std::process::Command;
+use std::process::Output;
+
+use yuccatray_testutils::workspace::root;
+
+fn check(path: &Path) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_yuccatrayd"));
+    command.arg("--check").arg("--settings").arg(path).output().expect("the binary runs")
+}
+
+#[test]
+fn check_examples_are_good() {
+    for name in ["nodes/dakar.jsonc", "nodes/mekong.jsonc", "settings.jsonc"] {
+        let path = root().join("examples").join(name);
+        let output = check(&path);
+        assert!(output.status.success(), "{name}: {}", String::from_utf8_lossy(&output.stderr));
+        let said = String::from_utf8_lossy(&output.stdout).replace(&path.display().to_string(), "PATH");
+        assert_eq!(said, "PATH: settings are good\n");
+    }
+}
+
+#[test]
+fn check_objects_file_is_no_settings() {
+    let output = check(&root().join("examples/objects/dakar.jsonc"));
+    assert_eq!(output.status.code(), Some(2));
+    assert!(output.stdout.is_empty());
+}
