admin: a node that stops is no longer ready

Cause: /readyz said ready until the port closed, so callers kept choosing a node that refuses new calls. Change: /readyz answers 503 with the reason while the node has no configuration or stops. Conclusion: readyz_from_start_to_stop follows it from start to stop with a call in flight.

--- a/lib/src/transport/admin_server.rs
+++ b/lib/src/transport/admin_server.rs
@@ -137,6 +137,16 @@
         }
     }
 
+    /// Why callers had better call another node, or nothing.
+    fn not_ready(&self) -> Option<&'static str> {
+        let snapshot = self.directory.snapshot();
+        let me = snapshot.by_name(&self.me.id.name);
+        if me.is_some_and(|entry| entry.member.state == MemberState::Leaving) {
+            return Some("stopping");
+        }
+        self.config.snapshot().is_empty().then_some("no configuration yet")
+    }
+
     fn trace(&self, call: Option<&str>) -> Response<Full<Bytes>> {
         match call.map(str::parse::<CallId>) {
             Some(Ok(call)) => json(&self.trace_report(&call)),
@@ -162,10 +172,10 @@
     async fn handle(&self, request: Request<Incoming>, _remote: SocketAddr) -> Response<Full<Bytes>> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/livez") => answer(StatusCode::OK, "text/plain", "alive\n".to_owned()),
-            (&Method::GET, "/readyz") if self.config.snapshot().is_empty() => {
-                answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no configuration yet\n".to_owned())
-            }
-            (&Method::GET, "/readyz") => answer(StatusCode::OK, "text/plain", "ready\n".to_owned()),
+            (&Method::GET, "/readyz") => match self.not_ready() {
+                None => answer(StatusCode::OK, "text/plain", "ready\n".to_owned()),
+                Some(reason) => answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", format!("{reason}\n")),
+            },
             (&Method::GET, "/metrics") => answer(
                 StatusCode::OK,
                 "application/openmetrics-text; version=1.0.0; charset=utf-8",
--- /dev/null
+++ b/lib/tests/readiness.rs
@@ -0,0 +1,103 @@
+//! Liveness and readiness of a node from its start to its stop.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use serde_json::json;
+use tokio::sync::oneshot;
+use yuccatray::node::Node;
+use yuccatray::protocol::headers;
+use yuccatray::protocol::object::ObjectKind;
+use yuccatray::protocol::object::Precondition;
+use yuccatray::protocol::settings::Settings;
+use yuccatray::transport::platform::Platform;
+use yuccatray::transport::platform_http::HttpPlatform;
+use yuccatray_standin::platform::PlatformStandin;
+use yuccatray_standin::upstream::UpstreamBehaviour;
+use yuccatray_standin::upstream::UpstreamStandin;
+use yuccatray_testutils::daemon_process::loopback_settings;
+use yuccatray_testutils::http_call::exchange;
+
+const POLL: Duration = Duration::from_millis(20);
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn probe(admin: SocketAddr, target: &str) -> (StatusCode, String) {
+    let request = Request::get(target).body(Bytes::new()).expect("the request is valid");
+    let answer = exchange(admin, request).await;
+    (answer.status(), String::from_utf8_lossy(answer.body()).into_owned())
+}
+
+async fn until_ready(admin: SocketAddr) {
+    while probe(admin, "/readyz").await.0 != StatusCode::OK {
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn declare(platform: &HttpPlatform) {
+    let priorities = json!({ "priorities": { "urgent": { "objective_ms": 3_600_000 } } });
+    let service = json!({ "priority_set": "one", "upstream_rule": "workers", "default_priority": "urgent" });
+    let objects = [
+        (ObjectKind::PrioritySet, "one", priorities),
+        (ObjectKind::UpstreamRule, "workers", json!({ "ramp_ms": 0 })),
+        (ObjectKind::Service, "orders", service),
+    ];
+    for (kind, name, value) in objects {
+        platform.put(kind, name, &value, Precondition::Absent).await.expect("the object is new");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn readyz_from_start_to_stop() {
+    let platform = PlatformStandin::start(any_port()).await.expect("the platform starts");
+    let settings = loopback_settings("vm-1", "dakar-a", platform.addr, &[]).to_string();
+    let node = Node::start(&Settings::parse(&settings).expect("the settings are valid")).await;
+    let node = node.expect("the node starts");
+    let addrs = node.addrs();
+    let unready = (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n".to_owned());
+    assert_eq!(probe(addrs.admin, "/readyz").await, unready);
+    assert_eq!(probe(addrs.admin, "/livez").await, (StatusCode::OK, "alive\n".to_owned()));
+
+    declare(&HttpPlatform::new(platform.addr, Duration::from_secs(10))).await;
+    until_ready(addrs.admin).await;
+
+    let behaviour = UpstreamBehaviour { mean_service_us: 2_000_000, ..UpstreamBehaviour::default() };
+    let upstream = UpstreamStandin::new(1, behaviour, 7);
+    let upstream = upstream.start(any_port()).await.expect("the upstream starts");
+    upstream.announce(addrs.announce, "orders", 1);
+    let (stopping, stopped) = oneshot::channel();
+    let call = tokio::spawn(call_until_running(addrs.ingress));
+    while upstream.standin.executions().is_empty() {
+        tokio::time::sleep(POLL).await;
+    }
+    let stop = tokio::spawn(async move {
+        let shutdown = node.stop().await;
+        assert!(stopping.send(()).is_ok(), "the test waits for the stop");
+        shutdown
+    });
+    while probe(addrs.admin, "/readyz").await.1 != "stopping\n" {
+        tokio::time::sleep(POLL).await;
+    }
+    assert_eq!(probe(addrs.admin, "/livez").await.0, StatusCode::OK);
+    assert_eq!(call.await.expect("the call ends"), StatusCode::OK);
+    stopped.await.expect("the node stops");
+    let shutdown = stop.await.expect("the node stops");
+    assert!(shutdown.callers_finished && shutdown.peers_finished);
+}
+
+/// Calls until an upstream takes the call; its answer's status.
+async fn call_until_running(ingress: SocketAddr) -> StatusCode {
+    loop {
+        let request = Request::post("/").header(headers::SERVICE, "orders").body(Bytes::new());
+        let answer = exchange(ingress, request.expect("the request is valid")).await;
+        if !answer.headers().contains_key(headers::ERROR) {
+            return answer.status();
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
