load: what callers notice of a lost VM, and the burn counts' memory over six hours

Change: yuccatray-load vm-loss kills node processes with their upstreams under load and measures failed calls, the last failure and the time to be taken for dead; slopes fills the burn counts over their whole length.

--- a/load/src/commands/mod.rs
+++ b/load/src/commands/mod.rs
@@ -4,3 +4,4 @@
 pub mod experiment;
 pub mod fleet;
 pub mod slopes;
+pub mod vm_loss;
--- a/load/src/commands/slopes.rs
+++ b/load/src/commands/slopes.rs
@@ -37,11 +37,13 @@
 use crate::commands::compare::deployment;
 
 const PAGE_BYTES: usize = 4_096;
-const COPIES: usize = 20;
+const COPIES: usize = 5;
 const OBJECTIVE: Duration = Duration::from_millis(100);
 const RECORDS: u32 = 1_000_000;
 const RECORD_THREADS: u32 = 4;
 const REPEATS: u32 = 200;
+const LONG_SLOT: Duration = Duration::from_mins(5);
+const FULL_SLOTS: u32 = 72;
 
 /// Measures what single parts of a node cost.
 #[derive(Debug, Args)]
@@ -83,13 +85,15 @@
     let (tables, grown) = grown_by(|| filled_table(args));
     print("service in the configuration table", per(grown, args.services), "bytes");
     let keys = burn_keys(args);
-    let (counts, grown) = grown_by(|| filled_counts(&keys));
+    let (few, grown) = grown_by(|| filled_counts(&keys, 1));
     print(
-        "service x priority in one shard of the burn counts, one slot each",
+        "service x priority in one shard of the burn counts, first slots",
         per(grown, pairs(args)),
         "bytes",
     );
-    drop((directories, tables, counts));
+    let (full, grown) = grown_by(|| filled_counts(&keys, FULL_SLOTS));
+    print("service x priority in one shard of the burn counts, six hours", per(grown, pairs(args)), "bytes");
+    drop((directories, tables, few, full));
 }
 
 /// Copies of a state, and the resident bytes of one.
@@ -198,7 +202,7 @@
 
 fn burn_counts(args: &SlopesArgs) {
     let keys = burn_keys(args);
-    let counts = filled_counts(&keys);
+    let counts = filled_counts(&keys, 1);
     let rows = counts.rows(None, &ConfigTable::new().snapshot(), Instant::now());
     let text = serde_json::to_string(&rows).unwrap_or_default();
     print("row of a node's burn report", per(text.len(), pairs(args)), "bytes");
@@ -216,10 +220,14 @@
     print("call counted, four threads at once, by the wall clock", took, "us");
 }
 
-fn filled_counts(keys: &[BurnKey]) -> Arc<BurnCounts> {
-    let counts = Arc::new(BurnCounts::new(Instant::now()));
-    for (index, key) in keys.iter().enumerate() {
-        count_latencies(&counts, key, index);
+/// Counts of every key over a number of slots of five minutes.
+fn filled_counts(keys: &[BurnKey], slots: u32) -> Arc<BurnCounts> {
+    let started = Instant::now();
+    let counts = Arc::new(BurnCounts::new(started));
+    for slot in 0..slots {
+        for (index, key) in keys.iter().enumerate() {
+            count_latencies(&counts, key, index, started + LONG_SLOT * slot);
+        }
     }
     counts
 }
@@ -237,9 +245,8 @@
 }
 
 /// Latencies from 0.2 ms to 1.2 s, as a busy service has them.
-fn count_latencies(counts: &Arc<BurnCounts>, key: &BurnKey, index: usize) {
-    let started = Instant::now();
-    for step in 0..200_u64 {
+fn count_latencies(counts: &Arc<BurnCounts>, key: &BurnKey, index: usize, started: Instant) {
+    for step in (0..200_u64).step_by(10) {
         let latency = Duration::from_micros(200 + step * step * 30 + index as u64);
         let tally = BurnTally::new(Arc::clone(counts), key.clone(), OBJECTIVE, started);
         tally.answered(StatusCode::OK, Duration::ZERO);
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -11,6 +11,7 @@
 use crate::commands::experiment;
 use crate::commands::fleet;
 use crate::commands::slopes;
+use crate::commands::vm_loss;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -28,6 +29,7 @@
     Fleet(fleet::FleetArgs),
     Compare(compare::CompareArgs),
     Slopes(slopes::SlopesArgs),
+    VmLoss(vm_loss::VmLossArgs),
     Experiment(experiment::ExperimentArgs),
 }
 
@@ -37,6 +39,7 @@
         Command::Fleet(args) => fleet::cmd_fleet(&args).await,
         Command::Compare(args) => compare::cmd_compare(&args).await,
         Command::Slopes(args) => slopes::cmd_slopes(&args).await,
+        Command::VmLoss(args) => vm_loss::cmd_vm_loss(&args).await,
         Command::Experiment(args) => experiment::cmd_experiment(&args).await,
     };
     match result {
