--- a/load/src/commands/mod.rs
+++ b/load/src/commands/mod.rs
@@ -3,5 +3,6 @@
 pub mod compare;
 pub mod experiment;
 pub mod fleet;
+pub mod peer_bodies;
 pub mod slopes;
 pub mod vm_loss;
--- a/load/src/commands/slopes.rs
+++ b/load/src/commands/slopes.rs
@@ -1,17 +1,11 @@
 //! Measures what single parts of a node cost, one slope a line.
 
-use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant as WallInstant;
 
 use clap::Args;
-use http::Method;
 use http::StatusCode;
-use nix::sys::resource::UsageWho;
-use nix::sys::resource::getrusage;
-use nix::sys::time::TimeValLike;
-use parking_lot::Mutex;
 use prost::Message;
 use tokio::time::Instant;
 use yuccatray::coordination::burn_tally::BodyEnd;
@@ -26,17 +20,9 @@
 use yuccatray::state::config_table::ConfigTable;
 use yuccatray::state::decision_log::DecisionLog;
 use yuccatray::state::directory::Directory;
-use yuccatray_load::caller::Caller;
-use yuccatray_load::embedded_fleet::EmbeddedFleet;
-use yuccatray_load::embedded_fleet::Result;
-use yuccatray_load::latency_table::LatencyTable;
-use yuccatray_load::open_loop::StreamPlan;
-use yuccatray_load::open_loop::run_stream;
+use yuccatray_load::process_usage::ProcessUsage;
 use yuccatray_proto::peer_v1 as wire;
 
-use crate::commands::compare::deployment;
-
-const PAGE_BYTES: usize = 4_096;
 const COPIES: usize = 5;
 const OBJECTIVE: Duration = Duration::from_millis(100);
 const RECORDS: u32 = 1_000_000;
@@ -57,21 +43,14 @@
     /// Priorities of a service.
     #[arg(long, default_value_t = 4)]
     priorities: u32,
-    /// Rates at which the processor time of a call is measured, in calls per second.
-    #[arg(long, value_delimiter = ',', default_value = "500,1000,2000")]
-    rates: Vec<f64>,
-    /// Length of each leg, in milliseconds.
-    #[arg(long, default_value_t = 3_000)]
-    leg_ms: u64,
 }
 
 /// Runs `yuccatray-load slopes`.
-pub async fn cmd_slopes(args: &SlopesArgs) -> Result<()> {
+pub fn cmd_slopes(args: &SlopesArgs) {
     memory(args);
     directory(args);
     config_table(args);
     burn_counts(args);
-    processor_time(args).await
 }
 
 fn print(slope: &str, value: f64, unit: &str) {
@@ -273,68 +252,10 @@
     });
 }
 
-/// Processor time of a call through two nodes over that of the direct call, callers and upstream included in both.
-async fn processor_time(args: &SlopesArgs) -> Result<()> {
-    let fleet = EmbeddedFleet::start(&deployment(), Path::new("examples")).await?;
-    let direct = Arc::new(Caller::new(fleet.members[0].upstream.addr));
-    let through = Arc::new(Caller::new(fleet.ingress_addr(1)));
-    let idle = cpu_of(tokio::time::sleep(Duration::from_millis(args.leg_ms))).await;
-    let nodes = u32::try_from(fleet.members.len()).unwrap_or(u32::MAX);
-    print(
-        "idle node with its share of the stand-ins",
-        share(idle, args.leg_ms) / f64::from(nodes),
-        "% of a core",
-    );
-    for rate in &args.rates {
-        let direct_us = call_cpu_us(&direct, *rate, args.leg_ms, idle).await;
-        let through_us = call_cpu_us(&through, *rate, args.leg_ms, idle).await;
-        print(&format!("processor time of a direct call at {rate}/s"), direct_us, "us");
-        print(&format!("added by ingress and gate at {rate}/s"), through_us - direct_us, "us");
-    }
-    fleet.stop().await;
-    Ok(())
-}
-
-async fn call_cpu_us(caller: &Arc<Caller>, rate: f64, leg_ms: u64, idle: Duration) -> f64 {
-    let plan = StreamPlan {
-        service: Arc::from("catalogue"),
-        priority: Arc::from("browse"),
-        method: Method::GET,
-        calls_per_second: rate,
-        objective: OBJECTIVE,
-        seed: 1,
-    };
-    let table = Arc::new(Mutex::new(LatencyTable::default()));
-    let leg = Duration::from_millis(leg_ms);
-    let spent = cpu_of(run_stream(plan, vec![Arc::clone(caller)], leg, Arc::clone(&table))).await;
-    let calls: u64 = table.lock().rows().map(|(_, row)| row.calls()).sum();
-    let calls = u32::try_from(calls).unwrap_or(u32::MAX).max(1);
-    spent.saturating_sub(idle).as_secs_f64() * 1e6 / f64::from(calls)
-}
-
-async fn cpu_of<F>(work: F) -> Duration
-where
-    F: Future,
-{
-    let before = cpu_time();
-    work.await;
-    cpu_time().saturating_sub(before)
-}
-
-/// Processor time of this process so far.
-fn cpu_time() -> Duration {
-    let Ok(usage) = getrusage(UsageWho::RUSAGE_SELF) else {
-        return Duration::ZERO;
-    };
-    let micros = usage.user_time().num_microseconds() + usage.system_time().num_microseconds();
-    Duration::from_micros(u64::try_from(micros).unwrap_or(0))
-}
-
 /// Memory that this process has resident, in bytes.
 fn resident_bytes() -> usize {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<usize>().ok());
-    pages.unwrap_or(0) * PAGE_BYTES
+    let usage = ProcessUsage::of(&[std::process::id()]).unwrap_or_default();
+    usize::try_from(usage.resident_bytes).unwrap_or(usize::MAX)
 }
 
 /// Mean time of one run, in microseconds.
@@ -349,10 +270,6 @@
     started.elapsed().as_secs_f64() * 1e6 / f64::from(runs)
 }
 
-fn share(spent: Duration, of_ms: u64) -> f64 {
-    spent.as_secs_f64() / Duration::from_millis(of_ms).as_secs_f64() * 100.0
-}
-
 fn per(bytes: usize, count: u32) -> f64 {
     f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / f64::from(count)
 }
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -10,6 +10,7 @@
 use crate::commands::compare;
 use crate::commands::experiment;
 use crate::commands::fleet;
+use crate::commands::peer_bodies;
 use crate::commands::slopes;
 use crate::commands::vm_loss;
 
@@ -28,6 +29,7 @@
 enum Command {
     Fleet(fleet::FleetArgs),
     Compare(compare::CompareArgs),
+    PeerBodies(peer_bodies::PeerBodiesArgs),
     Slopes(slopes::SlopesArgs),
     VmLoss(vm_loss::VmLossArgs),
     Experiment(experiment::ExperimentArgs),
@@ -38,7 +40,11 @@
     let result = match Args::parse().command {
         Command::Fleet(args) => fleet::cmd_fleet(&args).await,
         Command::Compare(args) => compare::cmd_compare(&args).await,
-        Command::Slopes(args) => slopes::cmd_slopes(&args).await,
+        Command::PeerBodies(args) => peer_bodies::cmd_peer_bodies(&args).await,
+        Command::Slopes(args) => {
+            slopes::cmd_slopes(&args);
+            Ok(())
+        }
         Command::VmLoss(args) => vm_loss::cmd_vm_loss(&args).await,
         Command::Experiment(args) => experiment::cmd_experiment(&args).await,
     };
