--- a/lib/tests/readiness.rs
+++ b/lib/tests/readiness.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::Request;
 use http::StatusCode;
-use serde_json::json;
 use tokio::sync::oneshot;
 use yuccatray::node::Node;
 use yuccatray::protocol::headers;
@@ -20,6 +19,7 @@
 use yuccatray_standin::upstream::UpstreamStandin;
 use yuccatray_testutils::daemon_process::loopback_settings;
 use yuccatray_testutils::http_call::exchange;
+use yuccatray_testutils::objects::one_service;
 
 const POLL: Duration = Duration::from_millis(20);
 
@@ -40,15 +40,9 @@
 }
 
 async fn declare(platform: &HttpPlatform) {
-    let priorities = json!({ "priorities": { "urgent": { "objective_ms": 3_600_000 } } });
-    let service = json!({ "priority_set": "one", "upstream_rule": "workers", "default_priority": "urgent" });
-    let objects = [
-        (ObjectKind::PrioritySet, "one", priorities),
-        (ObjectKind::UpstreamRule, "workers", json!({ "ramp_ms": 0 })),
-        (ObjectKind::Service, "orders", service),
-    ];
-    for (kind, name, value) in objects {
-        platform.put(kind, name, &value, Precondition::Absent).await.expect("the object is new");
+    for (kind, name, value) in one_service("orders") {
+        let kind = ObjectKind::from_name(kind).expect("the kind exists");
+        platform.put(kind, &name, &value, Precondition::Absent).await.expect("the object is new");
     }
 }
 
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod daemon_process;
 pub mod http_call;
+pub mod objects;
 pub mod raw_http;
 pub mod two_nodes;
 pub mod workspace;
