--- a/lib/src/protocol/burn.rs
+++ b/lib/src/protocol/burn.rs
@@ -110,15 +110,22 @@
     }
 }
 
-/// Calls that missed their objective, by cause.
+/// Calls that missed their objective, by cause; a cause without calls is left out on the wire.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MissCounts {
+    #[serde(default, skip_serializing_if = "is_zero")]
     queueing: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
     upstream_time: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
     upstream_error: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
     rejection: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
     unknown_outcome: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
     retries: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
     caller_gone: u64,
 }
 
@@ -173,6 +180,7 @@
     /// Calls that missed it.
     pub missed: MissCounts,
     /// Calls whose caller left before the objective had passed; neither good nor missed.
+    #[serde(default, skip_serializing_if = "is_zero")]
     pub left: u64,
 }
 
@@ -244,3 +252,9 @@
     /// Services and priorities that it took calls for.
     pub rows: Vec<BurnRow>,
 }
+
+/// Whether a count says nothing, in the form that serde asks for.
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde hands out references")]
+const fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
