burn: two shards and half-hour latency slots

Cause: at 170 services of 4 priorities the counts of a node would take 121 MB once six hours are full (44.4 KB for each pair in each of 4 shards, by yuccatray-load slopes). Change: two shards, and two latency slots of 30 minutes in place of four of 15.

--- a/lib/src/state/burn_counts.rs
+++ b/lib/src/state/burn_counts.rs
@@ -27,13 +27,13 @@
 use crate::state::config_table::ConfigSnapshot;
 use crate::state::time_ring::TimeRing;
 
-const SHARDS: usize = 4;
+const SHARDS: usize = 2;
 const SHORT_SLOT: Duration = Duration::from_secs(10);
 const SHORT_SLOTS: u64 = 30;
 const LONG_SLOT: Duration = Duration::from_mins(5);
 const LONG_SLOTS: u64 = 72;
-const LATENCY_SLOT: Duration = Duration::from_mins(15);
-const LATENCY_SLOTS: u64 = 4;
+const LATENCY_SLOT: Duration = Duration::from_mins(30);
+const LATENCY_SLOTS: u64 = 2;
 const LATENCY_WINDOW: Duration = Duration::from_hours(1);
 
 /// Service and priority of a call.
--- a/load/src/commands/slopes.rs
+++ b/load/src/commands/slopes.rs
@@ -23,7 +23,8 @@
 use yuccatray_load::process_usage::ProcessUsage;
 use yuccatray_proto::peer_v1 as wire;
 
-const COPIES: usize = 5;
+const COPIES: usize = 20;
+const LARGE_COPIES: usize = 4;
 const OBJECTIVE: Duration = Duration::from_millis(100);
 const RECORDS: u32 = 1_000_000;
 const RECORD_THREADS: u32 = 4;
@@ -59,34 +60,34 @@
 
 /// Resident memory of each kind of state; what was made is kept, so that none is taken from freed memory.
 fn memory(args: &SlopesArgs) {
-    let (directories, grown) = grown_by(|| filled_directory(args));
+    let (directories, grown) = grown_by(COPIES, || filled_directory(args));
     print("member in the directory", per(grown, args.members), "bytes");
-    let (tables, grown) = grown_by(|| filled_table(args));
+    let (tables, grown) = grown_by(COPIES, || filled_table(args));
     print("service in the configuration table", per(grown, args.services), "bytes");
     let keys = burn_keys(args);
-    let (few, grown) = grown_by(|| filled_counts(&keys, 1));
+    let (few, grown) = grown_by(LARGE_COPIES, || filled_counts(&keys, 1));
     print(
         "service x priority in one shard of the burn counts, first slots",
         per(grown, pairs(args)),
         "bytes",
     );
-    let (full, grown) = grown_by(|| filled_counts(&keys, FULL_SLOTS));
+    let (full, grown) = grown_by(LARGE_COPIES, || filled_counts(&keys, FULL_SLOTS));
     print("service x priority in one shard of the burn counts, six hours", per(grown, pairs(args)), "bytes");
     drop((directories, tables, few, full));
 }
 
 /// Copies of a state, and the resident bytes of one.
-fn grown_by<T, F>(make: F) -> (Vec<T>, usize)
+fn grown_by<T, F>(count: usize, make: F) -> (Vec<T>, usize)
 where
     F: Fn() -> T,
 {
-    let mut copies = Vec::with_capacity(COPIES + 1);
+    let mut copies = Vec::with_capacity(count + 1);
     copies.push(make());
     let before = resident_bytes();
-    for _ in 0..COPIES {
+    for _ in 0..count {
         copies.push(make());
     }
-    let grown = resident_bytes().saturating_sub(before) / COPIES;
+    let grown = resident_bytes().saturating_sub(before) / count;
     (copies, grown)
 }
 
