--- a/burn/src/page.rs
+++ b/burn/src/page.rs
@@ -83,7 +83,7 @@
     let _written = writeln!(page, "<p class=\"{class}\">{}</p>", escaped(&coverage(burn)));
     write_table(&mut page, "All zones", &burn.rows);
     if !burn.rows.is_empty() {
-        page.push_str("<h2>Burn rate</h2>\n<p>1 spends exactly the error budget.</p>\n");
+        page.push_str("<h2>Burn rate</h2>\n<p>1 spends exactly the error budget. Bars end at 50; the table has the figures.</p>\n");
         page.push_str(&burn_chart(&burn.rows)?);
         page.push_str("<h2>What missed the objective in the last hour</h2>\n");
         page.push_str(&cause_chart(&burn.rows)?);
