--- a/load/tests/burn_report.rs
+++ b/load/tests/burn_report.rs
@@ -8,6 +8,8 @@
 use http::Method;
 use serde_json::json;
 use tempfile::TempDir;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use yuccatray::protocol::burn::MissCause;
 use yuccatray::protocol::burn::Window;
@@ -26,6 +28,7 @@
 use yuccatray_standin::upstream::UpstreamBehaviour;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(20);
 const HOUR: Duration = Duration::from_hours(1);
 const CALLS: u64 = 120;
 
@@ -174,3 +177,30 @@
     assert!(page::render(&partial).expect("the page can be drawn").contains("class=\"missing\""));
     fleet.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gather_caller_that_leaves_is_neither_good_nor_missed() {
+    let fleet = fleet().await;
+    let steady: Vec<_> = fleet.members.iter().filter(|member| &*member.service == "steady").collect();
+    for member in &steady {
+        let slow = UpstreamBehaviour { mean_service_us: 10_000_000, ..UpstreamBehaviour::default() };
+        member.upstream.standin.set_behaviour(slow);
+    }
+    let mut caller = TcpStream::connect(fleet.ingress_addr(0)).await.expect("the node listens");
+    let request = b"POST / HTTP/1.1\r\nhost: a\r\nyuccatray-service: steady\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(request).await.expect("the request can be sent");
+    while steady.iter().all(|member| member.upstream.standin.executions().is_empty()) {
+        tokio::time::sleep(POLL).await;
+    }
+    drop(caller);
+    loop {
+        let burn = report(&fleet).await;
+        let counted = burn.rows.iter().find(|row| &*row.service == "steady");
+        if let Some(counted) = counted.and_then(|row| row.window(Window::OneHour)) {
+            assert_eq!((counted.counts.left, counted.calls), (1, 0));
+            break;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    fleet.stop().await;
+}
