--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -8,6 +8,8 @@
 pub mod get;
 pub mod list;
 pub mod nodes;
+pub mod top;
+pub mod trace;
 pub mod version;
 pub mod wait;
 pub mod watch;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -24,6 +24,8 @@
 use crate::commands::get;
 use crate::commands::list;
 use crate::commands::nodes;
+use crate::commands::top;
+use crate::commands::trace;
 use crate::commands::version;
 use crate::commands::wait;
 use crate::commands::watch;
@@ -65,6 +67,8 @@
     Nodes(nodes::NodesArgs),
     /// Prints the version.
     Version,
+    Top(top::TopArgs),
+    Trace(trace::TraceArgs),
     Wait(wait::WaitArgs),
     Watch(watch::WatchArgs),
 }
@@ -112,6 +116,8 @@
             version::cmd_version(context);
             Ok(())
         }
+        Command::Top(args) => top::cmd_top(context, args).await,
+        Command::Trace(args) => trace::cmd_trace(context, args).await,
         Command::Wait(args) => wait::cmd_wait(context, args).await,
         Command::Watch(args) => watch::cmd_watch(context, args).await,
     }
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -28,6 +28,7 @@
 use crate::protocol::settings::Settings;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
+use crate::state::decision_log::DecisionLog;
 use crate::state::directory::Directory;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
@@ -169,6 +170,7 @@
         let config = Arc::new(ConfigTable::new());
         let directory = Arc::new(Directory::default());
         let burn = Arc::new(BurnCounts::new(Instant::now()));
+        let decisions = Arc::new(DecisionLog::new(Instant::now()));
         let gate = Arc::new(Gate::new(Arc::clone(&metrics)));
         let shared = SharedParts {
             config: Arc::clone(&config),
@@ -188,6 +190,7 @@
             control: Arc::clone(gossip.channels()),
             metrics: Arc::clone(&metrics),
             burn: Arc::clone(&burn),
+            decisions: Arc::clone(&decisions),
             policy,
             max_replay_bytes: settings.limits.max_replay_bytes,
             max_header_bytes: settings.limits.max_header_bytes,
@@ -195,7 +198,12 @@
         let stop_callers = CancellationToken::new();
         let stop_rest = CancellationToken::new();
         let limits = server_limits(settings);
-        let peer_handler = PeerHandler::new(Arc::clone(&gate), Arc::clone(&config), Arc::clone(&gossip));
+        let peer_handler = PeerHandler::new(
+            Arc::clone(&gate),
+            Arc::clone(&config),
+            Arc::clone(&gossip),
+            Arc::clone(&decisions),
+        );
         let admin_handler = AdminHandler {
             me: me.clone(),
             directory: Arc::clone(&directory),
@@ -204,6 +212,7 @@
             desk: Arc::clone(&desk),
             metrics: Arc::clone(&metrics),
             burn,
+            decisions,
         };
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
         let caller_server = spawn_server(calls, listeners.ingress, limits, caller_handler, &stop_callers);
@@ -333,8 +342,8 @@
         zone: Arc::clone(&settings.node.zone),
         peer_addr: addrs.peer,
         ingress_addr: addrs.ingress,
-        upstream: None,
         admin_addr: addrs.admin,
+        upstream: None,
     }
 }
 
--- a/lib/src/transport/admin_server.rs
+++ b/lib/src/transport/admin_server.rs
@@ -19,10 +19,13 @@
 use tokio::time::Instant;
 
 use crate::protocol::burn::BurnReport;
+use crate::protocol::call_id::CallId;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberState;
+use crate::protocol::trace::TraceReport;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
+use crate::state::decision_log::DecisionLog;
 use crate::state::directory::Directory;
 use crate::state::metrics::SharedMetrics;
 use crate::transport::announce_server::AnnounceDesk;
@@ -93,6 +96,8 @@
     pub metrics: SharedMetrics,
     /// Calls held against their objectives.
     pub burn: Arc<BurnCounts>,
+    /// The latest decisions, for traces.
+    pub decisions: Arc<DecisionLog>,
 }
 
 impl AdminHandler {
@@ -140,6 +145,34 @@
             rows: self.burn.rows(service, &self.config.snapshot(), now),
         }
     }
+
+    /// Why callers had better call another node, or nothing.
+    fn not_ready(&self) -> Option<&'static str> {
+        let snapshot = self.directory.snapshot();
+        let me = snapshot.by_name(&self.me.id.name);
+        if me.is_some_and(|entry| entry.member.state == MemberState::Leaving) {
+            return Some("stopping");
+        }
+        self.config.snapshot().is_empty().then_some("no configuration yet")
+    }
+
+    fn trace(&self, call: Option<&str>) -> Response<Full<Bytes>> {
+        match call.map(str::parse::<CallId>) {
+            Some(Ok(call)) => json(&self.trace_report(&call)),
+            Some(Err(error)) => answer(StatusCode::BAD_REQUEST, "text/plain", format!("{error}\n")),
+            None => answer(StatusCode::BAD_REQUEST, "text/plain", "no call named\n".to_owned()),
+        }
+    }
+
+    fn trace_report(&self, call: &CallId) -> TraceReport {
+        let remembered_ms = self.decisions.remembered(call, Instant::now()).as_millis();
+        TraceReport {
+            node: Arc::clone(&self.me.id.name),
+            incarnation: self.me.id.incarnation,
+            remembered_ms: u64::try_from(remembered_ms).unwrap_or(u64::MAX),
+            decisions: self.decisions.of(call),
+        }
+    }
 }
 
 impl Handler for AdminHandler {
@@ -148,10 +181,10 @@
     async fn handle(&self, request: Request<Incoming>, _remote: SocketAddr) -> Response<Full<Bytes>> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/livez") => answer(StatusCode::OK, "text/plain", "alive\n".to_owned()),
-            (&Method::GET, "/readyz") if self.config.snapshot().is_empty() => {
-                answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no configuration yet\n".to_owned())
-            }
-            (&Method::GET, "/readyz") => answer(StatusCode::OK, "text/plain", "ready\n".to_owned()),
+            (&Method::GET, "/readyz") => match self.not_ready() {
+                None => answer(StatusCode::OK, "text/plain", "ready\n".to_owned()),
+                Some(reason) => answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", format!("{reason}\n")),
+            },
             (&Method::GET, "/metrics") => answer(
                 StatusCode::OK,
                 "application/openmetrics-text; version=1.0.0; charset=utf-8",
@@ -159,6 +192,7 @@
             ),
             (&Method::GET, "/v1/node") => json(&self.report()),
             (&Method::GET, "/v1/burn") => json(&self.burn_report(queried(request.uri(), "service"))),
+            (&Method::GET, "/v1/trace") => self.trace(queried(request.uri(), "call")),
             (&Method::PUT, DRAINING_PATH) => {
                 self.desk.drain();
                 json(&self.report())
@@ -170,7 +204,7 @@
             _ => answer(
                 StatusCode::NOT_FOUND,
                 "text/plain",
-                "GET /livez, /readyz, /metrics, /v1/node or /v1/burn; PUT or DELETE /v1/draining\n"
+                "GET /livez, /readyz, /metrics, /v1/node, /v1/burn or /v1/trace; PUT or DELETE /v1/draining\n"
                     .to_owned(),
             ),
         }
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -42,9 +42,11 @@
 use crate::protocol::headers;
 use crate::protocol::member::Member;
 use crate::protocol::published::PublishedConfig;
+use crate::protocol::trace::Step;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::burn_counts::BurnKey;
 use crate::state::config_table::ConfigTable;
+use crate::state::decision_log::DecisionLog;
 use crate::state::directory::Directory;
 use crate::state::directory::DirectoryEntry;
 use crate::state::metrics::CallLabels;
@@ -99,6 +101,8 @@
     pub metrics: SharedMetrics,
     /// Calls held against their objectives.
     pub burn: Arc<BurnCounts>,
+    /// The latest decisions, for traces.
+    pub decisions: Arc<DecisionLog>,
     /// How upstreams are chosen.
     pub policy: P,
     /// Largest body kept for a retry, in bytes.
@@ -193,6 +197,7 @@
             log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
             self.count(&call, answer.kind.name());
             call.tally.failed(answer.kind, Instant::now());
+            self.trace(&call, Step::CallFailed { kind: answer.kind });
         }
         result
     }
@@ -315,6 +320,7 @@
         entry.stats.start();
         let in_flight = InFlight { stats: Arc::clone(&entry.stats) };
         let sent_at = Instant::now();
+        self.trace(call, Step::Sent { to: Arc::clone(&entry.member.id.name) });
         // The name alone: after a long pause the node lives on under a later incarnation.
         let local = entry.member.id.name == self.parts.me.id.name;
         let result = if local {
@@ -328,6 +334,7 @@
                 Ok(self.answered(call, response, in_flight))
             }
             Err(answer) => {
+                self.trace(call, Step::AttemptFailed { kind: answer.kind });
                 if answer.kind != ErrorKind::Overloaded {
                     entry.stats.fail();
                 }
@@ -406,7 +413,10 @@
         headers::strip_hop_by_hop(&mut head.headers);
         in_flight.take_report(head.headers.remove(headers::LOAD).as_ref());
         let queued = head.headers.remove(headers::QUEUED_US);
-        call.tally.answered(head.status, queued_time(queued.as_ref()));
+        let queued = queued_time(queued.as_ref());
+        call.tally.answered(head.status, queued);
+        let queued_us = u64::try_from(queued.as_micros()).unwrap_or(u64::MAX);
+        self.trace(call, Step::Answered { status: head.status.as_u16(), queued_us });
         let guard = IngressGuard {
             metrics: Arc::clone(&self.parts.metrics),
             service: Arc::clone(&call.head.service),
@@ -431,6 +441,10 @@
         self.budgets.load().get(service).map_or(fresh, Arc::clone)
     }
 
+    fn trace(&self, call: &Call, step: Step) {
+        self.parts.decisions.record(&call.id, step, Instant::now());
+    }
+
     fn count(&self, call: &Call, outcome: &'static str) {
         count_call(&self.parts.metrics, &call.head.service, call.head.priority, outcome);
     }
--- a/load/src/commands/mod.rs
+++ b/load/src/commands/mod.rs
@@ -6,3 +6,5 @@
 pub mod peer_bodies;
 pub mod relay;
 pub mod scale;
+pub mod slopes;
+pub mod vm_loss;
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -13,6 +13,8 @@
 use crate::commands::peer_bodies;
 use crate::commands::relay;
 use crate::commands::scale;
+use crate::commands::slopes;
+use crate::commands::vm_loss;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -31,6 +33,8 @@
     Compare(compare::CompareArgs),
     PeerBodies(peer_bodies::PeerBodiesArgs),
     Relay(relay::RelayArgs),
+    Slopes(slopes::SlopesArgs),
+    VmLoss(vm_loss::VmLossArgs),
     Experiment(experiment::ExperimentArgs),
     Scale(scale::ScaleArgs),
 }
@@ -42,6 +46,11 @@
         Command::Compare(args) => compare::cmd_compare(&args).await,
         Command::PeerBodies(args) => peer_bodies::cmd_peer_bodies(&args).await,
         Command::Relay(args) => relay::cmd_relay(&args).await,
+        Command::Slopes(args) => {
+            slopes::cmd_slopes(&args);
+            Ok(())
+        }
+        Command::VmLoss(args) => vm_loss::cmd_vm_loss(&args).await,
         Command::Experiment(args) => experiment::cmd_experiment(&args).await,
         Command::Scale(args) => return finish(scale::cmd_scale(&args).await),
     };
