routing: gates move calls on, outliers left out, hedges under a budget

Cause: an ingress that sends few calls learns of a slow, failing or full upstream only after its own calls have suffered. Change: a call names how long it is worth staying at a gate; a gate that expects to need longer refuses before a byte is sent, with its live load, and the call goes on to another; the last gate has to keep it. Being moved on has a budget that closes while every gate is full. Slow and failing upstreams are left out up to the declared cap and come back by trials; new ones ramp up. Idempotent calls are hedged after a live quantile, and the loser is dropped.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -15,7 +15,8 @@
 const PERCENT: u64 = 100;
 /// Least share that a wait is reckoned with, in percent, for a priority that keeps none.
 const LEAST_SHARE_PERCENT: u64 = 2;
-/// Service times that have to fit after the wait for a call to be worth queueing.
+/// Share of the objective that the expected wait and two service times may fill, in percent.
+const QUEUEABLE_PERCENT: u32 = 75;
 const SERVICE_TIMES_AFTER_WAIT: u32 = 2;
 const RETRY_HINT_MIN: Duration = Duration::from_millis(10);
 const RETRY_HINT_MAX: Duration = Duration::from_secs(5);
@@ -48,6 +49,8 @@
     pub deadline: Instant,
     /// Longest time in all for which it is worth staying here, when another gate may be better.
     pub patience: Option<Duration>,
+    /// Whether it may run more than once, which makes it the better trial of a bad upstream.
+    pub idempotent: bool,
 }
 
 /// Why a gate refused a call.
@@ -190,8 +193,10 @@
         let free = self.free_for_all();
         let wait = if free { Duration::ZERO } else { self.expected_wait(index, now) };
         let service_time = Duration::from_micros(self.estimate.live_us(now));
-        let impatient = ticket.patience.is_some_and(|patience| wait + service_time > patience);
-        if impatient && !(free && self.estimate.claim_trial(now)) {
+        if let Some(patience) = ticket.patience
+            && wait + service_time > patience
+            && !(free && self.estimate.claim_trial(patience, ticket.idempotent, now))
+        {
             return Offer::Refused(Refusal::Impatient);
         }
         if free {
@@ -204,10 +209,11 @@
         let service_time = self.service_time();
         let lane = &mut self.lanes[index];
         let objective_at = now + lane.rule.objective;
+        let queueable_until = now + lane.rule.objective * QUEUEABLE_PERCENT / 100;
         if now + wait >= ticket.deadline {
             return Offer::Refused(Refusal::TooLate);
         }
-        if now + wait + service_time * SERVICE_TIMES_AFTER_WAIT > objective_at {
+        if now + wait + service_time * SERVICE_TIMES_AFTER_WAIT > queueable_until {
             return Offer::Refused(Refusal::ObjectiveMissed);
         }
         if lane.waiting.len() >= lane.rule.max_queue {
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -2,11 +2,15 @@
 
 pub mod admission;
 pub mod concurrency_limit;
+pub mod hedge;
 pub mod lease;
 pub mod manifest;
 pub mod membership;
+pub mod outlier_ejection;
 pub mod publication;
 pub mod retry_budget;
 pub mod routing;
+pub mod service_budgets;
 pub mod service_estimate;
 pub mod slot_shares;
+pub mod spill_budget;
--- a/lib/src/coordination/service_estimate.rs
+++ b/lib/src/coordination/service_estimate.rs
@@ -10,7 +10,8 @@
 const ALL_FAILING_PERMILLE: u64 = 1_000;
 const MIN_GOOD_PERMILLE: u64 = 60;
 const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
-const TRIAL_INTERVAL_MAX: Duration = Duration::from_secs(2);
+const TRIAL_INTERVAL_MAX: Duration = Duration::from_secs(1);
+const PRECIOUS_TRIAL_DELAY: Duration = Duration::from_secs(1);
 
 /// How a call ended for the upstream that ran it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,7 +20,7 @@
     Good(Duration),
     /// With an error of the upstream's own.
     Failed,
-    /// The caller left first, so it says nothing about the upstream.
+    /// The sender gave it up first, so it only says that it takes at least so long.
     Abandoned,
 }
 
@@ -33,7 +34,7 @@
     sum_of_starts_us: u64,
     trial_interval: Duration,
     next_trial: Instant,
-    on_trial: bool,
+    trial_patience: Option<Duration>,
 }
 
 impl ServiceEstimate {
@@ -48,7 +49,7 @@
             sum_of_starts_us: 0,
             trial_interval: Duration::ZERO,
             next_trial: now,
-            on_trial: false,
+            trial_patience: None,
         }
     }
 
@@ -62,11 +63,14 @@
     pub fn finish(&mut self, started: Instant, ended: Ended, now: Instant) {
         self.running = self.running.saturating_sub(1);
         self.sum_of_starts_us = self.sum_of_starts_us.saturating_sub(self.since_epoch_us(started));
-        let trial = std::mem::take(&mut self.on_trial);
+        let trial = self.trial_patience.take();
         match ended {
-            Ended::Good(took) => self.good(micros(took), trial),
-            Ended::Failed => self.failed(trial, now),
-            Ended::Abandoned => {}
+            Ended::Good(took) => self.good(micros(took), trial.is_some()),
+            Ended::Failed => self.failed(),
+            Ended::Abandoned => self.abandoned(micros(now.saturating_duration_since(started))),
+        }
+        if let Some(patience) = trial {
+            self.judge_trial(matches!(ended, Ended::Good(took) if took <= patience), now);
         }
     }
 
@@ -88,12 +92,14 @@
     }
 
     /// Whether one call may try an upstream that looks worse than others; claims the trial.
-    pub fn claim_trial(&mut self, now: Instant) -> bool {
-        if self.running > 0 || now < self.next_trial {
+    ///
+    /// Calls that may run more than once go first, since an ingress can race them elsewhere.
+    pub fn claim_trial(&mut self, patience: Duration, idempotent: bool, now: Instant) -> bool {
+        let due = if idempotent { self.next_trial } else { self.next_trial + PRECIOUS_TRIAL_DELAY };
+        if self.running > 0 || now < due {
             return false;
         }
-        self.on_trial = true;
-        self.next_trial = now + self.trial_interval;
+        self.trial_patience = Some(patience);
         true
     }
 
@@ -105,18 +111,25 @@
         };
         let fading = if trial { TRIAL_SMOOTHING } else { FAILURE_SMOOTHING };
         self.failing_permille -= self.failing_permille.div_ceil(fading);
-        self.trial_interval = Duration::ZERO;
     }
 
-    fn failed(&mut self, trial: bool, now: Instant) {
-        self.failing_permille += (ALL_FAILING_PERMILLE - self.failing_permille) / FAILURE_SMOOTHING;
-        if trial {
-            let doubled = (self.trial_interval * 2).max(TRIAL_INTERVAL);
-            self.trial_interval = doubled.min(TRIAL_INTERVAL_MAX);
-            self.next_trial = now + self.trial_interval;
+    /// A call given up after longer than usual took at least that long.
+    const fn abandoned(&mut self, age_us: u64) {
+        if self.mean_us > 0 && age_us > self.mean_us {
+            self.mean_us = (self.mean_us * (SMOOTHING - 1) + age_us) / SMOOTHING;
         }
     }
 
+    const fn failed(&mut self) {
+        self.failing_permille += (ALL_FAILING_PERMILLE - self.failing_permille) / FAILURE_SMOOTHING;
+    }
+
+    fn judge_trial(&mut self, passed: bool, now: Instant) {
+        let longer = (self.trial_interval * 2).clamp(TRIAL_INTERVAL, TRIAL_INTERVAL_MAX);
+        self.trial_interval = if passed { Duration::ZERO } else { longer };
+        self.next_trial = now + self.trial_interval;
+    }
+
     fn mean_age_us(&self, now: Instant) -> u64 {
         let running = u64::from(self.running);
         if running == 0 {
--- a/lib/src/protocol/answer.rs
+++ b/lib/src/protocol/answer.rs
@@ -13,6 +13,7 @@
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::error_kind::Execution;
 use crate::protocol::headers;
+use crate::protocol::load_report::LoadReport;
 
 /// A refusal or a failure, ready to be written to the caller.
 #[derive(Clone, Debug)]
@@ -23,6 +24,8 @@
     pub message: String,
     /// When the same request may be worth sending again.
     pub retry_after: Option<Duration>,
+    /// Load of the gate that refused, for the ingress only.
+    pub load: Option<LoadReport>,
 }
 
 /// The machine-readable body of an [`ErrorAnswer`].
@@ -41,7 +44,7 @@
 impl ErrorAnswer {
     /// An answer without a retry hint.
     pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
-        Self { kind, message: message.into(), retry_after: None }
+        Self { kind, message: message.into(), retry_after: None, load: None }
     }
 
     /// The same answer with a hint when to send again.
@@ -51,6 +54,13 @@
         self
     }
 
+    /// The same answer with the load of the gate that gives it.
+    #[must_use]
+    pub const fn with_load(mut self, load: LoadReport) -> Self {
+        self.load = Some(load);
+        self
+    }
+
     /// The complete HTTP response, with the body as bytes.
     #[must_use]
     pub fn into_response(self, call: Option<&CallId>) -> Response<Bytes> {
--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -10,6 +10,8 @@
 pub const PRIORITY: HeaderName = HeaderName::from_static("yuccatray-priority");
 /// Time left to the call, in milliseconds.
 pub const TIMEOUT_MS: HeaderName = HeaderName::from_static("yuccatray-timeout-ms");
+/// Longest time in all for which the call should stay at the gate, in microseconds.
+pub const PATIENCE_US: HeaderName = HeaderName::from_static("yuccatray-patience-us");
 /// `true` or `false`: whether the call may run more than once.
 pub const IDEMPOTENT: HeaderName = HeaderName::from_static("yuccatray-idempotent");
 /// A key of the caller's that ties its own resends together.
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -53,6 +53,12 @@
     pub gate_decisions: Family<ReasonLabels, Counter>,
     /// Attempts after the first, by reason.
     pub retries: Family<ReasonLabels, Counter>,
+    /// Calls moved on by a gate that would have kept them waiting, by reason.
+    pub spills: Family<ReasonLabels, Counter>,
+    /// Second copies of calls that raced the first.
+    pub hedges: Family<ReasonLabels, Counter>,
+    /// Races of two copies, by which one won.
+    pub hedge_outcomes: Family<ReasonLabels, Counter>,
     /// Calls of the platform, by outcome.
     pub platform_calls: Family<ReasonLabels, Counter>,
 }
@@ -69,6 +75,9 @@
         let call_latency = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
         let gate_decisions = Family::<ReasonLabels, Counter>::default();
         let retries = Family::<ReasonLabels, Counter>::default();
+        let spills = Family::<ReasonLabels, Counter>::default();
+        let hedges = Family::<ReasonLabels, Counter>::default();
+        let hedge_outcomes = Family::<ReasonLabels, Counter>::default();
         let platform_calls = Family::<ReasonLabels, Counter>::default();
         let mut registry = Registry::with_prefix("yuccatray");
         registry.register("calls", "Calls answered by the ingress", calls.clone());
@@ -80,8 +89,21 @@
         );
         registry.register("gate_decisions", "Decisions of the gate by reason", gate_decisions.clone());
         registry.register("retries", "Attempts after the first by reason", retries.clone());
+        registry.register("spills", "Calls moved on by a gate by reason", spills.clone());
+        registry.register("hedges", "Second copies of calls that raced the first", hedges.clone());
+        registry.register("hedge_outcomes", "Races of two copies by the winner", hedge_outcomes.clone());
         registry.register("platform_calls", "Calls of the platform by outcome", platform_calls.clone());
-        Self { registry: Mutex::new(registry), calls, call_latency, gate_decisions, retries, platform_calls }
+        Self {
+            registry: Mutex::new(registry),
+            calls,
+            call_latency,
+            gate_decisions,
+            retries,
+            spills,
+            hedges,
+            hedge_outcomes,
+            platform_calls,
+        }
     }
 }
 
--- a/lib/src/state/upstream_stats.rs
+++ b/lib/src/state/upstream_stats.rs
@@ -10,6 +10,7 @@
 use crate::protocol::load_report::LoadReport;
 
 const SMOOTHING_SHIFT: u32 = 3;
+const SERVICE_TIME_HALF_LIFE_US: u64 = 500_000;
 
 /// Live figures about one incarnation of an upstream, written without locks.
 #[derive(Debug)]
@@ -19,6 +20,7 @@
     reported_busy: AtomicU32,
     reported_limit: AtomicU32,
     reported_at_us: AtomicU64,
+    reported_service_time_us: AtomicU64,
     service_time_us: AtomicU64,
     consecutive_failures: AtomicU32,
 }
@@ -34,7 +36,7 @@
     pub reported_limit: u32,
     /// Age of the gate's last word, in microseconds.
     pub report_age_us: u64,
-    /// Smoothed time from sending to the header section, in microseconds.
+    /// Time that a good answer costs there, in microseconds; 0 when nothing is known.
     pub service_time_us: u64,
     /// Failures since the last good answer.
     pub consecutive_failures: u32,
@@ -50,6 +52,7 @@
             reported_busy: AtomicU32::new(0),
             reported_limit: AtomicU32::new(0),
             reported_at_us: AtomicU64::new(0),
+            reported_service_time_us: AtomicU64::new(0),
             service_time_us: AtomicU64::new(0),
             consecutive_failures: AtomicU32::new(0),
         }
@@ -75,6 +78,7 @@
     pub fn report(&self, load: LoadReport, now: Instant) {
         self.reported_busy.store(load.running + load.queued, Ordering::Relaxed);
         self.reported_limit.store(load.limit, Ordering::Relaxed);
+        self.reported_service_time_us.store(load.service_time_us, Ordering::Relaxed);
         self.reported_at_us.store(micros(now - self.epoch), Ordering::Relaxed);
     }
 
@@ -102,12 +106,27 @@
             reported_busy: self.reported_busy.load(Ordering::Relaxed),
             reported_limit: self.reported_limit.load(Ordering::Relaxed),
             report_age_us: since.saturating_sub(self.reported_at_us.load(Ordering::Relaxed)),
-            service_time_us: self.service_time_us.load(Ordering::Relaxed),
+            service_time_us: self.service_time_us(since),
             consecutive_failures: self.consecutive_failures.load(Ordering::Relaxed),
         }
     }
 }
 
+impl UpstreamStats {
+    /// The gate's word, which returns to this node's own figure as it ages.
+    fn service_time_us(&self, since_epoch_us: u64) -> u64 {
+        let own = self.service_time_us.load(Ordering::Relaxed);
+        let reported = self.reported_service_time_us.load(Ordering::Relaxed);
+        if reported == 0 || own == 0 {
+            return reported.max(own);
+        }
+        let age_us = since_epoch_us.saturating_sub(self.reported_at_us.load(Ordering::Relaxed));
+        let halvings = u32::try_from(age_us / SERVICE_TIME_HALF_LIFE_US).unwrap_or(u32::MAX);
+        let above = reported.saturating_sub(own).checked_shr(halvings).unwrap_or(0);
+        reported.min(own) + above
+    }
+}
+
 fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/lib/src/transport/call_attempts.rs
@@ -0,0 +1,315 @@
+//! The attempts of one call: which gate next, whether again, what to learn from it.
+
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::Either as FutureEither;
+use futures_util::future::select;
+use http::Request;
+use http::Response;
+use indexmap::IndexMap;
+use tokio::time::Instant;
+
+use crate::coordination::routing::Candidate;
+use crate::coordination::routing::FULL_RAMP_PERMILLE;
+use crate::coordination::routing::RoutingLimits;
+use crate::coordination::routing::RoutingPolicy;
+use crate::coordination::service_budgets::ServiceBudgets;
+use crate::protocol::error_kind::ErrorKind;
+use crate::protocol::published::PublishedConfig;
+use crate::state::directory::DirectoryEntry;
+use crate::state::metrics::Metrics;
+use crate::transport::call_body::CallBody;
+use crate::transport::call_body::GuardedBody;
+use crate::transport::ingress::AnswerBody;
+use crate::transport::ingress::Call;
+use crate::transport::ingress::InFlight;
+use crate::transport::ingress::Ingress;
+use crate::transport::ingress::IngressGuard;
+use crate::transport::ingress::Outgoing;
+use crate::transport::ingress::Result;
+use crate::transport::ingress::no_upstream;
+
+/// Gates that may move one call on before the next one has to keep it.
+const MAX_SPILLS: usize = 2;
+
+/// An answer on its way to the caller.
+pub type Answered = Response<GuardedBody<AnswerBody, IngressGuard>>;
+
+/// Gates that one call has been to.
+#[derive(Debug, Default)]
+struct Visited {
+    /// Those where an attempt failed.
+    failed: Vec<Arc<str>>,
+    /// Those that moved the call on.
+    moved_on: Vec<Arc<str>>,
+}
+
+impl Visited {
+    fn contains(&self, name: &Arc<str>) -> bool {
+        self.failed.contains(name) || self.moved_on.contains(name)
+    }
+}
+
+/// One attempt as planned.
+#[derive(Debug)]
+struct Plan {
+    entry: DirectoryEntry,
+    patience: Option<Duration>,
+}
+
+/// What the attempts of one call share.
+#[derive(Clone, Copy, Debug)]
+struct Race<'a> {
+    call: &'a Call,
+    config: &'a PublishedConfig,
+    budgets: &'a ServiceBudgets,
+    visited: &'a Visited,
+}
+
+impl<P> Ingress<P>
+where
+    P: RoutingPolicy + Send + Sync + 'static,
+{
+    /// Makes attempts until one is answered or none may follow.
+    pub(super) async fn attempts(
+        &self,
+        call: &mut Call,
+        config: &PublishedConfig,
+        outgoing: &mut Outgoing,
+    ) -> Result<Answered> {
+        let budgets = self.budgets(&call.head.service);
+        budgets.retry.earn(config.service.retry.budget_percent);
+        let mut visited = Visited::default();
+        let mut attempt = 1;
+        let mut last = None;
+        while let Some(plan) = self.plan(call, config, &budgets, &mut visited) {
+            let Some(request) = outgoing.next_request(call, plan.patience) else {
+                break;
+            };
+            let race = Race { call, config, budgets: &budgets, visited: &visited };
+            let answer = match self.race(race, &plan, request, outgoing).await {
+                Ok(response) => return Ok(response),
+                Err(answer) => answer,
+            };
+            let name = Arc::clone(&plan.entry.member.id.name);
+            if plan.patience.is_some() && answer.kind == ErrorKind::Overloaded {
+                Metrics::count(&self.parts.metrics.spills, answer.kind.name());
+                visited.moved_on.push(name);
+                continue;
+            }
+            visited.failed.push(name);
+            if attempt == call.max_attempts || !may_retry(call, answer.kind, &budgets) {
+                return Err(answer);
+            }
+            Metrics::count(&self.parts.metrics.retries, answer.kind.name());
+            attempt += 1;
+            last = Some(answer);
+        }
+        Err(last.unwrap_or_else(no_upstream))
+    }
+
+    /// One attempt, and a copy of it elsewhere when it takes longer than most.
+    ///
+    /// The copy starts only where a slot is free at once, and dropping the loser cancels it.
+    async fn race(
+        &self,
+        race: Race<'_>,
+        plan: &Plan,
+        request: Request<CallBody>,
+        outgoing: &mut Outgoing,
+    ) -> Result<Answered> {
+        let (call, spec) = (race.call, &race.config.service.hedge);
+        let hedging = &race.budgets.hedging;
+        let sent_at = Instant::now();
+        let mut first = pin!(self.attempt(race, plan, request));
+        let delay = hedging.delay(spec, call.head.idempotent);
+        let in_time = match delay {
+            Some(delay) => tokio::time::timeout(delay, &mut first).await.ok(),
+            None => Some(first.as_mut().await),
+        };
+        if let Some(result) = in_time {
+            if result.is_ok() {
+                hedging.observe(sent_at.elapsed(), spec);
+            }
+            return result;
+        }
+        hedging.observe(sent_at.elapsed(), spec);
+        let Some((copy, request)) = self.copy(race, plan, outgoing) else {
+            return first.await;
+        };
+        let second = pin!(self.attempt(race, &copy, request));
+        match select(first, second).await {
+            FutureEither::Left((Ok(response), _loser)) => Ok(self.raced("first_won", response)),
+            FutureEither::Right((Ok(response), _loser)) => Ok(self.raced("copy_won", response)),
+            FutureEither::Left((Err(_), second)) => second.await,
+            FutureEither::Right((Err(_), first)) => first.await,
+        }
+    }
+
+    fn copy(
+        &self,
+        race: Race<'_>,
+        plan: &Plan,
+        outgoing: &mut Outgoing,
+    ) -> Option<(Plan, Request<CallBody>)> {
+        let taken = &plan.entry.member.id.name;
+        let open = race.budgets.spill(race.call.head.priority).has_credit();
+        let copy =
+            self.choose(race.call, race.config, |name| name == taken || race.visited.contains(name))?;
+        if !open || copy.patience.is_none() || !race.budgets.hedging.spend() {
+            return None;
+        }
+        let request = outgoing.next_request(race.call, copy.patience)?;
+        Metrics::count(&self.parts.metrics.hedges, "started");
+        Some((copy, request))
+    }
+
+    fn raced(&self, outcome: &str, response: Answered) -> Answered {
+        Metrics::count(&self.parts.metrics.hedge_outcomes, outcome);
+        response
+    }
+
+    /// The next gate; when every one moved the call on, the best of them has to keep it.
+    fn plan(
+        &self,
+        call: &mut Call,
+        config: &PublishedConfig,
+        budgets: &ServiceBudgets,
+        visited: &mut Visited,
+    ) -> Option<Plan> {
+        let spills_left = visited.moved_on.len() < MAX_SPILLS;
+        if spills_left && budgets.spill(call.head.priority).is_open() {
+            let planned = self.choose(call, config, |name| visited.contains(name));
+            if planned.is_some() {
+                return planned;
+            }
+        }
+        let plan = self.choose(call, config, |name| visited.failed.contains(name))?;
+        if visited.moved_on.contains(&plan.entry.member.id.name) {
+            // The gate has refused this identity for good, and the call never ran.
+            let fresh = self.parts.ids.next();
+            log::debug!("call goes on under a new identity; call={} next={fresh}", call.id);
+            call.id = fresh;
+        }
+        Some(Plan { patience: None, ..plan })
+    }
+
+    fn choose<F>(&self, call: &Call, config: &PublishedConfig, skip: F) -> Option<Plan>
+    where
+        F: Fn(&Arc<str>) -> bool,
+    {
+        let now = Instant::now();
+        let snapshot = self.parts.directory.snapshot();
+        let keys = snapshot.upstreams_of(&call.head.service);
+        let ramp = Duration::from_millis(config.upstream_rule.ramp_ms);
+        let all: Vec<Candidate> =
+            keys.iter().map(|key| self.candidate(snapshot.entry(*key), ramp, now)).collect();
+        let mut entries = Vec::with_capacity(keys.len());
+        let mut candidates = Vec::with_capacity(keys.len());
+        for (key, candidate) in keys.iter().zip(&all) {
+            let entry = snapshot.entry(*key);
+            if !skip(&entry.member.id.name) {
+                candidates.push(*candidate);
+                entries.push(entry);
+            }
+        }
+        let limits = RoutingLimits { max_ejected_percent: config.upstream_rule.max_ejected_percent };
+        let index = self.parts.policy.choose(&candidates, limits, &mut rand::rng())?;
+        let entry = DirectoryEntry::clone(entries.get(index)?);
+        Some(Plan { entry, patience: self.parts.policy.patience(&all) })
+    }
+
+    fn candidate(&self, entry: &DirectoryEntry, ramp: Duration, now: Instant) -> Candidate {
+        Candidate {
+            peer_addr: entry.member.peer_addr,
+            load: entry.stats.load(now),
+            slots: entry.member.upstream.as_ref().map_or(1, |upstream| upstream.slots),
+            same_zone: entry.member.zone == self.parts.me.zone,
+            ramp_permille: ramp_permille(now - entry.stats.first_seen(), ramp),
+        }
+    }
+
+    async fn attempt(&self, race: Race<'_>, plan: &Plan, request: Request<CallBody>) -> Result<Answered> {
+        let (call, entry) = (race.call, &plan.entry);
+        let spill = race.budgets.spill(call.head.priority);
+        let in_flight = InFlight::new(&entry.stats);
+        let sent_at = Instant::now();
+        let local = entry.member.id == self.parts.me.id;
+        let result = if local {
+            self.through_own_gate(call, plan.patience, request).await
+        } else {
+            self.through_peer(call, &entry.member, request).await
+        };
+        match result {
+            Ok(response) => {
+                if plan.patience.is_some() {
+                    spill.taken();
+                }
+                if response.status().is_server_error() {
+                    entry.stats.fail();
+                } else {
+                    entry.stats.observe(sent_at.elapsed());
+                }
+                Ok(self.answered(call, response, in_flight))
+            }
+            Err(answer) => {
+                if plan.patience.is_some() && answer.kind == ErrorKind::Overloaded {
+                    spill.moved_on();
+                }
+                if let Some(load) = answer.load {
+                    entry.stats.report(load, Instant::now());
+                }
+                if speaks_against_upstream(answer.kind) {
+                    entry.stats.fail();
+                }
+                Err(answer)
+            }
+        }
+    }
+
+    fn budgets(&self, service: &Arc<str>) -> Arc<ServiceBudgets> {
+        if let Some(budgets) = self.budgets.load().get(service) {
+            return Arc::clone(budgets);
+        }
+        let fresh = Arc::new(ServiceBudgets::default());
+        self.budgets.rcu(|budgets| {
+            let mut next = IndexMap::clone(budgets);
+            next.entry(Arc::clone(service)).or_insert_with(|| Arc::clone(&fresh));
+            next
+        });
+        self.budgets.load().get(service).map_or(fresh, Arc::clone)
+    }
+}
+
+fn may_retry(call: &Call, kind: ErrorKind, budgets: &ServiceBudgets) -> bool {
+    let worth_it = !is_full(kind) || budgets.spill(call.head.priority).has_credit();
+    call.may_retry(kind) && worth_it && budgets.retry.spend()
+}
+
+/// Whether the gate was full, so that another one helps only while most are not.
+const fn is_full(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::Overloaded | ErrorKind::ObjectiveMissed)
+}
+
+/// Refusals by rule are no fault of the upstream's.
+const fn speaks_against_upstream(kind: ErrorKind) -> bool {
+    !matches!(
+        kind,
+        ErrorKind::Overloaded
+            | ErrorKind::ObjectiveMissed
+            | ErrorKind::CallerLimited
+            | ErrorKind::DeadlineBeforeStart
+            | ErrorKind::DuplicateCall
+            | ErrorKind::Draining
+    )
+}
+
+fn ramp_permille(age: Duration, ramp: Duration) -> u32 {
+    if age >= ramp {
+        return FULL_RAMP_PERMILLE;
+    }
+    let permille = age.as_micros() * u128::from(FULL_RAMP_PERMILLE) / ramp.as_micros().max(1);
+    u32::try_from(permille).unwrap_or(FULL_RAMP_PERMILLE)
+}
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -59,6 +59,8 @@
     pub priority: u8,
     /// When the call is of no more use.
     pub deadline: Instant,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
     /// Longest time in all for which it is worth staying here, when another gate may be better.
     pub patience: Option<Duration>,
 }
@@ -188,7 +190,12 @@
     }
 
     fn offer(&self, call: &GateCall) -> Result<Entry> {
-        let ticket = Ticket { priority: call.priority, deadline: call.deadline, patience: call.patience };
+        let ticket = Ticket {
+            priority: call.priority,
+            deadline: call.deadline,
+            patience: call.patience,
+            idempotent: call.idempotent,
+        };
         let mut queue = self.queue.lock();
         match queue.admission.offer(ticket, Instant::now()) {
             Offer::Admitted(grant) => Ok(Entry::Granted(grant)),
@@ -242,8 +249,9 @@
             Refusal::Draining => (ErrorKind::Draining, "draining", "the upstream takes no new work"),
         };
         self.count(reason);
-        let hint = self.queue.lock().admission.retry_hint();
-        ErrorAnswer::new(kind, message).retry_after(hint)
+        let queue = self.queue.lock();
+        let load = queue.admission.load(Instant::now());
+        ErrorAnswer::new(kind, message).retry_after(queue.admission.retry_hint()).with_load(load)
     }
 
     fn release(&self, grant: Grant, ended: Ended) {
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -23,9 +23,8 @@
 use yuccatray_proto::peer_v1 as wire;
 use yuccatray_proto::peer_v1::peer_client::PeerClient;
 
-use crate::coordination::retry_budget::RetryBudget;
-use crate::coordination::routing::Candidate;
 use crate::coordination::routing::RoutingPolicy;
+use crate::coordination::service_budgets::ServiceBudgets;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_head::CallHead;
 use crate::protocol::call_head::origin_form;
@@ -39,12 +38,12 @@
 use crate::protocol::published::PublishedConfig;
 use crate::state::config_table::ConfigTable;
 use crate::state::directory::Directory;
-use crate::state::directory::DirectoryEntry;
 use crate::state::metrics::CallLabels;
 use crate::state::metrics::LatencyLabels;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
 use crate::state::upstream_stats::UpstreamStats;
+use crate::transport::call_attempts::Answered;
 use crate::transport::call_body::BodyGuard;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
@@ -64,7 +63,7 @@
 const ANSWERED: &str = "answered";
 
 /// Body of an upstream's answer: over a peer connection, or from the gate beside.
-type AnswerBody = Either<CallBody, GuardedBody<CallBody, GateGuard>>;
+pub(super) type AnswerBody = Either<CallBody, GuardedBody<CallBody, GateGuard>>;
 
 /// Body of an answer to a caller: an upstream's answer, or an error.
 pub type IngressBody = Either<GuardedBody<AnswerBody, IngressGuard>, Full<Bytes>>;
@@ -97,25 +96,25 @@
 /// Takes calls from callers.
 #[derive(Debug)]
 pub struct Ingress<P> {
-    parts: IngressParts<P>,
-    budgets: ArcSwap<IndexMap<Arc<str>, Arc<RetryBudget>>>,
+    pub(super) parts: IngressParts<P>,
+    pub(super) budgets: ArcSwap<IndexMap<Arc<str>, Arc<ServiceBudgets>>>,
     draining: AtomicBool,
 }
 
 /// A call on its way through the ingress.
 #[derive(Debug)]
-struct Call {
-    id: CallId,
-    head: CallHead,
+pub(super) struct Call {
+    pub(super) id: CallId,
+    pub(super) head: CallHead,
     priority_name: Arc<str>,
     started: Instant,
-    deadline: Instant,
-    max_attempts: u32,
+    pub(super) deadline: Instant,
+    pub(super) max_attempts: u32,
 }
 
 /// What is needed to send the same request again.
 #[derive(Debug)]
-struct Outgoing {
+pub(super) struct Outgoing {
     parts: Parts,
     body: OutgoingBody,
 }
@@ -153,11 +152,7 @@
         response
     }
 
-    async fn accept(
-        &self,
-        id: CallId,
-        request: Request<Incoming>,
-    ) -> Result<Response<GuardedBody<AnswerBody, IngressGuard>>> {
+    async fn accept(&self, id: CallId, request: Request<Incoming>) -> Result<Answered> {
         if self.draining.load(Ordering::Relaxed) {
             return Err(
                 ErrorAnswer::new(ErrorKind::Draining, "this node is stopping").retry_after(RETRY_HINT)
@@ -170,8 +165,8 @@
             ErrorAnswer::new(ErrorKind::UnknownService, format!("no published service is named {service:?}"))
         })?;
         let head = CallHead::read(service, request.headers(), request.method(), config)?;
-        let call = Call::new(id, head, config);
-        let result = self.see_through(&call, config, request).await;
+        let mut call = Call::new(id, head, config);
+        let result = self.see_through(&mut call, config, request).await;
         if let Err(answer) = &result {
             log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
             self.count(&call, answer.kind.name());
@@ -181,35 +176,12 @@
 
     async fn see_through(
         &self,
-        call: &Call,
+        call: &mut Call,
         config: &PublishedConfig,
         request: Request<Incoming>,
-    ) -> Result<Response<GuardedBody<AnswerBody, IngressGuard>>> {
+    ) -> Result<Answered> {
         let mut outgoing = self.outgoing(call, config, request).await?;
-        let budget = self.budget(&call.head.service);
-        budget.earn(config.service.retry.budget_percent);
-        let mut tried = Vec::new();
-        let mut last = None;
-        for attempt in 1..=call.max_attempts {
-            let Some(entry) = self.choose(call, &tried) else {
-                break;
-            };
-            let Some(request) = outgoing.next_request(call) else {
-                break;
-            };
-            tried.push(Arc::clone(&entry.member.id.name));
-            let answer = match self.attempt(call, &entry, request).await {
-                Ok(response) => return Ok(response),
-                Err(answer) => answer,
-            };
-            let again = attempt < call.max_attempts && call.may_retry(answer.kind) && budget.spend();
-            if !again {
-                return Err(answer);
-            }
-            Metrics::count(&self.parts.metrics.retries, answer.kind.name());
-            last = Some(answer);
-        }
-        Err(last.unwrap_or_else(no_upstream))
+        self.attempts(call, config, &mut outgoing).await
     }
 
     async fn outgoing(
@@ -240,78 +212,24 @@
         Ok(Outgoing { parts, body: OutgoingBody::Kept(collected.to_bytes()) })
     }
 
-    fn choose(&self, call: &Call, tried: &[Arc<str>]) -> Option<DirectoryEntry> {
-        let now = Instant::now();
-        let snapshot = self.parts.directory.snapshot();
-        let keys = snapshot.upstreams_of(&call.head.service);
-        let mut entries = Vec::with_capacity(keys.len());
-        let mut candidates = Vec::with_capacity(keys.len());
-        for key in keys {
-            let entry = snapshot.entry(*key);
-            if tried.contains(&entry.member.id.name) {
-                continue;
-            }
-            candidates.push(self.candidate(entry, now));
-            entries.push(entry);
-        }
-        let index = self.parts.policy.choose(&candidates, &mut rand::rng())?;
-        entries.get(index).map(|entry| DirectoryEntry::clone(entry))
-    }
-
-    fn candidate(&self, entry: &DirectoryEntry, now: Instant) -> Candidate {
-        Candidate {
-            peer_addr: entry.member.peer_addr,
-            load: entry.stats.load(now),
-            slots: entry.member.upstream.as_ref().map_or(1, |upstream| upstream.slots),
-            same_zone: entry.member.zone == self.parts.me.zone,
-        }
-    }
-
-    async fn attempt(
-        &self,
-        call: &Call,
-        entry: &DirectoryEntry,
-        request: Request<CallBody>,
-    ) -> Result<Response<GuardedBody<AnswerBody, IngressGuard>>> {
-        entry.stats.start();
-        let in_flight = InFlight { stats: Arc::clone(&entry.stats) };
-        let sent_at = Instant::now();
-        let local = entry.member.id == self.parts.me.id;
-        let result = if local {
-            self.through_own_gate(call, request).await
-        } else {
-            self.through_peer(call, &entry.member, request).await
-        };
-        match result {
-            Ok(response) => {
-                entry.stats.observe(sent_at.elapsed());
-                Ok(self.answered(call, response, in_flight))
-            }
-            Err(answer) => {
-                if answer.kind != ErrorKind::Overloaded {
-                    entry.stats.fail();
-                }
-                Err(answer)
-            }
-        }
-    }
-
-    async fn through_own_gate(
+    pub(super) async fn through_own_gate(
         &self,
         call: &Call,
+        patience: Option<Duration>,
         request: Request<CallBody>,
     ) -> Result<Response<AnswerBody>> {
         let gate_call = GateCall {
             id: call.id.clone(),
             priority: call.head.priority,
             deadline: call.deadline,
-            patience: None,
+            idempotent: call.head.idempotent,
+            patience,
         };
         let response = self.parts.gate.call(gate_call, request).await?;
         Ok(response.map(Either::Right))
     }
 
-    async fn through_peer(
+    pub(super) async fn through_peer(
         &self,
         call: &Call,
         member: &Member,
@@ -356,12 +274,12 @@
         ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the connection failed while the call was under way")
     }
 
-    fn answered(
+    pub(super) fn answered(
         &self,
         call: &Call,
         response: Response<AnswerBody>,
         in_flight: InFlight,
-    ) -> Response<GuardedBody<AnswerBody, IngressGuard>> {
+    ) -> Answered {
         let (mut head, body) = response.into_parts();
         headers::strip_hop_by_hop(&mut head.headers);
         in_flight.take_report(head.headers.remove(headers::LOAD).as_ref());
@@ -375,19 +293,6 @@
         Response::from_parts(head, GuardedBody::new(body, guard))
     }
 
-    fn budget(&self, service: &Arc<str>) -> Arc<RetryBudget> {
-        if let Some(budget) = self.budgets.load().get(service) {
-            return Arc::clone(budget);
-        }
-        let fresh = Arc::new(RetryBudget::default());
-        self.budgets.rcu(|budgets| {
-            let mut next = IndexMap::clone(budgets);
-            next.entry(Arc::clone(service)).or_insert_with(|| Arc::clone(&fresh));
-            next
-        });
-        self.budgets.load().get(service).map_or(fresh, Arc::clone)
-    }
-
     fn count(&self, call: &Call, outcome: &str) {
         count_call(&self.parts.metrics, &call.head.service, call.head.priority, outcome);
     }
@@ -439,7 +344,7 @@
         }
     }
 
-    fn may_retry(&self, kind: ErrorKind) -> bool {
+    pub(super) fn may_retry(&self, kind: ErrorKind) -> bool {
         let row = kind.row();
         match row.execution {
             Execution::NotExecuted => row.retryable,
@@ -450,7 +355,11 @@
 
 impl Outgoing {
     /// The request for the next attempt, or nothing when its body is gone.
-    fn next_request(&mut self, call: &Call) -> Option<Request<CallBody>> {
+    pub(super) fn next_request(
+        &mut self,
+        call: &Call,
+        patience: Option<Duration>,
+    ) -> Option<Request<CallBody>> {
         let body = match &mut self.body {
             OutgoingBody::Kept(bytes) => CallBody::from(bytes.clone()),
             OutgoingBody::Stream(stream) => stream.take()?,
@@ -464,17 +373,27 @@
         insert(fields, headers::SERVICE, &call.head.service);
         insert(fields, headers::PRIORITY, &call.priority_name);
         insert(fields, headers::TIMEOUT_MS, &left_ms.to_string());
+        insert(fields, headers::IDEMPOTENT, if call.head.idempotent { "true" } else { "false" });
+        fields.remove(headers::PATIENCE_US);
+        if let Some(patience) = patience {
+            insert(fields, headers::PATIENCE_US, &patience.as_micros().to_string());
+        }
         Some(request)
     }
 }
 
 /// One call that this node has under way at an upstream.
 #[derive(Debug)]
-struct InFlight {
+pub(super) struct InFlight {
     stats: Arc<UpstreamStats>,
 }
 
 impl InFlight {
+    pub(super) fn new(stats: &Arc<UpstreamStats>) -> Self {
+        stats.start();
+        Self { stats: Arc::clone(stats) }
+    }
+
     fn take_report(&self, field: Option<&HeaderValue>) {
         let report = field.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
         if let Some(report) = report {
@@ -524,7 +443,9 @@
     };
     let after_ms = response.headers().get(headers::RETRY_AFTER_MS);
     let after_ms = after_ms.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
-    let answer = ErrorAnswer::new(kind, "the upstream's gate refused or lost the call");
+    let mut answer = ErrorAnswer::new(kind, "the upstream's gate refused or lost the call");
+    let load = response.headers().get(headers::LOAD).and_then(|value| value.to_str().ok());
+    answer.load = load.and_then(|text| text.parse().ok());
     Err(match after_ms {
         Some(millis) => answer.retry_after(Duration::from_millis(millis)),
         None => answer,
@@ -542,6 +463,6 @@
     }
 }
 
-fn no_upstream() -> ErrorAnswer {
+pub(super) fn no_upstream() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::NoUpstream, "no upstream of this service takes work").retry_after(RETRY_HINT)
 }
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin_server;
 pub mod announce_server;
+pub mod call_attempts;
 pub mod call_body;
 pub mod gate;
 pub mod gossip;
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http_body_util::Either;
@@ -73,7 +74,8 @@
             id,
             priority: self.priority(fields),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
-            patience: None,
+            idempotent: text(fields, &headers::IDEMPOTENT) == Some("true"),
+            patience: optional(fields, &headers::PATIENCE_US).map(Duration::from_micros),
         })
     }
 
@@ -143,15 +145,30 @@
 }
 
 fn refusal(answer: ErrorAnswer, call: Option<&CallId>) -> Response<PeerBody> {
-    answer.into_response(call).map(|bytes| Either::Right(Either::Right(Full::new(bytes))))
+    let load = answer.load.and_then(|load| HeaderValue::from_str(&load.to_string()).ok());
+    let mut response = answer.into_response(call);
+    if let Some(load) = load {
+        response.headers_mut().insert(headers::LOAD, load);
+    }
+    response.map(|bytes| Either::Right(Either::Right(Full::new(bytes))))
+}
+
+fn text<'a>(fields: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    fields.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn optional<T>(fields: &HeaderMap, name: &HeaderName) -> Option<T>
+where
+    T: std::str::FromStr,
+{
+    text(fields, name).and_then(|text| text.parse().ok())
 }
 
 fn parsed<T>(fields: &HeaderMap, name: &HeaderName) -> Result<T, ErrorAnswer>
 where
     T: std::str::FromStr,
 {
-    let text = fields.get(name).and_then(|value| value.to_str().ok());
-    text.and_then(|text| text.parse().ok()).ok_or_else(|| {
+    optional(fields, name).ok_or_else(|| {
         ErrorAnswer::new(ErrorKind::MalformedRequest, format!("a peer sent no readable field {name}"))
     })
 }
--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -109,7 +109,8 @@
         patience_ms: Option<u64>,
     ) -> Result<(), TestCaseError> {
         let deadline = self.now + Duration::from_millis(timeout_ms);
-        let ticket = Ticket { priority, deadline, patience: patience_ms.map(Duration::from_millis) };
+        let patience = patience_ms.map(Duration::from_millis);
+        let ticket = Ticket { priority, deadline, patience, idempotent: timeout_ms.is_multiple_of(2) };
         let load = self.admission.load(self.now);
         match self.admission.offer(ticket, self.now) {
             Offer::Admitted(grant) => {
@@ -225,7 +226,8 @@
         let gap = self.arrivals[lane].0;
         self.arrivals[lane].1 = now + gap.mul_f64(self.rng.random_range(0.0..2.0));
         let priority = u8::try_from(lane).expect("four priorities");
-        let ticket = Ticket { priority, deadline: now + Duration::from_secs(10), patience: None };
+        let deadline = now + Duration::from_secs(10);
+        let ticket = Ticket { priority, deadline, patience: None, idempotent: false };
         match self.admission.offer(ticket, now) {
             Offer::Admitted(grant) => self.start(lane, grant, now),
             Offer::Queued(key) => {
--- /dev/null
+++ b/lib/tests/routing.rs
@@ -0,0 +1,253 @@
+//! Choices among upstreams and what they rest on, with fixed seeds and clock readings.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tokio::time::Instant;
+use yuccatray::coordination::concurrency_limit::ConcurrencyLimit;
+use yuccatray::coordination::hedge::LiveQuantile;
+use yuccatray::coordination::outlier_ejection::ejected;
+use yuccatray::coordination::retry_budget::RetryBudget;
+use yuccatray::coordination::routing::Candidate;
+use yuccatray::coordination::routing::FULL_RAMP_PERMILLE;
+use yuccatray::coordination::routing::RoutingLimits;
+use yuccatray::coordination::routing::RoutingPolicy;
+use yuccatray::coordination::routing::TwoChoices;
+use yuccatray::coordination::service_estimate::Ended;
+use yuccatray::coordination::service_estimate::ServiceEstimate;
+use yuccatray::coordination::spill_budget::SpillBudget;
+use yuccatray::protocol::load_report::LoadReport;
+use yuccatray::state::upstream_stats::UpstreamLoad;
+use yuccatray::state::upstream_stats::UpstreamStats;
+
+const CHOICES: usize = 10_000;
+const LIMITS: RoutingLimits = RoutingLimits { max_ejected_percent: 34 };
+const PATIENCE: Duration = Duration::from_millis(45);
+const USUAL: Duration = Duration::from_millis(30);
+
+fn candidate(port: u16) -> Candidate {
+    Candidate {
+        peer_addr: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        load: UpstreamLoad { service_time_us: 30_000, ..UpstreamLoad::default() },
+        slots: 10,
+        same_zone: true,
+        ramp_permille: FULL_RAMP_PERMILLE,
+    }
+}
+
+fn candidates(count: u16) -> Vec<Candidate> {
+    (0..count).map(candidate).collect()
+}
+
+/// How often each candidate is chosen.
+fn chosen(candidates: &[Candidate]) -> Vec<usize> {
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    let mut counts = vec![0; candidates.len()];
+    for _ in 0..CHOICES {
+        let index = TwoChoices.choose(candidates, LIMITS, &mut rng).expect("there are candidates");
+        counts[index] += 1;
+    }
+    counts
+}
+
+#[test]
+fn choose_no_candidates() {
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    assert_eq!(TwoChoices.choose(&[], LIMITS, &mut rng), None);
+}
+
+#[test]
+fn choose_slow_upstream_left_out() {
+    let mut all = candidates(3);
+    all[1].load.service_time_us = 300_000;
+    assert_eq!(chosen(&all)[1], 0);
+}
+
+#[test]
+fn choose_failing_upstream_left_out() {
+    let mut all = candidates(3);
+    all[1].load.service_time_us = 100;
+    all[1].load.consecutive_failures = 5;
+    assert_eq!(chosen(&all)[1], 0);
+}
+
+#[test]
+fn choose_ramp_grows_with_age() {
+    let mut all = candidates(3);
+    let mut shares = Vec::new();
+    for ramp_permille in [50, 250, 500, FULL_RAMP_PERMILLE] {
+        all[0].ramp_permille = ramp_permille;
+        shares.push(chosen(&all)[0]);
+    }
+    assert!(shares.is_sorted(), "the share grows: {shares:?}");
+    assert!((1..CHOICES / 10).contains(&shares[0]), "it starts small: {}", shares[0]);
+}
+
+#[test]
+fn choose_all_new_share_alike() {
+    let mut all = candidates(3);
+    for candidate in &mut all {
+        candidate.ramp_permille = 50;
+    }
+    let least = chosen(&all).into_iter().min().expect("three candidates");
+    assert!(least > CHOICES / 4, "none of three new upstreams is left out: {least}");
+}
+
+#[test]
+fn ejected_cap_holds_worst_first() {
+    let mut all = candidates(4);
+    for (index, candidate) in all.iter_mut().enumerate() {
+        candidate.load.consecutive_failures = 5 * u32::try_from(index).expect("four") + 5;
+    }
+    assert_eq!(ejected(&all, 34), [false, false, false, true]);
+    assert_eq!(ejected(&all, 50), [false, false, true, true]);
+    assert_eq!(ejected(&all, 0), [false; 4]);
+    assert_eq!(ejected(&all, 100), [false, true, true, true], "one always stays");
+}
+
+#[test]
+fn ejected_all_equally_slow_none() {
+    let mut all = candidates(4);
+    for candidate in &mut all {
+        candidate.load.service_time_us = 900_000;
+    }
+    assert_eq!(ejected(&all, 50), [false; 4]);
+}
+
+#[test]
+fn patience_one_upstream_none() {
+    assert_eq!(TwoChoices.patience(&candidates(1)), None);
+    assert_eq!(TwoChoices.patience(&candidates(2)), Some(PATIENCE));
+}
+
+#[test]
+fn report_bad_word_fades() {
+    let start = Instant::now();
+    let stats = UpstreamStats::new(start);
+    stats.observe(USUAL);
+    let bad = LoadReport { running: 1, queued: 0, limit: 10, service_time_us: 300_000 };
+    stats.report(bad, start);
+    let at = |millis| stats.load(start + Duration::from_millis(millis)).service_time_us;
+    assert_eq!(at(0), 300_000);
+    assert!(at(1_000) < at(500), "it fades with age");
+    assert!(at(10_000) < 31_000, "at last only this node's own figure counts");
+}
+
+fn warm_estimate(now: Instant) -> ServiceEstimate {
+    let mut estimate = ServiceEstimate::new(now);
+    for _ in 0..100 {
+        estimate.start(now);
+        estimate.finish(now, Ended::Good(USUAL), now);
+    }
+    estimate
+}
+
+#[test]
+fn estimate_slowdown_seen_before_any_end() {
+    let start = Instant::now();
+    let mut estimate = warm_estimate(start);
+    for _ in 0..10 {
+        estimate.start(start);
+    }
+    assert_eq!(estimate.live_us(start), 30_000);
+    assert_eq!(estimate.live_us(start + Duration::from_millis(90)), 90_000);
+}
+
+#[test]
+fn estimate_failing_fast_looks_slow() {
+    let now = Instant::now();
+    let mut estimate = warm_estimate(now);
+    for _ in 0..10 {
+        estimate.start(now);
+        estimate.finish(now, Ended::Failed, now);
+    }
+    assert!(estimate.live_us(now) > 90_000, "failures raise it: {}", estimate.live_us(now));
+}
+
+#[test]
+fn estimate_abandoned_slow_call_counts() {
+    let start = Instant::now();
+    let mut estimate = warm_estimate(start);
+    let later = start + Duration::from_secs(1);
+    estimate.start(start);
+    estimate.finish(start, Ended::Abandoned, later);
+    assert!(estimate.live_us(later) > 60_000, "a cancelled loser leaves its mark");
+}
+
+#[test]
+fn trial_one_at_a_time_then_later() {
+    let now = Instant::now();
+    let mut estimate = warm_estimate(now);
+    assert!(estimate.claim_trial(PATIENCE, true, now));
+    estimate.start(now);
+    assert!(!estimate.claim_trial(PATIENCE, true, now), "one trial at a time");
+    let end = now + Duration::from_millis(300);
+    estimate.finish(now, Ended::Good(Duration::from_millis(300)), end);
+    assert!(!estimate.claim_trial(PATIENCE, true, end), "a bad trial puts off the next");
+    let next = end + Duration::from_millis(250);
+    assert!(!estimate.claim_trial(PATIENCE, false, next), "a call that may run once waits longer");
+    assert!(estimate.claim_trial(PATIENCE, true, next));
+}
+
+#[test]
+fn spill_budget_closes_when_all_full() {
+    let budget = SpillBudget::default();
+    for _ in 0..100 {
+        budget.moved_on();
+    }
+    let open = (0..160).filter(|_| budget.is_open()).count();
+    assert_eq!(open, 10, "one call in sixteen still asks");
+    budget.taken();
+    assert!(budget.has_credit(), "and opens it again");
+}
+
+#[test]
+fn retry_budget_share_of_calls() {
+    let budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn(10);
+        retries += u32::from(budget.spend());
+    }
+    assert_eq!(retries, 1_000);
+}
+
+#[test]
+fn live_quantile_uniform_latencies() {
+    let quantile = LiveQuantile::default();
+    let mut rng = Pcg64Mcg::seed_from_u64(9);
+    assert_eq!(quantile.get(), None);
+    for _ in 0..5_000 {
+        quantile.observe(Duration::from_micros(rng.random_range(10_000..110_000)), 95.0);
+    }
+    let at = quantile.get().expect("enough samples").as_micros();
+    assert!((95_000..115_000).contains(&at), "the 95th percentile is 105 ms, not {at} us");
+}
+
+#[test]
+fn concurrency_limit_follows_latency() {
+    let mut limit = ConcurrencyLimit::new(10);
+    let feed = |limit: &mut ConcurrencyLimit, slots: u32| {
+        // An upstream that declared ten slots and has fewer: the rest queue inside it.
+        let crowding = limit.current().max(slots) / slots;
+        for _ in 0..40 {
+            limit.observe(USUAL * crowding);
+        }
+    };
+    for _ in 0..5 {
+        feed(&mut limit, 10);
+    }
+    assert_eq!(limit.current(), 10, "it starts from what was declared");
+    for _ in 0..5 {
+        feed(&mut limit, 4);
+    }
+    assert!(limit.current() < 8, "it shrinks to what the upstream can do: {}", limit.current());
+    for _ in 0..20 {
+        feed(&mut limit, 10);
+    }
+    assert_eq!(limit.current(), 10, "it grows back");
+}
--- a/load/src/baselines.rs
+++ b/load/src/baselines.rs
@@ -14,6 +14,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 use yuccatray::coordination::routing::Candidate;
+use yuccatray::coordination::routing::RoutingLimits;
 use yuccatray::coordination::routing::RoutingPolicy;
 use yuccatray::coordination::routing::TwoChoices;
 use yuccatray::transport::gate::Gate;
@@ -55,7 +56,7 @@
         self.probes.fetch_add(1, Ordering::Relaxed);
         let gates = self.gates.load();
         let load = gates.get(&peer_addr)?.load();
-        Some(ProbeAnswer { in_flight: load.running + load.queued, service_time_us: 0 })
+        Some(ProbeAnswer { in_flight: load.running + load.queued, service_time_us: load.service_time_us })
     }
 
     /// Probes so far.
@@ -98,7 +99,7 @@
 }
 
 impl RoutingPolicy for FleetPolicy {
-    fn choose<R>(&self, candidates: &[Candidate], rng: &mut R) -> Option<usize>
+    fn choose<R>(&self, candidates: &[Candidate], limits: RoutingLimits, rng: &mut R) -> Option<usize>
     where
         R: Rng,
     {
@@ -106,7 +107,7 @@
             return None;
         }
         match self {
-            Self::Yuccatray(policy) => policy.choose(candidates, rng),
+            Self::Yuccatray(policy) => policy.choose(candidates, limits, rng),
             Self::Random => Some(rng.random_range(0..candidates.len())),
             Self::RoundRobin(next) => Some(next.fetch_add(1, Ordering::Relaxed) % candidates.len()),
             Self::LeastOutstanding => least_outstanding(candidates, rng),
@@ -114,6 +115,13 @@
             Self::ProbePool(pool) => pool.choose(candidates, rng),
         }
     }
+
+    fn patience(&self, candidates: &[Candidate]) -> Option<Duration> {
+        match self {
+            Self::Yuccatray(policy) => policy.patience(candidates),
+            _ => None,
+        }
+    }
 }
 
 fn least_outstanding<R>(candidates: &[Candidate], rng: &mut R) -> Option<usize>
