admission: half the slack may go into waiting, limit shrinks only where it helps

Cause: 3.4 % of deposits were refused under an overload of browsing, since two mean service times had to fit; commissions got 94.7 % of their share under an overload of deposits, since an empty queue dropped what it was owed; the limit shrank for latency that had other causes. Change: a wait may fill half the time between service time and objective; an idle priority saves one call's worth; a shrink that brings no relief is taken back. Tests: the hedge's loser frees its slots, a full gate moves calls on and each runs once.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -15,9 +15,11 @@
 const PERCENT: u64 = 100;
 /// Least share that a wait is reckoned with, in percent, for a priority that keeps none.
 const LEAST_SHARE_PERCENT: u64 = 2;
-/// Share of the objective that the expected wait and two service times may fill, in percent.
-const QUEUEABLE_PERCENT: u32 = 75;
-const SERVICE_TIMES_AFTER_WAIT: u32 = 2;
+/// Share of the time between service time and objective that a wait may fill.
+///
+/// The rest is for service times above the mean: a call let in at the edge would hold a
+/// slot and miss its objective all the same.
+const WAIT_DIVISOR: u32 = 2;
 const RETRY_HINT_MIN: Duration = Duration::from_millis(10);
 const RETRY_HINT_MAX: Duration = Duration::from_secs(5);
 
@@ -209,11 +211,11 @@
         let service_time = self.service_time();
         let lane = &mut self.lanes[index];
         let objective_at = now + lane.rule.objective;
-        let queueable_until = now + lane.rule.objective * QUEUEABLE_PERCENT / 100;
+        let longest_wait = lane.rule.objective.saturating_sub(service_time) / WAIT_DIVISOR;
         if now + wait >= ticket.deadline {
             return Offer::Refused(Refusal::TooLate);
         }
-        if now + wait + service_time * SERVICE_TIMES_AFTER_WAIT > queueable_until {
+        if wait > longest_wait {
             return Offer::Refused(Refusal::ObjectiveMissed);
         }
         if lane.waiting.len() >= lane.rule.max_queue {
--- a/lib/src/coordination/concurrency_limit.rs
+++ b/lib/src/coordination/concurrency_limit.rs
@@ -4,17 +4,25 @@
 
 const WINDOW_CALLS_MIN: u32 = 30;
 const WINDOW_CALLS_PER_SLOT: u32 = 4;
-const CROWDED_PERCENT: u64 = 180;
+const CROWDED_PERCENT: u64 = 150;
 const SHRINK_PERCENT: u32 = 80;
 const FLOOR_DIVISOR: u32 = 4;
-const BASELINE_DRIFT_DIVISOR: u64 = 32;
+const BASELINE_DRIFT_DIVISOR: u64 = 128;
+/// Latency that a smaller limit has to bring, in percent of the one before.
+const RELIEF_PERCENT: u64 = 92;
 
-/// A limit that starts from the declared slots and shrinks while latency grows with load.
+/// A limit that starts from the declared slots and shrinks while that makes calls faster.
+///
+/// Latency that a smaller limit doesn't bring down has another cause, such as an upstream
+/// that became slow: then the limit returns to the declared slots and the latency is
+/// taken for the usual one.
 #[derive(Clone, Copy, Debug)]
 pub struct ConcurrencyLimit {
     declared: u32,
     current: u32,
     baseline_us: u64,
+    /// Mean before the last shrink, until the next window shows whether that helped.
+    before_shrink_us: Option<u64>,
     window_sum_us: u64,
     window_calls: u32,
 }
@@ -23,7 +31,14 @@
     /// A limit for an upstream that declared so many slots.
     #[must_use]
     pub const fn new(declared: u32) -> Self {
-        Self { declared, current: declared, baseline_us: 0, window_sum_us: 0, window_calls: 0 }
+        Self {
+            declared,
+            current: declared,
+            baseline_us: 0,
+            before_shrink_us: None,
+            window_sum_us: 0,
+            window_calls: 0,
+        }
     }
 
     /// Takes a new declaration; what was learned stays when it did not change.
@@ -58,8 +73,14 @@
             // A change that stays becomes the new normal after some windows.
             self.baseline_us += (mean_us - self.baseline_us) / BASELINE_DRIFT_DIVISOR;
         }
-        if mean_us * 100 > self.baseline_us * CROWDED_PERCENT {
+        let no_relief =
+            self.before_shrink_us.take().is_some_and(|before| mean_us * 100 > before * RELIEF_PERCENT);
+        if no_relief {
+            self.baseline_us = mean_us;
+            self.current = self.declared;
+        } else if mean_us * 100 > self.baseline_us * CROWDED_PERCENT {
             let floor = (self.declared / FLOOR_DIVISOR).max(1);
+            self.before_shrink_us = Some(mean_us);
             self.current = (self.current * SHRINK_PERCENT / 100).max(floor).min(self.declared);
         } else {
             self.current = (self.current + 1).min(self.declared);
--- a/lib/src/coordination/slot_shares.rs
+++ b/lib/src/coordination/slot_shares.rs
@@ -20,8 +20,8 @@
 
 /// Slot time owed to each priority, in hundredths of slot-microseconds.
 ///
-/// A priority whose calls wait earns its share of the passing slot time and pays for the
-/// slots that it holds. Slot time rather than calls, so that a priority with long calls
+/// Each priority earns its share of the passing slot time and pays for the slots that it
+/// holds; while none of its calls wait it saves no more than one call's worth. Slot time rather than calls, so that a priority with long calls
 /// can't take more than its share, and fractions of a slot add up over time.
 #[derive(Debug)]
 pub struct SlotShares {
@@ -51,7 +51,8 @@
             let share = i64::from(lane.share_percent) * i64::from(limit);
             let net = (share - i64::from(lane.running) * PERCENT).saturating_mul(passed_us);
             let bound = share.saturating_mul(WINDOW_CALLS).max(PERCENT).saturating_mul(call_us);
-            let upper = if lane.waiting { bound } else { 0 };
+            let upper = if lane.waiting { bound } else { call_us.saturating_mul(PERCENT).min(bound) };
+            let upper = if share == 0 { 0 } else { upper };
             let lower = if share == 0 { 0 } else { -bound };
             self.owed[index] = self.owed[index].saturating_add(net).clamp(lower, upper);
         }
--- a/lib/tests/routing.rs
+++ b/lib/tests/routing.rs
@@ -233,9 +233,9 @@
     let mut limit = ConcurrencyLimit::new(10);
     let feed = |limit: &mut ConcurrencyLimit, slots: u32| {
         // An upstream that declared ten slots and has fewer: the rest queue inside it.
-        let crowding = limit.current().max(slots) / slots;
+        let crowded = USUAL * limit.current().max(slots) / slots;
         for _ in 0..40 {
-            limit.observe(USUAL * crowding);
+            limit.observe(crowded);
         }
     };
     for _ in 0..5 {
@@ -251,3 +251,15 @@
     }
     assert_eq!(limit.current(), 10, "it grows back");
 }
+
+#[test]
+fn concurrency_limit_slow_upstream_keeps_slots() {
+    let mut limit = ConcurrencyLimit::new(10);
+    for _ in 0..400 {
+        limit.observe(USUAL);
+    }
+    for _ in 0..400 {
+        limit.observe(USUAL * 10);
+    }
+    assert_eq!(limit.current(), 10, "fewer calls at once don't make this one faster");
+}
--- /dev/null
+++ b/load/tests/call_decisions.rs
@@ -0,0 +1,137 @@
+//! What an ingress and the gates decide together, over real sockets.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use yuccatray_load::caller::CallOutcome;
+use yuccatray_load::caller::CallPlan;
+use yuccatray_load::caller::Caller;
+use yuccatray_load::deployment::Deployment;
+use yuccatray_load::deployment::ServiceLoad;
+use yuccatray_load::embedded_fleet::EmbeddedFleet;
+use yuccatray_standin::upstream::UpstreamBehaviour;
+
+const SLOTS: u32 = 2;
+const WARM_CALLS: u32 = 400;
+const POLL: Duration = Duration::from_millis(5);
+const POLLS_MAX: u32 = 4_000;
+
+fn deployment(upstreams: u32) -> Deployment {
+    Deployment {
+        region: Arc::from("test"),
+        zones: vec![Arc::from("test-a")],
+        objects: Arc::from("hedged.jsonc"),
+        services: vec![ServiceLoad {
+            name: Arc::from("history"),
+            upstreams,
+            slots: SLOTS,
+            mean_service_us: 1_000,
+            service_stages: 8,
+            streams: Vec::new(),
+        }],
+        duration_ms: 100,
+        seed: 1,
+    }
+}
+
+async fn fleet(upstreams: u32) -> EmbeddedFleet {
+    let objects = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/objects");
+    EmbeddedFleet::start(&deployment(upstreams), &objects).await.expect("the fleet starts")
+}
+
+fn plan(method: Method) -> CallPlan {
+    CallPlan {
+        method,
+        target: "/farm/1".to_owned(),
+        service: "history".to_owned(),
+        priority: "urgent".to_owned(),
+        body: Bytes::new(),
+    }
+}
+
+async fn get(caller: &Caller) -> CallOutcome {
+    caller.call(&plan(Method::GET)).await.expect("an answer comes")
+}
+
+fn counter(fleet: &EmbeddedFleet, index: usize, name: &str) -> u64 {
+    let text = fleet.members[index].node.metrics().encode();
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+async fn until<F>(what: &str, done: F)
+where
+    F: Fn() -> bool,
+{
+    for _ in 0..POLLS_MAX {
+        if done() {
+            return;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    panic!("never seen: {what}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hedge_loser_cancelled_slot_freed() {
+    let fleet = fleet(2).await;
+    let caller = Caller::new(fleet.ingress_addr(0));
+    for _ in 0..WARM_CALLS {
+        assert!(get(&caller).await.error.is_none());
+    }
+    let stuck = UpstreamBehaviour { mean_service_us: 600_000_000, ..UpstreamBehaviour::default() };
+    let slow = &fleet.members[1].upstream.standin;
+    slow.set_behaviour(stuck);
+    let before = counter(&fleet, 0, "yuccatray_hedge_outcomes_total{reason=\"copy_won\"}");
+    for _ in 0..WARM_CALLS {
+        assert!(get(&caller).await.error.is_none(), "a copy answers where the first is stuck");
+    }
+    let won = counter(&fleet, 0, "yuccatray_hedge_outcomes_total{reason=\"copy_won\"}");
+    assert!(won > before, "at least one copy won its race");
+    until("the loser's slot at the gate is free", || fleet.members[1].node.gate().load().running == 0).await;
+    until("the loser's slot at the upstream is free", || slow.free_slots() == SLOTS as usize).await;
+    assert!(fleet.stop().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hedge_not_idempotent_runs_once() {
+    let fleet = fleet(2).await;
+    let caller = Caller::new(fleet.ingress_addr(0));
+    for _ in 0..WARM_CALLS {
+        let outcome = caller.call(&plan(Method::POST)).await.expect("an answer comes");
+        assert!(outcome.error.is_none());
+    }
+    let executions: usize =
+        fleet.members.iter().map(|member| member.upstream.standin.executions().len()).sum();
+    assert_eq!(executions, WARM_CALLS as usize);
+    assert_eq!(counter(&fleet, 0, "yuccatray_hedges_total"), 0);
+    assert!(fleet.stop().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn full_gate_call_moves_on() {
+    let fleet = fleet(2).await;
+    let caller = Arc::new(Caller::new(fleet.ingress_addr(0)));
+    for _ in 0..WARM_CALLS {
+        let outcome = caller.call(&plan(Method::POST)).await.expect("an answer comes");
+        assert!(outcome.error.is_none());
+    }
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..WARM_CALLS {
+        let caller = Arc::clone(&caller);
+        calls.spawn(async move { caller.call(&plan(Method::POST)).await });
+    }
+    let mut answered = 0;
+    for outcome in calls.join_all().await {
+        answered += usize::from(outcome.expect("an answer comes").error.is_none());
+    }
+    let spilled = counter(&fleet, 0, "yuccatray_spills_total");
+    assert!(spilled > 0, "a burst fills one gate and moves on to the other");
+    let executions: usize =
+        fleet.members.iter().map(|member| member.upstream.standin.executions().len()).sum();
+    assert_eq!(executions, answered + WARM_CALLS as usize, "each answered call ran once, the others never");
+    assert!(fleet.stop().await);
+}
--- a/standin/src/upstream.rs
+++ b/standin/src/upstream.rs
@@ -132,6 +132,12 @@
         *self.shared.behaviour.lock() = behaviour;
     }
 
+    /// Slots that no call holds.
+    #[must_use]
+    pub fn free_slots(&self) -> usize {
+        self.shared.slots.available_permits()
+    }
+
     /// Everything that it executed so far, oldest first.
     #[must_use]
     pub fn executions(&self) -> Vec<Execution> {
