--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -104,6 +104,7 @@
                 return Err(answer);
             }
             Metrics::count(&self.parts.metrics.retries, answer.kind.name());
+            call.tally.retried(Instant::now());
             attempt += 1;
             last = Some(answer);
         }
