admission: callers take turns in a priority and share its queue

Cause: one caller could fill the queue and the slots of a priority. Change: among callers with calls waiting, the one with the fewest running goes next; one caller may take half of the waiting places by default. Callers are named by yuccatray-caller, else by their address, and the name travels with the call. Tests: a flooding caller leaves others their turn; its queue share is bounded.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -1,11 +1,14 @@
 //! Which calls a gate lets through to its upstream, and in which order.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::coordination::concurrency_limit::ConcurrencyLimit;
+use crate::coordination::priority_lane::CallerKey;
+use crate::coordination::priority_lane::PriorityLane;
+use crate::coordination::priority_lane::PriorityRule;
+use crate::coordination::priority_lane::Waiter;
 use crate::coordination::service_estimate::Ended;
 use crate::coordination::service_estimate::ServiceEstimate;
 use crate::coordination::slot_shares::LaneUse;
@@ -31,15 +34,12 @@
     lane: usize,
 }
 
-/// How a gate treats one priority.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PriorityRule {
-    /// Share of the slots that the priority keeps in any overload, in percent.
-    pub min_share_percent: u32,
-    /// Calls that may wait.
-    pub max_queue: usize,
-    /// Latency objective.
-    pub objective: Duration,
+impl TicketKey {
+    /// When the call is of no more use.
+    #[must_use]
+    pub const fn deadline(&self) -> Instant {
+        self.deadline
+    }
 }
 
 /// A call that asks to be let through.
@@ -47,6 +47,8 @@
 pub struct Ticket {
     /// Position of the priority, 0 the most urgent.
     pub priority: u8,
+    /// Whose call it is.
+    pub caller: CallerKey,
     /// When the call is of no more use.
     pub deadline: Instant,
     /// Longest time in all for which it is worth staying here, when another gate may be better.
@@ -66,6 +68,8 @@
     ObjectiveMissed,
     /// It would take longer here than the sender expects elsewhere.
     Impatient,
+    /// The caller has its share of the waiting places already.
+    CallerLimited,
     /// The gate takes no more work.
     Draining,
 }
@@ -74,6 +78,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
     lane: usize,
+    caller: CallerKey,
     started: Instant,
 }
 
@@ -105,14 +110,6 @@
     Refuse(TicketKey, Refusal),
 }
 
-#[derive(Debug)]
-struct Lane {
-    rule: PriorityRule,
-    /// Waiting calls with the moments at which their objectives pass.
-    waiting: BTreeMap<TicketKey, Instant>,
-    running: u32,
-}
-
 /// Exact state of a gate: slots in use and the queue of each priority.
 #[derive(Debug)]
 pub struct Admission {
@@ -121,7 +118,7 @@
     running: u32,
     draining: bool,
     next_sequence: u64,
-    lanes: Vec<Lane>,
+    lanes: Vec<PriorityLane>,
     shares: SlotShares,
     estimate: ServiceEstimate,
 }
@@ -136,7 +133,7 @@
             running: 0,
             draining: false,
             next_sequence: 0,
-            lanes: rules.iter().map(|rule| Lane::new(*rule)).collect(),
+            lanes: rules.iter().map(|rule| PriorityLane::new(*rule)).collect(),
             shares: SlotShares::new(now),
             estimate: ServiceEstimate::new(now),
         }
@@ -145,10 +142,10 @@
     /// Replaces the rules; calls waiting under a priority that is gone are refused.
     pub fn set_rules(&mut self, rules: &[PriorityRule]) -> Vec<Verdict> {
         for (lane, rule) in self.lanes.iter_mut().zip(rules) {
-            lane.rule = *rule;
+            lane.set_rule(*rule);
         }
         for rule in rules.iter().skip(self.lanes.len()) {
-            self.lanes.push(Lane::new(*rule));
+            self.lanes.push(PriorityLane::new(*rule));
         }
         let mut verdicts = Vec::new();
         for lane in self.lanes.iter_mut().skip(rules.len()) {
@@ -193,7 +190,7 @@
             return Offer::Refused(Refusal::QueueFull);
         };
         let free = self.free_for_all();
-        let wait = if free { Duration::ZERO } else { self.expected_wait(index, now) };
+        let wait = if free { Duration::ZERO } else { self.expected_wait(index, ticket.caller, now) };
         let service_time = Duration::from_micros(self.estimate.live_us(now));
         if let Some(patience) = ticket.patience
             && wait + service_time > patience
@@ -202,7 +199,7 @@
             return Offer::Refused(Refusal::Impatient);
         }
         if free {
-            return Offer::Admitted(self.start(index, now));
+            return Offer::Admitted(self.start(index, ticket.caller, now));
         }
         self.enqueue(ticket, index, wait, now)
     }
@@ -210,20 +207,20 @@
     fn enqueue(&mut self, ticket: Ticket, index: usize, wait: Duration, now: Instant) -> Offer {
         let service_time = self.service_time();
         let lane = &mut self.lanes[index];
-        let objective_at = now + lane.rule.objective;
-        let longest_wait = lane.rule.objective.saturating_sub(service_time) / WAIT_DIVISOR;
+        let objective_at = now + lane.rule().objective;
+        let longest_wait = lane.rule().objective.saturating_sub(service_time) / WAIT_DIVISOR;
         if now + wait >= ticket.deadline {
             return Offer::Refused(Refusal::TooLate);
         }
         if wait > longest_wait {
             return Offer::Refused(Refusal::ObjectiveMissed);
         }
-        if lane.waiting.len() >= lane.rule.max_queue {
-            return Offer::Refused(Refusal::QueueFull);
+        if let Some(refusal) = lane.refuses(ticket.caller) {
+            return Offer::Refused(refusal);
         }
         let key = TicketKey { deadline: ticket.deadline, sequence: self.next_sequence, lane: index };
         self.next_sequence += 1;
-        lane.waiting.insert(key, objective_at);
+        lane.push(key, Waiter { caller: ticket.caller, objective_at });
         Offer::Queued(key)
     }
 
@@ -232,7 +229,7 @@
         self.settle(now);
         self.running = self.running.saturating_sub(1);
         if let Some(lane) = self.lanes.get_mut(grant.lane) {
-            lane.running = lane.running.saturating_sub(1);
+            lane.finish(grant.caller);
         }
         self.estimate.finish(grant.started, ended, now);
         if let Ended::Good(took) = ended
@@ -245,13 +242,13 @@
 
     /// A waiting call was given up by its caller; true when it was still waiting.
     pub fn cancel(&mut self, key: TicketKey) -> bool {
-        self.lanes.get_mut(key.lane).is_some_and(|lane| lane.waiting.remove(&key).is_some())
+        self.lanes.get_mut(key.lane).is_some_and(|lane| lane.remove(key))
     }
 
     /// The state as reported on answers.
     #[must_use]
     pub fn load(&self, now: Instant) -> LoadReport {
-        let queued: usize = self.lanes.iter().map(|lane| lane.waiting.len()).sum();
+        let queued: usize = self.lanes.iter().map(PriorityLane::queued).sum();
         LoadReport {
             running: self.running,
             queued: u32::try_from(queued).unwrap_or(u32::MAX),
@@ -263,7 +260,7 @@
     /// When a slot may be free for a call refused now, by the rate at which the queue drains.
     #[must_use]
     pub fn retry_hint(&self) -> Duration {
-        let queued: usize = self.lanes.iter().map(|lane| lane.waiting.len()).sum();
+        let queued: usize = self.lanes.iter().map(PriorityLane::queued).sum();
         let queued = u32::try_from(queued).unwrap_or(u32::MAX);
         let drain = self.service_time() * queued.saturating_add(1) / self.limit.current().max(1);
         drain.clamp(RETRY_HINT_MIN, RETRY_HINT_MAX)
@@ -275,7 +272,7 @@
     }
 
     fn free_for_all(&self) -> bool {
-        self.running < self.limit.current() && self.lanes.iter().all(|lane| lane.waiting.is_empty())
+        self.running < self.limit.current() && !self.lanes.iter().any(PriorityLane::has_waiting)
     }
 
     fn service_time(&self) -> Duration {
@@ -283,8 +280,8 @@
     }
 
     /// Time until a call that joins the queue of the lane now gets a slot.
-    fn expected_wait(&self, index: usize, now: Instant) -> Duration {
-        let ahead = self.lanes[index].waiting.len() as u64 + 1;
+    fn expected_wait(&self, index: usize, caller: CallerKey, now: Instant) -> Duration {
+        let ahead = u64::from(self.lanes[index].ahead_of(caller)) + 1;
         let slot_hundredths = self.slot_hundredths_for(index);
         Duration::from_micros(self.estimate.live_us(now).saturating_mul(ahead * PERCENT) / slot_hundredths)
     }
@@ -292,23 +289,23 @@
     /// Slots that the lane can count on, in hundredths.
     fn slot_hundredths_for(&self, index: usize) -> u64 {
         let limit = u64::from(self.limit.current());
-        let kept = |lane: &Lane| u64::from(lane.rule.min_share_percent) * limit;
+        let kept = |lane: &PriorityLane| u64::from(lane.rule().min_share_percent) * limit;
         let own_kept = kept(&self.lanes[index]).max(LEAST_SHARE_PERCENT * limit).max(1);
         let (urgent, rest) = self.lanes.split_at(index);
-        if urgent.iter().any(|lane| !lane.waiting.is_empty()) {
+        if urgent.iter().any(PriorityLane::has_waiting) {
             return own_kept;
         }
-        let urgent_use: u64 = urgent.iter().map(|lane| u64::from(lane.running) * PERCENT).sum();
-        let others = rest.iter().skip(1).filter(|lane| !lane.waiting.is_empty());
-        let others_keep: u64 = others.map(|lane| kept(lane).min(u64::from(lane.running) * PERCENT)).sum();
+        let urgent_use: u64 = urgent.iter().map(|lane| u64::from(lane.running()) * PERCENT).sum();
+        let others = rest.iter().skip(1).filter(|lane| lane.has_waiting());
+        let others_keep: u64 = others.map(|lane| kept(lane).min(u64::from(lane.running()) * PERCENT)).sum();
         (limit * PERCENT).saturating_sub(urgent_use + others_keep).max(own_kept)
     }
 
     fn settle(&mut self, now: Instant) {
         let lanes = self.lanes.iter().map(|lane| LaneUse {
-            running: lane.running,
-            waiting: !lane.waiting.is_empty(),
-            share_percent: lane.rule.min_share_percent,
+            running: lane.running(),
+            waiting: lane.has_waiting(),
+            share_percent: lane.rule().min_share_percent,
         });
         let service_time = Duration::from_micros(self.estimate.mean_us());
         self.shares.settle(lanes, self.limit.current(), service_time, now);
@@ -318,16 +315,13 @@
         let service_time = self.service_time();
         let mut verdicts = Vec::new();
         while self.running < self.limit.current() {
-            for lane in &mut self.lanes {
-                lane.refuse_hopeless(service_time, now, &mut verdicts);
-            }
             let Some(index) = self.next_lane() else {
                 break;
             };
-            let Some((key, _)) = self.lanes[index].waiting.pop_first() else {
-                break;
+            let Some((key, caller)) = self.lanes[index].next(service_time, now, &mut verdicts) else {
+                continue;
             };
-            let grant = self.start(index, now);
+            let grant = self.start(index, caller, now);
             verdicts.push(Verdict::Admit(key, grant));
         }
         verdicts
@@ -335,41 +329,15 @@
 
     /// The most urgent lane that is owed slot time, else the most urgent that waits.
     fn next_lane(&self) -> Option<usize> {
-        let mut waiting = (0..self.lanes.len()).filter(|index| !self.lanes[*index].waiting.is_empty());
+        let mut waiting = (0..self.lanes.len()).filter(|index| self.lanes[*index].has_waiting());
         let first = waiting.clone().next();
         waiting.find(|index| self.shares.is_owed(*index)).or(first)
     }
 
-    fn start(&mut self, index: usize, now: Instant) -> Grant {
+    fn start(&mut self, index: usize, caller: CallerKey, now: Instant) -> Grant {
         self.running += 1;
-        self.lanes[index].running += 1;
+        self.lanes[index].start(caller);
         self.estimate.start(now);
-        Grant { lane: index, started: now }
-    }
-}
-
-impl Lane {
-    const fn new(rule: PriorityRule) -> Self {
-        Self { rule, waiting: BTreeMap::new(), running: 0 }
-    }
-
-    /// Refuses the calls at the head that can't be answered in time any more.
-    fn refuse_hopeless(&mut self, service_time: Duration, now: Instant, verdicts: &mut Vec<Verdict>) {
-        while let Some(entry) = self.waiting.first_entry() {
-            let refusal = if entry.key().deadline <= now {
-                Refusal::TooLate
-            } else if *entry.get() < now + service_time {
-                Refusal::ObjectiveMissed
-            } else {
-                return;
-            };
-            verdicts.push(Verdict::Refuse(*entry.key(), refusal));
-            entry.remove();
-        }
-    }
-
-    fn refuse_all(&mut self, refusal: Refusal) -> Vec<Verdict> {
-        let waiting = std::mem::take(&mut self.waiting);
-        waiting.into_keys().map(|key| Verdict::Refuse(key, refusal)).collect()
+        Grant { lane: index, caller, started: now }
     }
 }
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 pub mod manifest;
 pub mod membership;
 pub mod outlier_ejection;
+pub mod priority_lane;
 pub mod publication;
 pub mod retry_budget;
 pub mod routing;
--- a/lib/src/protocol/call_head.rs
+++ b/lib/src/protocol/call_head.rs
@@ -29,6 +29,8 @@
     pub timeout: Duration,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Name of the caller, when it gave one.
+    pub caller: Option<Arc<str>>,
 }
 
 /// The service that a request names.
@@ -66,6 +68,7 @@
             priority: priority(fields, config)?,
             timeout: timeout(fields, config)?,
             idempotent: idempotent(fields, method, config)?,
+            caller: text(fields, &headers::CALLER)?.map(Arc::from),
         })
     }
 }
--- a/lib/src/protocol/service_spec.rs
+++ b/lib/src/protocol/service_spec.rs
@@ -69,6 +69,10 @@
     #[serde(default = "default_max_queue")]
     #[schemars(range(min = 0, max = 100_000))]
     pub max_queue: u32,
+    /// Share of those waiting places that one caller may take, in percent.
+    #[serde(default = "default_max_caller_queue_percent")]
+    #[schemars(range(min = 1, max = 100))]
+    pub max_caller_queue_percent: u32,
 }
 
 /// When a call may be sent again.
@@ -186,3 +190,7 @@
 const fn default_max_queue() -> u32 {
     100
 }
+
+const fn default_max_caller_queue_percent() -> u32 {
+    50
+}
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::coordination::admission::PriorityRule;
+use crate::coordination::priority_lane::PriorityRule;
 use crate::protocol::member::UpstreamInfo;
 use crate::protocol::published::Published;
 use crate::protocol::service_spec::UpstreamRuleSpec;
@@ -155,6 +155,7 @@
     let rules = priorities.map(|priority| PriorityRule {
         min_share_percent: priority.min_share_percent,
         max_queue: priority.max_queue as usize,
+        max_caller_queue_percent: priority.max_caller_queue_percent,
         objective: Duration::from_millis(priority.objective_ms),
     });
     rules.collect()
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -17,15 +17,17 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordination::admission::Admission;
 use crate::coordination::admission::Grant;
 use crate::coordination::admission::Offer;
-use crate::coordination::admission::PriorityRule;
 use crate::coordination::admission::Refusal;
 use crate::coordination::admission::Ticket;
 use crate::coordination::admission::TicketKey;
 use crate::coordination::admission::Verdict;
+use crate::coordination::priority_lane::CallerKey;
+use crate::coordination::priority_lane::PriorityRule;
 use crate::coordination::service_estimate::Ended;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_id::CallId;
@@ -57,6 +59,8 @@
     pub id: CallId,
     /// Position of the priority, 0 the most urgent.
     pub priority: u8,
+    /// Whose call it is.
+    pub caller: CallerKey,
     /// When the call is of no more use.
     pub deadline: Instant,
     /// Whether it may run more than once.
@@ -65,6 +69,12 @@
     pub patience: Option<Duration>,
 }
 
+/// The key of a caller's name.
+#[must_use]
+pub fn caller_key(name: &str) -> CallerKey {
+    CallerKey(xxh3_64(name.as_bytes()))
+}
+
 /// An answer of the upstream on its way out of the gate.
 pub type GateResponse = Response<GuardedBody<CallBody, GateGuard>>;
 
@@ -196,6 +206,7 @@
     fn offer(&self, call: &GateCall) -> Result<Entry> {
         let ticket = Ticket {
             priority: call.priority,
+            caller: call.caller,
             deadline: call.deadline,
             patience: call.patience,
             idempotent: call.idempotent,
@@ -250,6 +261,9 @@
                 (ErrorKind::ObjectiveMissed, "objective_missed", "the objective could not be met any more")
             }
             Refusal::Impatient => (ErrorKind::Overloaded, "impatient", "another gate may be faster"),
+            Refusal::CallerLimited => {
+                (ErrorKind::CallerLimited, "caller_limited", "this caller has its share of the queue already")
+            }
             Refusal::Draining => (ErrorKind::Draining, "draining", "the upstream takes no new work"),
         };
         self.count(reason);
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -54,6 +54,7 @@
 use crate::transport::gate::Gate;
 use crate::transport::gate::GateCall;
 use crate::transport::gate::GateGuard;
+use crate::transport::gate::caller_key;
 use crate::transport::http_server::Handler;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::ControlChannels;
@@ -113,6 +114,7 @@
     pub(super) id: CallId,
     pub(super) head: CallHead,
     priority_name: Arc<str>,
+    caller: Arc<str>,
     started: Instant,
     pub(super) deadline: Instant,
     pub(super) max_attempts: u32,
@@ -147,9 +149,9 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    async fn serve(&self, request: Request<Incoming>) -> Response<IngressBody> {
+    async fn serve(&self, request: Request<Incoming>, remote: SocketAddr) -> Response<IngressBody> {
         let id = self.parts.ids.next();
-        let mut response = match self.accept(id.clone(), request).await {
+        let mut response = match self.accept(id.clone(), request, remote).await {
             Ok(response) => response.map(Either::Left),
             Err(answer) => answer.into_response(Some(&id)).map(|bytes| Either::Right(Full::new(bytes))),
         };
@@ -159,7 +161,7 @@
         response
     }
 
-    async fn accept(&self, id: CallId, request: Request<Incoming>) -> Result<Answered> {
+    async fn accept(&self, id: CallId, request: Request<Incoming>, remote: SocketAddr) -> Result<Answered> {
         if self.draining.load(Ordering::Relaxed) {
             return Err(
                 ErrorAnswer::new(ErrorKind::Draining, "this node is stopping").retry_after(RETRY_HINT)
@@ -172,7 +174,7 @@
             ErrorAnswer::new(ErrorKind::UnknownService, format!("no published service is named {service:?}"))
         })?;
         let head = CallHead::read(service, request.headers(), request.method(), config)?;
-        let mut call = Call::new(id, head, config, &self.parts.burn);
+        let mut call = Call::new(id, head, config, &self.parts.burn, remote);
         let result = self.see_through(&mut call, config, request).await;
         if let Err(answer) = &result {
             log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
@@ -229,6 +231,7 @@
         let gate_call = GateCall {
             id: call.id.clone(),
             priority: call.head.priority,
+            caller: caller_key(&call.caller),
             deadline: call.deadline,
             idempotent: call.head.idempotent,
             patience,
@@ -335,13 +338,19 @@
 {
     type Body = IngressBody;
 
-    async fn handle(&self, request: Request<Incoming>, _remote: SocketAddr) -> Response<IngressBody> {
-        self.ingress.serve(request).await
+    async fn handle(&self, request: Request<Incoming>, remote: SocketAddr) -> Response<IngressBody> {
+        self.ingress.serve(request, remote).await
     }
 }
 
 impl Call {
-    fn new(id: CallId, head: CallHead, config: &PublishedConfig, burn: &Arc<BurnCounts>) -> Self {
+    fn new(
+        id: CallId,
+        head: CallHead,
+        config: &PublishedConfig,
+        burn: &Arc<BurnCounts>,
+        remote: SocketAddr,
+    ) -> Self {
         let started = Instant::now();
         let declared = config.priorities.priorities.get_index(usize::from(head.priority));
         let priority_name = declared.map(|(name, _)| Arc::clone(name)).unwrap_or_default();
@@ -350,6 +359,7 @@
         Self {
             id,
             priority_name,
+            caller: head.caller.clone().unwrap_or_else(|| Arc::from(remote.ip().to_string())),
             started,
             deadline: started + head.timeout,
             max_attempts: config.service.retry.max_attempts,
@@ -386,6 +396,7 @@
         insert(fields, headers::CALL, &call.id.to_string());
         insert(fields, headers::SERVICE, &call.head.service);
         insert(fields, headers::PRIORITY, &call.priority_name);
+        insert(fields, headers::CALLER, &call.caller);
         insert(fields, headers::TIMEOUT_MS, &left_ms.to_string());
         insert(fields, headers::IDEMPOTENT, if call.head.idempotent { "true" } else { "false" });
         fields.remove(headers::PATIENCE_US);
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -31,6 +31,7 @@
 use crate::transport::gate::Gate;
 use crate::transport::gate::GateCall;
 use crate::transport::gate::GateGuard;
+use crate::transport::gate::caller_key;
 use crate::transport::gossip::Gossip;
 use crate::transport::http_server::Handler;
 
@@ -73,6 +74,7 @@
         Ok(GateCall {
             id,
             priority: self.priority(fields),
+            caller: caller_key(text(fields, &headers::CALLER).unwrap_or_default()),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
             idempotent: text(fields, &headers::IDEMPOTENT) == Some("true"),
             patience: optional(fields, &headers::PATIENCE_US).map(Duration::from_micros),
--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -19,18 +19,24 @@
 use yuccatray::coordination::admission::Admission;
 use yuccatray::coordination::admission::Grant;
 use yuccatray::coordination::admission::Offer;
-use yuccatray::coordination::admission::PriorityRule;
 use yuccatray::coordination::admission::Refusal;
 use yuccatray::coordination::admission::Ticket;
 use yuccatray::coordination::admission::TicketKey;
 use yuccatray::coordination::admission::Verdict;
+use yuccatray::coordination::priority_lane::CallerKey;
+use yuccatray::coordination::priority_lane::PriorityRule;
 use yuccatray::coordination::service_estimate::Ended;
 
 const SHARES: [u32; 4] = [30, 20, 10, 10];
 const SERVICE_TIME: Duration = Duration::from_millis(30);
 
 fn rule(min_share_percent: u32) -> PriorityRule {
-    PriorityRule { min_share_percent, max_queue: 20, objective: Duration::from_secs(1) }
+    PriorityRule {
+        min_share_percent,
+        max_queue: 20,
+        max_caller_queue_percent: 100,
+        objective: Duration::from_secs(1),
+    }
 }
 
 fn rules(shares: &[u32]) -> Vec<PriorityRule> {
@@ -110,7 +116,13 @@
     ) -> Result<(), TestCaseError> {
         let deadline = self.now + Duration::from_millis(timeout_ms);
         let patience = patience_ms.map(Duration::from_millis);
-        let ticket = Ticket { priority, deadline, patience, idempotent: timeout_ms.is_multiple_of(2) };
+        let ticket = Ticket {
+            priority,
+            caller: CallerKey(0),
+            deadline,
+            patience,
+            idempotent: timeout_ms.is_multiple_of(2),
+        };
         let load = self.admission.load(self.now);
         match self.admission.offer(ticket, self.now) {
             Offer::Admitted(grant) => {
@@ -227,7 +239,7 @@
         self.arrivals[lane].1 = now + gap.mul_f64(self.rng.random_range(0.0..2.0));
         let priority = u8::try_from(lane).expect("four priorities");
         let deadline = now + Duration::from_secs(10);
-        let ticket = Ticket { priority, deadline, patience: None, idempotent: false };
+        let ticket = Ticket { priority, caller: CallerKey(0), deadline, patience: None, idempotent: false };
         match self.admission.offer(ticket, now) {
             Offer::Admitted(grant) => self.start(lane, grant, now),
             Offer::Queued(key) => {
@@ -313,3 +325,44 @@
     let longest = overload.longest_wait[0];
     assert!(longest < SERVICE_TIME, "the most urgent waits {longest:?} for the next free slot");
 }
+
+fn caller_ticket(caller: u64, now: Instant) -> Ticket {
+    let deadline = now + Duration::from_secs(10);
+    Ticket { priority: 0, caller: CallerKey(caller), deadline, patience: None, idempotent: false }
+}
+
+#[test]
+fn caller_flooding_leaves_others_their_turn() {
+    let now = Instant::now();
+    let mut admission = Admission::new(2, &rules(&SHARES), now);
+    let mut running = Vec::new();
+    let mut waiting = Vec::new();
+    for _ in 0..20 {
+        match admission.offer(caller_ticket(1, now), now) {
+            Offer::Admitted(grant) => running.push(grant),
+            Offer::Queued(key) => waiting.push(key),
+            Offer::Refused(refusal) => panic!("there is room for twenty: {refusal:?}"),
+        }
+    }
+    assert_eq!(running.len(), 2);
+    let Offer::Queued(other) = admission.offer(caller_ticket(2, now), now) else {
+        panic!("another caller may wait");
+    };
+    let verdicts = admission.release(running[0], Ended::Good(SERVICE_TIME), now);
+    let [Verdict::Admit(next, _)] = verdicts[..] else {
+        panic!("one slot, one call: {verdicts:?}");
+    };
+    assert_eq!(next, other, "the caller with nothing running goes first");
+}
+
+#[test]
+fn caller_alone_takes_its_share_of_the_queue() {
+    let now = Instant::now();
+    let rule = PriorityRule { max_caller_queue_percent: 50, ..rule(30) };
+    let mut admission = Admission::new(1, &[rule], now);
+    let offers: Vec<Offer> = (0..13).map(|_| admission.offer(caller_ticket(1, now), now)).collect();
+    assert!(matches!(offers[0], Offer::Admitted(_)));
+    assert!(offers[1..11].iter().all(|offer| matches!(offer, Offer::Queued(_))), "ten of twenty places");
+    assert_eq!(offers[11..], [Offer::Refused(Refusal::CallerLimited); 2]);
+    assert!(matches!(admission.offer(caller_ticket(2, now), now), Offer::Queued(_)), "others find room");
+}
--- a/load/src/policy_variant.rs
+++ b/load/src/policy_variant.rs
@@ -75,6 +75,7 @@
             }
             (Self::Open, ObjectKind::PrioritySet) => {
                 set_in_priorities(spec, "max_queue", &Value::from(OPEN_QUEUE));
+                set_in_priorities(spec, "max_caller_queue_percent", &Value::from(100));
             }
             (Self::Open, ObjectKind::UpstreamRule) => {
                 spec["max_connections"] = Value::from(OPEN_SLOTS);
