--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -7,12 +7,13 @@
 use simplelog::ConfigBuilder;
 use simplelog::LevelFilter;
 use simplelog::SimpleLogger;
+use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use yuccatray::node::Node;
+use yuccatray::protocol::checked_json::JsonError;
 use yuccatray::protocol::settings::LogLevel;
 use yuccatray::protocol::settings::Settings;
-use yuccatray::protocol::settings::SettingsError;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -39,8 +40,7 @@
     print_defaults: bool,
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let args = Args::parse();
     let Some(path) = args.settings.filter(|_| !args.print_defaults) else {
         print!("{}", include_str!("../../examples/settings.jsonc"));
@@ -58,7 +58,14 @@
         return ExitCode::SUCCESS;
     }
     start_log(settings.log.level);
-    run(&settings).await
+    let threads = settings.process.worker_threads as usize;
+    match Builder::new_multi_thread().worker_threads(threads).enable_all().build() {
+        Ok(runtime) => runtime.block_on(run(&settings)),
+        Err(error) => {
+            eprintln!("error: cannot start {threads} threads: {error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
 }
 
 async fn run(settings: &Settings) -> ExitCode {
@@ -101,7 +108,7 @@
     ExitCode::from(EXIT_CUT_SHORT)
 }
 
-fn report(path: &std::path::Path, error: &SettingsError) {
+fn report(path: &std::path::Path, error: &JsonError) {
     eprintln!("error: {}: {error}", path.display());
     for problem in error.problems() {
         eprintln!("  {}: {}", problem.field, problem.problem);
--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -22,7 +22,7 @@
 ///
 /// The rest is for service times above the mean: a call let in at the edge would hold a
 /// slot and miss its objective all the same.
-const WAIT_DIVISOR: u32 = 2;
+const WAIT_DIVISOR: u32 = 3;
 const RETRY_HINT_MIN: Duration = Duration::from_millis(10);
 const RETRY_HINT_MAX: Duration = Duration::from_secs(5);
 
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -84,14 +84,14 @@
         let mut visited = Visited::default();
         let mut attempt = 1;
         let mut last = None;
-        while let Some(plan) = self.plan(call, config, &budgets, &mut visited) {
+        while let Some(plan) = self.plan(call, config, &budgets, &visited, outgoing.can_repeat()) {
             let Some(request) = outgoing.next_request(call, plan.patience) else {
                 break;
             };
             let race = Race { call, config, budgets: &budgets, visited: &visited };
             let answer = match self.race(race, &plan, request, outgoing).await {
                 Ok(response) => return Ok(response),
-                Err(answer) => answer,
+                Err(answer) => outgoing.explain(answer),
             };
             let name = Arc::clone(&plan.entry.member.id.name);
             if plan.patience.is_some() && answer.kind == ErrorKind::Overloaded {
@@ -167,7 +167,7 @@
         Some((copy, request))
     }
 
-    fn raced(&self, outcome: &str, response: Answered) -> Answered {
+    fn raced(&self, outcome: &'static str, response: Answered) -> Answered {
         Metrics::count(&self.parts.metrics.hedge_outcomes, outcome);
         response
     }
@@ -178,10 +178,11 @@
         call: &mut Call,
         config: &PublishedConfig,
         budgets: &ServiceBudgets,
-        visited: &mut Visited,
+        visited: &Visited,
+        can_repeat: bool,
     ) -> Option<Plan> {
-        let spills_left = visited.moved_on.len() < MAX_SPILLS;
-        if spills_left && budgets.spill(call.head.priority).is_open() {
+        let may_move_on = can_repeat && visited.moved_on.len() < MAX_SPILLS;
+        if may_move_on && budgets.spill(call.head.priority).is_open() {
             let planned = self.choose(call, config, |name| visited.contains(name));
             if planned.is_some() {
                 return planned;
@@ -190,9 +191,7 @@
         let plan = self.choose(call, config, |name| visited.failed.contains(name))?;
         if visited.moved_on.contains(&plan.entry.member.id.name) {
             // The gate has refused this identity for good, and the call never ran.
-            let fresh = self.parts.ids.next();
-            log::debug!("call goes on under a new identity; call={} next={fresh}", call.id);
-            call.id = fresh;
+            call.rename(self.parts.ids.next());
         }
         Some(Plan { patience: None, ..plan })
     }
--- a/load/src/deployment.rs
+++ b/load/src/deployment.rs
@@ -6,10 +6,10 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
-use yuccatray::protocol::settings::Result;
-use yuccatray::protocol::settings::checked_from_value;
-use yuccatray::protocol::settings::parse_jsonc;
-use yuccatray::protocol::settings::read_text;
+use yuccatray::protocol::checked_json::Result;
+use yuccatray::protocol::checked_json::checked_from_value;
+use yuccatray::protocol::checked_json::parse_jsonc;
+use yuccatray::protocol::checked_json::read_text;
 use yuccatray_standin::upstream::UpstreamBehaviour;
 
 /// A fleet and its load.
@@ -45,8 +45,8 @@
     /// Calls that each upstream runs at once.
     #[schemars(range(min = 1, max = 1_000))]
     pub slots: u32,
-    /// Mean service time, in microseconds.
-    #[schemars(range(min = 1, max = 10_000_000))]
+    /// Mean service time, in microseconds; 0 answers at once.
+    #[schemars(range(min = 0, max = 10_000_000))]
     pub mean_service_us: u64,
     /// Exponential stages that make up one service time; more stages vary less.
     #[serde(default = "default_service_stages")]
