calls: priority, deadline and repeats bound the calls made on their behalf

Cause: a child could claim more urgency or time than its parent, and a retry's children could retry and hedge again, so budgets multiplied along the tree. Change: the node looks up the parent that its upstream is running and bounds the child; repeats are marked down the tree, earn no retry budget and are not hedged.

--- a/lib/src/protocol/call_head.rs
+++ b/lib/src/protocol/call_head.rs
@@ -9,6 +9,7 @@
 use http::Uri;
 use http::header::EXPECT;
 use http::header::UPGRADE;
+use tokio::time::Instant;
 
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::error_kind::ErrorKind;
@@ -31,6 +32,21 @@
     pub idempotent: bool,
     /// Name of the caller, when it gave one.
     pub caller: Option<Arc<str>>,
+    /// Whether it is made on behalf of a retry or a second copy.
+    pub repeated: bool,
+}
+
+/// What a running call hands down to the calls made on its behalf.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParentCall {
+    /// Name of its priority.
+    pub priority_name: Arc<str>,
+    /// Position of its priority, 0 the most urgent.
+    pub priority: u8,
+    /// When it is of no more use.
+    pub deadline: Instant,
+    /// Whether it is a retry or a second copy, or runs on behalf of one.
+    pub repeated: bool,
 }
 
 /// The service that a request names.
@@ -69,8 +85,30 @@
             timeout: timeout(fields, config)?,
             idempotent: idempotent(fields, method, config)?,
             caller: text(fields, &headers::CALLER)?.map(Arc::from),
+            repeated: text(fields, &headers::REPEAT)? == Some("true"),
         })
     }
+
+    /// Bounds a call made on behalf of another: no more urgent, and not later.
+    ///
+    /// # Errors
+    ///
+    /// When the other call has no time left.
+    pub fn bound_by(&mut self, parent: &ParentCall, config: &PublishedConfig, now: Instant) -> Result<()> {
+        let names = &config.priorities.priorities;
+        let last = u8::try_from(names.len().saturating_sub(1)).unwrap_or(u8::MAX);
+        let same_name = names.get_index_of(&parent.priority_name).and_then(|index| u8::try_from(index).ok());
+        self.priority = self.priority.max(same_name.unwrap_or(parent.priority)).min(last);
+        self.timeout = self.timeout.min(parent.deadline.saturating_duration_since(now));
+        self.repeated |= parent.repeated;
+        if self.timeout.is_zero() {
+            return Err(ErrorAnswer::new(
+                ErrorKind::DeadlineBeforeStart,
+                "the calling call has no time left",
+            ));
+        }
+        Ok(())
+    }
 }
 
 fn priority(fields: &HeaderMap, config: &PublishedConfig) -> Result<u8> {
--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -11,6 +11,8 @@
 pub const PRIORITY: HeaderName = HeaderName::from_static("yuccatray-priority");
 /// Time left to the call, in milliseconds.
 pub const TIMEOUT_MS: HeaderName = HeaderName::from_static("yuccatray-timeout-ms");
+/// `true` on a retry or a second copy, and on calls made on behalf of one.
+pub const REPEAT: HeaderName = HeaderName::from_static("yuccatray-repeat");
 /// Longest time in all for which the call should stay at the gate, in microseconds.
 pub const PATIENCE_US: HeaderName = HeaderName::from_static("yuccatray-patience-us");
 /// `true` or `false`: whether the call may run more than once.
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -5,5 +5,6 @@
 pub mod config_table;
 pub mod directory;
 pub mod metrics;
+pub mod parent_calls;
 pub mod time_ring;
 pub mod upstream_stats;
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -27,6 +27,7 @@
 use crate::transport::ingress::InFlight;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressGuard;
+use crate::transport::ingress::Leg;
 use crate::transport::ingress::Outgoing;
 use crate::transport::ingress::Result;
 use crate::transport::ingress::no_upstream;
@@ -56,7 +57,7 @@
 #[derive(Debug)]
 struct Plan {
     entry: DirectoryEntry,
-    patience: Option<Duration>,
+    leg: Leg,
 }
 
 /// What the attempts of one call share.
@@ -80,12 +81,14 @@
         outgoing: &mut Outgoing,
     ) -> Result<Answered> {
         let budgets = self.budgets(&call.head.service);
-        budgets.retry.earn(config.service.retry.budget_percent);
+        if !call.head.repeated {
+            budgets.retry.earn(config.service.retry.budget_percent);
+        }
         let mut visited = Visited::default();
         let mut attempt = 1;
         let mut last = None;
         while let Some(plan) = self.plan(call, config, &budgets, &visited, outgoing.can_repeat()) {
-            let Some(request) = outgoing.next_request(call, plan.patience) else {
+            let Some(request) = outgoing.next_request(call, plan.leg) else {
                 break;
             };
             let race = Race { call, config, budgets: &budgets, visited: &visited };
@@ -94,7 +97,7 @@
                 Err(answer) => outgoing.explain(answer),
             };
             let name = Arc::clone(&plan.entry.member.id.name);
-            if plan.patience.is_some() && answer.kind == ErrorKind::Overloaded {
+            if plan.leg.patience.is_some() && answer.kind == ErrorKind::Overloaded {
                 Metrics::count(&self.parts.metrics.spills, answer.kind.name());
                 visited.moved_on.push(name);
                 continue;
@@ -125,7 +128,7 @@
         let hedging = &race.budgets.hedging;
         let sent_at = Instant::now();
         let mut first = pin!(self.attempt(race, plan, request));
-        let delay = hedging.delay(spec, call.head.idempotent);
+        let delay = hedging.delay(spec, call.head.idempotent && !call.head.repeated);
         let in_time = match delay {
             Some(delay) => tokio::time::timeout(delay, &mut first).await.ok(),
             None => Some(first.as_mut().await),
@@ -157,12 +160,12 @@
     ) -> Option<(Plan, Request<CallBody>)> {
         let taken = &plan.entry.member.id.name;
         let open = race.budgets.spill(race.call.head.priority).has_credit();
-        let copy =
-            self.choose(race.call, race.config, |name| name == taken || race.visited.contains(name))?;
-        if !open || copy.patience.is_none() || !race.budgets.hedging.spend() {
+        let skip = |name: &Arc<str>| name == taken || race.visited.contains(name);
+        let copy = self.choose(race.call, race.config, true, skip)?;
+        if !open || copy.leg.patience.is_none() || !race.budgets.hedging.spend() {
             return None;
         }
-        let request = outgoing.next_request(race.call, copy.patience)?;
+        let request = outgoing.next_request(race.call, copy.leg)?;
         Metrics::count(&self.parts.metrics.hedges, "started");
         Some((copy, request))
     }
@@ -181,22 +184,23 @@
         visited: &Visited,
         can_repeat: bool,
     ) -> Option<Plan> {
+        let repeated = !visited.failed.is_empty();
         let may_move_on = can_repeat && visited.moved_on.len() < MAX_SPILLS;
         if may_move_on && budgets.spill(call.head.priority).is_open() {
-            let planned = self.choose(call, config, |name| visited.contains(name));
+            let planned = self.choose(call, config, repeated, |name| visited.contains(name));
             if planned.is_some() {
                 return planned;
             }
         }
-        let plan = self.choose(call, config, |name| visited.failed.contains(name))?;
+        let plan = self.choose(call, config, repeated, |name| visited.failed.contains(name))?;
         if visited.moved_on.contains(&plan.entry.member.id.name) {
             // The gate has refused this identity for good, and the call never ran.
             call.rename(self.parts.ids.next());
         }
-        Some(Plan { patience: None, ..plan })
+        Some(Plan { leg: Leg { patience: None, ..plan.leg }, ..plan })
     }
 
-    fn choose<F>(&self, call: &Call, config: &PublishedConfig, skip: F) -> Option<Plan>
+    fn choose<F>(&self, call: &Call, config: &PublishedConfig, repeated: bool, skip: F) -> Option<Plan>
     where
         F: Fn(&Arc<str>) -> bool,
     {
@@ -218,7 +222,7 @@
         let limits = RoutingLimits { max_ejected_percent: config.upstream_rule.max_ejected_percent };
         let index = self.parts.policy.choose(&candidates, limits, &mut rand::rng())?;
         let entry = DirectoryEntry::clone(entries.get(index)?);
-        Some(Plan { entry, patience: self.parts.policy.patience(&all) })
+        Some(Plan { entry, leg: Leg { patience: self.parts.policy.patience(&all), repeated } })
     }
 
     fn candidate(&self, entry: &DirectoryEntry, ramp: Duration, now: Instant) -> Candidate {
@@ -238,13 +242,13 @@
         let sent_at = Instant::now();
         let local = entry.member.id == self.parts.me.id;
         let result = if local {
-            self.through_own_gate(call, plan.patience, request).await
+            self.through_own_gate(call, plan.leg, request).await
         } else {
             self.through_peer(call, &entry.member, request).await
         };
         match result {
             Ok(response) => {
-                if plan.patience.is_some() {
+                if plan.leg.patience.is_some() {
                     spill.taken();
                 }
                 if response.status().is_server_error() {
@@ -255,7 +259,7 @@
                 Ok(self.answered(call, response, in_flight))
             }
             Err(answer) => {
-                if plan.patience.is_some() && answer.kind == ErrorKind::Overloaded {
+                if plan.leg.patience.is_some() && answer.kind == ErrorKind::Overloaded {
                     spill.moved_on();
                 }
                 if let Some(load) = answer.load {
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -32,6 +32,7 @@
 use crate::coordination::priority_lane::PriorityRule;
 use crate::coordination::service_estimate::Ended;
 use crate::protocol::answer::ErrorAnswer;
+use crate::protocol::call_head::ParentCall;
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::headers;
@@ -41,6 +42,7 @@
 use crate::state::call_records::CallState;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
+use crate::state::parent_calls::ParentCalls;
 use crate::transport::call_body::BodyGuard;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
@@ -61,6 +63,10 @@
     pub id: CallId,
     /// Position of the priority, 0 the most urgent.
     pub priority: u8,
+    /// Name of the priority.
+    pub priority_name: Arc<str>,
+    /// Whether it is a retry or a second copy, or runs on behalf of one.
+    pub repeated: bool,
     /// Whose call it is.
     pub caller: CallerKey,
     /// When the call is of no more use.
@@ -71,6 +77,17 @@
     pub patience: Option<Duration>,
 }
 
+impl GateCall {
+    fn as_parent(&self) -> ParentCall {
+        ParentCall {
+            priority_name: Arc::clone(&self.priority_name),
+            priority: self.priority,
+            deadline: self.deadline,
+            repeated: self.repeated,
+        }
+    }
+}
+
 /// The key of a caller's name.
 #[must_use]
 pub fn caller_key(name: &str) -> CallerKey {
@@ -91,6 +108,7 @@
 pub struct Gate {
     queue: Mutex<Queue>,
     records: CallRecords,
+    parents: ParentCalls,
     pool: ArcSwapOption<UpstreamPool>,
     metrics: SharedMetrics,
 }
@@ -103,6 +121,7 @@
         Self {
             queue: Mutex::new(queue),
             records: CallRecords::default(),
+            parents: ParentCalls::default(),
             pool: ArcSwapOption::empty(),
             metrics,
         }
@@ -147,6 +166,12 @@
         self.records.resolve(call)
     }
 
+    /// The call of that identity, while the upstream runs it.
+    #[must_use]
+    pub fn running_call(&self, id: &CallId) -> Option<ParentCall> {
+        self.parents.get(id)
+    }
+
     /// Passes one call to the upstream.
     ///
     /// # Errors
@@ -162,6 +187,7 @@
         let arrived = Instant::now();
         self.admit(&call, &mut slot).await?;
         let queued = arrived.elapsed();
+        self.parents.insert(call.id.clone(), call.as_parent());
         let pool = self.pool.load_full().ok_or_else(no_upstream)?;
         let sent = tokio::time::timeout_at(call.deadline, pool.send(for_upstream(request, pool.addr())));
         match sent.await {
@@ -362,6 +388,7 @@
     fn drop(&mut self) {
         self.gate.records.finish(&self.id);
         if let Some(grant) = self.grant {
+            self.gate.parents.remove(&self.id);
             self.gate.release(grant, self.ended);
         }
     }
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -31,6 +31,7 @@
 use crate::coordination::service_budgets::ServiceBudgets;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_head::CallHead;
+use crate::protocol::call_head::ParentCall;
 use crate::protocol::call_head::origin_form;
 use crate::protocol::call_head::service_name;
 use crate::protocol::call_id::CallId;
@@ -114,6 +115,15 @@
     draining: AtomicBool,
 }
 
+/// How one attempt differs from the others of its call.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Leg {
+    /// Longest time in all for which it should stay at its gate.
+    pub(super) patience: Option<Duration>,
+    /// Whether the upstream may have to do the work of an earlier attempt again.
+    pub(super) repeated: bool,
+}
+
 /// A call on its way through the ingress.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -187,7 +197,10 @@
         let config = config.ok_or_else(|| {
             ErrorAnswer::new(ErrorKind::UnknownService, format!("no published service is named {service:?}"))
         })?;
-        let head = CallHead::read(service, request.headers(), request.method(), config)?;
+        let mut head = CallHead::read(service, request.headers(), request.method(), config)?;
+        if let Some(parent) = self.parent_of(request.headers()) {
+            head.bound_by(&parent, config, Instant::now())?;
+        }
         let mut call = Call::new(id, id_field, head, config, &self.parts.burn, remote);
         let result = self.see_through(&mut call, config, request).await;
         if let Err(answer) = &result {
@@ -212,6 +225,12 @@
         Ok(())
     }
 
+    /// The call of the upstream beside on whose behalf a request is made, by the field it passes on.
+    fn parent_of(&self, fields: &HeaderMap) -> Option<ParentCall> {
+        let id = fields.get(headers::CALL)?.to_str().ok()?.parse().ok()?;
+        self.parts.gate.running_call(&id)
+    }
+
     async fn see_through(
         &self,
         call: &mut Call,
@@ -256,16 +275,18 @@
     pub(super) async fn through_own_gate(
         &self,
         call: &Call,
-        patience: Option<Duration>,
+        leg: Leg,
         request: Request<CallBody>,
     ) -> Result<Response<AnswerBody>> {
         let gate_call = GateCall {
             id: call.id.clone(),
             priority: call.head.priority,
+            priority_name: Arc::clone(&call.priority_name),
+            repeated: leg.repeated || call.head.repeated,
             caller: caller_key(&call.caller),
             deadline: call.deadline,
             idempotent: call.head.idempotent,
-            patience,
+            patience: leg.patience,
         };
         let response = self.parts.gate.call(gate_call, request).await?;
         Ok(response.map(Either::Right))
@@ -421,11 +442,7 @@
 
 impl Outgoing {
     /// The request for the next attempt, or nothing when its body is gone.
-    pub(super) fn next_request(
-        &mut self,
-        call: &Call,
-        patience: Option<Duration>,
-    ) -> Option<Request<CallBody>> {
+    pub(super) fn next_request(&mut self, call: &Call, leg: Leg) -> Option<Request<CallBody>> {
         let body = match &mut self.body {
             OutgoingBody::Kept { data, trailers } => CallBody::kept(data.clone(), trailers.clone()),
             OutgoingBody::Stream { body, .. } => body.take()?,
@@ -442,8 +459,11 @@
         insert(fields, headers::CALLER, &call.caller);
         fields.insert(headers::TIMEOUT_MS, HeaderValue::from(left_ms));
         insert(fields, headers::IDEMPOTENT, if call.head.idempotent { "true" } else { "false" });
+        if leg.repeated || call.head.repeated {
+            fields.insert(headers::REPEAT, HeaderValue::from_static("true"));
+        }
         fields.remove(headers::PATIENCE_US);
-        if let Some(patience) = patience {
+        if let Some(patience) = leg.patience {
             insert(fields, headers::PATIENCE_US, &patience.as_micros().to_string());
         }
         Some(request)
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -74,6 +74,8 @@
         Ok(GateCall {
             id,
             priority: self.priority(fields),
+            priority_name: Arc::from(text(fields, &headers::PRIORITY).unwrap_or_default()),
+            repeated: text(fields, &headers::REPEAT) == Some("true"),
             caller: caller_key(text(fields, &headers::CALLER).unwrap_or_default()),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
             idempotent: text(fields, &headers::IDEMPOTENT) == Some("true"),
--- a/load/tests/call_decisions.rs
+++ b/load/tests/call_decisions.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use http::Method;
+use http::Request;
+use yuccatray::protocol::headers;
 use yuccatray_load::caller::CallOutcome;
 use yuccatray_load::caller::CallPlan;
 use yuccatray_load::caller::Caller;
@@ -13,6 +15,7 @@
 use yuccatray_load::deployment::ServiceLoad;
 use yuccatray_load::embedded_fleet::EmbeddedFleet;
 use yuccatray_standin::upstream::UpstreamBehaviour;
+use yuccatray_testutils::http_call::exchange;
 
 const SLOTS: u32 = 2;
 const WARM_CALLS: u32 = 400;
@@ -135,3 +138,30 @@
     assert_eq!(executions, answered + WARM_CALLS as usize, "each answered call ran once, the others never");
     assert!(fleet.stop().await);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nested_call_bound_by_its_parent() {
+    let fleet = fleet(1).await;
+    let standin = &fleet.members[0].upstream.standin;
+    standin.set_behaviour(UpstreamBehaviour { mean_service_us: 600_000_000, ..UpstreamBehaviour::default() });
+    let request = |priority: &str, timeout_ms: u64| {
+        Request::builder()
+            .header(headers::SERVICE, "history")
+            .header(headers::PRIORITY, priority)
+            .header(headers::TIMEOUT_MS, timeout_ms)
+    };
+    let parent = request("bulk", 2_000).body(Bytes::new()).expect("a valid request");
+    let addr = fleet.ingress_addr(0);
+    let parent = tokio::spawn(exchange(addr, parent));
+    until("the parent runs", || standin.executions().len() == 1).await;
+    let id = standin.executions()[0].call.clone();
+    let child = request("urgent", 60_000).header(headers::CALL, id).body(Bytes::new());
+    let answer = exchange(addr, child.expect("a valid request")).await;
+    assert_eq!(answer.headers()[headers::ERROR], "deadline_while_running", "it ends with its parent");
+    let parent = parent.await.expect("the parent is answered");
+    assert_eq!(parent.headers()[headers::ERROR], "deadline_while_running");
+    let text = fleet.members[0].node.metrics().encode();
+    assert!(!text.contains("priority=\"0\""), "neither went as urgent: {text}");
+    until("both slots are free again", || standin.free_slots() == SLOTS as usize).await;
+    assert!(fleet.stop().await);
+}
