measuring: a gate asks its upstream's load within the service's budget

Cause: nothing asked the load endpoints, and nothing kept a budget for it. Change: the gate asks the declared path at the service's rate over its gates; a report can withhold at most the declared share of the slots. Tests: the sum over gates and over restarts stays within the rate; a lie takes a fifth.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -115,6 +115,7 @@
 pub struct Admission {
     limit: ConcurrencyLimit,
     adaptive: bool,
+    withheld: u32,
     running: u32,
     draining: bool,
     next_sequence: u64,
@@ -130,6 +131,7 @@
         Self {
             limit: ConcurrencyLimit::new(limit),
             adaptive: true,
+            withheld: 0,
             running: 0,
             draining: false,
             next_sequence: 0,
@@ -166,6 +168,13 @@
         self.adaptive = adaptive;
     }
 
+    /// Leaves so many slots free for work of the upstream that the gate doesn't know.
+    pub fn withhold(&mut self, slots: u32, now: Instant) -> Vec<Verdict> {
+        self.settle(now);
+        self.withheld = slots;
+        self.fill(now)
+    }
+
     /// Takes no more work and refuses all that waits.
     pub fn drain(&mut self) -> Vec<Verdict> {
         self.draining = true;
@@ -252,7 +261,7 @@
         LoadReport {
             running: self.running,
             queued: u32::try_from(queued).unwrap_or(u32::MAX),
-            limit: self.limit.current(),
+            limit: self.slots(),
             service_time_us: self.estimate.live_us(now),
         }
     }
@@ -262,17 +271,23 @@
     pub fn retry_hint(&self) -> Duration {
         let queued: usize = self.lanes.iter().map(PriorityLane::queued).sum();
         let queued = u32::try_from(queued).unwrap_or(u32::MAX);
-        let drain = self.service_time() * queued.saturating_add(1) / self.limit.current().max(1);
+        let drain = self.service_time() * queued.saturating_add(1) / self.slots().max(1);
         drain.clamp(RETRY_HINT_MIN, RETRY_HINT_MAX)
     }
 
+    /// Slots that the gate grants at present.
+    fn slots(&self) -> u32 {
+        let limit = self.limit.current();
+        limit.saturating_sub(self.withheld).max(limit.min(1))
+    }
+
     fn lane_of(&self, priority: u8) -> Option<usize> {
         let last = self.lanes.len().checked_sub(1)?;
         Some(usize::from(priority).min(last))
     }
 
     fn free_for_all(&self) -> bool {
-        self.running < self.limit.current() && !self.lanes.iter().any(PriorityLane::has_waiting)
+        self.running < self.slots() && !self.lanes.iter().any(PriorityLane::has_waiting)
     }
 
     fn service_time(&self) -> Duration {
@@ -288,7 +303,7 @@
 
     /// Slots that the lane can count on, in hundredths.
     fn slot_hundredths_for(&self, index: usize) -> u64 {
-        let limit = u64::from(self.limit.current());
+        let limit = u64::from(self.slots());
         let kept = |lane: &PriorityLane| u64::from(lane.rule().min_share_percent) * limit;
         let own_kept = kept(&self.lanes[index]).max(LEAST_SHARE_PERCENT * limit).max(1);
         let (urgent, rest) = self.lanes.split_at(index);
@@ -308,13 +323,13 @@
             share_percent: lane.rule().min_share_percent,
         });
         let service_time = Duration::from_micros(self.estimate.mean_us());
-        self.shares.settle(lanes, self.limit.current(), service_time, now);
+        self.shares.settle(lanes, self.slots(), service_time, now);
     }
 
     fn fill(&mut self, now: Instant) -> Vec<Verdict> {
         let service_time = self.service_time();
         let mut verdicts = Vec::new();
-        while self.running < self.limit.current() {
+        while self.running < self.slots() {
             let Some(index) = self.next_lane() else {
                 break;
             };
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod hedge;
 pub mod lease;
 pub mod manifest;
+pub mod measuring_budget;
 pub mod membership;
 pub mod outlier_ejection;
 pub mod priority_lane;
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -38,6 +38,7 @@
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressHandler;
 use crate::transport::ingress::IngressParts;
+use crate::transport::load_probe::LoadProbe;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_server::PeerHandler;
 use crate::transport::platform_http::HttpPlatform;
@@ -162,6 +163,13 @@
             Arc::clone(&directory),
             Arc::clone(&metrics),
         );
+        let load_probe = LoadProbe {
+            me: Arc::new(me.clone()),
+            gate: Arc::clone(&gate),
+            directory: Arc::clone(&directory),
+            config: Arc::clone(&config),
+            metrics: Arc::clone(&metrics),
+        };
         let stop_callers = CancellationToken::new();
         let stop_rest = CancellationToken::new();
         let limits = server_limits(settings);
@@ -185,6 +193,7 @@
             tokio::spawn(Arc::clone(&gossip).run(stop_rest.clone())),
             tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
             tokio::spawn(publisher.run(stop_rest.clone())),
+            tokio::spawn(load_probe.run(stop_rest.clone())),
         ];
         log::info!(
             "node started; node={} incarnation={:x} ingress={} peer={} announce={} admin={}",
--- a/lib/src/protocol/service_spec.rs
+++ b/lib/src/protocol/service_spec.rs
@@ -111,6 +111,12 @@
     /// Share of upstream time that measuring may take, in percent.
     #[schemars(range(min = 0.0, max = 100.0))]
     pub upstream_time_percent: f64,
+    /// Path at which upstreams tell their load as `{"running": 3}`; not asked when absent.
+    #[schemars(length(min = 1, max = 1_024))]
+    pub load_path: Option<Arc<str>>,
+    /// Share of an upstream's slots that its own word on its load may withhold, in percent.
+    #[schemars(range(min = 0, max = 100))]
+    pub max_load_influence_percent: u32,
 }
 
 /// How upstreams join, leave and stop.
@@ -150,7 +156,12 @@
 
 impl Default for MeasuringSpec {
     fn default() -> Self {
-        Self { probes_per_second: 3.0, upstream_time_percent: 0.5 }
+        Self {
+            probes_per_second: 3.0,
+            upstream_time_percent: 0.5,
+            load_path: None,
+            max_load_influence_percent: 20,
+        }
     }
 }
 
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -72,6 +72,10 @@
     pub hedges: Family<ReasonLabels, Counter>,
     /// Races of two copies, by which one won.
     pub hedge_outcomes: Family<ReasonLabels, Counter>,
+    /// Questions to the upstream about its load, by outcome.
+    pub probes: Family<ReasonLabels, Counter>,
+    /// Questions not asked, by reason.
+    pub probes_denied: Family<ReasonLabels, Counter>,
     /// Calls of the platform, by outcome.
     pub platform_calls: Family<ReasonLabels, Counter>,
 }
@@ -91,6 +95,8 @@
         let spills = Family::<ReasonLabels, Counter>::default();
         let hedges = Family::<ReasonLabels, Counter>::default();
         let hedge_outcomes = Family::<ReasonLabels, Counter>::default();
+        let probes = Family::<ReasonLabels, Counter>::default();
+        let probes_denied = Family::<ReasonLabels, Counter>::default();
         let platform_calls = Family::<ReasonLabels, Counter>::default();
         let mut registry = Registry::with_prefix("yuccatray");
         registry.register("calls", "Calls answered by the ingress", calls.clone());
@@ -105,6 +111,8 @@
         registry.register("spills", "Calls moved on by a gate by reason", spills.clone());
         registry.register("hedges", "Second copies of calls that raced the first", hedges.clone());
         registry.register("hedge_outcomes", "Races of two copies by the winner", hedge_outcomes.clone());
+        registry.register("probes", "Questions to the upstream about its load", probes.clone());
+        registry.register("probes_denied", "Questions not asked by reason", probes_denied.clone());
         registry.register("platform_calls", "Calls of the platform by outcome", platform_calls.clone());
         Self {
             registry: Mutex::new(registry),
@@ -115,6 +123,8 @@
             spills,
             hedges,
             hedge_outcomes,
+            probes,
+            probes_denied,
             platform_calls,
         }
     }
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -14,6 +15,8 @@
 use http::header::CONNECTION;
 use http::header::HOST;
 use http::header::TE;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -54,6 +57,8 @@
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
 const RETRY_HINT: Duration = Duration::from_millis(100);
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+const MAX_DOCUMENT_BYTES: usize = 16_384;
 const OWN_FIELD_PREFIX: &str = "yuccatray-";
 
 /// What the gate has to know about a call.
@@ -154,6 +159,28 @@
         queue.deliver(verdicts);
     }
 
+    /// Leaves so many slots free for work of the upstream that the gate doesn't know.
+    pub fn withhold(&self, slots: u32) {
+        let mut queue = self.queue.lock();
+        let verdicts = queue.admission.withhold(slots, Instant::now());
+        queue.deliver(verdicts);
+    }
+
+    /// Asks the upstream for a small document; nothing when there is no good answer in time.
+    pub async fn ask_upstream(&self, path: &str) -> Option<Bytes> {
+        let pool = self.pool.load_full()?;
+        let request = Request::get(path).header(HOST, pool.addr().to_string());
+        let request = request.body(CallBody::from(Bytes::new())).ok()?;
+        let asking = async {
+            let (response, connection) = pool.send(request).await.ok()?;
+            let good = response.status().is_success();
+            let body = Limited::new(response.into_body(), MAX_DOCUMENT_BYTES).collect().await.ok()?;
+            pool.give_back(connection);
+            good.then(|| body.to_bytes())
+        };
+        tokio::time::timeout(ASK_TIMEOUT, asking).await.ok()?
+    }
+
     /// The exact load at this moment.
     #[must_use]
     pub fn load(&self) -> LoadReport {
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -9,6 +9,7 @@
 pub mod gossip;
 pub mod http_server;
 pub mod ingress;
+pub mod load_probe;
 pub mod peer_channel;
 pub mod peer_server;
 pub mod platform;
--- a/lib/tests/routing.rs
+++ b/lib/tests/routing.rs
@@ -10,6 +10,8 @@
 use tokio::time::Instant;
 use yuccatray::coordination::concurrency_limit::ConcurrencyLimit;
 use yuccatray::coordination::hedge::LiveQuantile;
+use yuccatray::coordination::measuring_budget::MeasuringBudget;
+use yuccatray::coordination::measuring_budget::withheld_slots;
 use yuccatray::coordination::outlier_ejection::ejected;
 use yuccatray::coordination::retry_budget::RetryBudget;
 use yuccatray::coordination::routing::Candidate;
@@ -21,6 +23,7 @@
 use yuccatray::coordination::service_estimate::ServiceEstimate;
 use yuccatray::coordination::spill_budget::SpillBudget;
 use yuccatray::protocol::load_report::LoadReport;
+use yuccatray::protocol::service_spec::MeasuringSpec;
 use yuccatray::state::upstream_stats::UpstreamLoad;
 use yuccatray::state::upstream_stats::UpstreamStats;
 
@@ -263,3 +266,76 @@
     }
     assert_eq!(limit.current(), 10, "fewer calls at once don't make this one faster");
 }
+
+fn measuring(probes_per_second: f64) -> MeasuringSpec {
+    MeasuringSpec { probes_per_second, ..MeasuringSpec::default() }
+}
+
+/// Measurements of one node that restarts every so often and asks at every chance.
+fn measurements(gates: u32, life: Duration, span: Duration) -> u32 {
+    let start = Instant::now();
+    let step = Duration::from_millis(10);
+    let mut now = start;
+    let mut born = start;
+    let mut budget = MeasuringBudget::new(start);
+    let mut count = 0;
+    while now < start + span {
+        now += step;
+        if now - born >= life {
+            born = now;
+            budget = MeasuringBudget::new(now);
+        }
+        budget.observe_gates(gates, now);
+        count += u32::from(budget.claim(&measuring(4.0), 10, now));
+    }
+    count
+}
+
+#[test]
+fn measuring_budget_shared_by_gates() {
+    let span = Duration::from_mins(1);
+    for gates in [1, 4, 100] {
+        let all = gates * measurements(gates, span * 2, span);
+        assert!(all <= 4 * 60, "{gates} gates together measure {all} times a minute");
+        assert!(all >= 4 * 60 - gates * 2, "{gates} gates use what they may: {all}");
+    }
+}
+
+#[test]
+fn measuring_budget_restarts_add_nothing() {
+    let span = Duration::from_mins(1);
+    for life_ms in [100, 900, 1_100, 3_700] {
+        let all = 4 * measurements(4, Duration::from_millis(life_ms), span);
+        assert!(all <= 4 * 60, "with lives of {life_ms} ms they measure {all} times a minute");
+    }
+}
+
+#[test]
+fn measuring_budget_gate_out_of_sight_still_counts() {
+    let start = Instant::now();
+    let mut budget = MeasuringBudget::new(start);
+    budget.observe_gates(8, start);
+    budget.observe_gates(1, start + Duration::from_secs(1));
+    assert!(!budget.claim(&measuring(4.0), 10, start + Duration::from_millis(1_900)));
+    assert!(budget.claim(&measuring(4.0), 10, start + Duration::from_secs(2)));
+}
+
+#[test]
+fn measuring_budget_slow_endpoint_asked_less() {
+    let start = Instant::now();
+    let mut budget = MeasuringBudget::new(start);
+    let later = start + Duration::from_secs(1);
+    assert!(budget.claim(&measuring(4.0), 10, later));
+    budget.took(Duration::from_millis(500));
+    // Half a second in one of ten slots is half a percent of ten seconds.
+    assert!(!budget.claim(&measuring(4.0), 10, later + Duration::from_secs(9)));
+    assert!(budget.claim(&measuring(4.0), 10, later + Duration::from_secs(10)));
+}
+
+#[test]
+fn withheld_slots_lie_takes_stated_share() {
+    assert_eq!(withheld_slots(1_000_000, 3, 10, 20), 2, "at most a fifth");
+    assert_eq!(withheld_slots(4, 3, 10, 20), 1);
+    assert_eq!(withheld_slots(0, 9, 10, 20), 0, "too little changes nothing");
+    assert_eq!(withheld_slots(9, 0, 1, 100), 0, "one slot always stays");
+}
--- a/load/src/experiment.rs
+++ b/load/src/experiment.rs
@@ -81,6 +81,13 @@
         /// Which upstreams.
         upstreams: UpstreamChoice,
     },
+    /// The load endpoints of the upstreams claim calls that they don't run.
+    LyingLoad {
+        /// Which upstreams.
+        upstreams: UpstreamChoice,
+        /// Calls claimed beyond those running.
+        claimed_extra: u32,
+    },
     /// The upstreams announce that they take no new work.
     Drain {
         /// Which upstreams.
--- a/load/src/experiment_run.rs
+++ b/load/src/experiment_run.rs
@@ -168,6 +168,10 @@
             let failing = UpstreamBehaviour { fail_fast: true, ..usual.clone() };
             set_behaviour(fleet, event, upstreams, if begins { &failing } else { &usual });
         }
+        Action::LyingLoad { upstreams, claimed_extra } => {
+            let lying = UpstreamBehaviour { claimed_extra: *claimed_extra, ..usual.clone() };
+            set_behaviour(fleet, event, upstreams, if begins { &lying } else { &usual });
+        }
         Action::Drain { upstreams } => {
             for member in chosen(fleet, event, upstreams) {
                 member.upstream.set_draining(begins);
--- a/standin/src/upstream.rs
+++ b/standin/src/upstream.rs
@@ -35,6 +35,10 @@
 use yuccatray::transport::http_server::ServerLimits;
 use yuccatray::transport::http_server::serve;
 
+/// Where it tells its load.
+pub const LOAD_PATH: &str = "/load";
+
+const LOAD_REPORT_TIME: Duration = Duration::from_millis(6);
 const RENEW_INTERVAL: Duration = Duration::from_millis(500);
 const MEAN_FACTOR_MAX: f64 = 8.0;
 
@@ -50,11 +54,13 @@
     pub service_stages: u32,
     /// Answers 500 at once without work.
     pub fail_fast: bool,
+    /// Calls that its load endpoint tells of beyond those that it runs.
+    pub claimed_extra: u32,
 }
 
 impl Default for UpstreamBehaviour {
     fn default() -> Self {
-        Self { mean_service_us: 2_000, slowdown: 1.0, service_stages: 1, fail_fast: false }
+        Self { mean_service_us: 2_000, slowdown: 1.0, service_stages: 1, fail_fast: false, claimed_extra: 0 }
     }
 }
 
@@ -72,6 +78,7 @@
 #[derive(Debug)]
 struct Shared {
     slots: Semaphore,
+    slot_count: usize,
     behaviour: Mutex<UpstreamBehaviour>,
     rng: Mutex<Pcg64Mcg>,
     executions: Mutex<Vec<Execution>>,
@@ -106,6 +113,7 @@
     pub fn new(slots: u32, behaviour: UpstreamBehaviour, seed: u64) -> Self {
         let shared = Shared {
             slots: Semaphore::new(slots as usize),
+            slot_count: slots as usize,
             behaviour: Mutex::new(behaviour),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
             executions: Mutex::default(),
@@ -178,6 +186,13 @@
         response
     }
 
+    async fn report_load(&self) -> Response<Full<Bytes>> {
+        tokio::time::sleep(LOAD_REPORT_TIME).await;
+        let running = self.shared.slot_count - self.shared.slots.available_permits();
+        let claimed = running + self.shared.behaviour.lock().claimed_extra as usize;
+        text(StatusCode::OK, format!("{{\"running\": {claimed}}}"))
+    }
+
     async fn control(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         match (request.method().clone(), request.uri().path()) {
             (Method::GET, "/control/executions") => {
@@ -209,6 +224,9 @@
         if request.uri().path().starts_with("/control/") {
             return self.control(request).await;
         }
+        if request.uri().path() == LOAD_PATH {
+            return self.report_load().await;
+        }
         self.execute(request).await
     }
 }
