load: callers of an experiment have a bounded number of connections

Cause: on a busy machine (load 18 on 10 cores) a 10x overload opened thousands of connections, and the generator itself took the processor from the nodes. Change: fifty connections for each stream and node; calls beyond them fail as caller_busy and count as missed.

--- a/load/src/caller.rs
+++ b/load/src/caller.rs
@@ -17,6 +17,7 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use yuccatray::protocol::headers;
 
@@ -32,6 +33,9 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// Every connection that the caller may have is in use.
+    #[snafu(display("all connections of the caller are in use"))]
+    Busy,
     /// The exchange failed.
     #[snafu(display("the exchange failed"))]
     Exchange {
@@ -79,6 +83,7 @@
 pub struct Caller {
     addr: SocketAddr,
     one_way_delay: Duration,
+    connections: Semaphore,
     idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
 }
 
@@ -86,12 +91,24 @@
     /// A caller of the node or upstream at `addr`.
     #[must_use]
     pub const fn new(addr: SocketAddr) -> Self {
-        Self { addr, one_way_delay: Duration::ZERO, idle: Mutex::new(Vec::new()) }
+        Self {
+            addr,
+            one_way_delay: Duration::ZERO,
+            connections: Semaphore::const_new(Semaphore::MAX_PERMITS),
+            idle: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// The same caller with so many connections at most; calls beyond them fail at once.
+    #[must_use]
+    pub fn with_connections(mut self, connections: usize) -> Self {
+        self.connections = Semaphore::new(connections);
+        self
     }
 
     /// The same caller at a distance: every request and every answer takes so long more.
     #[must_use]
-    pub const fn at_distance(mut self, one_way_delay: Duration) -> Self {
+    pub fn at_distance(mut self, one_way_delay: Duration) -> Self {
         self.one_way_delay = one_way_delay;
         self
     }
@@ -102,6 +119,7 @@
     ///
     /// When no connection can be had or it fails before the answer is whole.
     pub async fn call(&self, plan: &CallPlan) -> Result<CallOutcome> {
+        let _permit = self.connections.try_acquire().map_err(|_all_in_use| CallerError::Busy)?;
         let mut sender = self.checkout().await?;
         let request = Request::builder()
             .method(plan.method.clone())
--- a/load/src/experiment_run.rs
+++ b/load/src/experiment_run.rs
@@ -28,6 +28,9 @@
 use crate::open_loop::run_stream;
 use crate::policy_variant::PolicyVariant;
 
+/// Connections of one stream to each node.
+const CONNECTIONS_PER_NODE: usize = 50;
+
 /// What one way to decide did in an experiment.
 #[derive(Debug)]
 pub struct VariantOutcome {
@@ -85,7 +88,6 @@
     let fleet = EmbeddedFleet::start_with(&experiment.deployment, directory, variant).await?;
     let phases = experiment.phases.iter().map(|phase| (phase.clone(), Mutex::default())).collect();
     let recorder = Arc::new(PhaseRecorder { start: Instant::now(), phases });
-    let callers = callers(&fleet, experiment);
     let mut streams = JoinSet::new();
     let mut seed = experiment.deployment.seed;
     for (service, stream, from, length) in streams_of(experiment) {
@@ -100,7 +102,7 @@
             seed,
         };
         let start = recorder.start + from;
-        let running = run_stream(plan, callers.clone(), length, Arc::clone(&recorder));
+        let running = run_stream(plan, callers(&fleet, experiment), length, Arc::clone(&recorder));
         streams.spawn(async move {
             tokio::time::sleep_until(start).await;
             running.await;
@@ -115,10 +117,13 @@
     Ok(VariantOutcome { name: Arc::clone(&variant.name), phases, counts })
 }
 
+/// Callers of every node for one stream, which shares its connections with no other stream.
 fn callers(fleet: &EmbeddedFleet, experiment: &Experiment) -> Vec<Arc<Caller>> {
     let delay = Duration::from_millis(experiment.client_delay_ms);
     let addrs = (0..fleet.members.len()).map(|index| fleet.ingress_addr(index));
-    addrs.map(|addr| Arc::new(Caller::new(addr).at_distance(delay))).collect()
+    let callers =
+        addrs.map(|addr| Caller::new(addr).at_distance(delay).with_connections(CONNECTIONS_PER_NODE));
+    callers.map(Arc::new).collect()
 }
 
 fn streams_of(experiment: &Experiment) -> Vec<(&ServiceLoad, CallStream, Duration, Duration)> {
--- a/load/src/open_loop.rs
+++ b/load/src/open_loop.rs
@@ -14,6 +14,7 @@
 
 use crate::caller::CallPlan;
 use crate::caller::Caller;
+use crate::caller::CallerError;
 use crate::latency_table::LatencyTable;
 
 /// One stream of calls.
@@ -106,6 +107,7 @@
             return;
         }
         Ok(outcome) => outcome.error.unwrap_or_else(|| format!("status_{}", outcome.status.as_u16())),
+        Err(CallerError::Busy) => "caller_busy".to_owned(),
         Err(error) => {
             log::debug!("call failed; service={} error={error}", plan.service);
             "no_answer".to_owned()
