--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -24,13 +24,13 @@
 use crate::transport::call_body::GuardedBody;
 use crate::transport::ingress::AnswerBody;
 use crate::transport::ingress::Call;
-use crate::transport::ingress::InFlight;
 use crate::transport::ingress::Ingress;
-use crate::transport::ingress::IngressGuard;
-use crate::transport::ingress::Leg;
-use crate::transport::ingress::Outgoing;
 use crate::transport::ingress::Result;
 use crate::transport::ingress::no_upstream;
+use crate::transport::ingress_guard::InFlight;
+use crate::transport::ingress_guard::IngressGuard;
+use crate::transport::outgoing_call::Leg;
+use crate::transport::outgoing_call::Outgoing;
 
 /// Gates that may move one call on before the next one has to keep it.
 const MAX_SPILLS: usize = 2;
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -25,14 +25,12 @@
 use yuccatray_proto::peer_v1 as wire;
 use yuccatray_proto::peer_v1::peer_client::PeerClient;
 
-use crate::coordination::burn_tally::BodyEnd;
 use crate::coordination::burn_tally::BurnTally;
 use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::service_budgets::ServiceBudgets;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_head::CallHead;
 use crate::protocol::call_head::ParentCall;
-use crate::protocol::call_head::origin_form;
 use crate::protocol::call_head::service_name;
 use crate::protocol::call_id::CallId;
 use crate::protocol::call_id::CallIdSource;
@@ -45,14 +43,8 @@
 use crate::state::burn_counts::BurnKey;
 use crate::state::config_table::ConfigTable;
 use crate::state::directory::Directory;
-use crate::state::metrics::CallLabels;
-use crate::state::metrics::LatencyLabels;
-use crate::state::metrics::Metrics;
-use crate::state::metrics::ServiceLabel;
 use crate::state::metrics::SharedMetrics;
-use crate::state::upstream_stats::UpstreamStats;
 use crate::transport::call_attempts::Answered;
-use crate::transport::call_body::BodyGuard;
 use crate::transport::call_body::BodyWatch;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
@@ -61,6 +53,12 @@
 use crate::transport::gate::GateGuard;
 use crate::transport::gate::caller_key;
 use crate::transport::http_server::Handler;
+use crate::transport::ingress_guard::InFlight;
+use crate::transport::ingress_guard::IngressGuard;
+use crate::transport::ingress_guard::count_call;
+use crate::transport::outgoing_call::Leg;
+use crate::transport::outgoing_call::Outgoing;
+use crate::transport::outgoing_call::OutgoingBody;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_channel::ControlClient;
@@ -70,7 +68,6 @@
 
 const RESOLVE_TIMEOUT: Duration = Duration::from_secs(1);
 const RETRY_HINT: Duration = Duration::from_millis(200);
-const ANSWERED: &str = "answered";
 
 /// Body of an upstream's answer: over a peer connection, or from the gate beside.
 pub(super) type AnswerBody = Either<CallBody, GuardedBody<CallBody, GateGuard>>;
@@ -115,42 +112,20 @@
     draining: AtomicBool,
 }
 
-/// How one attempt differs from the others of its call.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Leg {
-    /// Longest time in all for which it should stay at its gate.
-    pub(super) patience: Option<Duration>,
-    /// Whether the upstream may have to do the work of an earlier attempt again.
-    pub(super) repeated: bool,
-}
-
 /// A call on its way through the ingress.
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) id: CallId,
-    id_field: HeaderValue,
+    pub(super) id_field: HeaderValue,
     pub(super) head: CallHead,
-    priority_name: Arc<str>,
-    caller: Arc<str>,
+    pub(super) priority_name: Arc<str>,
+    pub(super) caller: Arc<str>,
     started: Instant,
     pub(super) deadline: Instant,
     pub(super) max_attempts: u32,
     pub(super) tally: Arc<BurnTally>,
 }
 
-/// What is needed to send the same request again.
-#[derive(Debug)]
-pub(super) struct Outgoing {
-    parts: Parts,
-    body: OutgoingBody,
-}
-
-#[derive(Debug)]
-enum OutgoingBody {
-    Kept { data: Bytes, trailers: Option<HeaderMap> },
-    Stream { body: Option<CallBody>, watch: Arc<BodyWatch> },
-}
-
 impl<P> Ingress<P>
 where
     P: RoutingPolicy + Send + Sync + 'static,
@@ -440,124 +415,6 @@
     }
 }
 
-impl Outgoing {
-    /// The request for the next attempt, or nothing when its body is gone.
-    pub(super) fn next_request(&mut self, call: &Call, leg: Leg) -> Option<Request<CallBody>> {
-        let body = match &mut self.body {
-            OutgoingBody::Kept { data, trailers } => CallBody::kept(data.clone(), trailers.clone()),
-            OutgoingBody::Stream { body, .. } => body.take()?,
-        };
-        let mut request = Request::from_parts(self.parts.clone(), body);
-        *request.uri_mut() = origin_form(&self.parts.uri);
-        *request.version_mut() = http::Version::default();
-        let left = call.deadline.saturating_duration_since(Instant::now());
-        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        let fields = request.headers_mut();
-        fields.insert(headers::CALL, call.id_field.clone());
-        insert(fields, headers::SERVICE, &call.head.service);
-        insert(fields, headers::PRIORITY, &call.priority_name);
-        insert(fields, headers::CALLER, &call.caller);
-        fields.insert(headers::TIMEOUT_MS, HeaderValue::from(left_ms));
-        insert(fields, headers::IDEMPOTENT, if call.head.idempotent { "true" } else { "false" });
-        if leg.repeated || call.head.repeated {
-            fields.insert(headers::REPEAT, HeaderValue::from_static("true"));
-        }
-        fields.remove(headers::PATIENCE_US);
-        if let Some(patience) = leg.patience {
-            insert(fields, headers::PATIENCE_US, &patience.as_micros().to_string());
-        }
-        Some(request)
-    }
-
-    /// Whether the same body can be sent more than once.
-    pub(super) const fn can_repeat(&self) -> bool {
-        matches!(self.body, OutgoingBody::Kept { .. })
-    }
-
-    /// The answer to the caller when an attempt failed because of its own body.
-    pub(super) fn explain(&self, answer: ErrorAnswer) -> ErrorAnswer {
-        let OutgoingBody::Stream { watch, .. } = &self.body else {
-            return answer;
-        };
-        if !watch.too_large() {
-            return answer;
-        }
-        let refused =
-            ErrorAnswer::new(ErrorKind::BodyTooLarge, "the body is larger than the service accepts");
-        match answer.execution {
-            Execution::NotExecuted => refused,
-            Execution::OutcomeUnknown => refused.maybe_executed(),
-        }
-    }
-}
-
-/// One call that this node has under way at an upstream.
-#[derive(Debug)]
-pub(super) struct InFlight {
-    stats: Arc<UpstreamStats>,
-}
-
-impl InFlight {
-    pub(super) fn new(stats: &Arc<UpstreamStats>) -> Self {
-        stats.start();
-        Self { stats: Arc::clone(stats) }
-    }
-
-    fn take_report(&self, field: Option<&HeaderValue>) {
-        let report = field.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
-        if let Some(report) = report {
-            self.stats.report(report, Instant::now());
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.stats.finish();
-    }
-}
-
-/// Counts a call when its answer has been passed on.
-#[derive(Debug)]
-pub struct IngressGuard {
-    metrics: SharedMetrics,
-    service: Arc<str>,
-    priority: u8,
-    started: Instant,
-    tally: Arc<BurnTally>,
-    _in_flight: InFlight,
-}
-
-impl BodyGuard for IngressGuard {
-    fn ended(&mut self, whole: bool) {
-        self.tally.ended(if whole { BodyEnd::Whole } else { BodyEnd::Broken }, Instant::now());
-        self.count(whole);
-    }
-
-    fn dropped(&mut self) {
-        self.tally.ended(BodyEnd::Dropped, Instant::now());
-        self.count(false);
-    }
-}
-
-impl IngressGuard {
-    fn count(&self, whole: bool) {
-        let outcome = if whole { ANSWERED } else { "cut_short" };
-        count_call(&self.metrics, &self.service, self.priority, outcome);
-        let labels = LatencyLabels {
-            service: ServiceLabel(Arc::clone(&self.service)),
-            priority: u32::from(self.priority),
-        };
-        self.metrics.call_latency.get_or_create(&labels).observe(self.started.elapsed().as_secs_f64());
-    }
-}
-
-fn count_call(metrics: &Metrics, service: &Arc<str>, priority: u8, outcome: &'static str) {
-    let labels =
-        CallLabels { service: ServiceLabel(Arc::clone(service)), priority: u32::from(priority), outcome };
-    metrics.calls.get_or_create(&labels).inc();
-}
-
 fn queued_time(field: Option<&HeaderValue>) -> Duration {
     let micros = field.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
     Duration::from_micros(micros.unwrap_or(0))
@@ -579,12 +436,6 @@
     })
 }
 
-fn insert(fields: &mut HeaderMap, name: http::HeaderName, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        fields.insert(name, value);
-    }
-}
-
 /// Gives a request of HTTP/2 the field that names its host in HTTP/1.1.
 fn name_host(parts: &mut Parts) {
     let host = parts.uri.authority().and_then(|name| HeaderValue::from_str(name.as_str()).ok());
--- /dev/null
+++ b/lib/src/transport/ingress_guard.rs
@@ -0,0 +1,87 @@
+//! What an ingress keeps until a call's answer has been passed on.
+
+use std::sync::Arc;
+
+use http::HeaderValue;
+use tokio::time::Instant;
+
+use crate::coordination::burn_tally::BodyEnd;
+use crate::coordination::burn_tally::BurnTally;
+use crate::state::metrics::CallLabels;
+use crate::state::metrics::LatencyLabels;
+use crate::state::metrics::Metrics;
+use crate::state::metrics::ServiceLabel;
+use crate::state::metrics::SharedMetrics;
+use crate::state::upstream_stats::UpstreamStats;
+use crate::transport::call_body::BodyGuard;
+
+const ANSWERED: &str = "answered";
+
+/// One call that this node has under way at an upstream.
+#[derive(Debug)]
+pub(super) struct InFlight {
+    stats: Arc<UpstreamStats>,
+}
+
+impl InFlight {
+    pub(super) fn new(stats: &Arc<UpstreamStats>) -> Self {
+        stats.start();
+        Self { stats: Arc::clone(stats) }
+    }
+
+    pub(super) fn take_report(&self, field: Option<&HeaderValue>) {
+        let report = field.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
+        if let Some(report) = report {
+            self.stats.report(report, Instant::now());
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.stats.finish();
+    }
+}
+
+/// Counts a call when its answer has been passed on.
+#[derive(Debug)]
+pub struct IngressGuard {
+    pub(super) metrics: SharedMetrics,
+    pub(super) service: Arc<str>,
+    pub(super) priority: u8,
+    pub(super) started: Instant,
+    pub(super) tally: Arc<BurnTally>,
+    /// Ends with the answer.
+    pub(super) _in_flight: InFlight,
+}
+
+impl BodyGuard for IngressGuard {
+    fn ended(&mut self, whole: bool) {
+        self.tally.ended(if whole { BodyEnd::Whole } else { BodyEnd::Broken }, Instant::now());
+        self.count(whole);
+    }
+
+    fn dropped(&mut self) {
+        self.tally.ended(BodyEnd::Dropped, Instant::now());
+        self.count(false);
+    }
+}
+
+impl IngressGuard {
+    fn count(&self, whole: bool) {
+        let outcome = if whole { ANSWERED } else { "cut_short" };
+        count_call(&self.metrics, &self.service, self.priority, outcome);
+        let labels = LatencyLabels {
+            service: ServiceLabel(Arc::clone(&self.service)),
+            priority: u32::from(self.priority),
+        };
+        self.metrics.call_latency.get_or_create(&labels).observe(self.started.elapsed().as_secs_f64());
+    }
+}
+
+/// Counts one call by its outcome.
+pub(super) fn count_call(metrics: &Metrics, service: &Arc<str>, priority: u8, outcome: &'static str) {
+    let labels =
+        CallLabels { service: ServiceLabel(Arc::clone(service)), priority: u32::from(priority), outcome };
+    metrics.calls.get_or_create(&labels).inc();
+}
