--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -6,15 +6,17 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::coordination::membership::Membership;
-use crate::coordination::membership::Patience;
+use crate::coordination::fleet_view::FleetView;
 use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::routing::TwoChoices;
 use crate::protocol::call_id::CallIdSource;
@@ -30,8 +32,12 @@
 use crate::transport::admin_server::AdminHandler;
 use crate::transport::announce_server::AnnounceDesk;
 use crate::transport::announce_server::AnnounceHandler;
+use crate::transport::config_reader::ConfigReader;
+use crate::transport::datagram_keys::DatagramKeys;
+use crate::transport::fleet_link::GossipLink;
 use crate::transport::gate::Gate;
 use crate::transport::gossip::Gossip;
+use crate::transport::gossip::GossipParts;
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::ServerLimits;
 use crate::transport::http_server::serve;
@@ -40,14 +46,17 @@
 use crate::transport::ingress::IngressParts;
 use crate::transport::load_probe::LoadProbe;
 use crate::transport::peer_channel::CallChannels;
+use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_server::PeerHandler;
 use crate::transport::platform_http::HttpPlatform;
 use crate::transport::publisher::Publisher;
+use crate::transport::rendezvous::Rendezvous;
 
 /// Result of starting a node.
 pub type Result<T, E = NodeError> = std::result::Result<T, E>;
 
-const FORGET_AFTER: Duration = Duration::from_mins(1);
+/// Attempts to find one port that is free for both streams and datagrams.
+const PORT_ATTEMPTS: u32 = 16;
 
 /// Why a node did not start.
 #[derive(Debug, Snafu)]
@@ -105,6 +114,7 @@
 struct Listeners {
     ingress: TcpListener,
     peer: TcpListener,
+    gossip: UdpSocket,
     announce: TcpListener,
     admin: TcpListener,
 }
@@ -138,7 +148,12 @@
         let directory = Arc::new(Directory::default());
         let burn = Arc::new(BurnCounts::new(Instant::now()));
         let gate = Arc::new(Gate::new(Arc::clone(&metrics)));
-        let gossip = Arc::new(gossip(settings, &me, &config, &directory));
+        let shared = SharedParts {
+            config: Arc::clone(&config),
+            directory: Arc::clone(&directory),
+            metrics: Arc::clone(&metrics),
+        };
+        let gossip = Arc::new(gossip(settings, &me, listeners.gossip, shared));
         let desk = Arc::new(AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&config)));
         let ingress = Arc::new(Ingress::new(IngressParts {
             me: Arc::new(me.clone()),
@@ -156,13 +171,19 @@
         }));
         let platform =
             HttpPlatform::new(settings.platform.addr, Duration::from_millis(settings.platform.timeout_ms));
-        let publisher = Publisher::new(
+        let link = GossipLink::new(Arc::clone(&gossip), Arc::clone(&config), Arc::clone(&directory));
+        let publisher = Publisher::new(platform.clone(), link, Arc::clone(&metrics), &me.id);
+        let reader = ConfigReader {
+            platform: platform.clone(),
+            gossip: Arc::clone(&gossip),
+            metrics: Arc::clone(&metrics),
+        };
+        let rendezvous = Rendezvous {
             platform,
-            &me.id,
-            Arc::clone(&config),
-            Arc::clone(&directory),
-            Arc::clone(&metrics),
-        );
+            gossip: Arc::clone(&gossip),
+            has_seeds: !settings.seeds.is_empty(),
+            metrics: Arc::clone(&metrics),
+        };
         let load_probe = LoadProbe {
             me: Arc::new(me.clone()),
             gate: Arc::clone(&gate),
@@ -194,16 +215,10 @@
             tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
             tokio::spawn(publisher.run(stop_rest.clone())),
             tokio::spawn(load_probe.run(stop_rest.clone())),
+            tokio::spawn(reader.run(stop_rest.clone())),
+            tokio::spawn(rendezvous.run(stop_rest.clone())),
         ];
-        log::info!(
-            "node started; node={} incarnation={:x} ingress={} peer={} announce={} admin={}",
-            me.id.name,
-            me.id.incarnation,
-            addrs.ingress,
-            addrs.peer,
-            addrs.announce,
-            addrs.admin
-        );
+        log_started(&me, addrs);
         Ok(Self {
             addrs,
             gate,
@@ -257,9 +272,11 @@
 impl Listeners {
     async fn bind(settings: &Settings) -> Result<Self> {
         let listen = &settings.listen;
+        let (peer, gossip) = bind_peer(listen.peer_addr).await?;
         Ok(Self {
             ingress: bind(listen.ingress_addr, "/listen/ingress_addr").await?,
-            peer: bind(listen.peer_addr, "/listen/peer_addr").await?,
+            peer,
+            gossip,
             announce: bind(listen.announce_addr, "/listen/announce_addr").await?,
             admin: bind(listen.admin_addr, "/listen/admin_addr").await?,
         })
@@ -279,11 +296,38 @@
     TcpListener::bind(addr).await.context(ListenSnafu { addr, purpose })
 }
 
+/// Streams and datagrams of peers share one port, so that members need to name only one.
+async fn bind_peer(addr: SocketAddr) -> Result<(TcpListener, UdpSocket)> {
+    let purpose = "/listen/peer_addr";
+    let mut attempt = 1;
+    loop {
+        let listener = bind(addr, purpose).await?;
+        let shared = local_addr(&listener)?;
+        match UdpSocket::bind(shared).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(_) if addr.port() == 0 && attempt < PORT_ATTEMPTS => attempt += 1,
+            Err(source) => return Err(NodeError::Listen { addr: shared, purpose, source }),
+        }
+    }
+}
+
 fn local_addr(listener: &TcpListener) -> Result<SocketAddr> {
     let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
     listener.local_addr().context(ListenSnafu { addr: unknown, purpose: "the address in use" })
 }
 
+fn log_started(me: &Member, addrs: NodeAddrs) {
+    log::info!(
+        "node started; node={} incarnation={:x} ingress={} peer={} announce={} admin={}",
+        me.id.name,
+        me.id.incarnation,
+        addrs.ingress,
+        addrs.peer,
+        addrs.announce,
+        addrs.admin
+    );
+}
+
 fn describe_me(settings: &Settings, addrs: NodeAddrs) -> Member {
     Member {
         id: MemberId { name: Arc::clone(&settings.node.name), incarnation: incarnation_now() },
@@ -294,7 +338,6 @@
         peer_addr: addrs.peer,
         ingress_addr: addrs.ingress,
         upstream: None,
-        config_digest: 0,
         admin_addr: addrs.admin,
     }
 }
@@ -305,19 +348,31 @@
     u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
 }
 
-fn gossip(settings: &Settings, me: &Member, config: &Arc<ConfigTable>, directory: &Arc<Directory>) -> Gossip {
-    let patience = Patience {
-        suspect_after: Duration::from_millis(settings.gossip.suspect_after_ms),
-        dead_after: Duration::from_millis(settings.gossip.dead_after_ms),
-        forget_after: FORGET_AFTER,
-    };
-    Gossip::new(
-        Membership::new(me.clone(), patience),
-        Arc::clone(config),
-        Arc::clone(directory),
+/// Parts that gossip shares with the rest of the node.
+struct SharedParts {
+    config: Arc<ConfigTable>,
+    directory: Arc<Directory>,
+    metrics: SharedMetrics,
+}
+
+fn gossip(settings: &Settings, me: &Member, socket: UdpSocket, shared: SharedParts) -> Gossip {
+    let view = FleetView::new(
+        me.clone(),
+        settings.gossip.clone(),
         settings.seeds.clone(),
-        Duration::from_millis(settings.gossip.interval_ms),
-    )
+        Arc::clone(&shared.config),
+        Pcg64Mcg::from_rng(&mut rand::rng()),
+        tokio::time::Instant::now(),
+    );
+    Gossip::new(GossipParts {
+        view,
+        config: shared.config,
+        directory: shared.directory,
+        socket,
+        keys: DatagramKeys::default(),
+        channels: Arc::new(ControlChannels::default()),
+        metrics: shared.metrics,
+    })
 }
 
 fn server_limits(settings: &Settings) -> ServerLimits {
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -15,6 +15,8 @@
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
 
+use crate::state::control_metrics::ControlMetrics;
+
 const LATENCY_BUCKETS_SECONDS: [f64; 14] =
     [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
 
@@ -78,6 +80,8 @@
     pub probes_denied: Family<ReasonLabels, Counter>,
     /// Calls of the platform, by outcome.
     pub platform_calls: Family<ReasonLabels, Counter>,
+    /// What acting together costs.
+    pub control: ControlMetrics,
 }
 
 impl fmt::Debug for Metrics {
@@ -114,6 +118,8 @@
         registry.register("probes", "Questions to the upstream about its load", probes.clone());
         registry.register("probes_denied", "Questions not asked by reason", probes_denied.clone());
         registry.register("platform_calls", "Calls of the platform by outcome", platform_calls.clone());
+        let control = ControlMetrics::default();
+        control.add_to(&mut registry);
         Self {
             registry: Mutex::new(registry),
             calls,
@@ -126,6 +132,7 @@
             probes,
             probes_denied,
             platform_calls,
+            control,
         }
     }
 }
