--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -1,11 +1,14 @@
 //! Which calls a gate lets through to its upstream, and in which order.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::coordination::concurrency_limit::ConcurrencyLimit;
+use crate::coordination::priority_lane::CallerKey;
+use crate::coordination::priority_lane::PriorityLane;
+use crate::coordination::priority_lane::PriorityRule;
+use crate::coordination::priority_lane::Waiter;
 use crate::coordination::service_estimate::Ended;
 use crate::coordination::service_estimate::ServiceEstimate;
 use crate::coordination::slot_shares::LaneUse;
@@ -15,8 +18,11 @@
 const PERCENT: u64 = 100;
 /// Least share that a wait is reckoned with, in percent, for a priority that keeps none.
 const LEAST_SHARE_PERCENT: u64 = 2;
-/// Service times that have to fit after the wait for a call to be worth queueing.
-const SERVICE_TIMES_AFTER_WAIT: u32 = 2;
+/// Share of the time between service time and objective that a wait may fill.
+///
+/// The rest is for service times above the mean: a call let in at the edge would hold a
+/// slot and miss its objective all the same.
+const WAIT_DIVISOR: u32 = 3;
 const RETRY_HINT_MIN: Duration = Duration::from_millis(10);
 const RETRY_HINT_MAX: Duration = Duration::from_secs(5);
 
@@ -28,15 +34,12 @@
     lane: usize,
 }
 
-/// How a gate treats one priority.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PriorityRule {
-    /// Share of the slots that the priority keeps in any overload, in percent.
-    pub min_share_percent: u32,
-    /// Calls that may wait.
-    pub max_queue: usize,
-    /// Latency objective.
-    pub objective: Duration,
+impl TicketKey {
+    /// When the call is of no more use.
+    #[must_use]
+    pub const fn deadline(&self) -> Instant {
+        self.deadline
+    }
 }
 
 /// A call that asks to be let through.
@@ -44,10 +47,14 @@
 pub struct Ticket {
     /// Position of the priority, 0 the most urgent.
     pub priority: u8,
+    /// Whose call it is.
+    pub caller: CallerKey,
     /// When the call is of no more use.
     pub deadline: Instant,
     /// Longest time in all for which it is worth staying here, when another gate may be better.
     pub patience: Option<Duration>,
+    /// Whether it may run more than once, which makes it the better trial of a bad upstream.
+    pub idempotent: bool,
 }
 
 /// Why a gate refused a call.
@@ -61,6 +68,8 @@
     ObjectiveMissed,
     /// It would take longer here than the sender expects elsewhere.
     Impatient,
+    /// The caller has its share of the waiting places already.
+    CallerLimited,
     /// The gate takes no more work.
     Draining,
 }
@@ -69,6 +78,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
     lane: usize,
+    caller: CallerKey,
     started: Instant,
 }
 
@@ -100,23 +110,16 @@
     Refuse(TicketKey, Refusal),
 }
 
-#[derive(Debug)]
-struct Lane {
-    rule: PriorityRule,
-    /// Waiting calls with the moments at which their objectives pass.
-    waiting: BTreeMap<TicketKey, Instant>,
-    running: u32,
-}
-
 /// Exact state of a gate: slots in use and the queue of each priority.
 #[derive(Debug)]
 pub struct Admission {
     limit: ConcurrencyLimit,
     adaptive: bool,
+    withheld: u32,
     running: u32,
     draining: bool,
     next_sequence: u64,
-    lanes: Vec<Lane>,
+    lanes: Vec<PriorityLane>,
     shares: SlotShares,
     estimate: ServiceEstimate,
 }
@@ -128,10 +131,11 @@
         Self {
             limit: ConcurrencyLimit::new(limit),
             adaptive: true,
+            withheld: 0,
             running: 0,
             draining: false,
             next_sequence: 0,
-            lanes: rules.iter().map(|rule| Lane::new(*rule)).collect(),
+            lanes: rules.iter().map(|rule| PriorityLane::new(*rule)).collect(),
             shares: SlotShares::new(now),
             estimate: ServiceEstimate::new(now),
         }
@@ -140,10 +144,10 @@
     /// Replaces the rules; calls waiting under a priority that is gone are refused.
     pub fn set_rules(&mut self, rules: &[PriorityRule]) -> Vec<Verdict> {
         for (lane, rule) in self.lanes.iter_mut().zip(rules) {
-            lane.rule = *rule;
+            lane.set_rule(*rule);
         }
         for rule in rules.iter().skip(self.lanes.len()) {
-            self.lanes.push(Lane::new(*rule));
+            self.lanes.push(PriorityLane::new(*rule));
         }
         let mut verdicts = Vec::new();
         for lane in self.lanes.iter_mut().skip(rules.len()) {
@@ -164,6 +168,13 @@
         self.adaptive = adaptive;
     }
 
+    /// Leaves so many slots free for work of the upstream that the gate doesn't know.
+    pub fn withhold(&mut self, slots: u32, now: Instant) -> Vec<Verdict> {
+        self.settle(now);
+        self.withheld = slots;
+        self.fill(now)
+    }
+
     /// Takes no more work and refuses all that waits.
     pub fn drain(&mut self) -> Vec<Verdict> {
         self.draining = true;
@@ -188,43 +199,59 @@
             return Offer::Refused(Refusal::QueueFull);
         };
         let free = self.free_for_all();
-        let wait = if free { Duration::ZERO } else { self.expected_wait(index, now) };
+        let wait = if free { Duration::ZERO } else { self.expected_wait(index, ticket.caller, now) };
         let service_time = Duration::from_micros(self.estimate.live_us(now));
-        let impatient = ticket.patience.is_some_and(|patience| wait + service_time > patience);
-        if impatient && !(free && self.estimate.claim_trial(now)) {
+        if let Some(patience) = ticket.patience
+            && wait + service_time > patience
+            && !(free && self.estimate.claim_trial(patience, ticket.idempotent, now))
+        {
             return Offer::Refused(Refusal::Impatient);
         }
         if free {
-            return Offer::Admitted(self.start(index, now));
+            return Offer::Admitted(self.start(index, ticket.caller, now));
         }
         self.enqueue(ticket, index, wait, now)
     }
 
     fn enqueue(&mut self, ticket: Ticket, index: usize, wait: Duration, now: Instant) -> Offer {
-        let service_time = self.service_time();
+        let longest_wait = self.longest_wait(index, ticket.caller);
         let lane = &mut self.lanes[index];
-        let objective_at = now + lane.rule.objective;
+        let objective_at = now + lane.rule().objective;
         if now + wait >= ticket.deadline {
             return Offer::Refused(Refusal::TooLate);
         }
-        if now + wait + service_time * SERVICE_TIMES_AFTER_WAIT > objective_at {
+        if wait > longest_wait {
             return Offer::Refused(Refusal::ObjectiveMissed);
         }
-        if lane.waiting.len() >= lane.rule.max_queue {
-            return Offer::Refused(Refusal::QueueFull);
+        if let Some(refusal) = lane.refuses(ticket.caller) {
+            return Offer::Refused(refusal);
         }
         let key = TicketKey { deadline: ticket.deadline, sequence: self.next_sequence, lane: index };
         self.next_sequence += 1;
-        lane.waiting.insert(key, objective_at);
+        lane.push(key, Waiter { caller: ticket.caller, objective_at });
         Offer::Queued(key)
     }
 
+    /// Longest wait with which a call may join the queue of the lane.
+    fn longest_wait(&self, index: usize, caller: CallerKey) -> Duration {
+        let lane = &self.lanes[index];
+        let rule = lane.rule();
+        let service_time = self.service_time();
+        let usual = rule.objective.saturating_sub(service_time) / WAIT_DIVISOR;
+        let kept_slots = (rule.min_share_percent * self.slots()).div_ceil(100);
+        if lane.ahead_of(caller) > kept_slots {
+            return usual;
+        }
+        // Too short a queue runs empty between arrivals, and the priority loses its share.
+        usual.max(rule.objective.saturating_sub(service_time * 2))
+    }
+
     /// A call that was let through let go of its slot.
     pub fn release(&mut self, grant: Grant, ended: Ended, now: Instant) -> Vec<Verdict> {
         self.settle(now);
         self.running = self.running.saturating_sub(1);
         if let Some(lane) = self.lanes.get_mut(grant.lane) {
-            lane.running = lane.running.saturating_sub(1);
+            lane.finish(grant.caller);
         }
         self.estimate.finish(grant.started, ended, now);
         if let Ended::Good(took) = ended
@@ -237,17 +264,17 @@
 
     /// A waiting call was given up by its caller; true when it was still waiting.
     pub fn cancel(&mut self, key: TicketKey) -> bool {
-        self.lanes.get_mut(key.lane).is_some_and(|lane| lane.waiting.remove(&key).is_some())
+        self.lanes.get_mut(key.lane).is_some_and(|lane| lane.remove(key))
     }
 
     /// The state as reported on answers.
     #[must_use]
     pub fn load(&self, now: Instant) -> LoadReport {
-        let queued: usize = self.lanes.iter().map(|lane| lane.waiting.len()).sum();
+        let queued: usize = self.lanes.iter().map(PriorityLane::queued).sum();
         LoadReport {
             running: self.running,
             queued: u32::try_from(queued).unwrap_or(u32::MAX),
-            limit: self.limit.current(),
+            limit: self.slots(),
             service_time_us: self.estimate.live_us(now),
         }
     }
@@ -255,19 +282,25 @@
     /// When a slot may be free for a call refused now, by the rate at which the queue drains.
     #[must_use]
     pub fn retry_hint(&self) -> Duration {
-        let queued: usize = self.lanes.iter().map(|lane| lane.waiting.len()).sum();
+        let queued: usize = self.lanes.iter().map(PriorityLane::queued).sum();
         let queued = u32::try_from(queued).unwrap_or(u32::MAX);
-        let drain = self.service_time() * queued.saturating_add(1) / self.limit.current().max(1);
+        let drain = self.service_time() * queued.saturating_add(1) / self.slots().max(1);
         drain.clamp(RETRY_HINT_MIN, RETRY_HINT_MAX)
     }
 
+    /// Slots that the gate grants at present.
+    fn slots(&self) -> u32 {
+        let limit = self.limit.current();
+        limit.saturating_sub(self.withheld).max(limit.min(1))
+    }
+
     fn lane_of(&self, priority: u8) -> Option<usize> {
         let last = self.lanes.len().checked_sub(1)?;
         Some(usize::from(priority).min(last))
     }
 
     fn free_for_all(&self) -> bool {
-        self.running < self.limit.current() && self.lanes.iter().all(|lane| lane.waiting.is_empty())
+        self.running < self.slots() && !self.lanes.iter().any(PriorityLane::has_waiting)
     }
 
     fn service_time(&self) -> Duration {
@@ -275,51 +308,48 @@
     }
 
     /// Time until a call that joins the queue of the lane now gets a slot.
-    fn expected_wait(&self, index: usize, now: Instant) -> Duration {
-        let ahead = self.lanes[index].waiting.len() as u64 + 1;
+    fn expected_wait(&self, index: usize, caller: CallerKey, now: Instant) -> Duration {
+        let ahead = u64::from(self.lanes[index].ahead_of(caller)) + 1;
         let slot_hundredths = self.slot_hundredths_for(index);
         Duration::from_micros(self.estimate.live_us(now).saturating_mul(ahead * PERCENT) / slot_hundredths)
     }
 
     /// Slots that the lane can count on, in hundredths.
     fn slot_hundredths_for(&self, index: usize) -> u64 {
-        let limit = u64::from(self.limit.current());
-        let kept = |lane: &Lane| u64::from(lane.rule.min_share_percent) * limit;
+        let limit = u64::from(self.slots());
+        let kept = |lane: &PriorityLane| u64::from(lane.rule().min_share_percent) * limit;
         let own_kept = kept(&self.lanes[index]).max(LEAST_SHARE_PERCENT * limit).max(1);
         let (urgent, rest) = self.lanes.split_at(index);
-        if urgent.iter().any(|lane| !lane.waiting.is_empty()) {
+        if urgent.iter().any(PriorityLane::has_waiting) {
             return own_kept;
         }
-        let urgent_use: u64 = urgent.iter().map(|lane| u64::from(lane.running) * PERCENT).sum();
-        let others = rest.iter().skip(1).filter(|lane| !lane.waiting.is_empty());
-        let others_keep: u64 = others.map(|lane| kept(lane).min(u64::from(lane.running) * PERCENT)).sum();
+        let urgent_use: u64 = urgent.iter().map(|lane| u64::from(lane.running()) * PERCENT).sum();
+        let others = rest.iter().skip(1).filter(|lane| lane.has_waiting());
+        let others_keep: u64 = others.map(|lane| kept(lane).min(u64::from(lane.running()) * PERCENT)).sum();
         (limit * PERCENT).saturating_sub(urgent_use + others_keep).max(own_kept)
     }
 
     fn settle(&mut self, now: Instant) {
         let lanes = self.lanes.iter().map(|lane| LaneUse {
-            running: lane.running,
-            waiting: !lane.waiting.is_empty(),
-            share_percent: lane.rule.min_share_percent,
+            running: lane.running(),
+            waiting: lane.has_waiting(),
+            share_percent: lane.rule().min_share_percent,
         });
         let service_time = Duration::from_micros(self.estimate.mean_us());
-        self.shares.settle(lanes, self.limit.current(), service_time, now);
+        self.shares.settle(lanes, self.slots(), service_time, now);
     }
 
     fn fill(&mut self, now: Instant) -> Vec<Verdict> {
         let service_time = self.service_time();
         let mut verdicts = Vec::new();
-        while self.running < self.limit.current() {
-            for lane in &mut self.lanes {
-                lane.refuse_hopeless(service_time, now, &mut verdicts);
-            }
+        while self.running < self.slots() {
             let Some(index) = self.next_lane() else {
                 break;
             };
-            let Some((key, _)) = self.lanes[index].waiting.pop_first() else {
-                break;
+            let Some((key, caller)) = self.lanes[index].next(service_time, now, &mut verdicts) else {
+                continue;
             };
-            let grant = self.start(index, now);
+            let grant = self.start(index, caller, now);
             verdicts.push(Verdict::Admit(key, grant));
         }
         verdicts
@@ -327,41 +357,15 @@
 
     /// The most urgent lane that is owed slot time, else the most urgent that waits.
     fn next_lane(&self) -> Option<usize> {
-        let mut waiting = (0..self.lanes.len()).filter(|index| !self.lanes[*index].waiting.is_empty());
+        let mut waiting = (0..self.lanes.len()).filter(|index| self.lanes[*index].has_waiting());
         let first = waiting.clone().next();
         waiting.find(|index| self.shares.is_owed(*index)).or(first)
     }
 
-    fn start(&mut self, index: usize, now: Instant) -> Grant {
+    fn start(&mut self, index: usize, caller: CallerKey, now: Instant) -> Grant {
         self.running += 1;
-        self.lanes[index].running += 1;
+        self.lanes[index].start(caller);
         self.estimate.start(now);
-        Grant { lane: index, started: now }
-    }
-}
-
-impl Lane {
-    const fn new(rule: PriorityRule) -> Self {
-        Self { rule, waiting: BTreeMap::new(), running: 0 }
-    }
-
-    /// Refuses the calls at the head that can't be answered in time any more.
-    fn refuse_hopeless(&mut self, service_time: Duration, now: Instant, verdicts: &mut Vec<Verdict>) {
-        while let Some(entry) = self.waiting.first_entry() {
-            let refusal = if entry.key().deadline <= now {
-                Refusal::TooLate
-            } else if *entry.get() < now + service_time {
-                Refusal::ObjectiveMissed
-            } else {
-                return;
-            };
-            verdicts.push(Verdict::Refuse(*entry.key(), refusal));
-            entry.remove();
-        }
-    }
-
-    fn refuse_all(&mut self, refusal: Refusal) -> Vec<Verdict> {
-        let waiting = std::mem::take(&mut self.waiting);
-        waiting.into_keys().map(|key| Verdict::Refuse(key, refusal)).collect()
+        Grant { lane: index, caller, started: now }
     }
 }
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -47,6 +47,7 @@
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressHandler;
 use crate::transport::ingress::IngressParts;
+use crate::transport::load_probe::LoadProbe;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_security::PeerSecurity;
@@ -195,6 +196,13 @@
             max_replay_bytes: settings.limits.max_replay_bytes,
             max_header_bytes: settings.limits.max_header_bytes,
         }));
+        let load_probe = LoadProbe {
+            me: Arc::new(me.clone()),
+            gate: Arc::clone(&gate),
+            directory: Arc::clone(&directory),
+            config: Arc::clone(&config),
+            metrics: Arc::clone(&metrics),
+        };
         let stop_callers = CancellationToken::new();
         let stop_rest = CancellationToken::new();
         let limits = server_limits(settings);
@@ -233,6 +241,7 @@
         loops.extend([
             tokio::spawn(Arc::clone(&gossip).run(stop_rest.clone())),
             tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
+            tokio::spawn(load_probe.run(stop_rest.clone())),
             tokio::spawn(security.run(stop_rest.clone())),
         ]);
         log_started(&me, addrs);
@@ -333,6 +342,18 @@
     listener.local_addr().context(ListenSnafu { addr: unknown, purpose: "the address in use" })
 }
 
+fn log_started(me: &Member, addrs: NodeAddrs) {
+    log::info!(
+        "node started; node={} incarnation={:x} ingress={} peer={} announce={} admin={}",
+        me.id.name,
+        me.id.incarnation,
+        addrs.ingress,
+        addrs.peer,
+        addrs.announce,
+        addrs.admin
+    );
+}
+
 fn describe_me(settings: &Settings, addrs: NodeAddrs) -> Member {
     Member {
         id: MemberId { name: Arc::clone(&settings.node.name), incarnation: incarnation_now() },
@@ -381,19 +402,6 @@
     })
 }
 
-fn log_started(me: &Member, addrs: NodeAddrs) {
-    log_event!(
-        Info,
-        "node started",
-        node = &me.id.name,
-        incarnation = format_args!("{:x}", me.id.incarnation),
-        ingress = addrs.ingress,
-        peer = addrs.peer,
-        announce = addrs.announce,
-        admin = addrs.admin,
-    );
-}
-
 /// Starts what the node does about the platform while it has a role there.
 fn spawn_platform_loops(
     settings: &Settings,
--- a/lib/src/protocol/service_spec.rs
+++ b/lib/src/protocol/service_spec.rs
@@ -69,6 +69,10 @@
     #[serde(default = "default_max_queue")]
     #[schemars(range(min = 0, max = 100_000))]
     pub max_queue: u32,
+    /// Share of those waiting places that one caller may take, in percent.
+    #[serde(default = "default_max_caller_queue_percent")]
+    #[schemars(range(min = 1, max = 100))]
+    pub max_caller_queue_percent: u32,
 }
 
 /// When a call may be sent again.
@@ -107,6 +111,12 @@
     /// Share of upstream time that measuring may take, in percent.
     #[schemars(range(min = 0.0, max = 100.0))]
     pub upstream_time_percent: f64,
+    /// Path at which upstreams tell their load as `{"running": 3}`; not asked when absent.
+    #[schemars(length(min = 1, max = 1_024))]
+    pub load_path: Option<Arc<str>>,
+    /// Share of an upstream's slots that its own word on its load may withhold, in percent.
+    #[schemars(range(min = 0, max = 100))]
+    pub max_load_influence_percent: u32,
 }
 
 /// How upstreams join, leave and stop.
@@ -146,7 +156,12 @@
 
 impl Default for MeasuringSpec {
     fn default() -> Self {
-        Self { probes_per_second: 3.0, upstream_time_percent: 0.5 }
+        Self {
+            probes_per_second: 3.0,
+            upstream_time_percent: 0.5,
+            load_path: None,
+            max_load_influence_percent: 20,
+        }
     }
 }
 
@@ -186,3 +201,7 @@
 const fn default_max_queue() -> u32 {
     100
 }
+
+const fn default_max_caller_queue_percent() -> u32 {
+    50
+}
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -68,6 +68,16 @@
     pub gate_decisions: Family<ReasonLabels, Counter>,
     /// Attempts after the first, by reason.
     pub retries: Family<ReasonLabels, Counter>,
+    /// Calls moved on by a gate that would have kept them waiting, by reason.
+    pub spills: Family<ReasonLabels, Counter>,
+    /// Second copies of calls that raced the first.
+    pub hedges: Family<ReasonLabels, Counter>,
+    /// Races of two copies, by which one won.
+    pub hedge_outcomes: Family<ReasonLabels, Counter>,
+    /// Questions to the upstream about its load, by outcome.
+    pub probes: Family<ReasonLabels, Counter>,
+    /// Questions not asked, by reason.
+    pub probes_denied: Family<ReasonLabels, Counter>,
     /// Calls of the platform, by outcome.
     pub platform_calls: Family<ReasonLabels, Counter>,
     /// What acting together costs.
@@ -86,6 +96,11 @@
         let call_latency = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
         let gate_decisions = Family::<ReasonLabels, Counter>::default();
         let retries = Family::<ReasonLabels, Counter>::default();
+        let spills = Family::<ReasonLabels, Counter>::default();
+        let hedges = Family::<ReasonLabels, Counter>::default();
+        let hedge_outcomes = Family::<ReasonLabels, Counter>::default();
+        let probes = Family::<ReasonLabels, Counter>::default();
+        let probes_denied = Family::<ReasonLabels, Counter>::default();
         let platform_calls = Family::<ReasonLabels, Counter>::default();
         let mut registry = Registry::with_prefix("yuccatray");
         registry.register("calls", "Calls answered by the ingress", calls.clone());
@@ -97,6 +112,11 @@
         );
         registry.register("gate_decisions", "Decisions of the gate by reason", gate_decisions.clone());
         registry.register("retries", "Attempts after the first by reason", retries.clone());
+        registry.register("spills", "Calls moved on by a gate by reason", spills.clone());
+        registry.register("hedges", "Second copies of calls that raced the first", hedges.clone());
+        registry.register("hedge_outcomes", "Races of two copies by the winner", hedge_outcomes.clone());
+        registry.register("probes", "Questions to the upstream about its load", probes.clone());
+        registry.register("probes_denied", "Questions not asked by reason", probes_denied.clone());
         registry.register("platform_calls", "Calls of the platform by outcome", platform_calls.clone());
         let control = ControlMetrics::default();
         control.add_to(&mut registry);
@@ -106,6 +126,11 @@
             call_latency,
             gate_decisions,
             retries,
+            spills,
+            hedges,
+            hedge_outcomes,
+            probes,
+            probes_denied,
             platform_calls,
             control,
         }
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -7,5 +7,6 @@
 pub mod decision_log;
 pub mod directory;
 pub mod metrics;
+pub mod parent_calls;
 pub mod time_ring;
 pub mod upstream_stats;
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -14,22 +15,27 @@
 use http::header::CONNECTION;
 use http::header::HOST;
 use http::header::TE;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordination::admission::Admission;
 use crate::coordination::admission::Grant;
 use crate::coordination::admission::Offer;
-use crate::coordination::admission::PriorityRule;
 use crate::coordination::admission::Refusal;
 use crate::coordination::admission::Ticket;
 use crate::coordination::admission::TicketKey;
 use crate::coordination::admission::Verdict;
+use crate::coordination::priority_lane::CallerKey;
+use crate::coordination::priority_lane::PriorityRule;
 use crate::coordination::service_estimate::Ended;
 use crate::protocol::answer::ErrorAnswer;
+use crate::protocol::call_head::ParentCall;
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::headers;
@@ -39,6 +45,7 @@
 use crate::state::call_records::CallState;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
+use crate::state::parent_calls::ParentCalls;
 use crate::transport::call_body::BodyGuard;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
@@ -50,6 +57,8 @@
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
 const RETRY_HINT: Duration = Duration::from_millis(100);
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+const MAX_DOCUMENT_BYTES: usize = 16_384;
 const OWN_FIELD_PREFIX: &str = "yuccatray-";
 
 /// What the gate has to know about a call.
@@ -59,12 +68,37 @@
     pub id: CallId,
     /// Position of the priority, 0 the most urgent.
     pub priority: u8,
+    /// Name of the priority.
+    pub priority_name: Arc<str>,
+    /// Whether it is a retry or a second copy, or runs on behalf of one.
+    pub repeated: bool,
+    /// Whose call it is.
+    pub caller: CallerKey,
     /// When the call is of no more use.
     pub deadline: Instant,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
     /// Longest time in all for which it is worth staying here, when another gate may be better.
     pub patience: Option<Duration>,
 }
 
+impl GateCall {
+    fn as_parent(&self) -> ParentCall {
+        ParentCall {
+            priority_name: Arc::clone(&self.priority_name),
+            priority: self.priority,
+            deadline: self.deadline,
+            repeated: self.repeated,
+        }
+    }
+}
+
+/// The key of a caller's name.
+#[must_use]
+pub fn caller_key(name: &str) -> CallerKey {
+    CallerKey(xxh3_64(name.as_bytes()))
+}
+
 /// An answer of the upstream on its way out of the gate.
 pub type GateResponse = Response<GuardedBody<CallBody, GateGuard>>;
 
@@ -79,6 +113,7 @@
 pub struct Gate {
     queue: Mutex<Queue>,
     records: CallRecords,
+    parents: ParentCalls,
     pool: ArcSwapOption<UpstreamPool>,
     metrics: SharedMetrics,
 }
@@ -91,6 +126,7 @@
         Self {
             queue: Mutex::new(queue),
             records: CallRecords::default(),
+            parents: ParentCalls::default(),
             pool: ArcSwapOption::empty(),
             metrics,
         }
@@ -123,6 +159,28 @@
         queue.deliver(verdicts);
     }
 
+    /// Leaves so many slots free for work of the upstream that the gate doesn't know.
+    pub fn withhold(&self, slots: u32) {
+        let mut queue = self.queue.lock();
+        let verdicts = queue.admission.withhold(slots, Instant::now());
+        queue.deliver(verdicts);
+    }
+
+    /// Asks the upstream for a small document; nothing when there is no good answer in time.
+    pub async fn ask_upstream(&self, path: &str) -> Option<Bytes> {
+        let pool = self.pool.load_full()?;
+        let request = Request::get(path).header(HOST, pool.addr().to_string());
+        let request = request.body(CallBody::from(Bytes::new())).ok()?;
+        let asking = async {
+            let (response, connection) = pool.send(request).await.ok()?;
+            let good = response.status().is_success();
+            let body = Limited::new(response.into_body(), MAX_DOCUMENT_BYTES).collect().await.ok()?;
+            pool.give_back(connection);
+            good.then(|| body.to_bytes())
+        };
+        tokio::time::timeout(ASK_TIMEOUT, asking).await.ok()?
+    }
+
     /// The exact load at this moment.
     #[must_use]
     pub fn load(&self) -> LoadReport {
@@ -135,6 +193,12 @@
         self.records.resolve(call)
     }
 
+    /// The call of that identity, while the upstream runs it.
+    #[must_use]
+    pub fn running_call(&self, id: &CallId) -> Option<ParentCall> {
+        self.parents.get(id)
+    }
+
     /// Passes one call to the upstream.
     ///
     /// # Errors
@@ -150,6 +214,7 @@
         let arrived = Instant::now();
         self.admit(&call, &mut slot).await?;
         let queued = arrived.elapsed();
+        self.parents.insert(call.id.clone(), call.as_parent());
         let pool = self.pool.load_full().ok_or_else(no_upstream)?;
         let sent = tokio::time::timeout_at(call.deadline, pool.send(for_upstream(request, pool.addr())));
         match sent.await {
@@ -194,7 +259,13 @@
     }
 
     fn offer(&self, call: &GateCall) -> Result<Entry> {
-        let ticket = Ticket { priority: call.priority, deadline: call.deadline, patience: call.patience };
+        let ticket = Ticket {
+            priority: call.priority,
+            caller: call.caller,
+            deadline: call.deadline,
+            patience: call.patience,
+            idempotent: call.idempotent,
+        };
         let mut queue = self.queue.lock();
         match queue.admission.offer(ticket, Instant::now()) {
             Offer::Admitted(grant) => Ok(Entry::Granted(grant)),
@@ -245,11 +316,15 @@
                 (ErrorKind::ObjectiveMissed, "objective_missed", "the objective could not be met any more")
             }
             Refusal::Impatient => (ErrorKind::Overloaded, "impatient", "another gate may be faster"),
+            Refusal::CallerLimited => {
+                (ErrorKind::CallerLimited, "caller_limited", "this caller has its share of the queue already")
+            }
             Refusal::Draining => (ErrorKind::Draining, "draining", "the upstream takes no new work"),
         };
         self.count(reason);
-        let hint = self.queue.lock().admission.retry_hint();
-        ErrorAnswer::new(kind, message).retry_after(hint)
+        let queue = self.queue.lock();
+        let load = queue.admission.load(Instant::now());
+        ErrorAnswer::new(kind, message).retry_after(queue.admission.retry_hint()).with_load(load)
     }
 
     fn release(&self, grant: Grant, ended: Ended) {
@@ -340,6 +415,7 @@
     fn drop(&mut self) {
         self.gate.records.finish(&self.id);
         if let Some(grant) = self.grant {
+            self.gate.parents.remove(&self.id);
             self.gate.release(grant, self.ended);
         }
     }
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -26,14 +26,12 @@
 use yuccatray_proto::peer_v1 as wire;
 use yuccatray_proto::peer_v1::peer_client::PeerClient;
 
-use crate::coordination::burn_tally::BodyEnd;
 use crate::coordination::burn_tally::BurnTally;
-use crate::coordination::retry_budget::RetryBudget;
-use crate::coordination::routing::Candidate;
 use crate::coordination::routing::RoutingPolicy;
+use crate::coordination::service_budgets::ServiceBudgets;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_head::CallHead;
-use crate::protocol::call_head::origin_form;
+use crate::protocol::call_head::ParentCall;
 use crate::protocol::call_head::service_name;
 use crate::protocol::call_id::CallId;
 use crate::protocol::call_id::CallIdSource;
@@ -48,21 +46,22 @@
 use crate::state::config_table::ConfigTable;
 use crate::state::decision_log::DecisionLog;
 use crate::state::directory::Directory;
-use crate::state::directory::DirectoryEntry;
-use crate::state::metrics::CallLabels;
-use crate::state::metrics::LatencyLabels;
-use crate::state::metrics::Metrics;
-use crate::state::metrics::ServiceLabel;
 use crate::state::metrics::SharedMetrics;
-use crate::state::upstream_stats::UpstreamStats;
-use crate::transport::call_body::BodyGuard;
+use crate::transport::call_attempts::Answered;
 use crate::transport::call_body::BodyWatch;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
 use crate::transport::gate::Gate;
 use crate::transport::gate::GateCall;
 use crate::transport::gate::GateGuard;
+use crate::transport::gate::caller_key;
 use crate::transport::http_server::Handler;
+use crate::transport::ingress_guard::InFlight;
+use crate::transport::ingress_guard::IngressGuard;
+use crate::transport::ingress_guard::count_call;
+use crate::transport::outgoing_call::Leg;
+use crate::transport::outgoing_call::Outgoing;
+use crate::transport::outgoing_call::OutgoingBody;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_channel::ControlClient;
@@ -72,10 +71,9 @@
 
 const RESOLVE_TIMEOUT: Duration = Duration::from_secs(1);
 const RETRY_HINT: Duration = Duration::from_millis(200);
-const ANSWERED: &str = "answered";
 
 /// Body of an upstream's answer: over a peer connection, or from the gate beside.
-type AnswerBody = Either<CallBody, GuardedBody<CallBody, GateGuard>>;
+pub(super) type AnswerBody = Either<CallBody, GuardedBody<CallBody, GateGuard>>;
 
 /// Body of an answer to a caller: an upstream's answer, or an error.
 pub type IngressBody = Either<GuardedBody<AnswerBody, IngressGuard>, Full<Bytes>>;
@@ -114,35 +112,23 @@
 /// Takes calls from callers.
 #[derive(Debug)]
 pub struct Ingress<P> {
-    parts: IngressParts<P>,
-    budgets: ArcSwap<IndexMap<Arc<str>, Arc<RetryBudget>>>,
+    pub(super) parts: IngressParts<P>,
+    pub(super) budgets: ArcSwap<IndexMap<Arc<str>, Arc<ServiceBudgets>>>,
     draining: AtomicBool,
 }
 
 /// A call on its way through the ingress.
 #[derive(Debug)]
-struct Call {
-    id: CallId,
-    id_field: HeaderValue,
-    head: CallHead,
-    priority_name: Arc<str>,
+pub(super) struct Call {
+    pub(super) id: CallId,
+    pub(super) id_field: HeaderValue,
+    pub(super) head: CallHead,
+    pub(super) priority_name: Arc<str>,
+    pub(super) caller: Arc<str>,
     started: Instant,
-    deadline: Instant,
-    max_attempts: u32,
-    tally: Arc<BurnTally>,
-}
-
-/// What is needed to send the same request again.
-#[derive(Debug)]
-struct Outgoing {
-    parts: Parts,
-    body: OutgoingBody,
-}
-
-#[derive(Debug)]
-enum OutgoingBody {
-    Kept { data: Bytes, trailers: Option<HeaderMap> },
-    Stream { body: Option<CallBody>, watch: Arc<BodyWatch> },
+    pub(super) deadline: Instant,
+    pub(super) max_attempts: u32,
+    pub(super) tally: Arc<BurnTally>,
 }
 
 impl<P> Ingress<P>
@@ -160,11 +146,11 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    async fn serve(&self, request: Request<Incoming>) -> Response<IngressBody> {
+    async fn serve(&self, request: Request<Incoming>, remote: SocketAddr) -> Response<IngressBody> {
         let id = self.parts.ids.next();
         let id_field = HeaderValue::from_str(&id.to_string());
         let id_field = id_field.unwrap_or_else(|_| HeaderValue::from_static(""));
-        let mut response = match self.accept(id.clone(), id_field.clone(), request).await {
+        let mut response = match self.accept(id.clone(), id_field.clone(), request, remote).await {
             Ok(response) => response.map(Either::Left),
             Err(answer) => answer.into_response(Some(&id)).map(|bytes| Either::Right(Full::new(bytes))),
         };
@@ -177,7 +163,8 @@
         id: CallId,
         id_field: HeaderValue,
         request: Request<Incoming>,
-    ) -> Result<Response<GuardedBody<AnswerBody, IngressGuard>>> {
+        remote: SocketAddr,
+    ) -> Result<Answered> {
         if self.draining.load(Ordering::Relaxed) {
             return Err(
                 ErrorAnswer::new(ErrorKind::Draining, "this node is stopping").retry_after(RETRY_HINT)
@@ -190,9 +177,12 @@
         let config = config.ok_or_else(|| {
             ErrorAnswer::new(ErrorKind::UnknownService, format!("no published service is named {service:?}"))
         })?;
-        let head = CallHead::read(service, request.headers(), request.method(), config)?;
-        let call = Call::new(id, id_field, head, config, &self.parts.burn);
-        let result = self.see_through(&call, config, request).await;
+        let mut head = CallHead::read(service, request.headers(), request.method(), config)?;
+        if let Some(parent) = self.parent_of(request.headers()) {
+            head.bound_by(&parent, config, Instant::now())?;
+        }
+        let mut call = Call::new(id, id_field, head, config, &self.parts.burn, remote);
+        let result = self.see_through(&mut call, config, request).await;
         if let Err(answer) = &result {
             log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
             self.count(&call, answer.kind.name());
@@ -216,38 +206,20 @@
         Ok(())
     }
 
+    /// The call of the upstream beside on whose behalf a request is made, by the field it passes on.
+    fn parent_of(&self, fields: &HeaderMap) -> Option<ParentCall> {
+        let id = fields.get(headers::CALL)?.to_str().ok()?.parse().ok()?;
+        self.parts.gate.running_call(&id)
+    }
+
     async fn see_through(
         &self,
-        call: &Call,
+        call: &mut Call,
         config: &PublishedConfig,
         request: Request<Incoming>,
-    ) -> Result<Response<GuardedBody<AnswerBody, IngressGuard>>> {
+    ) -> Result<Answered> {
         let mut outgoing = self.outgoing(call, config, request).await?;
-        let budget = self.budget(&call.head.service);
-        budget.earn(config.service.retry.budget_percent);
-        let mut tried = Vec::new();
-        let mut last = None;
-        for attempt in 1..=call.max_attempts {
-            let Some(entry) = self.choose(call, &tried) else {
-                break;
-            };
-            let Some(request) = outgoing.next_request(call) else {
-                break;
-            };
-            tried.push(Arc::clone(&entry.member.id.name));
-            let answer = match self.attempt(call, &entry, request).await {
-                Ok(response) => return Ok(response),
-                Err(answer) => outgoing.explain(answer),
-            };
-            let again = attempt < call.max_attempts && call.may_retry(answer.kind) && budget.spend();
-            if !again {
-                return Err(answer);
-            }
-            Metrics::count(&self.parts.metrics.retries, answer.kind.name());
-            call.tally.retried(Instant::now());
-            last = Some(answer);
-        }
-        Err(last.unwrap_or_else(no_upstream))
+        self.attempts(call, config, &mut outgoing).await
     }
 
     async fn outgoing(
@@ -284,81 +256,27 @@
         Ok(Outgoing { parts, body: OutgoingBody::Kept { data: collected.to_bytes(), trailers } })
     }
 
-    fn choose(&self, call: &Call, tried: &[Arc<str>]) -> Option<DirectoryEntry> {
-        let now = Instant::now();
-        let snapshot = self.parts.directory.snapshot();
-        let keys = snapshot.upstreams_of(&call.head.service);
-        let mut entries = Vec::with_capacity(keys.len());
-        let mut candidates = Vec::with_capacity(keys.len());
-        for key in keys {
-            let entry = snapshot.entry(*key);
-            if tried.contains(&entry.member.id.name) {
-                continue;
-            }
-            candidates.push(self.candidate(entry, now));
-            entries.push(entry);
-        }
-        let index = self.parts.policy.choose(&candidates, &mut rand::rng())?;
-        entries.get(index).map(|entry| DirectoryEntry::clone(entry))
-    }
-
-    fn candidate(&self, entry: &DirectoryEntry, now: Instant) -> Candidate {
-        Candidate {
-            peer_addr: entry.member.peer_addr,
-            load: entry.stats.load(now),
-            slots: entry.member.upstream.as_ref().map_or(1, |upstream| upstream.slots),
-            same_zone: entry.member.zone == self.parts.me.zone,
-        }
-    }
-
-    async fn attempt(
-        &self,
-        call: &Call,
-        entry: &DirectoryEntry,
-        request: Request<CallBody>,
-    ) -> Result<Response<GuardedBody<AnswerBody, IngressGuard>>> {
-        entry.stats.start();
-        let in_flight = InFlight { stats: Arc::clone(&entry.stats) };
-        let sent_at = Instant::now();
-        self.trace(call, Step::Sent { to: Arc::clone(&entry.member.id.name) });
-        // The name alone: after a long pause the node lives on under a later incarnation.
-        let local = entry.member.id.name == self.parts.me.id.name;
-        let result = if local {
-            self.through_own_gate(call, request).await
-        } else {
-            self.through_peer(call, &entry.member, request).await
-        };
-        match result {
-            Ok(response) => {
-                entry.stats.observe(sent_at.elapsed());
-                Ok(self.answered(call, response, in_flight))
-            }
-            Err(answer) => {
-                self.trace(call, Step::AttemptFailed { kind: answer.kind });
-                if answer.kind != ErrorKind::Overloaded {
-                    entry.stats.fail();
-                }
-                Err(answer)
-            }
-        }
-    }
-
-    async fn through_own_gate(
+    pub(super) async fn through_own_gate(
         &self,
         call: &Call,
+        leg: Leg,
         request: Request<CallBody>,
     ) -> Result<Response<AnswerBody>> {
         let gate_call = GateCall {
             id: call.id.clone(),
             priority: call.head.priority,
+            priority_name: Arc::clone(&call.priority_name),
+            repeated: leg.repeated || call.head.repeated,
+            caller: caller_key(&call.caller),
             deadline: call.deadline,
-            patience: None,
+            idempotent: call.head.idempotent,
+            patience: leg.patience,
         };
         let response = self.parts.gate.call(gate_call, request).await?;
         Ok(response.map(Either::Right))
     }
 
-    async fn through_peer(
+    pub(super) async fn through_peer(
         &self,
         call: &Call,
         member: &Member,
@@ -403,12 +321,12 @@
         ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the connection failed while the call was under way")
     }
 
-    fn answered(
+    pub(super) fn answered(
         &self,
         call: &Call,
         response: Response<AnswerBody>,
         in_flight: InFlight,
-    ) -> Response<GuardedBody<AnswerBody, IngressGuard>> {
+    ) -> Answered {
         let (mut head, body) = response.into_parts();
         headers::strip_hop_by_hop(&mut head.headers);
         in_flight.take_report(head.headers.remove(headers::LOAD).as_ref());
@@ -428,20 +346,7 @@
         Response::from_parts(head, GuardedBody::new(body, guard))
     }
 
-    fn budget(&self, service: &Arc<str>) -> Arc<RetryBudget> {
-        if let Some(budget) = self.budgets.load().get(service) {
-            return Arc::clone(budget);
-        }
-        let fresh = Arc::new(RetryBudget::default());
-        self.budgets.rcu(|budgets| {
-            let mut next = IndexMap::clone(budgets);
-            next.entry(Arc::clone(service)).or_insert_with(|| Arc::clone(&fresh));
-            next
-        });
-        self.budgets.load().get(service).map_or(fresh, Arc::clone)
-    }
-
-    fn trace(&self, call: &Call, step: Step) {
+    pub(super) fn trace(&self, call: &Call, step: Step) {
         self.parts.decisions.record(&call.id, step, Instant::now());
     }
 
@@ -476,8 +381,8 @@
 {
     type Body = IngressBody;
 
-    async fn handle(&self, request: Request<Incoming>, _remote: SocketAddr) -> Response<IngressBody> {
-        self.ingress.serve(request).await
+    async fn handle(&self, request: Request<Incoming>, remote: SocketAddr) -> Response<IngressBody> {
+        self.ingress.serve(request, remote).await
     }
 }
 
@@ -488,6 +393,7 @@
         head: CallHead,
         config: &PublishedConfig,
         burn: &Arc<BurnCounts>,
+        remote: SocketAddr,
     ) -> Self {
         let started = Instant::now();
         let declared = config.priorities.priorities.get_index(usize::from(head.priority));
@@ -498,6 +404,7 @@
             id,
             id_field,
             priority_name,
+            caller: head.caller.clone().unwrap_or_else(|| Arc::from(remote.ip().to_string())),
             started,
             deadline: started + head.timeout,
             max_attempts: config.service.retry.max_attempts,
@@ -506,7 +413,16 @@
         }
     }
 
-    fn may_retry(&self, kind: ErrorKind) -> bool {
+    /// Goes on under another identity, after a proof that it never ran under this one.
+    pub(super) fn rename(&mut self, id: CallId) {
+        log::debug!("call goes on under a new identity; call={} next={id}", self.id);
+        if let Ok(field) = HeaderValue::from_str(&id.to_string()) {
+            self.id_field = field;
+            self.id = id;
+        }
+    }
+
+    pub(super) fn may_retry(&self, kind: ErrorKind) -> bool {
         let row = kind.row();
         match row.execution {
             Execution::NotExecuted => row.retryable,
@@ -515,105 +431,6 @@
     }
 }
 
-impl Outgoing {
-    /// The request for the next attempt, or nothing when its body is gone.
-    fn next_request(&mut self, call: &Call) -> Option<Request<CallBody>> {
-        let body = match &mut self.body {
-            OutgoingBody::Kept { data, trailers } => CallBody::kept(data.clone(), trailers.clone()),
-            OutgoingBody::Stream { body, .. } => body.take()?,
-        };
-        let mut request = Request::from_parts(self.parts.clone(), body);
-        *request.uri_mut() = origin_form(&self.parts.uri);
-        *request.version_mut() = http::Version::default();
-        let left = call.deadline.saturating_duration_since(Instant::now());
-        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        let fields = request.headers_mut();
-        fields.insert(headers::CALL, call.id_field.clone());
-        insert(fields, headers::SERVICE, &call.head.service);
-        insert(fields, headers::PRIORITY, &call.priority_name);
-        fields.insert(headers::TIMEOUT_MS, HeaderValue::from(left_ms));
-        Some(request)
-    }
-
-    /// The answer to the caller when an attempt failed because of its own body.
-    fn explain(&self, answer: ErrorAnswer) -> ErrorAnswer {
-        let OutgoingBody::Stream { watch, .. } = &self.body else {
-            return answer;
-        };
-        if !watch.too_large() {
-            return answer;
-        }
-        let refused =
-            ErrorAnswer::new(ErrorKind::BodyTooLarge, "the body is larger than the service accepts");
-        match answer.execution {
-            Execution::NotExecuted => refused,
-            Execution::OutcomeUnknown => refused.maybe_executed(),
-        }
-    }
-}
-
-/// One call that this node has under way at an upstream.
-#[derive(Debug)]
-struct InFlight {
-    stats: Arc<UpstreamStats>,
-}
-
-impl InFlight {
-    fn take_report(&self, field: Option<&HeaderValue>) {
-        let report = field.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
-        if let Some(report) = report {
-            self.stats.report(report, Instant::now());
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.stats.finish();
-    }
-}
-
-/// Counts a call when its answer has been passed on.
-#[derive(Debug)]
-pub struct IngressGuard {
-    metrics: SharedMetrics,
-    service: Arc<str>,
-    priority: u8,
-    started: Instant,
-    tally: Arc<BurnTally>,
-    _in_flight: InFlight,
-}
-
-impl BodyGuard for IngressGuard {
-    fn ended(&mut self, whole: bool) {
-        self.tally.ended(if whole { BodyEnd::Whole } else { BodyEnd::Broken }, Instant::now());
-        self.count(whole);
-    }
-
-    fn dropped(&mut self) {
-        self.tally.ended(BodyEnd::Dropped, Instant::now());
-        self.count(false);
-    }
-}
-
-impl IngressGuard {
-    fn count(&self, whole: bool) {
-        let outcome = if whole { ANSWERED } else { "cut_short" };
-        count_call(&self.metrics, &self.service, self.priority, outcome);
-        let labels = LatencyLabels {
-            service: ServiceLabel(Arc::clone(&self.service)),
-            priority: u32::from(self.priority),
-        };
-        self.metrics.call_latency.get_or_create(&labels).observe(self.started.elapsed().as_secs_f64());
-    }
-}
-
-fn count_call(metrics: &Metrics, service: &Arc<str>, priority: u8, outcome: &'static str) {
-    let labels =
-        CallLabels { service: ServiceLabel(Arc::clone(service)), priority: u32::from(priority), outcome };
-    metrics.calls.get_or_create(&labels).inc();
-}
-
 fn queued_time(field: Option<&HeaderValue>) -> Duration {
     let micros = field.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
     Duration::from_micros(micros.unwrap_or(0))
@@ -626,19 +443,15 @@
     };
     let after_ms = response.headers().get(headers::RETRY_AFTER_MS);
     let after_ms = after_ms.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
-    let answer = ErrorAnswer::new(kind, "the upstream's gate refused or lost the call");
+    let mut answer = ErrorAnswer::new(kind, "the upstream's gate refused or lost the call");
+    let load = response.headers().get(headers::LOAD).and_then(|value| value.to_str().ok());
+    answer.load = load.and_then(|text| text.parse().ok());
     Err(match after_ms {
         Some(millis) => answer.retry_after(Duration::from_millis(millis)),
         None => answer,
     })
 }
 
-fn insert(fields: &mut HeaderMap, name: http::HeaderName, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        fields.insert(name, value);
-    }
-}
-
 /// Gives a request of HTTP/2 the field that names its host in HTTP/1.1.
 fn name_host(parts: &mut Parts) {
     let host = parts.uri.authority().and_then(|name| HeaderValue::from_str(name.as_str()).ok());
@@ -647,6 +460,6 @@
     }
 }
 
-fn no_upstream() -> ErrorAnswer {
+pub(super) fn no_upstream() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::NoUpstream, "no upstream of this service takes work").retry_after(RETRY_HINT)
 }
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin_client;
 pub mod admin_server;
 pub mod announce_server;
+pub mod call_attempts;
 pub mod call_body;
 pub mod config_reader;
 pub mod datagram_keys;
@@ -11,7 +12,10 @@
 pub mod gossip;
 pub mod http_server;
 pub mod ingress;
+pub mod ingress_guard;
 pub mod kind_watch;
+pub mod load_probe;
+pub mod outgoing_call;
 pub mod peer_channel;
 pub mod peer_security;
 pub mod peer_server;
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http_body_util::Either;
@@ -33,6 +34,7 @@
 use crate::transport::gate::GateCall;
 use crate::transport::gate::GateGuard;
 use crate::transport::gate::GateResponse;
+use crate::transport::gate::caller_key;
 use crate::transport::gossip::Gossip;
 use crate::transport::http_server::Handler;
 
@@ -84,8 +86,12 @@
         Ok(GateCall {
             id,
             priority: self.priority(fields),
+            priority_name: Arc::from(text(fields, &headers::PRIORITY).unwrap_or_default()),
+            repeated: text(fields, &headers::REPEAT) == Some("true"),
+            caller: caller_key(text(fields, &headers::CALLER).unwrap_or_default()),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
-            patience: None,
+            idempotent: text(fields, &headers::IDEMPOTENT) == Some("true"),
+            patience: optional(fields, &headers::PATIENCE_US).map(Duration::from_micros),
         })
     }
 
@@ -165,15 +171,30 @@
 }
 
 fn refusal(answer: ErrorAnswer, call: Option<&CallId>) -> Response<PeerBody> {
-    answer.into_response(call).map(|bytes| Either::Right(Either::Right(Full::new(bytes))))
+    let load = answer.load.and_then(|load| HeaderValue::from_str(&load.to_string()).ok());
+    let mut response = answer.into_response(call);
+    if let Some(load) = load {
+        response.headers_mut().insert(headers::LOAD, load);
+    }
+    response.map(|bytes| Either::Right(Either::Right(Full::new(bytes))))
+}
+
+fn text<'a>(fields: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    fields.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn optional<T>(fields: &HeaderMap, name: &HeaderName) -> Option<T>
+where
+    T: std::str::FromStr,
+{
+    text(fields, name).and_then(|text| text.parse().ok())
 }
 
 fn parsed<T>(fields: &HeaderMap, name: &HeaderName) -> Result<T, ErrorAnswer>
 where
     T: std::str::FromStr,
 {
-    let text = fields.get(name).and_then(|value| value.to_str().ok());
-    text.and_then(|text| text.parse().ok()).ok_or_else(|| {
+    optional(fields, name).ok_or_else(|| {
         ErrorAnswer::new(ErrorKind::MalformedRequest, format!("a peer sent no readable field {name}"))
     })
 }
--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -19,18 +19,24 @@
 use yuccatray::coordination::admission::Admission;
 use yuccatray::coordination::admission::Grant;
 use yuccatray::coordination::admission::Offer;
-use yuccatray::coordination::admission::PriorityRule;
 use yuccatray::coordination::admission::Refusal;
 use yuccatray::coordination::admission::Ticket;
 use yuccatray::coordination::admission::TicketKey;
 use yuccatray::coordination::admission::Verdict;
+use yuccatray::coordination::priority_lane::CallerKey;
+use yuccatray::coordination::priority_lane::PriorityRule;
 use yuccatray::coordination::service_estimate::Ended;
 
 const SHARES: [u32; 4] = [30, 20, 10, 10];
 const SERVICE_TIME: Duration = Duration::from_millis(30);
 
 fn rule(min_share_percent: u32) -> PriorityRule {
-    PriorityRule { min_share_percent, max_queue: 20, objective: Duration::from_secs(1) }
+    PriorityRule {
+        min_share_percent,
+        max_queue: 20,
+        max_caller_queue_percent: 100,
+        objective: Duration::from_secs(1),
+    }
 }
 
 fn rules(shares: &[u32]) -> Vec<PriorityRule> {
@@ -109,7 +115,14 @@
         patience_ms: Option<u64>,
     ) -> Result<(), TestCaseError> {
         let deadline = self.now + Duration::from_millis(timeout_ms);
-        let ticket = Ticket { priority, deadline, patience: patience_ms.map(Duration::from_millis) };
+        let patience = patience_ms.map(Duration::from_millis);
+        let ticket = Ticket {
+            priority,
+            caller: CallerKey(0),
+            deadline,
+            patience,
+            idempotent: timeout_ms.is_multiple_of(2),
+        };
         let load = self.admission.load(self.now);
         match self.admission.offer(ticket, self.now) {
             Offer::Admitted(grant) => {
@@ -186,8 +199,17 @@
 
 impl Overload {
     fn new(slots: u32, per_second: [f64; 4], service_time: [Duration; 4]) -> Self {
+        Self::with_rules(slots, per_second, service_time, &rules(&SHARES))
+    }
+
+    fn with_rules(
+        slots: u32,
+        per_second: [f64; 4],
+        service_time: [Duration; 4],
+        rules: &[PriorityRule],
+    ) -> Self {
         let start = Instant::now();
-        let mut admission = Admission::new(slots, &rules(&SHARES), start);
+        let mut admission = Admission::new(slots, rules, start);
         admission.set_adaptive(false);
         let arrivals = per_second.map(|rate| (Duration::from_secs_f64(1.0 / rate), start)).to_vec();
         Self {
@@ -225,7 +247,8 @@
         let gap = self.arrivals[lane].0;
         self.arrivals[lane].1 = now + gap.mul_f64(self.rng.random_range(0.0..2.0));
         let priority = u8::try_from(lane).expect("four priorities");
-        let ticket = Ticket { priority, deadline: now + Duration::from_secs(10), patience: None };
+        let deadline = now + Duration::from_secs(10);
+        let ticket = Ticket { priority, caller: CallerKey(0), deadline, patience: None, idempotent: false };
         match self.admission.offer(ticket, now) {
             Offer::Admitted(grant) => self.start(lane, grant, now),
             Offer::Queued(key) => {
@@ -302,6 +325,24 @@
     assert_shares_kept(10, [3_333.0, 500.0, 500.0, 500.0], [SERVICE_TIME, SERVICE_TIME, long, SERVICE_TIME]);
 }
 
+#[test]
+fn shares_tight_objectives_offered_little_more() {
+    let slots = 10;
+    let objectives_ms = [100, 150, 1_000, 500];
+    let tight: Vec<PriorityRule> = SHARES
+        .into_iter()
+        .zip(objectives_ms)
+        .map(|(share, millis)| PriorityRule { objective: Duration::from_millis(millis), ..rule(share) })
+        .collect();
+    let duration = Duration::from_mins(1);
+    let mut overload = Overload::with_rules(slots, [3_333.0, 117.0, 83.0, 82.0], [SERVICE_TIME; 4], &tight);
+    overload.run(duration);
+    for (lane, share) in SHARES.iter().enumerate() {
+        let kept = overload.share_percent(lane, slots, duration);
+        assert!(kept >= f64::from(*share) * 0.98, "lane {lane} keeps {kept} of {share} percent");
+    }
+}
+
 #[test]
 fn urgent_least_overloaded() {
     let slots = 10;
@@ -311,3 +352,44 @@
     let longest = overload.longest_wait[0];
     assert!(longest < SERVICE_TIME, "the most urgent waits {longest:?} for the next free slot");
 }
+
+fn caller_ticket(caller: u64, now: Instant) -> Ticket {
+    let deadline = now + Duration::from_secs(10);
+    Ticket { priority: 0, caller: CallerKey(caller), deadline, patience: None, idempotent: false }
+}
+
+#[test]
+fn caller_flooding_leaves_others_their_turn() {
+    let now = Instant::now();
+    let mut admission = Admission::new(2, &rules(&SHARES), now);
+    let mut running = Vec::new();
+    let mut waiting = Vec::new();
+    for _ in 0..20 {
+        match admission.offer(caller_ticket(1, now), now) {
+            Offer::Admitted(grant) => running.push(grant),
+            Offer::Queued(key) => waiting.push(key),
+            Offer::Refused(refusal) => panic!("there is room for twenty: {refusal:?}"),
+        }
+    }
+    assert_eq!(running.len(), 2);
+    let Offer::Queued(other) = admission.offer(caller_ticket(2, now), now) else {
+        panic!("another caller may wait");
+    };
+    let verdicts = admission.release(running[0], Ended::Good(SERVICE_TIME), now);
+    let [Verdict::Admit(next, _)] = verdicts[..] else {
+        panic!("one slot, one call: {verdicts:?}");
+    };
+    assert_eq!(next, other, "the caller with nothing running goes first");
+}
+
+#[test]
+fn caller_alone_takes_its_share_of_the_queue() {
+    let now = Instant::now();
+    let rule = PriorityRule { max_caller_queue_percent: 50, ..rule(30) };
+    let mut admission = Admission::new(1, &[rule], now);
+    let offers: Vec<Offer> = (0..13).map(|_| admission.offer(caller_ticket(1, now), now)).collect();
+    assert!(matches!(offers[0], Offer::Admitted(_)));
+    assert!(offers[1..11].iter().all(|offer| matches!(offer, Offer::Queued(_))), "ten of twenty places");
+    assert_eq!(offers[11..], [Offer::Refused(Refusal::CallerLimited); 2]);
+    assert!(matches!(admission.offer(caller_ticket(2, now), now), Offer::Queued(_)), "others find room");
+}
