testutils: a fault-injecting relay, a test fleet and a checker of histories

Cause: nothing showed what callers are promised when connections break. Change: a TCP relay that cuts or stalls a connection when chosen bytes pass, nodes in one process with such relays in front of gates and upstreams, an upstream that logs each execution, and a checker that holds each call against a sequential specification with todc-utils. Nodes may advertise another peer address than the one they listen on, which also serves VMs that listen on all.

--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -234,7 +234,7 @@
         state: MemberState::Alive,
         region: Arc::clone(&settings.node.region),
         zone: Arc::clone(&settings.node.zone),
-        peer_addr: addrs.peer,
+        peer_addr: settings.listen.advertised_peer_addr.unwrap_or(addrs.peer),
         ingress_addr: addrs.ingress,
         upstream: None,
         config_digest: 0,
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -67,6 +67,9 @@
     pub ingress_addr: SocketAddr,
     /// For the other nodes.
     pub peer_addr: SocketAddr,
+    /// Where the other nodes reach `peer_addr`, when that is another address.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertised_peer_addr: Option<SocketAddr>,
     /// For the node's own upstream; a loopback address.
     pub announce_addr: SocketAddr,
     /// For operators: metrics, readiness, status.
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,5 +1,9 @@
 //! Fixtures shared by the tests of yuccatray.
 
 pub mod daemon_process;
+pub mod fault_relay;
+pub mod fleet;
+pub mod history;
 pub mod http_call;
+pub mod logging_upstream;
 pub mod workspace;
--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -193,6 +193,7 @@
         listen: ListenSettings {
             ingress_addr: any_port(),
             peer_addr: any_port(),
+            advertised_peer_addr: None,
             announce_addr: any_port(),
             admin_addr: any_port(),
         },
