gate: calls that run once outlive their connection, and are resolved over a new one

Cause: a lost connection ended the call at the gate, dropped its answer, and freed the slot while the upstream still worked; records forgot fenced calls; silence was found after 1.5 s; a call whose second attempt was refused could be called not executed although the first may have run; a large answer that stalled was never given up. Change: a non-idempotent call runs apart from its connection into a relay that is kept for a bounded time; the ingress attaches, fetches or fences over a new connection, also in the middle of an answer; small answers are waited for whole; records raise a floor per ingress instead of forgetting; the slot stays busy until the upstream closed its side; connections are watched for silence by live round trips; the deadline covers the whole answer.

--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -18,6 +18,8 @@
 pub const CALLER: HeaderName = HeaderName::from_static("yuccatray-caller");
 /// Identity of the call, on the way to the gate and on every answer.
 pub const CALL: HeaderName = HeaderName::from_static("yuccatray-call");
+/// Asks about a call that was sent over another connection; between nodes only.
+pub const RESOLVE: HeaderName = HeaderName::from_static("yuccatray-resolve");
 /// Load of the gate that answered, for the ingress only.
 pub const LOAD: HeaderName = HeaderName::from_static("yuccatray-load");
 /// Name of the error kind on an answer that no upstream gave.
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -9,5 +9,6 @@
 pub mod member;
 pub mod object;
 pub mod published;
+pub mod resolve_wish;
 pub mod service_spec;
 pub mod settings;
--- a/lib/src/transport/call_body.rs
+++ b/lib/src/transport/call_body.rs
@@ -3,13 +3,22 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
+use http::Response;
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use snafu::ResultExt;
 use snafu::Snafu;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+/// Largest body of known size that is waited for before it is passed on, in bytes.
+pub const MAX_AWAITED_BYTES: u64 = 64 * 1024;
 
 /// The error that hyper takes from any body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -23,6 +32,9 @@
         /// What hyper said.
         source: hyper::Error,
     },
+    /// The deadline of the call passed before its end.
+    #[snafu(display("the deadline passed before the body ended"))]
+    Late,
     /// It grew past the size that the service accepts.
     #[snafu(display("the body is larger than {limit_bytes} bytes"))]
     TooLarge {
@@ -44,6 +56,8 @@
         left_bytes: u64,
         /// Bytes that were allowed at first.
         limit_bytes: u64,
+        /// When it has to have ended.
+        deadline: Option<Pin<Box<Sleep>>>,
     },
 }
 
@@ -51,13 +65,20 @@
     /// A body that streams in and may have any size.
     #[must_use]
     pub const fn unlimited(incoming: Incoming) -> Self {
-        Self::Stream { incoming, left_bytes: u64::MAX, limit_bytes: u64::MAX }
+        Self::Stream { incoming, left_bytes: u64::MAX, limit_bytes: u64::MAX, deadline: None }
+    }
+
+    /// A body that streams in and has to end by the deadline.
+    #[must_use]
+    pub fn until(incoming: Incoming, deadline: Instant) -> Self {
+        let deadline = Some(Box::pin(tokio::time::sleep_until(deadline)));
+        Self::Stream { incoming, left_bytes: u64::MAX, limit_bytes: u64::MAX, deadline }
     }
 
     /// A body that streams in and may have at most `limit_bytes`.
     #[must_use]
     pub const fn limited(incoming: Incoming, limit_bytes: u64) -> Self {
-        Self::Stream { incoming, left_bytes: limit_bytes, limit_bytes }
+        Self::Stream { incoming, left_bytes: limit_bytes, limit_bytes, deadline: None }
     }
 }
 
@@ -77,8 +98,14 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             Self::Kept(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream { incoming, left_bytes, limit_bytes } => {
+            Self::Stream { incoming, left_bytes, limit_bytes, deadline } => {
                 let polled = Pin::new(incoming).poll_frame(cx);
+                if polled.is_pending()
+                    && let Some(deadline) = deadline
+                {
+                    ready!(deadline.as_mut().poll(cx));
+                    return Poll::Ready(Some(LateSnafu.fail()));
+                }
                 polled.map(|frame| frame.map(|frame| counted(frame, left_bytes, *limit_bytes)))
             }
         }
@@ -99,6 +126,25 @@
     }
 }
 
+/// Waits for a small answer of known size, so that one cut short is still an error.
+///
+/// Any other answer is passed on as it comes.
+///
+/// # Errors
+///
+/// When the small answer breaks off.
+pub async fn whole_if_small(
+    response: Response<Incoming>,
+    deadline: Instant,
+) -> Result<Response<CallBody>, BodyError> {
+    let (head, body) = response.into_parts();
+    if body.size_hint().exact().is_none_or(|size| size > MAX_AWAITED_BYTES) {
+        return Ok(Response::from_parts(head, CallBody::until(body, deadline)));
+    }
+    let bytes = body.collect().await.context(CutSnafu)?.to_bytes();
+    Ok(Response::from_parts(head, CallBody::from(bytes)))
+}
+
 fn counted(
     frame: Result<Frame<Bytes>, hyper::Error>,
     left_bytes: &mut u64,
@@ -117,14 +163,19 @@
 }
 
 /// A body that tells its guard how it ended.
+///
+/// An error is held back for one poll, so that a server first sends what came before it:
+/// the reader then sees an answer that broke off, and not a connection without one.
 #[derive(Debug)]
 pub struct GuardedBody<B, G>
 where
+    B: Body,
     G: BodyGuard,
 {
     inner: B,
     guard: G,
     told: bool,
+    held_error: Option<B::Error>,
 }
 
 impl<B, G> GuardedBody<B, G>
@@ -134,7 +185,7 @@
 {
     /// Guards a body; an empty one ends at once.
     pub fn new(inner: B, guard: G) -> Self {
-        let mut body = Self { inner, guard, told: false };
+        let mut body = Self { inner, guard, told: false, held_error: None };
         if body.inner.is_end_stream() {
             body.tell(true);
         }
@@ -144,6 +195,7 @@
 
 impl<B, G> GuardedBody<B, G>
 where
+    B: Body,
     G: BodyGuard,
 {
     fn tell(&mut self, whole: bool) {
@@ -156,7 +208,7 @@
 
 impl<B, G> Body for GuardedBody<B, G>
 where
-    B: Body + Unpin,
+    B: Body<Error: Unpin> + Unpin,
     G: BodyGuard + Unpin,
 {
     type Data = B::Data;
@@ -167,18 +219,31 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
         let this = self.get_mut();
-        let polled = Pin::new(&mut this.inner).poll_frame(cx);
-        match &polled {
-            Poll::Ready(None) => this.tell(true),
-            Poll::Ready(Some(Err(_))) => this.tell(false),
-            Poll::Ready(Some(Ok(_))) if this.inner.is_end_stream() => this.tell(true),
-            _ => {}
+        if let Some(error) = this.held_error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match ready!(Pin::new(&mut this.inner).poll_frame(cx)) {
+            Some(Err(error)) => {
+                this.tell(false);
+                this.held_error = Some(error);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Some(Ok(frame)) => {
+                if this.inner.is_end_stream() {
+                    this.tell(true);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            None => {
+                this.tell(true);
+                Poll::Ready(None)
+            }
         }
-        polled
     }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        self.held_error.is_none() && self.inner.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -188,6 +253,7 @@
 
 impl<B, G> Drop for GuardedBody<B, G>
 where
+    B: Body,
     G: BodyGuard,
 {
     fn drop(&mut self) {
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -11,9 +11,13 @@
 use http::Request;
 use http::Response;
 use http::header::HOST;
-use hyper::body::Incoming;
+use http_body::Body;
+use http_body_util::BodyExt;
+use http_body_util::Either;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
+use snafu::ResultExt;
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -30,12 +34,17 @@
 use crate::protocol::headers;
 use crate::protocol::load_report::LoadReport;
 use crate::state::call_records::CallRecords;
-use crate::state::call_records::CallState;
+use crate::state::call_records::Seen;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
+use crate::transport::answer_relay::AnswerRelay;
+use crate::transport::answer_relay::RelayBody;
 use crate::transport::call_body::BodyGuard;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
+use crate::transport::call_body::MAX_AWAITED_BYTES;
+use crate::transport::call_body::whole_if_small;
+use crate::transport::upstream_pool::CutShortSnafu;
 use crate::transport::upstream_pool::PooledConnection;
 use crate::transport::upstream_pool::UpstreamError;
 use crate::transport::upstream_pool::UpstreamPool;
@@ -55,10 +64,15 @@
     pub priority: u8,
     /// When the call is of no more use.
     pub deadline: Instant,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
 }
 
 /// An answer of the upstream on its way out of the gate.
-pub type GateResponse = Response<GuardedBody<CallBody, GateGuard>>;
+pub type GateResponse = Response<GateBody>;
+
+/// Body of such an answer: straight from the upstream, or by way of a relay.
+pub type GateBody = Either<GuardedBody<CallBody, GateGuard>, RelayBody>;
 
 #[derive(Debug)]
 struct Queue {
@@ -70,7 +84,7 @@
 #[derive(Debug)]
 pub struct Gate {
     queue: Mutex<Queue>,
-    records: CallRecords,
+    records: CallRecords<Arc<AnswerRelay>>,
     pool: ArcSwapOption<UpstreamPool>,
     metrics: SharedMetrics,
 }
@@ -120,36 +134,144 @@
         self.queue.lock().admission.load()
     }
 
-    /// What became of a call, fencing it when it was never seen.
-    #[must_use]
-    pub fn resolve(&self, call: &CallId) -> CallState {
-        self.records.resolve(call)
-    }
-
     /// Passes one call to the upstream.
     ///
+    /// A call that may run more than once ends when the returned future or body is
+    /// dropped. Any other goes on, and its answer can be had by [`Gate::attach`].
+    ///
     /// # Errors
     ///
-    /// A refusal that proves that the call did not run, or word that its outcome is unknown.
+    /// With the refusal, or with what is known when the answer was lost.
     pub async fn call(self: &Arc<Self>, call: GateCall, request: Request<CallBody>) -> Result<GateResponse> {
-        if !self.records.begin(&call.id) {
-            self.count("duplicate");
-            return Err(ErrorAnswer::new(ErrorKind::DuplicateCall, "this call was already here"));
+        if call.idempotent {
+            let mut guard = GateGuard::default();
+            let response = self.pass(&call, request, &mut guard).await?;
+            return Ok(response.map(|body| Either::Left(GuardedBody::new(body, guard))));
+        }
+        let relay = Arc::new(AnswerRelay::default());
+        if let Err(seen) = self.records.begin(&call.id, Arc::clone(&relay), Instant::now()) {
+            return Err(self.refused_seen(&seen));
+        }
+        let recorded = Recorded { gate: Arc::clone(self), id: call.id.clone(), relay: Arc::clone(&relay) };
+        tokio::spawn(Arc::clone(self).run(call, request, recorded));
+        Ok(relay.read().await?.map(Either::Right))
+    }
+
+    /// The answer of a call that is running or whose answer is kept.
+    ///
+    /// # Errors
+    ///
+    /// Otherwise with what is known; a call never seen is fenced, so that it can't start later.
+    pub async fn attach(&self, call: &CallId) -> Result<GateResponse> {
+        let seen = self.records.resolve(call, Instant::now());
+        let relay = match seen {
+            Seen::Running(relay) => {
+                self.count("attached");
+                relay.ask_again();
+                relay
+            }
+            Seen::Kept(relay) => {
+                self.count("answer_fetched");
+                relay
+            }
+            Seen::Fenced => {
+                self.count("fenced");
+                let message = "the connection failed before the call arrived";
+                return Err(ErrorAnswer::new(ErrorKind::NoUpstream, message).retry_after(RETRY_HINT));
+            }
+            Seen::Ended | Seen::Forgotten => {
+                self.count("answer_gone");
+                let message = "the call was here and its answer is not kept any more";
+                return Err(ErrorAnswer::new(ErrorKind::OutcomeUnknown, message));
+            }
+        };
+        Ok(relay.read().await?.map(Either::Right))
+    }
+
+    /// Gives up a call whose caller left, and fences it when it was never seen.
+    pub fn cancel(&self, call: &CallId) {
+        if let Seen::Running(relay) = self.records.resolve(call, Instant::now()) {
+            self.count("cancelled");
+            relay.cancel();
+        }
+    }
+
+    /// Sees a call through that may run only once, whoever still waits for it.
+    async fn run(self: Arc<Self>, call: GateCall, request: Request<CallBody>, recorded: Recorded) {
+        let relay = &recorded.relay;
+        tokio::select! {
+            () = relay.cancelled() => relay.refuse(caller_left()),
+            () = self.run_to_end(&call, request, relay) => {}
         }
-        let mut slot = Slot { gate: Arc::clone(self), call: call.clone(), granted: false };
-        self.admit(&call, &mut slot).await?;
+    }
+
+    async fn run_to_end(self: &Arc<Self>, call: &GateCall, request: Request<CallBody>, relay: &AnswerRelay) {
+        let mut guard = GateGuard::default();
+        let arrived = tokio::select! {
+            arrived = arrived(request, call.deadline) => arrived,
+            () = relay.asked_again() => Err(cut_on_its_way("its connection failed")),
+        };
+        let request = match arrived {
+            Ok(request) => request,
+            Err(answer) => return relay.refuse(answer),
+        };
+        let response = match self.pass(call, request, &mut guard).await {
+            Ok(response) => response,
+            Err(answer) => return relay.refuse(answer),
+        };
+        let (head, body) = response.into_parts();
+        relay.begin(head);
+        let mut body = GuardedBody::new(body, guard);
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => relay.push(frame).await,
+                Err(_) => return relay.end(false),
+            }
+        }
+        relay.end(true);
+    }
+
+    async fn pass(
+        self: &Arc<Self>,
+        call: &GateCall,
+        request: Request<CallBody>,
+        guard: &mut GateGuard,
+    ) -> Result<Response<CallBody>> {
+        let mut slot = Slot { gate: Arc::clone(self), priority: call.priority, granted: false };
+        self.admit(call, &mut slot).await?;
         let pool = self.pool.load_full().ok_or_else(no_upstream)?;
-        let sent = tokio::time::timeout_at(call.deadline, pool.send(for_upstream(request, pool.addr())));
-        match sent.await {
-            Ok(Ok((response, connection))) => Ok(self.answered(response, slot, pool, connection)),
-            Ok(Err(error)) => Err(self.failed(&call, &error)),
+        guard.slot = Some(slot);
+        let request = for_upstream(request, pool.addr());
+        guard.pool = Some(Arc::clone(&pool));
+        let answered = async {
+            let response = pool.send(request, &mut guard.connection).await?;
+            whole_if_small(response, call.deadline).await.context(CutShortSnafu)
+        };
+        let sent = tokio::time::timeout_at(call.deadline, answered).await;
+        match sent {
+            Ok(Ok(response)) => Ok(self.answered(response)),
+            Ok(Err(error)) => Err(self.failed(call, &error)),
             Err(_) => {
                 self.count("deadline_while_running");
+                if let Some(connection) = &guard.connection {
+                    pool.suspect(connection);
+                }
                 Err(ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "the upstream did not answer in time"))
             }
         }
     }
 
+    fn refused_seen(&self, seen: &Seen<Arc<AnswerRelay>>) -> ErrorAnswer {
+        self.count("duplicate_call");
+        match seen {
+            Seen::Fenced => {
+                let message = "the call was given up before it arrived";
+                ErrorAnswer::new(ErrorKind::NoUpstream, message).retry_after(RETRY_HINT)
+            }
+            _ => ErrorAnswer::new(ErrorKind::DuplicateCall, "this call was already here"),
+        }
+    }
+
     async fn admit(self: &Arc<Self>, call: &GateCall, slot: &mut Slot) -> Result<()> {
         let Some((key, verdict)) = self.offer(call)? else {
             slot.granted = true;
@@ -184,21 +306,14 @@
         }
     }
 
-    fn answered(
-        &self,
-        response: Response<Incoming>,
-        slot: Slot,
-        pool: Arc<UpstreamPool>,
-        connection: PooledConnection,
-    ) -> GateResponse {
+    fn answered(&self, response: Response<CallBody>) -> Response<CallBody> {
         let (mut head, body) = response.into_parts();
         headers::strip_hop_by_hop(&mut head.headers);
         strip_own_fields(&mut head.headers);
         if let Ok(load) = HeaderValue::from_str(&self.load().to_string()) {
             head.headers.insert(headers::LOAD, load);
         }
-        let guard = GateGuard { slot: Some(slot), pool, connection: Some(connection) };
-        Response::from_parts(head, GuardedBody::new(CallBody::unlimited(body), guard))
+        Response::from_parts(head, body)
     }
 
     fn failed(&self, call: &GateCall, error: &UpstreamError) -> ErrorAnswer {
@@ -230,6 +345,12 @@
     fn count(&self, reason: &str) {
         Metrics::count(&self.metrics.gate_decisions, reason);
     }
+
+    fn count_many(&self, reason: &str, times: u32) {
+        for _ in 0..times {
+            self.count(reason);
+        }
+    }
 }
 
 impl Queue {
@@ -281,40 +402,107 @@
     }
 }
 
-/// A call inside the gate; dropped, it frees its slot and ends its record.
+/// A slot of the upstream, given back when dropped.
 #[derive(Debug)]
 struct Slot {
     gate: Arc<Gate>,
-    call: GateCall,
+    priority: u8,
     granted: bool,
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.gate.records.finish(&self.call.id);
         if self.granted {
-            self.gate.release(self.call.priority);
+            self.gate.release(self.priority);
         }
     }
 }
 
-/// Holds a call's slot and connection until the answer has been read.
+/// The record of a running call, ended when dropped.
 #[derive(Debug)]
+struct Recorded {
+    gate: Arc<Gate>,
+    id: CallId,
+    relay: Arc<AnswerRelay>,
+}
+
+impl Drop for Recorded {
+    fn drop(&mut self) {
+        let kept_bytes = self.relay.kept_bytes();
+        if kept_bytes.is_none() {
+            // Nobody may wait for an answer that will not come.
+            self.relay.end(false);
+            self.gate.count("answer_not_kept");
+        }
+        let dropped = self.gate.records.finish(&self.id, kept_bytes, Instant::now());
+        self.gate.count_many("answer_expired", dropped.expired);
+        self.gate.count_many("answer_evicted", dropped.evicted);
+    }
+}
+
+/// Holds a call's slot and connection until the upstream has let go of the call.
+#[derive(Debug, Default)]
 pub struct GateGuard {
     slot: Option<Slot>,
-    pool: Arc<UpstreamPool>,
+    pool: Option<Arc<UpstreamPool>>,
     connection: Option<PooledConnection>,
 }
 
+impl GateGuard {
+    /// Closes the connection; the slot stays busy until the upstream has done so too.
+    fn let_go(&mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        let slot = self.slot.take();
+        if let Ok(runtime) = Handle::try_current() {
+            runtime.spawn(async move {
+                connection.close().await;
+                drop(slot);
+            });
+        }
+    }
+}
+
 impl BodyGuard for GateGuard {
     fn ended(&mut self, whole: bool) {
-        if let Some(connection) = self.connection.take().filter(|_| whole) {
-            self.pool.give_back(connection);
+        if !whole {
+            return self.let_go();
+        }
+        if let (Some(connection), Some(pool)) = (self.connection.take(), &self.pool) {
+            pool.give_back(connection);
         }
         self.slot = None;
     }
 }
 
+impl Drop for GateGuard {
+    fn drop(&mut self) {
+        self.let_go();
+    }
+}
+
+/// Waits for a small body, so that a call cut on its way here never starts.
+async fn arrived(request: Request<CallBody>, deadline: Instant) -> Result<Request<CallBody>> {
+    if request.body().size_hint().exact().is_none_or(|size| size > MAX_AWAITED_BYTES) {
+        return Ok(request);
+    }
+    let (head, body) = request.into_parts();
+    let late = |_elapsed| ErrorAnswer::new(ErrorKind::DeadlineBeforeStart, "the body did not arrive in time");
+    let collected = tokio::time::timeout_at(deadline, body.collect()).await.map_err(late)?;
+    let bytes = collected.map_err(|error| cut_on_its_way(&error.to_string()))?.to_bytes();
+    Ok(Request::from_parts(head, CallBody::from(bytes)))
+}
+
+fn cut_on_its_way(reason: &str) -> ErrorAnswer {
+    let message = format!("the request was cut short on its way to the gate: {reason}");
+    ErrorAnswer::new(ErrorKind::NoUpstream, message).retry_after(RETRY_HINT)
+}
+
+fn caller_left() -> ErrorAnswer {
+    ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the caller left and the call was cancelled")
+}
+
 fn for_upstream(request: Request<CallBody>, addr: SocketAddr) -> Request<CallBody> {
     let (mut head, body) = request.into_parts();
     headers::strip_hop_by_hop(&mut head.headers);
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -11,7 +11,6 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::Uri;
 use http::request::Parts;
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -20,8 +19,6 @@
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use tokio::time::Instant;
-use yuccatray_proto::peer_v1 as wire;
-use yuccatray_proto::peer_v1::peer_client::PeerClient;
 
 use crate::coordination::retry_budget::RetryBudget;
 use crate::coordination::routing::Candidate;
@@ -48,23 +45,26 @@
 use crate::transport::call_body::BodyGuard;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
+use crate::transport::call_resolution::OwnGateCaller;
+use crate::transport::call_resolution::PeerAnswerBody;
+use crate::transport::call_resolution::PeerCall;
+use crate::transport::call_resolution::outcome_of_all;
+use crate::transport::call_resolution::through_peer;
 use crate::transport::gate::Gate;
+use crate::transport::gate::GateBody;
 use crate::transport::gate::GateCall;
-use crate::transport::gate::GateGuard;
 use crate::transport::http_server::Handler;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::ControlChannels;
-use crate::transport::peer_channel::ControlClient;
 
 /// Result of one attempt.
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
-const RESOLVE_TIMEOUT: Duration = Duration::from_secs(1);
 const RETRY_HINT: Duration = Duration::from_millis(200);
 const ANSWERED: &str = "answered";
 
 /// Body of an upstream's answer: over a peer connection, or from the gate beside.
-type AnswerBody = Either<CallBody, GuardedBody<CallBody, GateGuard>>;
+type AnswerBody = Either<PeerAnswerBody, GateBody>;
 
 /// Body of an answer to a caller: an upstream's answer, or an error.
 pub type IngressBody = Either<GuardedBody<AnswerBody, IngressGuard>, Full<Bytes>>;
@@ -190,6 +190,7 @@
         budget.earn(config.service.retry.budget_percent);
         let mut tried = Vec::new();
         let mut last = None;
+        let mut may_have_run = false;
         for attempt in 1..=call.max_attempts {
             let Some(entry) = self.choose(call, &tried) else {
                 break;
@@ -200,8 +201,9 @@
             tried.push(Arc::clone(&entry.member.id.name));
             let answer = match self.attempt(call, &entry, request).await {
                 Ok(response) => return Ok(response),
-                Err(answer) => answer,
+                Err(answer) => outcome_of_all(answer, may_have_run),
             };
+            may_have_run |= answer.kind.row().execution == Execution::OutcomeUnknown;
             let again = attempt < call.max_attempts && call.may_retry(answer.kind) && budget.spend();
             if !again {
                 return Err(answer);
@@ -279,7 +281,14 @@
         let result = if local {
             self.through_own_gate(call, request).await
         } else {
-            self.through_peer(call, &entry.member, request).await
+            let peer = PeerCall {
+                id: &call.id,
+                addr: entry.member.peer_addr,
+                deadline: call.deadline,
+                idempotent: call.head.idempotent,
+            };
+            let response = through_peer(&self.parts.channels, peer, request).await;
+            response.map(|response| response.map(Either::Left))
         };
         match result {
             Ok(response) => {
@@ -300,55 +309,16 @@
         call: &Call,
         request: Request<CallBody>,
     ) -> Result<Response<AnswerBody>> {
-        let gate_call =
-            GateCall { id: call.id.clone(), priority: call.head.priority, deadline: call.deadline };
-        let response = self.parts.gate.call(gate_call, request).await?;
-        Ok(response.map(Either::Right))
-    }
-
-    async fn through_peer(
-        &self,
-        call: &Call,
-        member: &Member,
-        mut request: Request<CallBody>,
-    ) -> Result<Response<AnswerBody>> {
-        *request.uri_mut() = absolute(request.uri(), member.peer_addr);
-        let channel = self.parts.channels.get(member.peer_addr);
-        let sent = tokio::time::timeout_at(call.deadline, channel.send(request)).await;
-        match sent {
-            Ok(Ok(response)) => refusal_or_answer(response),
-            Ok(Err(error)) if error.proves_not_executed() => {
-                Err(ErrorAnswer::new(ErrorKind::NoUpstream, error.to_string()).retry_after(RETRY_HINT))
-            }
-            Ok(Err(error)) => {
-                log::debug!("peer lost; call={} peer={} error={error}", call.id, member.id.name);
-                Err(self.resolve(call, member).await)
-            }
-            Err(_) => Err(ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "no answer within the deadline")),
-        }
-    }
-
-    /// Asks the gate what became of a call whose connection was lost.
-    async fn resolve(&self, call: &Call, member: &Member) -> ErrorAnswer {
-        let control = self.parts.control.get(member.peer_addr);
-        let mut client = PeerClient::new(ControlClient::new(control));
-        let question = wire::ResolveCallRequest {
-            call: Some(wire::CallId {
-                node: call.id.node.to_string(),
-                incarnation: call.id.incarnation,
-                sequence: call.id.sequence,
-            }),
-        };
-        let until = call.deadline.min(Instant::now() + RESOLVE_TIMEOUT);
-        let fate = match tokio::time::timeout_at(until, client.resolve_call(question)).await {
-            Ok(Ok(reply)) => reply.into_inner().fate(),
-            _ => wire::CallFate::Unknown,
+        let gate_call = GateCall {
+            id: call.id.clone(),
+            priority: call.head.priority,
+            deadline: call.deadline,
+            idempotent: call.head.idempotent,
         };
-        if fate == wire::CallFate::Fenced {
-            return ErrorAnswer::new(ErrorKind::NoUpstream, "the connection failed before the call arrived")
-                .retry_after(RETRY_HINT);
-        }
-        ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the connection failed while the call was under way")
+        let caller = OwnGateCaller::new(&self.parts.gate, &call.id, call.head.idempotent);
+        let response = self.parts.gate.call(gate_call, request).await;
+        caller.answered();
+        Ok(response?.map(Either::Right))
     }
 
     fn answered(
@@ -455,9 +425,11 @@
         *request.version_mut() = http::Version::default();
         let left_ms = call.deadline.saturating_duration_since(Instant::now()).as_millis();
         let fields = request.headers_mut();
+        fields.remove(headers::RESOLVE);
         insert(fields, headers::CALL, &call.id.to_string());
         insert(fields, headers::SERVICE, &call.head.service);
         insert(fields, headers::PRIORITY, &call.priority_name);
+        insert(fields, headers::IDEMPOTENT, if call.head.idempotent { "true" } else { "false" });
         insert(fields, headers::TIMEOUT_MS, &left_ms.to_string());
         Some(request)
     }
@@ -512,25 +484,6 @@
     metrics.calls.get_or_create(&labels).inc();
 }
 
-fn refusal_or_answer(response: Response<Incoming>) -> Result<Response<AnswerBody>> {
-    let kind = response.headers().get(headers::ERROR).and_then(|value| value.to_str().ok());
-    let Some(kind) = kind.and_then(ErrorKind::from_name) else {
-        return Ok(response.map(|body| Either::Left(CallBody::unlimited(body))));
-    };
-    let after_ms = response.headers().get(headers::RETRY_AFTER_MS);
-    let after_ms = after_ms.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
-    let answer = ErrorAnswer::new(kind, "the upstream's gate refused or lost the call");
-    Err(match after_ms {
-        Some(millis) => answer.retry_after(Duration::from_millis(millis)),
-        None => answer,
-    })
-}
-
-fn absolute(target: &Uri, peer: SocketAddr) -> Uri {
-    let path = target.path_and_query().map_or("/", |path| path.as_str());
-    format!("http://{peer}{path}").parse().unwrap_or_else(|_| target.clone())
-}
-
 fn insert(fields: &mut http::HeaderMap, name: http::HeaderName, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         fields.insert(name, value);
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod admin_server;
 pub mod announce_server;
+pub mod answer_relay;
 pub mod call_body;
+pub mod call_resolution;
 pub mod gate;
 pub mod gossip;
 pub mod http_server;
@@ -12,4 +14,5 @@
 pub mod platform;
 pub mod platform_http;
 pub mod publisher;
+pub mod silence_watch;
 pub mod upstream_pool;
--- a/lib/src/transport/peer_channel.rs
+++ b/lib/src/transport/peer_channel.rs
@@ -24,16 +24,18 @@
 use snafu::Snafu;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
+use tokio::time::Instant;
 use tower_service::Service;
 
 use crate::transport::call_body::BoxError;
 use crate::transport::call_body::CallBody;
+use crate::transport::silence_watch::PING_INTERVAL;
+use crate::transport::silence_watch::WatchedStream;
 
 /// Result of talking to a peer.
 pub type Result<T, E = PeerError> = std::result::Result<T, E>;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const PING_INTERVAL: Duration = Duration::from_millis(500);
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why a peer gave no answer.
@@ -134,12 +136,16 @@
 where
     B: http_body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Unpin + 'static,
 {
+    let started = Instant::now();
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
     let stream = connecting.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
     stream.set_nodelay(true).context(ConnectSnafu)?;
     let mut builder = http2::Builder::new(TokioExecutor::new());
     builder.timer(TokioTimer::new()).keep_alive_interval(PING_INTERVAL).keep_alive_timeout(PING_TIMEOUT);
-    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
+    let (sender, connection) = builder
+        .handshake(TokioIo::new(WatchedStream::new(stream, started.elapsed())))
+        .await
+        .context(HandshakeSnafu)?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("peer connection ended; peer={addr} error={error}");
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -23,20 +23,19 @@
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::headers;
-use crate::state::call_records::CallState;
+use crate::protocol::resolve_wish::ResolveWish;
 use crate::state::config_table::ConfigTable;
 use crate::transport::call_body::CallBody;
-use crate::transport::call_body::GuardedBody;
 use crate::transport::gate::Gate;
+use crate::transport::gate::GateBody;
 use crate::transport::gate::GateCall;
-use crate::transport::gate::GateGuard;
 use crate::transport::gossip::Gossip;
 use crate::transport::http_server::Handler;
 
 const CONTROL_PREFIX: &str = "/yuccatray.peer.v1.Peer/";
 
 /// Body of an answer to a peer: control, an upstream's answer, or a refusal.
-pub type PeerBody = Either<tonic::body::Body, Either<GuardedBody<CallBody, GateGuard>, Full<Bytes>>>;
+pub type PeerBody = Either<tonic::body::Body, Either<GateBody, Full<Bytes>>>;
 
 /// Answers the other nodes.
 #[derive(Clone, Debug)]
@@ -50,11 +49,14 @@
     /// A handler over the node's gate and gossip.
     #[must_use]
     pub fn new(gate: Arc<Gate>, config: Arc<ConfigTable>, gossip: Arc<Gossip>) -> Self {
-        let control = PeerServer::new(Control { gate: Arc::clone(&gate), gossip });
+        let control = PeerServer::new(Control { gossip });
         Self { gate, config, control }
     }
 
     async fn call(&self, request: Request<Incoming>) -> Response<PeerBody> {
+        if request.headers().contains_key(headers::RESOLVE) {
+            return self.resolve(request.headers()).await;
+        }
         let call = match self.read_call(request.headers()) {
             Ok(call) => call,
             Err(answer) => return refusal(answer, None),
@@ -66,6 +68,24 @@
         }
     }
 
+    /// Answers for a call that came over another connection.
+    async fn resolve(&self, fields: &HeaderMap) -> Response<PeerBody> {
+        let asked =
+            parsed(fields, &headers::RESOLVE).and_then(|wish| Ok((parsed(fields, &headers::CALL)?, wish)));
+        let (id, wish): (CallId, ResolveWish) = match asked {
+            Ok(asked) => asked,
+            Err(answer) => return refusal(answer, None),
+        };
+        if wish == ResolveWish::Cancel {
+            self.gate.cancel(&id);
+            return Response::new(Either::Right(Either::Right(Full::default())));
+        }
+        match self.gate.attach(&id).await {
+            Ok(response) => response.map(|body| Either::Right(Either::Left(body))),
+            Err(answer) => refusal(answer, Some(&id)),
+        }
+    }
+
     fn read_call(&self, fields: &HeaderMap) -> Result<GateCall, ErrorAnswer> {
         let id: CallId = parsed(fields, &headers::CALL)?;
         let timeout_ms = parsed(fields, &headers::TIMEOUT_MS)?;
@@ -73,6 +93,7 @@
             id,
             priority: self.priority(fields),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
+            idempotent: parsed(fields, &headers::IDEMPOTENT)?,
         })
     }
 
@@ -104,7 +125,6 @@
 /// The generated service over this node's parts.
 #[derive(Clone, Debug)]
 struct Control {
-    gate: Arc<Gate>,
     gossip: Arc<Gossip>,
 }
 
@@ -121,24 +141,6 @@
             published: self.gossip.wire_published(),
         }))
     }
-
-    async fn resolve_call(
-        &self,
-        request: tonic::Request<wire::ResolveCallRequest>,
-    ) -> Result<tonic::Response<wire::ResolveCallReply>, Status> {
-        let call = request.into_inner().call.ok_or_else(|| Status::invalid_argument("no call named"))?;
-        let id = CallId {
-            node: Arc::from(call.node.as_str()),
-            incarnation: call.incarnation,
-            sequence: call.sequence,
-        };
-        let fate = match self.gate.resolve(&id) {
-            CallState::Running => wire::CallFate::Running,
-            CallState::Finished => wire::CallFate::Finished,
-            CallState::Fenced => wire::CallFate::Fenced,
-        };
-        Ok(tonic::Response::new(wire::ResolveCallReply { fate: fate.into() }))
-    }
 }
 
 fn refusal(answer: ErrorAnswer, call: Option<&CallId>) -> Response<PeerBody> {
--- /dev/null
+++ b/lib/src/transport/silence_watch.rs
@@ -0,0 +1,182 @@
+//! Finding connections on which nothing passes any more though both ends think them open.
+//!
+//! The HTTP/2 library pings while calls are outstanding, so that a healthy peer is never
+//! silent for longer than [`PING_INTERVAL`] and a round trip. One that is gets closed.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::WaitForCancellationFutureOwned;
+
+/// Silence after which the library sends a ping while calls are outstanding.
+pub const PING_INTERVAL: Duration = Duration::from_millis(250);
+
+const MIN_PATIENCE: Duration = Duration::from_millis(200);
+const MAX_PATIENCE: Duration = Duration::from_secs(1);
+const ROUND_TRIPS_OF_PATIENCE: u32 = 8;
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const SMOOTHING_SHIFT: u32 = 5;
+const NEVER: u64 = u64::MAX;
+
+/// What passed over one connection, written by its two halves without locks.
+#[derive(Debug)]
+struct Traffic {
+    epoch: Instant,
+    read_at_us: AtomicU64,
+    unanswered_since_us: AtomicU64,
+    round_trip_us: AtomicU64,
+}
+
+impl Traffic {
+    fn new(round_trip: Duration) -> Self {
+        Self {
+            epoch: Instant::now(),
+            read_at_us: AtomicU64::new(0),
+            unanswered_since_us: AtomicU64::new(NEVER),
+            round_trip_us: AtomicU64::new(micros(round_trip)),
+        }
+    }
+
+    fn now_us(&self) -> u64 {
+        micros(self.epoch.elapsed())
+    }
+
+    fn wrote(&self) {
+        if self.unanswered_since_us.load(Ordering::Relaxed) == NEVER {
+            self.unanswered_since_us.store(self.now_us(), Ordering::Relaxed);
+        }
+    }
+
+    fn read(&self) {
+        let now_us = self.now_us();
+        self.read_at_us.store(now_us, Ordering::Relaxed);
+        let since_us = self.unanswered_since_us.swap(NEVER, Ordering::Relaxed);
+        if since_us != NEVER {
+            self.sample(now_us.saturating_sub(since_us));
+        }
+    }
+
+    /// Follows shorter samples at once and longer ones, which hold service times, slowly.
+    fn sample(&self, sample_us: u64) {
+        let old_us = self.round_trip_us.load(Ordering::Relaxed);
+        let new_us =
+            if sample_us < old_us { sample_us } else { old_us + ((sample_us - old_us) >> SMOOTHING_SHIFT) };
+        self.round_trip_us.store(new_us, Ordering::Relaxed);
+    }
+
+    /// Time that an answer to a ping may take.
+    fn patience(&self) -> Duration {
+        let round_trip = Duration::from_micros(self.round_trip_us.load(Ordering::Relaxed));
+        (round_trip * ROUND_TRIPS_OF_PATIENCE).clamp(MIN_PATIENCE, MAX_PATIENCE)
+    }
+
+    fn is_silent(&self) -> bool {
+        let since_us = self.unanswered_since_us.load(Ordering::Relaxed);
+        if since_us == NEVER {
+            return false;
+        }
+        let quiet_since_us = since_us.max(self.read_at_us.load(Ordering::Relaxed));
+        self.now_us().saturating_sub(quiet_since_us) > micros(PING_INTERVAL + self.patience())
+    }
+}
+
+/// A connection that fails once it was silent for too long.
+#[derive(Debug)]
+pub struct WatchedStream {
+    stream: TcpStream,
+    traffic: Arc<Traffic>,
+    closed: CancellationToken,
+    silent: Pin<Box<WaitForCancellationFutureOwned>>,
+}
+
+impl WatchedStream {
+    /// Watches a connection whose opening took `round_trip`.
+    #[must_use]
+    pub fn new(stream: TcpStream, round_trip: Duration) -> Self {
+        let traffic = Arc::new(Traffic::new(round_trip));
+        let closed = CancellationToken::new();
+        let silent = CancellationToken::new();
+        tokio::spawn(watch(Arc::clone(&traffic), closed.clone(), silent.clone()));
+        Self { stream, traffic, closed, silent: Box::pin(silent.cancelled_owned()) }
+    }
+}
+
+impl Drop for WatchedStream {
+    fn drop(&mut self) {
+        self.closed.cancel();
+    }
+}
+
+async fn watch(traffic: Arc<Traffic>, closed: CancellationToken, silent: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = closed.cancelled() => return,
+            () = tokio::time::sleep(CHECK_INTERVAL) => {}
+        }
+        if traffic.is_silent() {
+            log::warn!("connection silent; patience={:?}", traffic.patience());
+            return silent.cancel();
+        }
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.silent.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "the connection is silent")));
+        }
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if polled.is_ready() {
+            self.traffic.read();
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.traffic.wrote();
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.traffic.wrote();
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(NEVER)
+}
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -8,21 +8,30 @@
 use http::Response;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::client::conn::http1::Connection;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use snafu::ResultExt;
 use snafu::Snafu;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
 
+use crate::transport::call_body::BodyError;
 use crate::transport::call_body::CallBody;
 
 /// Result of sending a call to the upstream.
 pub type Result<T, E = UpstreamError> = std::result::Result<T, E>;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const MAX_IDLE: Duration = Duration::from_secs(5);
+const DISCARD_BYTES: usize = 8_192;
 
 /// Why a call got no answer from the upstream.
 #[derive(Debug, Snafu)]
@@ -54,13 +63,19 @@
         /// What hyper said.
         source: hyper::Error,
     },
+    /// The answer broke off.
+    #[snafu(display("the upstream's answer broke off"), visibility(pub(crate)))]
+    CutShort {
+        /// What was seen of the body.
+        source: BodyError,
+    },
 }
 
 impl UpstreamError {
     /// Whether it is proved that the upstream never saw the call.
     #[must_use]
     pub const fn proves_not_executed(&self) -> bool {
-        !matches!(self, Self::Lost { .. })
+        !matches!(self, Self::Lost { .. } | Self::CutShort { .. })
     }
 }
 
@@ -68,7 +83,19 @@
 #[derive(Debug)]
 pub struct PooledConnection {
     sender: SendRequest<CallBody>,
-    _permit: OwnedSemaphorePermit,
+    let_go: CancellationToken,
+    opened: Instant,
+    idle_since: Instant,
+}
+
+impl PooledConnection {
+    /// Closes the connection and resolves when the upstream has closed it as well.
+    ///
+    /// Both stand on one VM, so its kernel always tells when a side is gone.
+    pub async fn close(self) {
+        drop(self.sender);
+        self.let_go.cancelled().await;
+    }
 }
 
 /// Idle connections to one upstream, limited in number.
@@ -95,6 +122,9 @@
 
     /// Sends a call and waits for the header section of the answer.
     ///
+    /// The connection in use stands in `held` from before the first byte is written, so
+    /// that whoever gives the call up can see the upstream let go of it.
+    ///
     /// # Errors
     ///
     /// When no connection can be had or the one used fails. A request that was never
@@ -102,11 +132,13 @@
     pub async fn send(
         &self,
         mut request: Request<CallBody>,
-    ) -> Result<(Response<Incoming>, PooledConnection)> {
+        held: &mut Option<PooledConnection>,
+    ) -> Result<Response<Incoming>> {
         loop {
-            let (mut connection, reused) = self.checkout().await?;
-            match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, connection)),
+            let (connection, reused) = self.checkout().await?;
+            let sent = held.insert(connection).sender.try_send_request(request);
+            match sent.await {
+                Ok(response) => return Ok(response),
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) if reused => request = unsent,
                     Some(_) => return NotWrittenSnafu.fail(),
@@ -117,12 +149,18 @@
     }
 
     /// Gives a connection back whose answer was read to the end.
-    pub fn give_back(&self, connection: PooledConnection) {
+    pub fn give_back(&self, mut connection: PooledConnection) {
         if !connection.sender.is_closed() {
+            connection.idle_since = Instant::now();
             self.idle.lock().push(connection);
         }
     }
 
+    /// A connection went silent: those as old may have gone the same way and are not used again.
+    pub fn suspect(&self, connection: &PooledConnection) {
+        self.idle.lock().retain(|idle| idle.opened > connection.opened);
+    }
+
     async fn checkout(&self) -> Result<(PooledConnection, bool)> {
         while let Some(mut connection) = self.pop_idle() {
             if connection.sender.ready().await.is_ok() {
@@ -131,24 +169,52 @@
         }
         let permit = Arc::clone(&self.permits).try_acquire_owned();
         let permit = permit.map_err(|_all_taken| UpstreamError::Exhausted)?;
-        let sender = connect(self.addr).await?;
-        Ok((PooledConnection { sender, _permit: permit }, false))
+        Ok((connect(self.addr, permit).await?, false))
     }
 
+    /// The idle connection used last, unless all have been idle for too long.
     fn pop_idle(&self) -> Option<PooledConnection> {
-        self.idle.lock().pop()
+        let mut idle = self.idle.lock();
+        let connection = idle.pop()?;
+        if connection.idle_since.elapsed() < MAX_IDLE {
+            return Some(connection);
+        }
+        idle.clear();
+        None
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<SendRequest<CallBody>> {
+async fn connect(addr: SocketAddr, permit: OwnedSemaphorePermit) -> Result<PooledConnection> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
     let stream = connecting.await.map_err(|_elapsed| UpstreamError::ConnectTimeout)?.context(ConnectSnafu)?;
     stream.set_nodelay(true).context(ConnectSnafu)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("upstream connection ended; error={error}");
-        }
-    });
-    Ok(sender)
+    let let_go = CancellationToken::new();
+    tokio::spawn(drive(connection, permit, let_go.clone().drop_guard()));
+    let now = Instant::now();
+    Ok(PooledConnection { sender, let_go, opened: now, idle_since: now })
+}
+
+/// Drives a connection to its end and then waits for the upstream to close it too.
+async fn drive(
+    mut connection: Connection<TokioIo<TcpStream>, CallBody>,
+    permit: OwnedSemaphorePermit,
+    let_go: DropGuard,
+) {
+    let ended = std::future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+    if let Err(error) = ended {
+        log::debug!("upstream connection ended; error={error}");
+    }
+    wait_closed(connection.into_parts().io.into_inner()).await;
+    drop(let_go);
+    drop(permit);
+}
+
+/// Says that nothing more comes and reads until the upstream says the same.
+async fn wait_closed(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut rest = [0; DISCARD_BYTES];
+    while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {}
 }
