--- a/lib/src/transport/call_body.rs
+++ b/lib/src/transport/call_body.rs
@@ -160,6 +160,11 @@
 pub trait BodyGuard {
     /// The body ended, whole or not; called at most once.
     fn ended(&mut self, whole: bool);
+
+    /// The body was dropped before its end; called in place of [`Self::ended`].
+    fn dropped(&mut self) {
+        self.ended(false);
+    }
 }
 
 /// A body that tells its guard how it ended.
@@ -257,6 +262,9 @@
     G: BodyGuard,
 {
     fn drop(&mut self) {
-        self.tell(false);
+        if !self.told {
+            self.told = true;
+            self.guard.dropped();
+        }
     }
 }
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -94,6 +94,7 @@
             priority: self.priority(fields),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
             idempotent: parsed(fields, &headers::IDEMPOTENT)?,
+            patience: None,
         })
     }
 
