--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -136,7 +136,9 @@
             let rule = rule(published.as_deref());
             self.gate.set_upstream(announcement.addr, announcement.slots, &rule);
         }
-        self.gossip.set_upstream(Some(UpstreamInfo {
+        // Without the service's priorities the gate would refuse all that it is sent.
+        let ready = published.is_some_and(|published| published.config.is_some());
+        self.gossip.set_upstream(ready.then(|| UpstreamInfo {
             service: Arc::clone(&announcement.service),
             slots: announcement.slots,
             draining: announcement.draining,
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -215,6 +215,7 @@
     async fn run_to_end(self: &Arc<Self>, call: &GateCall, request: Request<CallBody>, relay: &AnswerRelay) {
         let mut guard = GateGuard::default();
         let arrived = tokio::select! {
+            biased;
             arrived = arrived(request, call.deadline) => arrived,
             () = relay.asked_again() => Err(cut_on_its_way("its connection failed")),
         };
