--- a/lib/src/transport/answer_relay.rs
+++ b/lib/src/transport/answer_relay.rs
@@ -272,7 +272,9 @@
     fn size_hint(&self) -> SizeHint {
         let state = self.relay.state.lock();
         let whole = self.next == 0 && state.first == 0 && state.end == Some(End::Whole);
-        if whole { SizeHint::with_exact(state.held_bytes as u64) } else { SizeHint::default() }
+        // A size would be sent in place of the trailers.
+        let trailers = matches!(state.pieces.back(), Some(Piece::Trailers(_)));
+        if whole && !trailers { SizeHint::with_exact(state.held_bytes as u64) } else { SizeHint::default() }
     }
 }
 
--- a/lib/src/transport/call_body.rs
+++ b/lib/src/transport/call_body.rs
@@ -1,11 +1,15 @@
 //! Bodies on the path of a call, streamed or kept, without dynamic dispatch.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Response;
 use http_body::Body;
 use http_body::Frame;
@@ -46,8 +50,13 @@
 /// A body that is kept in memory or streams in.
 #[derive(Debug)]
 pub enum CallBody {
-    /// The whole body, or nothing once it was given out.
-    Kept(Option<Bytes>),
+    /// The whole body; each part is gone once it was given out.
+    Kept {
+        /// The data, when there is any.
+        data: Option<Bytes>,
+        /// The trailers, when there are any.
+        trailers: Option<Box<HeaderMap>>,
+    },
     /// A body that streams in, with the number of bytes that it may still have.
     Stream {
         /// Where it comes from.
@@ -58,33 +67,55 @@
         limit_bytes: u64,
         /// When it has to have ended.
         deadline: Option<Pin<Box<Sleep>>>,
+        /// How the body fares, for who sent it on.
+        watch: Option<Arc<BodyWatch>>,
     },
 }
 
+/// How a streamed body fares while another task sends it on.
+#[derive(Debug, Default)]
+pub struct BodyWatch {
+    too_large: AtomicBool,
+}
+
+impl BodyWatch {
+    /// Whether the body grew past its limit and was cut there.
+    #[must_use]
+    pub fn too_large(&self) -> bool {
+        self.too_large.load(Ordering::Acquire)
+    }
+}
+
 impl CallBody {
     /// A body that streams in and may have any size.
     #[must_use]
     pub const fn unlimited(incoming: Incoming) -> Self {
-        Self::Stream { incoming, left_bytes: u64::MAX, limit_bytes: u64::MAX, deadline: None }
+        Self::Stream { incoming, left_bytes: u64::MAX, limit_bytes: u64::MAX, deadline: None, watch: None }
     }
 
     /// A body that streams in and has to end by the deadline.
     #[must_use]
     pub fn until(incoming: Incoming, deadline: Instant) -> Self {
         let deadline = Some(Box::pin(tokio::time::sleep_until(deadline)));
-        Self::Stream { incoming, left_bytes: u64::MAX, limit_bytes: u64::MAX, deadline }
+        Self::Stream { incoming, left_bytes: u64::MAX, limit_bytes: u64::MAX, deadline, watch: None }
     }
 
     /// A body that streams in and may have at most `limit_bytes`.
     #[must_use]
-    pub const fn limited(incoming: Incoming, limit_bytes: u64) -> Self {
-        Self::Stream { incoming, left_bytes: limit_bytes, limit_bytes, deadline: None }
+    pub const fn limited(incoming: Incoming, limit_bytes: u64, watch: Arc<BodyWatch>) -> Self {
+        Self::Stream { incoming, left_bytes: limit_bytes, limit_bytes, deadline: None, watch: Some(watch) }
+    }
+
+    /// A body that was read to its end.
+    #[must_use]
+    pub fn kept(data: Bytes, trailers: Option<HeaderMap>) -> Self {
+        Self::Kept { data: (!data.is_empty()).then_some(data), trailers: trailers.map(Box::new) }
     }
 }
 
 impl From<Bytes> for CallBody {
     fn from(bytes: Bytes) -> Self {
-        Self::Kept((!bytes.is_empty()).then_some(bytes))
+        Self::kept(bytes, None)
     }
 }
 
@@ -97,8 +128,12 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Kept(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream { incoming, left_bytes, limit_bytes, deadline } => {
+            Self::Kept { data, trailers } => {
+                let data = data.take().map(Frame::data);
+                let frame = data.or_else(|| trailers.take().map(|trailers| Frame::trailers(*trailers)));
+                Poll::Ready(frame.map(Ok))
+            }
+            Self::Stream { incoming, left_bytes, limit_bytes, deadline, watch } => {
                 let polled = Pin::new(incoming).poll_frame(cx);
                 if polled.is_pending()
                     && let Some(deadline) = deadline
@@ -106,21 +141,27 @@
                     ready!(deadline.as_mut().poll(cx));
                     return Poll::Ready(Some(LateSnafu.fail()));
                 }
-                polled.map(|frame| frame.map(|frame| counted(frame, left_bytes, *limit_bytes)))
+                let polled = polled.map(|frame| frame.map(|frame| counted(frame, left_bytes, *limit_bytes)));
+                if let (Poll::Ready(Some(Err(BodyError::TooLarge { .. }))), Some(watch)) = (&polled, watch) {
+                    watch.too_large.store(true, Ordering::Release);
+                }
+                polled
             }
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Kept(bytes) => bytes.is_none(),
+            Self::Kept { data, trailers } => data.is_none() && trailers.is_none(),
             Self::Stream { incoming, .. } => incoming.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Kept(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
+            Self::Kept { data, .. } => {
+                SizeHint::with_exact(data.as_ref().map_or(0, |data| data.len() as u64))
+            }
             Self::Stream { incoming, .. } => incoming.size_hint(),
         }
     }
@@ -141,8 +182,9 @@
     if body.size_hint().exact().is_none_or(|size| size > MAX_AWAITED_BYTES) {
         return Ok(Response::from_parts(head, CallBody::until(body, deadline)));
     }
-    let bytes = body.collect().await.context(CutSnafu)?.to_bytes();
-    Ok(Response::from_parts(head, CallBody::from(bytes)))
+    let whole = body.collect().await.context(CutSnafu)?;
+    let trailers = whole.trailers().cloned();
+    Ok(Response::from_parts(head, CallBody::kept(whole.to_bytes(), trailers)))
 }
 
 fn counted(
--- a/lib/src/transport/call_resolution.rs
+++ b/lib/src/transport/call_resolution.rs
@@ -69,13 +69,13 @@
     call: PeerCall<'_>,
     mut request: Request<CallBody>,
 ) -> Result<Response<PeerAnswerBody>> {
-    *request.uri_mut() = absolute(request.uri(), call.addr);
     let question = Question {
         id: call.id.clone(),
         addr: call.addr,
         deadline: call.deadline,
         channel: channels.get(call.addr),
     };
+    *request.uri_mut() = question.channel.absolute(request.uri());
     let caller = (!call.idempotent).then(|| PeerCaller { question: Some(question.clone()) });
     let answered = async {
         let response = question.channel.send(request).await?;
@@ -144,7 +144,7 @@
 
     fn request(&self, wish: ResolveWish) -> Request<CallBody> {
         let mut request = Request::new(CallBody::from(Bytes::new()));
-        *request.uri_mut() = absolute(&Uri::from_static("/"), self.addr);
+        *request.uri_mut() = self.channel.absolute(&Uri::from_static("/"));
         let fields = request.headers_mut();
         for (name, value) in [(headers::CALL, self.id.to_string()), (headers::RESOLVE, wish.to_string())] {
             if let Ok(value) = HeaderValue::from_str(&value) {
@@ -317,7 +317,7 @@
 /// A later attempt that proves that it did not run itself proves nothing for the call.
 #[must_use]
 pub fn outcome_of_all(last: ErrorAnswer, earlier_may_have_run: bool) -> ErrorAnswer {
-    if !earlier_may_have_run || last.kind.row().execution == Execution::OutcomeUnknown {
+    if !earlier_may_have_run || last.execution == Execution::OutcomeUnknown {
         return last;
     }
     ErrorAnswer::new(ErrorKind::OutcomeUnknown, format!("an earlier attempt may have run: {}", last.message))
@@ -330,7 +330,11 @@
     };
     let after_ms = response.headers().get(headers::RETRY_AFTER_MS);
     let after_ms = after_ms.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
-    let answer = ErrorAnswer::new(kind, "the upstream's gate refused or lost the call");
+    let mut answer = ErrorAnswer::new(kind, "the upstream's gate refused or lost the call");
+    let execution = response.headers().get(headers::EXECUTION);
+    if execution.is_some_and(|value| value.as_bytes() != Execution::NotExecuted.name().as_bytes()) {
+        answer = answer.maybe_executed();
+    }
     Err(match after_ms {
         Some(millis) => answer.retry_after(Duration::from_millis(millis)),
         None => answer,
@@ -340,8 +344,3 @@
 fn connection_lost() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the connection failed while the call was under way")
 }
-
-fn absolute(target: &Uri, peer: SocketAddr) -> Uri {
-    let path = target.path_and_query().map_or("/", |path| path.as_str());
-    format!("http://{peer}{path}").parse().unwrap_or_else(|_| target.clone())
-}
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -11,7 +11,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::CONNECTION;
 use http::header::HOST;
+use http::header::TE;
 use http_body::Body;
 use http_body_util::BodyExt;
 use http_body_util::Either;
@@ -371,11 +373,11 @@
         queue.deliver(verdicts);
     }
 
-    fn count(&self, reason: &str) {
+    fn count(&self, reason: &'static str) {
         Metrics::count(&self.metrics.gate_decisions, reason);
     }
 
-    fn count_many(&self, reason: &str, times: u32) {
+    fn count_many(&self, reason: &'static str, times: u32) {
         for _ in 0..times {
             self.count(reason);
         }
@@ -548,8 +550,9 @@
     let (head, body) = request.into_parts();
     let late = |_elapsed| ErrorAnswer::new(ErrorKind::DeadlineBeforeStart, "the body did not arrive in time");
     let collected = tokio::time::timeout_at(deadline, body.collect()).await.map_err(late)?;
-    let bytes = collected.map_err(|error| cut_on_its_way(&error.to_string()))?.to_bytes();
-    Ok(Request::from_parts(head, CallBody::from(bytes)))
+    let whole = collected.map_err(|error| cut_on_its_way(&error.to_string()))?;
+    let trailers = whole.trailers().cloned();
+    Ok(Request::from_parts(head, CallBody::kept(whole.to_bytes(), trailers)))
 }
 
 fn cut_on_its_way(reason: &str) -> ErrorAnswer {
@@ -568,6 +571,9 @@
     if let Some(target) = head.uri.path_and_query() {
         head.uri = http::Uri::from(target.clone());
     }
+    if head.headers.contains_key(TE) {
+        head.headers.insert(CONNECTION, HeaderValue::from_static("te"));
+    }
     if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
         head.headers.entry(HOST).or_insert(host);
     }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -6,4 +6,6 @@
 pub mod history;
 pub mod http_call;
 pub mod logging_upstream;
+pub mod raw_http;
+pub mod two_nodes;
 pub mod workspace;
