--- a/lib/src/transport/answer_relay.rs
+++ b/lib/src/transport/answer_relay.rs
@@ -122,10 +122,12 @@
         state.wake_readers();
     }
 
-    /// Ends the answer, whole or not.
+    /// Ends the answer, whole or not; what was said first stays.
     pub fn end(&self, whole: bool) {
         let mut state = self.state.lock();
-        state.end = Some(if whole { End::Whole } else { End::Cut });
+        state.end.get_or_insert(if whole { End::Whole } else { End::Cut });
+        let lost = || Err(ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the answer is lost"));
+        state.head.get_or_insert_with(lost);
         state.wake_readers();
     }
 
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -5,22 +5,15 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use http::HeaderMap;
-use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::StatusCode;
-use http::header::CONNECTION;
-use http::header::HOST;
-use http::header::TE;
 use http_body::Body;
 use http_body_util::BodyExt;
 use http_body_util::Either;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use snafu::ResultExt;
-use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -45,13 +38,16 @@
 use crate::state::metrics::SharedMetrics;
 use crate::transport::answer_relay::AnswerRelay;
 use crate::transport::answer_relay::RelayBody;
-use crate::transport::call_body::BodyGuard;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
 use crate::transport::call_body::MAX_AWAITED_BYTES;
 use crate::transport::call_body::whole_if_small;
+use crate::transport::gate_guard::GateGuard;
+use crate::transport::gate_guard::Slot;
+use crate::transport::upstream_fields::for_upstream;
+use crate::transport::upstream_fields::strip_own_fields;
+use crate::transport::upstream_fields::tell_queued;
 use crate::transport::upstream_pool::CutShortSnafu;
-use crate::transport::upstream_pool::PooledConnection;
 use crate::transport::upstream_pool::UpstreamError;
 use crate::transport::upstream_pool::UpstreamPool;
 
@@ -59,7 +55,6 @@
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
 const RETRY_HINT: Duration = Duration::from_millis(100);
-const OWN_FIELD_PREFIX: &str = "yuccatray-";
 
 /// What the gate has to know about a call.
 #[derive(Clone, Debug)]
@@ -247,16 +242,15 @@
         request: Request<CallBody>,
         guard: &mut GateGuard,
     ) -> Result<Response<CallBody>> {
-        let mut slot = Slot { gate: Arc::clone(self), grant: None, ended: Ended::Abandoned };
+        let mut slot = Slot::wanted(Arc::clone(self));
         let arrived = Instant::now();
         self.admit(call, &mut slot).await?;
         let queued = arrived.elapsed();
         let pool = self.pool.load_full().ok_or_else(no_upstream)?;
-        guard.slot = Some(slot);
+        guard.hold(slot, Arc::clone(&pool));
         let request = for_upstream(request, pool.addr());
-        guard.pool = Some(Arc::clone(&pool));
         let answered = async {
-            let response = pool.send(request, &mut guard.connection).await?;
+            let response = pool.send(request, guard.connection()).await?;
             whole_if_small(response, call.deadline).await.context(CutShortSnafu)
         };
         let sent = tokio::time::timeout_at(call.deadline, answered).await;
@@ -274,9 +268,7 @@
             Err(_) => {
                 guard.failed();
                 self.count("deadline_while_running");
-                if let Some(connection) = &guard.connection {
-                    pool.suspect(connection);
-                }
+                guard.suspect_connection();
                 Err(ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "the upstream did not answer in time"))
             }
         }
@@ -296,7 +288,7 @@
     async fn admit(self: &Arc<Self>, call: &GateCall, slot: &mut Slot) -> Result<()> {
         let (key, verdict) = match self.offer(call)? {
             Entry::Granted(grant) => {
-                slot.grant = Some(grant);
+                slot.grant(grant);
                 self.count("admitted");
                 return Ok(());
             }
@@ -306,7 +298,7 @@
         let verdict = tokio::time::timeout_at(call.deadline, waiting.verdict()).await;
         match verdict {
             Ok(Ok(grant)) => {
-                slot.grant = Some(grant);
+                slot.grant(grant);
                 self.count("admitted_after_wait");
                 Ok(())
             }
@@ -367,7 +359,8 @@
         ErrorAnswer::new(kind, message).retry_after(hint)
     }
 
-    fn release(&self, grant: Grant, ended: Ended) {
+    /// A call let go of its slot.
+    pub(crate) fn release(&self, grant: Grant, ended: Ended) {
         let mut queue = self.queue.lock();
         let verdicts = queue.admission.release(grant, ended, Instant::now());
         queue.deliver(verdicts);
@@ -438,32 +431,6 @@
     }
 }
 
-/// A slot of the upstream, given back when dropped.
-#[derive(Debug)]
-struct Slot {
-    gate: Arc<Gate>,
-    grant: Option<Grant>,
-    ended: Ended,
-}
-
-impl Slot {
-    /// Takes in what the header section of the upstream's answer says of the upstream.
-    fn judge(&mut self, status: StatusCode) {
-        self.ended = match &self.grant {
-            Some(grant) if !status.is_server_error() => Ended::Good(grant.started().elapsed()),
-            _ => Ended::Failed,
-        };
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        if let Some(grant) = self.grant {
-            self.gate.release(grant, self.ended);
-        }
-    }
-}
-
 /// The record of a running call, ended when dropped.
 #[derive(Debug)]
 struct Recorded {
@@ -486,62 +453,6 @@
     }
 }
 
-/// Holds a call's slot and connection until the upstream has let go of the call.
-#[derive(Debug, Default)]
-pub struct GateGuard {
-    slot: Option<Slot>,
-    pool: Option<Arc<UpstreamPool>>,
-    connection: Option<PooledConnection>,
-}
-
-impl GateGuard {
-    /// Takes in what the header section of the upstream's answer says of the upstream.
-    fn judge(&mut self, status: StatusCode) {
-        if let Some(slot) = &mut self.slot {
-            slot.judge(status);
-        }
-    }
-
-    /// The upstream gave no answer.
-    const fn failed(&mut self) {
-        if let Some(slot) = &mut self.slot {
-            slot.ended = Ended::Failed;
-        }
-    }
-
-    /// Closes the connection; the slot stays busy until the upstream has done so too.
-    fn let_go(&mut self) {
-        let Some(connection) = self.connection.take() else {
-            return;
-        };
-        let slot = self.slot.take();
-        if let Ok(runtime) = Handle::try_current() {
-            runtime.spawn(async move {
-                connection.close().await;
-                drop(slot);
-            });
-        }
-    }
-}
-
-impl BodyGuard for GateGuard {
-    fn ended(&mut self, whole: bool) {
-        if !whole {
-            return self.let_go();
-        }
-        if let (Some(connection), Some(pool)) = (self.connection.take(), &self.pool) {
-            pool.give_back(connection);
-        }
-        self.slot = None;
-    }
-}
-
-impl Drop for GateGuard {
-    fn drop(&mut self) {
-        self.let_go();
-    }
-}
-
 /// Waits for a small body, so that a call cut on its way here never starts.
 async fn arrived(request: Request<CallBody>, deadline: Instant) -> Result<Request<CallBody>> {
     if request.body().size_hint().exact().is_none_or(|size| size > MAX_AWAITED_BYTES) {
@@ -564,35 +475,6 @@
     ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the caller left and the call was cancelled")
 }
 
-fn for_upstream(request: Request<CallBody>, addr: SocketAddr) -> Request<CallBody> {
-    let (mut head, body) = request.into_parts();
-    headers::strip_hop_by_hop(&mut head.headers);
-    head.version = http::Version::HTTP_11;
-    if let Some(target) = head.uri.path_and_query() {
-        head.uri = http::Uri::from(target.clone());
-    }
-    if head.headers.contains_key(TE) {
-        head.headers.insert(CONNECTION, HeaderValue::from_static("te"));
-    }
-    if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
-        head.headers.entry(HOST).or_insert(host);
-    }
-    Request::from_parts(head, body)
-}
-
-fn tell_queued(fields: &mut HeaderMap, queued: Duration) {
-    let queued_us = u64::try_from(queued.as_micros()).unwrap_or(u64::MAX);
-    fields.insert(headers::QUEUED_US, HeaderValue::from(queued_us));
-}
-
-fn strip_own_fields(fields: &mut HeaderMap) {
-    let own: Vec<HeaderName> =
-        fields.keys().filter(|name| name.as_str().starts_with(OWN_FIELD_PREFIX)).cloned().collect();
-    for name in own {
-        fields.remove(name);
-    }
-}
-
 fn no_upstream() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::NoUpstream, "no upstream has announced itself here").retry_after(RETRY_HINT)
 }
--- /dev/null
+++ b/lib/src/transport/upstream_fields.rs
@@ -0,0 +1,51 @@
+//! Header fields as the upstream gets them, and as its answer leaves the gate.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::header::CONNECTION;
+use http::header::HOST;
+use http::header::TE;
+
+use crate::protocol::headers;
+use crate::transport::call_body::CallBody;
+
+const OWN_FIELD_PREFIX: &str = "yuccatray-";
+
+/// The request as its upstream gets it.
+#[must_use]
+pub fn for_upstream(request: Request<CallBody>, addr: SocketAddr) -> Request<CallBody> {
+    let (mut head, body) = request.into_parts();
+    headers::strip_hop_by_hop(&mut head.headers);
+    head.version = http::Version::HTTP_11;
+    if let Some(target) = head.uri.path_and_query() {
+        head.uri = http::Uri::from(target.clone());
+    }
+    if head.headers.contains_key(TE) {
+        head.headers.insert(CONNECTION, HeaderValue::from_static("te"));
+    }
+    if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
+        head.headers.entry(HOST).or_insert(host);
+    }
+    Request::from_parts(head, body)
+}
+
+/// Tells the ingress how long the gate queued the call.
+pub fn tell_queued(fields: &mut HeaderMap, queued: Duration) {
+    let queued_us = u64::try_from(queued.as_micros()).unwrap_or(u64::MAX);
+    fields.insert(headers::QUEUED_US, HeaderValue::from(queued_us));
+}
+
+/// Removes fields that only nodes may write.
+pub fn strip_own_fields(fields: &mut HeaderMap) {
+    let own: Vec<HeaderName> =
+        fields.keys().filter(|name| name.as_str().starts_with(OWN_FIELD_PREFIX)).cloned().collect();
+    for name in own {
+        fields.remove(name);
+    }
+}
+
