node: a stop cuts, loses and refuses nothing

Cause: an upstream that announced itself again undid the drain of its gate; a stopping ingress refused calls that another gate could run; calls handed back by a draining gate drew on the retry budget; connections that the system had opened but the node not yet accepted were reset; the stages of a stop added up to twice the setting; a second signal did not say what it cut. Change: the drain holds until the process ends, a stopping ingress goes on to route and asks callers to close, handing back is free of the budget, the backlog is served, one deadline holds for the whole stop, counts of calls cut are logged.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -10,6 +10,7 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use yuccatray::node::CallsLeft;
 use yuccatray::node::Node;
 use yuccatray::protocol::checked_json::JsonError;
 use yuccatray::protocol::settings::LogLevel;
@@ -95,19 +96,29 @@
         _ = interrupt.recv() => {}
     }
     log::info!("stopping; a second signal cuts calls in flight short");
+    let under_way = node.calls_under_way();
     tokio::select! {
         shutdown = node.stop() => {
             if shutdown.callers_finished && shutdown.peers_finished {
                 return ExitCode::SUCCESS;
             }
-            log::error!("calls were cut short; callers_finished={} peers_finished={}", shutdown.callers_finished, shutdown.peers_finished);
+            say_cut("the shutdown timeout", shutdown.left);
         }
-        _ = terminate.recv() => log::error!("a second signal cut calls in flight short"),
-        _ = interrupt.recv() => log::error!("a second signal cut calls in flight short"),
+        _ = terminate.recv() => say_cut("a second signal", under_way.left()),
+        _ = interrupt.recv() => say_cut("a second signal", under_way.left()),
     }
     ExitCode::from(EXIT_CUT_SHORT)
 }
 
+fn say_cut(cause: &str, left: CallsLeft) {
+    log::error!(
+        "calls were cut short; cause={cause:?} of_callers={} running={} queued={}",
+        left.of_callers,
+        left.running,
+        left.queued
+    );
+}
+
 fn report(path: &std::path::Path, error: &JsonError) {
     eprintln!("error: {}: {error}", path.display());
     for problem in error.problems() {
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -46,6 +46,8 @@
 /// Result of starting a node.
 pub type Result<T, E = NodeError> = std::result::Result<T, E>;
 
+const IDLE_POLL: Duration = Duration::from_millis(10);
+const LEAVE_NOTICE: Duration = Duration::from_millis(200);
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
 /// Why a node did not start.
@@ -85,6 +87,8 @@
     gossip: Arc<Gossip>,
     desk: Arc<AnnounceDesk>,
     ingress: Arc<Ingress<P>>,
+    under_way: CallsUnderWay,
+    shutdown_timeout: Duration,
     stop_callers: CancellationToken,
     stop_rest: CancellationToken,
     caller_server: JoinHandle<bool>,
@@ -99,6 +103,45 @@
     pub callers_finished: bool,
     /// Whether every call taken from peers was answered.
     pub peers_finished: bool,
+    /// What was left when the time was over.
+    pub left: CallsLeft,
+}
+
+/// Calls that a node has under way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallsLeft {
+    /// Calls that its callers wait for.
+    pub of_callers: u32,
+    /// Calls that its own upstream runs.
+    pub running: u32,
+    /// Calls that wait at its gate.
+    pub queued: u32,
+}
+
+/// Counts the calls that a node has under way, also while it stops.
+#[derive(Clone, Debug)]
+pub struct CallsUnderWay {
+    gate: Arc<Gate>,
+    directory: Arc<Directory>,
+}
+
+impl CallsUnderWay {
+    /// The calls under way at this moment.
+    #[must_use]
+    pub fn left(&self) -> CallsLeft {
+        let load = self.gate.load();
+        let now = Instant::now();
+        let snapshot = self.directory.snapshot();
+        let of_callers = snapshot.entries().map(|entry| entry.stats.load(now).in_flight).sum();
+        CallsLeft { of_callers, running: load.running, queued: load.queued }
+    }
+
+    /// Waits until the node's own upstream has let go of every call.
+    async fn wait_gate_idle(&self) {
+        while self.gate.load().running > 0 {
+            tokio::time::sleep(IDLE_POLL).await;
+        }
+    }
 }
 
 struct Listeners {
@@ -195,8 +238,11 @@
             addrs.announce,
             addrs.admin
         );
+        let under_way = CallsUnderWay { gate: Arc::clone(&gate), directory: Arc::clone(&directory) };
         Ok(Self {
             addrs,
+            under_way,
+            shutdown_timeout: limits.shutdown_timeout,
             gate,
             metrics,
             gossip,
@@ -228,23 +274,42 @@
         &self.metrics
     }
 
-    /// Stops gracefully: announces it, takes nothing new, finishes what is under way.
-    pub async fn stop(self) -> Shutdown {
+    /// Counts the calls under way, also while the node stops.
+    #[must_use]
+    pub fn calls_under_way(&self) -> CallsUnderWay {
+        self.under_way.clone()
+    }
+
+    /// Stops gracefully: announces it, hands back what waits, finishes what is under way.
+    ///
+    /// All of it together takes no longer than the shutdown timeout of the settings.
+    pub async fn stop(mut self) -> Shutdown {
+        let until = Instant::now() + self.shutdown_timeout;
         self.desk.drain();
-        self.gossip.leave().await;
         self.ingress.drain();
+        // What peers don't hear now they hear from the gate, which refuses their calls.
+        let _told = tokio::time::timeout_at(until, self.gossip.leave()).await;
+        tokio::time::sleep_until(until.min(Instant::now() + LEAVE_NOTICE)).await;
         self.stop_callers.cancel();
-        let callers_finished = self.caller_server.await.unwrap_or(false);
+        let callers_finished = finished(&mut self.caller_server, until).await;
+        // A call that lost its connection is asked for over a new one, so peers are heard till then.
+        let gate_idle = tokio::time::timeout_at(until, self.under_way.wait_gate_idle()).await.is_ok();
         self.stop_rest.cancel();
-        let peers_finished = self.peer_server.await.unwrap_or(false);
+        let peers_finished = gate_idle && finished(&mut self.peer_server, until).await;
+        let left = self.under_way.left();
         for task in self.loops {
             // A loop that panicked has already said so on standard error.
             let _ended = task.await;
         }
-        Shutdown { callers_finished, peers_finished }
+        Shutdown { callers_finished, peers_finished, left }
     }
 }
 
+/// Whether a server came to its end in time.
+async fn finished(server: &mut JoinHandle<bool>, until: Instant) -> bool {
+    matches!(tokio::time::timeout_at(until, server).await, Ok(Ok(true)))
+}
+
 impl Listeners {
     async fn bind(settings: &Settings) -> Result<Self> {
         let listen = &settings.listen;
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -67,13 +69,14 @@
     gossip: Arc<Gossip>,
     config: Arc<ConfigTable>,
     announced: Mutex<Option<Announced>>,
+    stopping: AtomicBool,
 }
 
 impl AnnounceDesk {
     /// A desk at which nobody has announced itself yet.
     #[must_use]
     pub fn new(gate: Arc<Gate>, gossip: Arc<Gossip>, config: Arc<ConfigTable>) -> Self {
-        Self { gate, gossip, config, announced: Mutex::new(None) }
+        Self { gate, gossip, config, announced: Mutex::new(None), stopping: AtomicBool::new(false) }
     }
 
     /// Lets announcements lapse and follows the configuration until told to stop.
@@ -86,11 +89,10 @@
         }
     }
 
-    /// The upstream takes no new work from now on.
+    /// The upstream takes no new work from now on, however often it announces itself.
     pub fn drain(&self) {
-        let mut announced = self.announced.lock();
-        if let Some(announced) = announced.as_mut() {
-            announced.announcement.draining = true;
+        self.stopping.store(true, Ordering::Release);
+        if let Some(announced) = self.announced.lock().as_mut() {
             self.follow(announced);
         }
     }
@@ -132,7 +134,8 @@
         let published = self.config.get(&announcement.service);
         held.revision = published.as_ref().map(|published| published.revision);
         self.gate.set_rules(&priority_rules(published.as_deref()));
-        if announcement.draining {
+        let draining = announcement.draining || self.stopping.load(Ordering::Acquire);
+        if draining {
             self.gate.drain();
         } else {
             let rule = rule(published.as_deref());
@@ -143,7 +146,7 @@
         self.gossip.set_upstream(ready.then(|| UpstreamInfo {
             service: Arc::clone(&announcement.service),
             slots: announcement.slots,
-            draining: announcement.draining,
+            draining,
         }));
     }
 }
--- a/lib/src/transport/gate_guard.rs
+++ b/lib/src/transport/gate_guard.rs
@@ -122,4 +122,3 @@
         self.let_go();
     }
 }
-
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::Request;
 use http::Response;
 use http_body::Body;
@@ -100,6 +101,10 @@
             drop(permit);
         });
     }
+    // Callers whose connections the system has already opened are served as well.
+    while let Some(Ok((stream, remote))) = listener.accept().now_or_never() {
+        tokio::spawn(serve_connection(&builder, stream, remote, handler.clone(), &graceful));
+    }
     drop(listener);
     tokio::time::timeout(limits.shutdown_timeout, graceful.shutdown()).await.is_ok()
 }
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -13,6 +13,7 @@
 use http::Request;
 use http::Response;
 use http::Version;
+use http::header::CONNECTION;
 use http::header::HOST;
 use http::request::Parts;
 use http_body::Body;
@@ -151,12 +152,13 @@
         Self { parts, budgets: ArcSwap::default(), draining: AtomicBool::new(false) }
     }
 
-    /// Refuses new calls from now on.
+    /// Asks callers from now on to go elsewhere with their next call.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
     }
 
     async fn serve(&self, request: Request<Incoming>) -> Response<IngressBody> {
+        let one_by_one = request.version() < Version::HTTP_2;
         let id = self.parts.ids.next();
         let id_field = HeaderValue::from_str(&id.to_string());
         let id_field = id_field.unwrap_or_else(|_| HeaderValue::from_static(""));
@@ -165,6 +167,9 @@
             Err(answer) => answer.into_response(Some(&id)).map(|bytes| Either::Right(Full::new(bytes))),
         };
         response.headers_mut().insert(headers::CALL, id_field);
+        if one_by_one && self.draining.load(Ordering::Relaxed) {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         response
     }
 
@@ -174,11 +179,6 @@
         id_field: HeaderValue,
         request: Request<Incoming>,
     ) -> Result<Response<GuardedBody<AnswerBody, IngressGuard>>> {
-        if self.draining.load(Ordering::Relaxed) {
-            return Err(
-                ErrorAnswer::new(ErrorKind::Draining, "this node is stopping").retry_after(RETRY_HINT)
-            );
-        }
         self.check_form(&request)?;
         let service = service_name(request.headers(), request.method())?;
         let published = self.parts.config.get(&service);
@@ -236,7 +236,9 @@
                 Err(answer) => outcome_of_all(outgoing.explain(answer), may_have_run),
             };
             may_have_run |= answer.execution == Execution::OutcomeUnknown;
-            let again = attempt < call.max_attempts && call.may_retry(answer.kind) && budget.spend();
+            let again = attempt < call.max_attempts
+                && call.may_retry(answer.kind)
+                && (is_free(answer.kind) || budget.spend());
             if !again {
                 return Err(answer);
             }
@@ -584,6 +586,11 @@
     }
 }
 
+/// A gate that is about to stop hands calls back; that they go elsewhere adds no load.
+fn is_free(kind: ErrorKind) -> bool {
+    kind == ErrorKind::Draining
+}
+
 fn no_upstream() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::NoUpstream, "no upstream of this service takes work").retry_after(RETRY_HINT)
 }
--- a/lib/src/transport/upstream_fields.rs
+++ b/lib/src/transport/upstream_fields.rs
@@ -48,4 +48,3 @@
         fields.remove(name);
     }
 }
-
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use yuccatray::node::Node;
+use yuccatray::node::Shutdown;
 use yuccatray::protocol::headers;
 use yuccatray::protocol::object::ObjectKind;
 use yuccatray::protocol::object::Precondition;
@@ -45,7 +46,7 @@
 pub const SERVICE: &str = "deposits";
 
 const POLL: Duration = Duration::from_millis(20);
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(20);
 const SLOTS: u32 = 4;
 
 /// A node, perhaps with an upstream, and the relays in front of both.
@@ -280,12 +281,13 @@
         value.map_or(0, |value| value.parse().expect("a counter is a whole number"))
     }
 
-    /// Stops the upstream's announcements and then the node, gracefully.
-    pub async fn stop(self) -> yuccatray::node::Shutdown {
+    /// Stops the node gracefully while its upstream goes on to announce itself.
+    pub async fn stop(self) -> Shutdown {
+        let shutdown = self.node.stop().await;
         if let Some(announcing) = &self.announcing {
             announcing.abort();
         }
-        self.node.stop().await
+        shutdown
     }
 }
 
