daemon: nodes killed, paused and told to stop twice, with a call under way

Cause: no test met a node that is killed or paused while it has a call. Change: two nodes as processes, SIGKILL, SIGSTOP and SIGCONT, and SIGTERM once or twice, each judged by the history checker. Conclusion: none of these doubles a call or says not executed of one that ran.

--- /dev/null
+++ b/daemon/tests/stopped_nodes.rs
@@ -0,0 +1,168 @@
+//! Nodes that are killed, paused or told to stop twice while a call is under way.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinHandle;
+use yuccatray::transport::announce_server::Announcement;
+use yuccatray_standin::platform::PlatformStandin;
+use yuccatray_standin::platform::RunningPlatform;
+use yuccatray_standin::upstream::put_announcement;
+use yuccatray_testutils::daemon_process::DaemonProcess;
+use yuccatray_testutils::daemon_process::loopback_settings;
+use yuccatray_testutils::fleet::SERVICE;
+use yuccatray_testutils::fleet::TestCall;
+use yuccatray_testutils::fleet::call;
+use yuccatray_testutils::fleet::declare;
+use yuccatray_testutils::fleet::node_report;
+use yuccatray_testutils::history::CallSeen;
+use yuccatray_testutils::history::Outcome;
+use yuccatray_testutils::history::violations;
+use yuccatray_testutils::logging_upstream::LoggingUpstream;
+use yuccatray_testutils::logging_upstream::RunLog;
+use yuccatray_testutils::logging_upstream::Ticker;
+
+const POLL: Duration = Duration::from_millis(20);
+const PAUSE: Duration = Duration::from_secs(2);
+const WORK_MS: u64 = 1_000;
+const LONG_WORK_MS: u64 = 60_000;
+const EXIT_CUT_SHORT: i32 = 3;
+
+/// An ingress and a gate as processes, and the upstream beside the gate.
+struct TwoProcesses {
+    ingress: DaemonProcess,
+    gate: DaemonProcess,
+    upstream: LoggingUpstream,
+    log: RunLog,
+    ticker: Ticker,
+    _platform: RunningPlatform,
+}
+
+impl TwoProcesses {
+    async fn start(limits: Value) -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = PlatformStandin::start(any_port).await.expect("the platform listens");
+        declare(&platform).await;
+        let binary = Path::new(env!("CARGO_BIN_EXE_yuccatrayd"));
+        let settings = |name: &str, seeds: &[SocketAddr]| {
+            let mut settings = loopback_settings(name, "a", platform.addr, seeds);
+            settings["limits"] = limits.clone();
+            settings
+        };
+        let ingress = DaemonProcess::start(binary, &settings("vm-1", &[]));
+        let gate = DaemonProcess::start(binary, &settings("vm-2", &[ingress.peer]));
+        let (log, ticker) = (RunLog::default(), Ticker::default());
+        let upstream = LoggingUpstream::start(log.clone(), ticker.clone()).await;
+        let announcement =
+            Announcement { service: Arc::from(SERVICE), addr: upstream.addr, slots: 4, draining: false };
+        put_announcement(gate.announce, &announcement).await.expect("the node takes the announcement");
+        while !node_report(ingress.admin).await.members.iter().any(|member| member.service.is_some()) {
+            tokio::time::sleep(POLL).await;
+        }
+        Self { ingress, gate, upstream, log, ticker, _platform: platform }
+    }
+
+    /// Sends a call and waits until the upstream works on it.
+    async fn call_under_way(&self, plan: TestCall) -> JoinHandle<CallSeen> {
+        let (addr, ticker) = (self.ingress.ingress, self.ticker.clone());
+        let caller = tokio::spawn(async move { call(addr, &plan, &ticker).await });
+        while self.upstream.working() == 0 {
+            tokio::time::sleep(POLL).await;
+        }
+        caller
+    }
+
+    fn assert_promises(&self, seen: CallSeen) {
+        assert_eq!(violations(&[seen], &self.log.runs()), Vec::new());
+        assert_eq!(self.log.len(), 1);
+    }
+}
+
+fn payment(work_ms: u64, timeout_ms: u64) -> TestCall {
+    TestCall { work_ms, timeout_ms, ..TestCall::new("payment") }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gate_killed_outcome_unknown() {
+    let nodes = TwoProcesses::start(json!({})).await;
+    let caller = nodes.call_under_way(payment(LONG_WORK_MS, 2_000)).await;
+    nodes.gate.signal(Signal::SIGKILL);
+    let seen = caller.await.expect("the caller does not panic");
+    assert!(matches!(seen.outcome, Outcome::Unknown(_)), "{seen}");
+    nodes.assert_promises(seen);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gate_paused_answer_after_resumption() {
+    let nodes = TwoProcesses::start(json!({})).await;
+    let caller = nodes.call_under_way(payment(WORK_MS, 30_000)).await;
+    nodes.gate.signal(Signal::SIGSTOP);
+    tokio::time::sleep(PAUSE).await;
+    nodes.gate.signal(Signal::SIGCONT);
+    let seen = caller.await.expect("the caller does not panic");
+    assert!(matches!(seen.outcome, Outcome::Answered(_)), "{seen}");
+    nodes.assert_promises(seen);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ingress_paused_answer_after_resumption() {
+    let nodes = TwoProcesses::start(json!({})).await;
+    let caller = nodes.call_under_way(payment(WORK_MS, 30_000)).await;
+    nodes.ingress.signal(Signal::SIGSTOP);
+    tokio::time::sleep(PAUSE).await;
+    nodes.ingress.signal(Signal::SIGCONT);
+    let seen = caller.await.expect("the caller does not panic");
+    assert!(matches!(seen.outcome, Outcome::Answered(_)), "{seen}");
+    nodes.assert_promises(seen);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ingress_killed_call_runs_once() {
+    let nodes = TwoProcesses::start(json!({})).await;
+    let caller = nodes.call_under_way(payment(WORK_MS, 30_000)).await;
+    nodes.ingress.signal(Signal::SIGKILL);
+    let seen = caller.await.expect("the caller does not panic");
+    assert!(matches!(seen.outcome, Outcome::Broken(_)), "{seen}");
+    while nodes.upstream.working() > 0 {
+        tokio::time::sleep(POLL).await;
+    }
+    nodes.assert_promises(CallSeen { may_break: true, ..seen });
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_finishes_calls_in_both_roles() {
+    let mut nodes = TwoProcesses::start(json!({})).await;
+    let caller = nodes.call_under_way(payment(WORK_MS, 30_000)).await;
+    nodes.gate.signal(Signal::SIGTERM);
+    nodes.ingress.signal(Signal::SIGTERM);
+    let seen = caller.await.expect("the caller does not panic");
+    assert!(matches!(seen.outcome, Outcome::Answered(_)), "{seen}");
+    nodes.assert_promises(seen);
+    assert!(nodes.ingress.wait().success());
+    assert!(nodes.gate.wait().success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_bounded_by_setting() {
+    let mut nodes = TwoProcesses::start(json!({ "shutdown_timeout_ms": 300 })).await;
+    let caller = nodes.call_under_way(payment(LONG_WORK_MS, LONG_WORK_MS)).await;
+    nodes.gate.signal(Signal::SIGTERM);
+    assert_eq!(nodes.gate.wait().code(), Some(EXIT_CUT_SHORT));
+    caller.abort();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_cut_short_by_second_signal() {
+    let mut nodes = TwoProcesses::start(json!({})).await;
+    let caller = nodes.call_under_way(payment(LONG_WORK_MS, LONG_WORK_MS)).await;
+    nodes.gate.signal(Signal::SIGTERM);
+    tokio::time::sleep(POLL * 5).await;
+    nodes.gate.signal(Signal::SIGTERM);
+    assert_eq!(nodes.gate.wait().code(), Some(EXIT_CUT_SHORT));
+    caller.abort();
+}
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -262,9 +262,7 @@
     ///
     /// When it gives no readable answer.
     pub async fn report(&self) -> NodeReport {
-        let request = Request::get("/v1/node").body(Bytes::new()).expect("the request is valid");
-        let answer = exchange(self.node.addrs().admin, request).await;
-        serde_json::from_slice(answer.body()).expect("the report is JSON")
+        node_report(self.node.addrs().admin).await
     }
 
     /// The counter of the node with that name and label, 0 when it was never raised.
@@ -301,7 +299,23 @@
     }
 }
 
-async fn declare(platform: &RunningPlatform) {
+/// What the node with that address for operators says of itself.
+///
+/// # Panics
+///
+/// When it gives no readable answer.
+pub async fn node_report(admin: SocketAddr) -> NodeReport {
+    let request = Request::get("/v1/node").body(Bytes::new()).expect("the request is valid");
+    let answer = exchange(admin, request).await;
+    serde_json::from_slice(answer.body()).expect("the report is JSON")
+}
+
+/// Declares the service of a test fleet.
+///
+/// # Panics
+///
+/// When the platform refuses.
+pub async fn declare(platform: &RunningPlatform) {
     let api = HttpPlatform::new(platform.addr, Duration::from_secs(2));
     let objects: [(ObjectKind, &str, Value); 3] = [
         (ObjectKind::PrioritySet, "one", json!({ "priorities": { "deposit": { "objective_ms": 1000 } } })),
