ingress: idempotency keys that the system issues

Cause: a caller that lost its answer could only send its call again as a new one. Change: a node issues a key on request that names one life of one gate and the identity of the call there; sent again through any node it shares the first copy's answer, and no other gate ever runs it. A refusal that only speaks of one copy says outcome_unknown. Conclusion: at most once by construction while and after nodes die.

--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -15,6 +15,8 @@
 pub const IDEMPOTENT: HeaderName = HeaderName::from_static("yuccatray-idempotent");
 /// A key of the caller's that ties its own resends together.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// `issue`: the caller wants an idempotency key from the system before it sends its call.
+pub const TICKET: HeaderName = HeaderName::from_static("yuccatray-ticket");
 /// Names the caller for the limits per caller.
 pub const CALLER: HeaderName = HeaderName::from_static("yuccatray-caller");
 /// Identity of the call, on the way to the gate and on every answer.
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -14,3 +14,4 @@
 pub mod resolve_wish;
 pub mod service_spec;
 pub mod settings;
+pub mod ticket;
--- a/lib/src/state/call_records.rs
+++ b/lib/src/state/call_records.rs
@@ -155,6 +155,14 @@
         shard.trim(now, self.bounds)
     }
 
+    /// Forgets a running call that is proved not to have started, so that it may come again.
+    pub fn abandon(&self, call: &CallId) {
+        let mut shard = self.shard(call).lock();
+        if matches!(shard.record(call), Some(Record::Running(_))) {
+            shard.remove(call);
+        }
+    }
+
     /// What is known of a call; one never seen is fenced, so that it can't start later.
     #[must_use]
     pub fn resolve(&self, call: &CallId, now: Instant) -> Seen<A> {
@@ -273,6 +281,13 @@
         self.ingresses.get_mut(&id)?.records.get_mut(&call.sequence)
     }
 
+    fn remove(&mut self, call: &CallId) {
+        let id = IngressId { node: Arc::clone(&call.node), incarnation: call.incarnation };
+        if let Some(ingress) = self.ingresses.get_mut(&id) {
+            ingress.records.swap_remove(&call.sequence);
+        }
+    }
+
     fn oldest_ended_goes(&self, now: Instant, bounds: RecordBounds) -> bool {
         let too_many = self.ended.len() > bounds.max_ended;
         self.ended.front().is_some_and(|(_, at)| too_many || now - *at >= bounds.remember_for)
--- a/lib/src/transport/answer_relay.rs
+++ b/lib/src/transport/answer_relay.rs
@@ -23,6 +23,7 @@
 
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::error_kind::ErrorKind;
+use crate::protocol::error_kind::Execution;
 
 /// Largest answer that is kept whole, in bytes; a larger one can be read only once.
 pub const MAX_KEPT_ANSWER_BYTES: usize = 256 * 1024;
@@ -66,11 +67,32 @@
 #[derive(Debug, Default)]
 pub struct AnswerRelay {
     state: Mutex<State>,
+    /// Tells requests apart that carry the same key.
+    fingerprint: u64,
     cancel: CancellationToken,
     asked_again: CancellationToken,
 }
 
 impl AnswerRelay {
+    /// The relay for the answer to a request with that fingerprint.
+    #[must_use]
+    pub fn new(fingerprint: u64) -> Self {
+        Self { fingerprint, ..Self::default() }
+    }
+
+    /// Fingerprint of the request that is answered.
+    #[must_use]
+    pub const fn fingerprint(&self) -> u64 {
+        self.fingerprint
+    }
+
+    /// Whether the call was refused with proof that it did not run.
+    #[must_use]
+    pub fn is_not_executed(&self) -> bool {
+        let state = self.state.lock();
+        matches!(&state.head, Some(Err(answer)) if answer.execution == Execution::NotExecuted)
+    }
+
     /// Ends the call without an answer.
     pub fn cancel(&self) {
         self.cancel.cancel();
--- a/lib/src/transport/call_resolution.rs
+++ b/lib/src/transport/call_resolution.rs
@@ -57,6 +57,8 @@
     pub deadline: Instant,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether it goes on when its caller leaves, who may come again for its answer.
+    pub outlives_caller: bool,
 }
 
 /// Sends a call to a gate and waits for the header section of the answer.
@@ -76,7 +78,8 @@
         channel: channels.get(call.addr),
     };
     *request.uri_mut() = question.channel.absolute(request.uri());
-    let caller = (!call.idempotent).then(|| PeerCaller { question: Some(question.clone()) });
+    let caller =
+        (!call.idempotent && !call.outlives_caller).then(|| PeerCaller { question: Some(question.clone()) });
     let answered = async {
         let response = question.channel.send(request).await?;
         Ok::<_, PeerError>(whole_if_small(response, call.deadline).await)
@@ -87,12 +90,13 @@
             log::debug!("answer cut; call={} peer={} error={error}", call.id, call.addr);
             question.resolve_if(!call.idempotent).await
         }
-        Ok(Err(error)) if error.proves_not_executed() => {
+        // An earlier copy of a call that may come again may have run, whatever became of this one.
+        Ok(Err(error)) if error.proves_not_executed() && !call.outlives_caller => {
             Err(ErrorAnswer::new(ErrorKind::NoUpstream, error.to_string()).retry_after(RETRY_HINT))
         }
         Ok(Err(error)) => {
             log::debug!("peer lost; call={} peer={} error={error}", call.id, call.addr);
-            question.resolve_if(!call.idempotent).await
+            question.resolve_if(!call.idempotent && !error.proves_not_executed()).await
         }
         Err(_) => Err(ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "no answer within the deadline")),
     };
@@ -183,10 +187,10 @@
 }
 
 impl<'a> OwnGateCaller<'a> {
-    /// A caller of the given call; idempotent ones end by themselves.
+    /// A caller of the given call, to be given up when the caller leaves if `ends_with_it`.
     #[must_use]
-    pub fn new(gate: &'a Gate, id: &'a CallId, idempotent: bool) -> Self {
-        Self { gate, id: (!idempotent).then_some(id) }
+    pub fn new(gate: &'a Gate, id: &'a CallId, ends_with_it: bool) -> Self {
+        Self { gate, id: ends_with_it.then_some(id) }
     }
 
     /// The caller has its answer.
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -16,6 +16,7 @@
 use snafu::ResultExt;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordination::admission::Admission;
 use crate::coordination::admission::Grant;
@@ -67,6 +68,8 @@
     pub deadline: Instant,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether it came with a ticket, so that it may come again and gets the same answer.
+    pub ticketed: bool,
     /// Longest time in all for which it is worth staying here, when another gate may be better.
     pub patience: Option<Duration>,
 }
@@ -152,11 +155,16 @@
             let response = self.pass(&call, request, &mut guard).await?;
             return Ok(response.map(|body| Either::Left(GuardedBody::new(body, guard))));
         }
-        let relay = Arc::new(AnswerRelay::default());
+        let relay = Arc::new(AnswerRelay::new(fingerprint(&request)));
         if let Err(seen) = self.records.begin(&call.id, Arc::clone(&relay), Instant::now()) {
-            return Err(self.refused_seen(&seen));
+            return self.seen_before(&call, seen, relay.fingerprint()).await;
         }
-        let recorded = Recorded { gate: Arc::clone(self), id: call.id.clone(), relay: Arc::clone(&relay) };
+        let recorded = Recorded {
+            gate: Arc::clone(self),
+            id: call.id.clone(),
+            relay: Arc::clone(&relay),
+            may_come_again: call.ticketed,
+        };
         tokio::spawn(Arc::clone(self).run(call, request, recorded));
         Ok(relay.read().await?.map(Either::Right))
     }
@@ -274,6 +282,27 @@
         }
     }
 
+    /// Answers a call that was here before; only one with a ticket shares the first one's answer.
+    async fn seen_before(
+        &self,
+        call: &GateCall,
+        seen: Seen<Arc<AnswerRelay>>,
+        fingerprint: u64,
+    ) -> Result<GateResponse> {
+        match seen {
+            Seen::Running(relay) | Seen::Kept(relay)
+                if call.ticketed && relay.fingerprint() == fingerprint =>
+            {
+                self.count("answer_shared");
+                let read = tokio::time::timeout_at(call.deadline, relay.read()).await;
+                let late =
+                    |_elapsed| ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "the first copy runs still");
+                Ok(read.map_err(late)??.map(Either::Right))
+            }
+            seen => Err(self.refused_seen(&seen)),
+        }
+    }
+
     fn refused_seen(&self, seen: &Seen<Arc<AnswerRelay>>) -> ErrorAnswer {
         self.count("duplicate_call");
         match seen {
@@ -437,10 +466,14 @@
     gate: Arc<Gate>,
     id: CallId,
     relay: Arc<AnswerRelay>,
+    may_come_again: bool,
 }
 
 impl Drop for Recorded {
     fn drop(&mut self) {
+        if self.may_come_again && self.relay.is_not_executed() {
+            return self.gate.records.abandon(&self.id);
+        }
         let kept_bytes = self.relay.kept_bytes();
         if kept_bytes.is_none() {
             // Nobody may wait for an answer that will not come.
@@ -466,6 +499,14 @@
     Ok(Request::from_parts(head, CallBody::kept(whole.to_bytes(), trailers)))
 }
 
+/// Tells apart requests that a caller sends with the same ticket by mistake.
+fn fingerprint(request: &Request<CallBody>) -> u64 {
+    let size = request.body().size_hint().exact();
+    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+    let identity = format!("{} {target} {size:?}", request.method());
+    xxh3_64(identity.as_bytes())
+}
+
 fn cut_on_its_way(reason: &str) -> ErrorAnswer {
     let message = format!("the request was cut short on its way to the gate: {reason}");
     ErrorAnswer::new(ErrorKind::NoUpstream, message).retry_after(RETRY_HINT)
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -12,6 +12,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::Version;
 use http::header::CONNECTION;
 use http::header::HOST;
@@ -39,7 +40,9 @@
 use crate::protocol::error_kind::Execution;
 use crate::protocol::headers;
 use crate::protocol::member::Member;
+use crate::protocol::member::MemberState;
 use crate::protocol::published::PublishedConfig;
+use crate::protocol::ticket::Ticket;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::burn_counts::BurnKey;
 use crate::state::config_table::ConfigTable;
@@ -121,6 +124,7 @@
 struct Call {
     id: CallId,
     id_field: HeaderValue,
+    ticket: Option<Ticket>,
     head: CallHead,
     priority_name: Arc<str>,
     started: Instant,
@@ -159,12 +163,19 @@
 
     async fn serve(&self, request: Request<Incoming>) -> Response<IngressBody> {
         let one_by_one = request.version() < Version::HTTP_2;
-        let id = self.parts.ids.next();
+        let ticket = match Ticket::of_request(request.headers()) {
+            Ok(ticket) => ticket,
+            Err(answer) => return refusal(answer, None),
+        };
+        let id = ticket.as_ref().map_or_else(|| self.parts.ids.next(), |ticket| ticket.call.clone());
+        if request.headers().contains_key(headers::TICKET) {
+            return self.issue(id, &request);
+        }
         let id_field = HeaderValue::from_str(&id.to_string());
         let id_field = id_field.unwrap_or_else(|_| HeaderValue::from_static(""));
-        let mut response = match self.accept(id.clone(), id_field.clone(), request).await {
+        let mut response = match self.accept(id.clone(), id_field.clone(), ticket, request).await {
             Ok(response) => response.map(Either::Left),
-            Err(answer) => answer.into_response(Some(&id)).map(|bytes| Either::Right(Full::new(bytes))),
+            Err(answer) => refusal(answer, Some(&id)),
         };
         response.headers_mut().insert(headers::CALL, id_field);
         if one_by_one && self.draining.load(Ordering::Relaxed) {
@@ -177,17 +188,24 @@
         &self,
         id: CallId,
         id_field: HeaderValue,
+        ticket: Option<Ticket>,
         request: Request<Incoming>,
     ) -> Result<Response<GuardedBody<AnswerBody, IngressGuard>>> {
-        self.check_form(&request)?;
-        let service = service_name(request.headers(), request.method())?;
+        let copies = ticket.is_some();
+        self.check_form(&request).map_err(|answer| unproved(answer, copies))?;
+        let service = service_name(request.headers(), request.method());
+        let service = service.map_err(|answer| unproved(answer, copies))?;
         let published = self.parts.config.get(&service);
         let config = published.as_ref().and_then(|published| published.config.as_ref());
         let config = config.ok_or_else(|| {
-            ErrorAnswer::new(ErrorKind::UnknownService, format!("no published service is named {service:?}"))
+            let message = format!("no published service is named {service:?}");
+            unproved(ErrorAnswer::new(ErrorKind::UnknownService, message), copies)
         })?;
-        let head = CallHead::read(service, request.headers(), request.method(), config)?;
-        let call = Call::new(id, id_field, head, config, &self.parts.burn);
+        let head = CallHead::read(service, request.headers(), request.method(), config);
+        let head = head.map_err(|answer| unproved(answer, copies))?;
+        let mut call = Call::new(id, id_field, head, config, &self.parts.burn);
+        call.head.idempotent &= ticket.is_none();
+        call.ticket = ticket;
         let result = self.see_through(&call, config, request).await;
         if let Err(answer) = &result {
             log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
@@ -197,6 +215,49 @@
         result
     }
 
+    /// Issues a ticket for one call to the service that the request names.
+    fn issue(&self, id: CallId, request: &Request<Incoming>) -> Response<IngressBody> {
+        let issued = service_name(request.headers(), request.method()).and_then(|service| {
+            let entry = self.choose(&service, &[]).ok_or_else(no_upstream)?;
+            let ticket = Ticket { gate: entry.member.id.clone(), call: id };
+            HeaderValue::from_str(&ticket.to_string()).map_err(|error| {
+                ErrorAnswer::new(ErrorKind::Internal, format!("a ticket that is no field: {error}"))
+            })
+        });
+        match issued {
+            Ok(ticket) => {
+                let mut response = Response::new(Either::Right(Full::default()));
+                *response.status_mut() = StatusCode::CREATED;
+                response.headers_mut().insert(headers::IDEMPOTENCY_KEY, ticket);
+                response
+            }
+            Err(answer) => refusal(answer, None),
+        }
+    }
+
+    /// Sends a call with a ticket to the only gate that may run it.
+    async fn redeem(
+        &self,
+        call: &Call,
+        ticket: &Ticket,
+        mut outgoing: Outgoing,
+    ) -> Result<Response<GuardedBody<AnswerBody, IngressGuard>>> {
+        let snapshot = self.parts.directory.snapshot();
+        let entry = snapshot.by_name(&ticket.gate.name).filter(|entry| entry.member.id == ticket.gate);
+        let entry = entry.filter(|entry| entry.member.state != MemberState::Dead).ok_or_else(|| {
+            let message = "the node that this idempotency key names is gone; the call may have run there";
+            ErrorAnswer::new(ErrorKind::OutcomeUnknown, message)
+        })?;
+        let served = entry.member.upstream.as_ref().map(|upstream| &upstream.service);
+        if served.is_some_and(|service| *service != call.head.service) {
+            let message = "this idempotency key was issued for another service";
+            return Err(ErrorAnswer::new(ErrorKind::MalformedRequest, message).maybe_executed());
+        }
+        let request = outgoing.next_request(call).ok_or_else(|| unproved(no_upstream(), true))?;
+        let answer = self.attempt(call, entry, request).await;
+        answer.map_err(|answer| outgoing.explain(answer))
+    }
+
     /// Refuses what is no good request before anything else is read of it.
     fn check_form(&self, request: &Request<Incoming>) -> Result<()> {
         let limit_bytes = self.parts.max_header_bytes as usize;
@@ -217,14 +278,18 @@
         config: &PublishedConfig,
         request: Request<Incoming>,
     ) -> Result<Response<GuardedBody<AnswerBody, IngressGuard>>> {
-        let mut outgoing = self.outgoing(call, config, request).await?;
+        let outgoing = self.outgoing(call, config, request).await;
+        let mut outgoing = outgoing.map_err(|answer| unproved(answer, call.ticket.is_some()))?;
+        if let Some(ticket) = &call.ticket {
+            return self.redeem(call, ticket, outgoing).await;
+        }
         let budget = self.budget(&call.head.service);
         budget.earn(config.service.retry.budget_percent);
         let mut tried = Vec::new();
         let mut last = None;
         let mut may_have_run = false;
         for attempt in 1..=call.max_attempts {
-            let Some(entry) = self.choose(call, &tried) else {
+            let Some(entry) = self.choose(&call.head.service, &tried) else {
                 break;
             };
             let Some(request) = outgoing.next_request(call) else {
@@ -280,10 +345,10 @@
         Ok(Outgoing { parts, body: OutgoingBody::Kept { data: collected.to_bytes(), trailers } })
     }
 
-    fn choose(&self, call: &Call, tried: &[Arc<str>]) -> Option<DirectoryEntry> {
+    fn choose(&self, service: &str, tried: &[Arc<str>]) -> Option<DirectoryEntry> {
         let now = Instant::now();
         let snapshot = self.parts.directory.snapshot();
-        let keys = snapshot.upstreams_of(&call.head.service);
+        let keys = snapshot.upstreams_of(service);
         let mut entries = Vec::with_capacity(keys.len());
         let mut candidates = Vec::with_capacity(keys.len());
         for key in keys {
@@ -325,6 +390,7 @@
                 addr: entry.member.peer_addr,
                 deadline: call.deadline,
                 idempotent: call.head.idempotent,
+                outlives_caller: call.ticket.is_some(),
             };
             let response = through_peer(&self.parts.channels, peer, request).await;
             response.map(|response| response.map(Either::Left))
@@ -353,9 +419,11 @@
             priority: call.head.priority,
             deadline: call.deadline,
             idempotent: call.head.idempotent,
+            ticketed: call.ticket.is_some(),
             patience: None,
         };
-        let caller = OwnGateCaller::new(&self.parts.gate, &call.id, call.head.idempotent);
+        let ends_with_caller = !call.head.idempotent && call.ticket.is_none();
+        let caller = OwnGateCaller::new(&self.parts.gate, &call.id, ends_with_caller);
         let response = self.parts.gate.call(gate_call, request).await;
         caller.answered();
         Ok(response?.map(Either::Right))
@@ -454,6 +522,7 @@
             max_attempts: config.service.retry.max_attempts,
             tally: Arc::new(BurnTally::new(Arc::clone(burn), key, objective, started)),
             head,
+            ticket: None,
         }
     }
 
@@ -591,6 +660,15 @@
     kind == ErrorKind::Draining
 }
 
+/// A refusal of one copy proves nothing for the others; only the gate that a ticket names can.
+fn unproved(answer: ErrorAnswer, may_have_copies: bool) -> ErrorAnswer {
+    if may_have_copies { answer.maybe_executed() } else { answer }
+}
+
+fn refusal(answer: ErrorAnswer, call: Option<&CallId>) -> Response<IngressBody> {
+    answer.into_response(call).map(|bytes| Either::Right(Full::new(bytes)))
+}
+
 fn no_upstream() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::NoUpstream, "no upstream of this service takes work").retry_after(RETRY_HINT)
 }
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -24,6 +24,7 @@
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::headers;
 use crate::protocol::resolve_wish::ResolveWish;
+use crate::protocol::ticket::Ticket;
 use crate::state::config_table::ConfigTable;
 use crate::transport::call_body::CallBody;
 use crate::transport::gate::Gate;
@@ -94,6 +95,7 @@
             priority: self.priority(fields),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
             idempotent: parsed(fields, &headers::IDEMPOTENT)?,
+            ticketed: Ticket::is_in(fields),
             patience: None,
         })
     }
--- a/lib/tests/call_records_machine.rs
+++ b/lib/tests/call_records_machine.rs
@@ -55,6 +55,7 @@
     Begin(Key),
     Finish(Key, Option<usize>),
     Resolve(Key),
+    Abandon(Key),
     Advance(Duration),
 }
 
@@ -100,6 +101,7 @@
             4 => key().prop_map(Step::Begin),
             4 => (key(), bytes).prop_map(|(key, bytes)| Step::Finish(key, bytes)),
             2 => key().prop_map(Step::Resolve),
+            1 => key().prop_map(Step::Abandon),
             1 => (1_u64..4_000).prop_map(|millis| Step::Advance(Duration::from_millis(millis))),
         ]
         .boxed()
@@ -108,7 +110,7 @@
     fn preconditions(oracle: &Self, step: &Step) -> bool {
         match step {
             Step::Begin(key) | Step::Resolve(key) => oracle.may_touch(*key),
-            Step::Finish(key, _) => oracle.fates.get(key) == Some(&Fate::Running),
+            Step::Finish(key, _) | Step::Abandon(key) => oracle.fates.get(key) == Some(&Fate::Running),
             Step::Advance(_) => true,
         }
     }
@@ -127,6 +129,9 @@
                 oracle.fates.entry(*key).or_insert(Fate::Fenced);
                 oracle.touched.insert(key.ingress, oracle.now);
             }
+            Step::Abandon(key) => {
+                oracle.fates.swap_remove(key);
+            }
             Step::Advance(by) => oracle.now += *by,
         }
         oracle
@@ -216,6 +221,12 @@
                     subject.fates.insert(key, Fate::Ended { kept: bytes.is_some() });
                 }
             }
+            Step::Abandon(key) => {
+                subject.records.abandon(&key.call());
+                if subject.fates.get(&key) == Some(&Fate::Running) {
+                    subject.fates.swap_remove(&key);
+                }
+            }
             Step::Advance(by) => subject.now += by,
         }
         subject
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -123,6 +123,22 @@
     }
 }
 
+/// Has the node at `addr` issue an idempotency key for one call.
+///
+/// # Panics
+///
+/// When it issues none.
+pub async fn issue_key(addr: SocketAddr) -> String {
+    let request = Request::post("/")
+        .header(headers::SERVICE, SERVICE)
+        .header(headers::TICKET, "issue")
+        .body(Bytes::new())
+        .expect("the request is valid");
+    let answer = exchange(addr, request).await;
+    let key = answer.headers().get(headers::IDEMPOTENCY_KEY).expect("the node issues a key");
+    key.to_str().expect("a key is text").to_owned()
+}
+
 /// Sends a call to the node at `addr` and reads its answer to the end.
 pub async fn call(addr: SocketAddr, call: &TestCall, ticker: &Ticker) -> CallSeen {
     let sent = ticker.tick();
