--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -23,6 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::admission::PriorityRule;
+use crate::log_event;
 use crate::protocol::checked_json::addr_schema;
 use crate::protocol::checked_json::checked_from_value;
 use crate::protocol::checked_json::parse_jsonc;
@@ -69,14 +70,14 @@
     gossip: Arc<Gossip>,
     config: Arc<ConfigTable>,
     announced: Mutex<Option<Announced>>,
-    stopping: AtomicBool,
+    draining: AtomicBool,
 }
 
 impl AnnounceDesk {
     /// A desk at which nobody has announced itself yet.
     #[must_use]
     pub fn new(gate: Arc<Gate>, gossip: Arc<Gossip>, config: Arc<ConfigTable>) -> Self {
-        Self { gate, gossip, config, announced: Mutex::new(None), stopping: AtomicBool::new(false) }
+        Self { gate, gossip, config, announced: Mutex::new(None), draining: AtomicBool::new(false) }
     }
 
     /// Lets announcements lapse and follows the configuration until told to stop.
@@ -89,10 +90,26 @@
         }
     }
 
-    /// The upstream takes no new work from now on, however often it announces itself.
+    /// The upstream takes no new work from now on, whatever it announces.
     pub fn drain(&self) {
-        self.stopping.store(true, Ordering::Release);
-        if let Some(announced) = self.announced.lock().as_mut() {
+        self.set_draining(true);
+    }
+
+    /// The upstream takes work again if it says so itself.
+    pub fn resume(&self) {
+        self.set_draining(false);
+    }
+
+    /// Whether the node was told to drain its upstream.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    fn set_draining(&self, draining: bool) {
+        let mut announced = self.announced.lock();
+        self.draining.store(draining, Ordering::Relaxed);
+        if let Some(announced) = announced.as_mut() {
             self.follow(announced);
         }
     }
@@ -118,7 +135,7 @@
         let published = self.config.get(&held.announcement.service);
         let ttl = Duration::from_millis(rule(published.as_deref()).announce_ttl_ms);
         if now - held.renewed_at >= ttl {
-            log::warn!("announcement lapsed; service={}", held.announcement.service);
+            log_event!(Warn, "announcement lapsed", service = &held.announcement.service);
             *announced = None;
             drop(announced);
             self.withdraw();
@@ -134,7 +151,7 @@
         let published = self.config.get(&announcement.service);
         held.revision = published.as_ref().map(|published| published.revision);
         self.gate.set_rules(&priority_rules(published.as_deref()));
-        let draining = announcement.draining || self.stopping.load(Ordering::Acquire);
+        let draining = announcement.draining || self.is_draining();
         if draining {
             self.gate.drain();
         } else {
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -15,6 +15,7 @@
 use http::StatusCode;
 use http::Version;
 use http::header::CONNECTION;
+use http::header::CONTENT_LENGTH;
 use http::header::HOST;
 use http::request::Parts;
 use http_body::Body;
@@ -342,6 +343,9 @@
             ErrorAnswer::new(ErrorKind::MalformedRequest, format!("unreadable body: {error}"))
         })?;
         let trailers = collected.trailers().cloned();
+        if trailers.is_some() {
+            parts.headers.remove(CONTENT_LENGTH);
+        }
         Ok(Outgoing { parts, body: OutgoingBody::Kept { data: collected.to_bytes(), trailers } })
     }
 
--- a/lib/src/transport/peer_channel.rs
+++ b/lib/src/transport/peer_channel.rs
@@ -30,6 +30,7 @@
 use tokio::time::Instant;
 use tower_service::Service;
 
+use crate::log_event_limited;
 use crate::transport::call_body::BoxError;
 use crate::transport::call_body::CallBody;
 use crate::transport::silence_watch::PING_INTERVAL;
@@ -168,7 +169,7 @@
     let (sender, connection) = builder.handshake(io).await.context(HandshakeSnafu)?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
-            log::debug!("peer connection ended; peer={addr} error={error}");
+            log_event_limited!(Info, "peer connection ended", peer = addr, error = error);
         }
     });
     Ok(sender)
@@ -210,6 +211,11 @@
         self.by_addr.load().get(&addr).map_or(fresh, Arc::clone)
     }
 
+    /// A channel that nobody else uses and whose connection ends with it.
+    pub fn fresh(&self, addr: SocketAddr) -> Arc<PeerChannel<B>> {
+        Arc::new(PeerChannel::new(addr))
+    }
+
     /// Forgets the channels to addresses that `keep` refuses.
     pub fn retain<F>(&self, keep: F)
     where
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod daemon_process;
 pub mod fault_relay;
+pub mod faulty_platform;
 pub mod fleet;
+pub mod fleet_harness;
 pub mod history;
 pub mod http_call;
 pub mod logging_upstream;
