--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -13,6 +13,7 @@
 use tokio::signal::unix::signal;
 use yuccatray::coordination::routing::TwoChoices;
 use yuccatray::log_event;
+use yuccatray::node::CallsLeft;
 use yuccatray::node::Node;
 use yuccatray::protocol::checked_json::JsonError;
 use yuccatray::protocol::settings::LogLevel;
@@ -104,24 +105,31 @@
         _ = interrupt.recv() => {}
     }
     log_event!(Info, "stopping", second_signal = "cuts calls in flight short");
+    let under_way = node.calls_under_way();
     tokio::select! {
         shutdown = node.stop() => {
             if shutdown.callers_finished && shutdown.peers_finished {
                 return ExitCode::SUCCESS;
             }
-            log_event!(
-                Error,
-                "calls were cut short",
-                callers_finished = shutdown.callers_finished,
-                peers_finished = shutdown.peers_finished,
-            );
+            say_cut("the shutdown timeout", shutdown.left);
         }
-        _ = terminate.recv() => log_event!(Error, "calls were cut short", by = "a second signal"),
-        _ = interrupt.recv() => log_event!(Error, "calls were cut short", by = "a second signal"),
+        _ = terminate.recv() => say_cut("a second signal", under_way.left()),
+        _ = interrupt.recv() => say_cut("a second signal", under_way.left()),
     }
     ExitCode::from(EXIT_CUT_SHORT)
 }
 
+fn say_cut(cause: &'static str, left: CallsLeft) {
+    log_event!(
+        Error,
+        "calls were cut short",
+        by = cause,
+        of_callers = left.of_callers,
+        running = left.running,
+        queued = left.queued,
+    );
+}
+
 fn report(path: &std::path::Path, error: &JsonError) {
     eprintln!("error: {}: {error}", path.display());
     for problem in error.problems() {
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -60,6 +60,8 @@
 /// Result of starting a node.
 pub type Result<T, E = NodeError> = std::result::Result<T, E>;
 
+const IDLE_POLL: Duration = Duration::from_millis(10);
+const LEAVE_NOTICE: Duration = Duration::from_millis(200);
 /// Attempts to find one port that is free for both streams and datagrams.
 const PORT_ATTEMPTS: u32 = 16;
 
@@ -106,6 +108,8 @@
     gossip: Arc<Gossip>,
     desk: Arc<AnnounceDesk>,
     ingress: Arc<Ingress<P>>,
+    under_way: CallsUnderWay,
+    shutdown_timeout: Duration,
     stop_callers: CancellationToken,
     stop_rest: CancellationToken,
     caller_server: JoinHandle<bool>,
@@ -120,6 +124,45 @@
     pub callers_finished: bool,
     /// Whether every call taken from peers was answered.
     pub peers_finished: bool,
+    /// What was left when the time was over.
+    pub left: CallsLeft,
+}
+
+/// Calls that a node has under way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallsLeft {
+    /// Calls that its callers wait for.
+    pub of_callers: u32,
+    /// Calls that its own upstream runs.
+    pub running: u32,
+    /// Calls that wait at its gate.
+    pub queued: u32,
+}
+
+/// Counts the calls that a node has under way, also while it stops.
+#[derive(Clone, Debug)]
+pub struct CallsUnderWay {
+    gate: Arc<Gate>,
+    directory: Arc<Directory>,
+}
+
+impl CallsUnderWay {
+    /// The calls under way at this moment.
+    #[must_use]
+    pub fn left(&self) -> CallsLeft {
+        let load = self.gate.load();
+        let now = Instant::now();
+        let snapshot = self.directory.snapshot();
+        let of_callers = snapshot.entries().map(|entry| entry.stats.load(now).in_flight).sum();
+        CallsLeft { of_callers, running: load.running, queued: load.queued }
+    }
+
+    /// Waits until the node's own upstream has let go of every call.
+    async fn wait_gate_idle(&self) {
+        while self.gate.load().running > 0 {
+            tokio::time::sleep(IDLE_POLL).await;
+        }
+    }
 }
 
 struct Listeners {
@@ -166,87 +209,35 @@
         }
         let listeners = Listeners::bind(settings).await?;
         let addrs = listeners.addrs()?;
-        let me = describe_me(settings, addrs);
-        let metrics = SharedMetrics::new(Metrics::default());
-        let config = Arc::new(ConfigTable::new());
-        let directory = Arc::new(Directory::default());
-        let burn = Arc::new(BurnCounts::new(Instant::now()));
-        let decisions = Arc::new(DecisionLog::new(Instant::now()));
-        let gate = Arc::new(Gate::new(Arc::clone(&metrics)));
-        let shared = SharedParts {
-            config: Arc::clone(&config),
-            directory: Arc::clone(&directory),
-            metrics: Arc::clone(&metrics),
-            security: Arc::clone(&security),
-        };
-        let gossip = Arc::new(gossip(settings, &me, listeners.gossip, &shared));
-        let desk = Arc::new(AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&config)));
-        let ingress = Arc::new(Ingress::new(IngressParts {
-            me: Arc::new(me.clone()),
-            ids: CallIdSource::new(Arc::clone(&me.id.name), me.id.incarnation),
-            directory: Arc::clone(&directory),
-            config: Arc::clone(&config),
-            gate: Arc::clone(&gate),
-            channels: Arc::new(CallChannels::new(Arc::clone(&security))),
-            control: Arc::clone(gossip.channels()),
-            metrics: Arc::clone(&metrics),
-            burn: Arc::clone(&burn),
-            decisions: Arc::clone(&decisions),
-            policy,
-            max_replay_bytes: settings.limits.max_replay_bytes,
-            max_header_bytes: settings.limits.max_header_bytes,
-        }));
-        let load_probe = LoadProbe {
-            me: Arc::new(me.clone()),
-            gate: Arc::clone(&gate),
-            directory: Arc::clone(&directory),
-            config: Arc::clone(&config),
-            metrics: Arc::clone(&metrics),
-        };
+        let core = Core::new(settings, addrs, listeners.gossip, security);
+        let ingress = Arc::new(core.ingress(settings, policy));
         let stop_callers = CancellationToken::new();
         let stop_rest = CancellationToken::new();
         let limits = server_limits(settings);
-        let peer_handler = PeerHandler::new(
-            Arc::clone(&gate),
-            Arc::clone(&config),
-            Arc::clone(&gossip),
-            Arc::clone(&decisions),
-        );
-        let admin_handler = AdminHandler {
-            me: me.clone(),
-            directory: Arc::clone(&directory),
-            config: Arc::clone(&config),
-            gate: Arc::clone(&gate),
-            desk: Arc::clone(&desk),
-            metrics: Arc::clone(&metrics),
-            burn,
-            decisions,
-        };
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
         let caller_server = spawn_server(calls, listeners.ingress, limits, caller_handler, &stop_callers);
         let peer_limits = ServerLimits { max_connections: usize::from(u16::MAX), ..limits };
         let peer_server = calls.spawn(serve_secured(
             listeners.peer,
             peer_limits,
-            peer_handler,
-            Arc::clone(&security),
+            core.peer_handler(),
+            Arc::clone(&core.shared.security),
             stop_rest.clone(),
         ));
-        let announce_handler = AnnounceHandler::new(Arc::clone(&desk));
+        let announce_handler = AnnounceHandler::new(Arc::clone(&core.desk));
         let control = Handle::current();
         let control_limits = ServerLimits::default();
         drop(spawn_server(&control, listeners.announce, control_limits, announce_handler, &stop_rest));
-        drop(spawn_server(&control, listeners.admin, control_limits, admin_handler, &stop_rest));
-        let mut loops = spawn_platform_loops(settings, &gossip, &shared, &stop_rest);
-        loops.extend([
-            tokio::spawn(Arc::clone(&gossip).run(stop_rest.clone())),
-            tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
-            tokio::spawn(load_probe.run(stop_rest.clone())),
-            tokio::spawn(security.run(stop_rest.clone())),
-        ]);
-        log_started(&me, addrs);
+        drop(spawn_server(&control, listeners.admin, control_limits, core.admin_handler(), &stop_rest));
+        let loops = core.spawn_loops(settings, &stop_rest);
+        log_started(&core.me, addrs);
+        let Core { gate, gossip, desk, shared, .. } = core;
+        let SharedParts { directory, metrics, .. } = shared;
+        let under_way = CallsUnderWay { gate: Arc::clone(&gate), directory };
         Ok(Self {
             addrs,
+            under_way,
+            shutdown_timeout: limits.shutdown_timeout,
             gate,
             metrics,
             gossip,
@@ -278,20 +269,139 @@
         &self.metrics
     }
 
-    /// Stops gracefully: announces it, takes nothing new, finishes what is under way.
-    pub async fn stop(self) -> Shutdown {
+    /// Counts the calls under way, also while the node stops.
+    #[must_use]
+    pub fn calls_under_way(&self) -> CallsUnderWay {
+        self.under_way.clone()
+    }
+
+    /// Stops gracefully: announces it, hands back what waits, finishes what is under way.
+    ///
+    /// All of it together takes no longer than the shutdown timeout of the settings.
+    pub async fn stop(mut self) -> Shutdown {
+        let until = Instant::now() + self.shutdown_timeout;
         self.desk.drain();
-        self.gossip.leave().await;
         self.ingress.drain();
+        // What peers don't hear now they hear from the gate, which refuses their calls.
+        let _told = tokio::time::timeout_at(until, self.gossip.leave()).await;
+        tokio::time::sleep_until(until.min(Instant::now() + LEAVE_NOTICE)).await;
         self.stop_callers.cancel();
-        let callers_finished = self.caller_server.await.unwrap_or(false);
+        let callers_finished = finished(&mut self.caller_server, until).await;
+        // A call that lost its connection is asked for over a new one, so peers are heard till then.
+        let gate_idle = tokio::time::timeout_at(until, self.under_way.wait_gate_idle()).await.is_ok();
         self.stop_rest.cancel();
-        let peers_finished = self.peer_server.await.unwrap_or(false);
+        let peers_finished = gate_idle && finished(&mut self.peer_server, until).await;
+        let left = self.under_way.left();
         for task in self.loops {
             // A loop that panicked has already said so on standard error.
             let _ended = task.await;
         }
-        Shutdown { callers_finished, peers_finished }
+        Shutdown { callers_finished, peers_finished, left }
+    }
+}
+
+/// Whether a server came to its end in time.
+async fn finished(server: &mut JoinHandle<bool>, until: Instant) -> bool {
+    matches!(tokio::time::timeout_at(until, server).await, Ok(Ok(true)))
+}
+
+/// What the parts of one node share.
+#[derive(Debug)]
+struct Core {
+    me: Member,
+    shared: SharedParts,
+    burn: Arc<BurnCounts>,
+    decisions: Arc<DecisionLog>,
+    gate: Arc<Gate>,
+    gossip: Arc<Gossip>,
+    desk: Arc<AnnounceDesk>,
+}
+
+impl Core {
+    fn new(settings: &Settings, addrs: NodeAddrs, socket: UdpSocket, security: Arc<PeerSecurity>) -> Self {
+        let me = describe_me(settings, addrs);
+        let shared = SharedParts {
+            config: Arc::new(ConfigTable::new()),
+            directory: Arc::new(Directory::default()),
+            metrics: SharedMetrics::new(Metrics::default()),
+            security,
+        };
+        let gate = Arc::new(Gate::new(Arc::clone(&shared.metrics)));
+        let gossip = Arc::new(gossip(settings, &me, socket, &shared));
+        let desk = AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&shared.config));
+        Self {
+            me,
+            shared,
+            burn: Arc::new(BurnCounts::new(Instant::now())),
+            decisions: Arc::new(DecisionLog::new(Instant::now())),
+            gate,
+            gossip,
+            desk: Arc::new(desk),
+        }
+    }
+
+    fn ingress<P>(&self, settings: &Settings, policy: P) -> Ingress<P>
+    where
+        P: RoutingPolicy + Send + Sync + 'static,
+    {
+        Ingress::new(IngressParts {
+            me: Arc::new(self.me.clone()),
+            ids: CallIdSource::new(Arc::clone(&self.me.id.name), self.me.id.incarnation),
+            directory: Arc::clone(&self.shared.directory),
+            config: Arc::clone(&self.shared.config),
+            gate: Arc::clone(&self.gate),
+            channels: Arc::new(CallChannels::new(Arc::clone(&self.shared.security))),
+            control: Arc::clone(self.gossip.channels()),
+            metrics: Arc::clone(&self.shared.metrics),
+            burn: Arc::clone(&self.burn),
+            decisions: Arc::clone(&self.decisions),
+            policy,
+            max_replay_bytes: settings.limits.max_replay_bytes,
+            max_header_bytes: settings.limits.max_header_bytes,
+        })
+    }
+
+    fn peer_handler(&self) -> PeerHandler {
+        PeerHandler::new(
+            Arc::clone(&self.gate),
+            Arc::clone(&self.shared.config),
+            Arc::clone(&self.gossip),
+            Arc::clone(&self.decisions),
+        )
+    }
+
+    fn admin_handler(&self) -> AdminHandler {
+        AdminHandler {
+            me: self.me.clone(),
+            directory: Arc::clone(&self.shared.directory),
+            config: Arc::clone(&self.shared.config),
+            gate: Arc::clone(&self.gate),
+            desk: Arc::clone(&self.desk),
+            metrics: Arc::clone(&self.shared.metrics),
+            burn: Arc::clone(&self.burn),
+            decisions: Arc::clone(&self.decisions),
+        }
+    }
+
+    fn load_probe(&self) -> LoadProbe {
+        LoadProbe {
+            me: Arc::new(self.me.clone()),
+            gate: Arc::clone(&self.gate),
+            directory: Arc::clone(&self.shared.directory),
+            config: Arc::clone(&self.shared.config),
+            metrics: Arc::clone(&self.shared.metrics),
+        }
+    }
+
+    fn spawn_loops(&self, settings: &Settings, stop: &CancellationToken) -> Vec<JoinHandle<()>> {
+        let mut loops = spawn_platform_loops(settings, &self.gossip, &self.shared, stop);
+        loops.extend([
+            tokio::spawn(Arc::clone(&self.gossip).run(stop.clone())),
+            tokio::spawn(Arc::clone(&self.desk).run(stop.clone())),
+            tokio::spawn(self.load_probe().run(stop.clone())),
+            tokio::spawn(Arc::clone(&self.shared.security).run(stop.clone())),
+        ]);
+        loops
     }
 }
 
@@ -361,7 +471,7 @@
         state: MemberState::Alive,
         region: Arc::clone(&settings.node.region),
         zone: Arc::clone(&settings.node.zone),
-        peer_addr: addrs.peer,
+        peer_addr: settings.listen.advertised_peer_addr.unwrap_or(addrs.peer),
         ingress_addr: addrs.ingress,
         admin_addr: addrs.admin,
         upstream: None,
@@ -375,6 +485,7 @@
 }
 
 /// Parts that gossip shares with the rest of the node.
+#[derive(Debug)]
 struct SharedParts {
     config: Arc<ConfigTable>,
     directory: Arc<Directory>,
--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -19,10 +19,14 @@
 pub const IDEMPOTENT: HeaderName = HeaderName::from_static("yuccatray-idempotent");
 /// A key of the caller's that ties its own resends together.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// `issue`: the caller wants an idempotency key from the system before it sends its call.
+pub const TICKET: HeaderName = HeaderName::from_static("yuccatray-ticket");
 /// Names the caller for the limits per caller.
 pub const CALLER: HeaderName = HeaderName::from_static("yuccatray-caller");
 /// Identity of the call, on the way to the gate and on every answer.
 pub const CALL: HeaderName = HeaderName::from_static("yuccatray-call");
+/// Asks about a call that was sent over another connection; between nodes only.
+pub const RESOLVE: HeaderName = HeaderName::from_static("yuccatray-resolve");
 /// Load of the gate that answered, for the ingress only.
 pub const LOAD: HeaderName = HeaderName::from_static("yuccatray-load");
 /// Time that the gate queued the call, in microseconds, for the ingress only.
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -12,6 +12,8 @@
 pub mod member;
 pub mod object;
 pub mod published;
+pub mod resolve_wish;
 pub mod service_spec;
 pub mod settings;
+pub mod ticket;
 pub mod trace;
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -90,6 +90,9 @@
     /// For the other nodes.
     #[schemars(schema_with = "addr_schema")]
     pub peer_addr: SocketAddr,
+    /// Where the other nodes reach `peer_addr`, when that is another address.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertised_peer_addr: Option<SocketAddr>,
     /// For the node's own upstream; a loopback address.
     #[schemars(schema_with = "addr_schema")]
     pub announce_addr: SocketAddr,
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -159,7 +159,8 @@
             self.gate.set_upstream(announcement.addr, announcement.slots, &rule);
         }
         // Nobody hears of the upstream before the gate has the rules to take its calls by.
-        self.gossip.set_upstream(published.map(|_| UpstreamInfo {
+        let ready = published.is_some_and(|published| published.config.is_some());
+        self.gossip.set_upstream(ready.then(|| UpstreamInfo {
             service: Arc::clone(&announcement.service),
             slots: announcement.slots,
             draining,
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -8,6 +8,7 @@
 use futures_util::future::select;
 use http::Request;
 use http::Response;
+use http_body_util::Either;
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
@@ -16,18 +17,24 @@
 use crate::coordination::routing::RoutingLimits;
 use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::service_budgets::ServiceBudgets;
+use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::error_kind::ErrorKind;
+use crate::protocol::error_kind::Execution;
 use crate::protocol::published::PublishedConfig;
 use crate::protocol::trace::Step;
 use crate::state::directory::DirectoryEntry;
 use crate::state::metrics::Metrics;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
+use crate::transport::call_resolution::PeerCall;
+use crate::transport::call_resolution::outcome_of_all;
+use crate::transport::call_resolution::through_peer;
 use crate::transport::ingress::AnswerBody;
 use crate::transport::ingress::Call;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::Result;
 use crate::transport::ingress::no_upstream;
+use crate::transport::ingress::unproved;
 use crate::transport::ingress_guard::InFlight;
 use crate::transport::ingress_guard::IngressGuard;
 use crate::transport::outgoing_call::Leg;
@@ -56,8 +63,8 @@
 
 /// One attempt as planned.
 #[derive(Debug)]
-struct Plan {
-    entry: DirectoryEntry,
+pub(super) struct Plan {
+    pub(super) entry: DirectoryEntry,
     leg: Leg,
 }
 
@@ -88,6 +95,7 @@
         let mut visited = Visited::default();
         let mut attempt = 1;
         let mut last = None;
+        let mut may_have_run = false;
         while let Some(plan) = self.plan(call, config, &budgets, &visited, outgoing.can_repeat()) {
             let Some(request) = outgoing.next_request(call, plan.leg) else {
                 break;
@@ -95,8 +103,9 @@
             let race = Race { call, config, budgets: &budgets, visited: &visited };
             let answer = match self.race(race, &plan, request, outgoing).await {
                 Ok(response) => return Ok(response),
-                Err(answer) => outgoing.explain(answer),
+                Err(answer) => outcome_of_all(outgoing.explain(answer), may_have_run),
             };
+            may_have_run |= answer.execution == Execution::OutcomeUnknown;
             let name = Arc::clone(&plan.entry.member.id.name);
             if plan.leg.patience.is_some() && answer.kind == ErrorKind::Overloaded {
                 Metrics::count(&self.parts.metrics.spills, answer.kind.name());
@@ -104,7 +113,7 @@
                 continue;
             }
             visited.failed.push(name);
-            if attempt == call.max_attempts || !may_retry(call, answer.kind, &budgets) {
+            if attempt == call.max_attempts || !may_retry(call, &answer, &budgets) {
                 return Err(answer);
             }
             Metrics::count(&self.parts.metrics.retries, answer.kind.name());
@@ -162,7 +171,7 @@
         let taken = &plan.entry.member.id.name;
         let open = race.budgets.spill(race.call.head.priority).has_credit();
         let skip = |name: &Arc<str>| name == taken || race.visited.contains(name);
-        let copy = self.choose(race.call, race.config, true, skip)?;
+        let copy = self.choose(&race.call.head.service, race.config, true, skip)?;
         if !open || copy.leg.patience.is_none() || !race.budgets.hedging.spend() {
             return None;
         }
@@ -188,12 +197,12 @@
         let repeated = !visited.failed.is_empty();
         let may_move_on = can_repeat && visited.moved_on.len() < MAX_SPILLS;
         if may_move_on && budgets.spill(call.head.priority).is_open() {
-            let planned = self.choose(call, config, repeated, |name| visited.contains(name));
+            let planned = self.choose(&call.head.service, config, repeated, |name| visited.contains(name));
             if planned.is_some() {
                 return planned;
             }
         }
-        let plan = self.choose(call, config, repeated, |name| visited.failed.contains(name))?;
+        let plan = self.choose(&call.head.service, config, repeated, |name| visited.failed.contains(name))?;
         if visited.moved_on.contains(&plan.entry.member.id.name) {
             // The gate has refused this identity for good, and the call never ran.
             call.rename(self.parts.ids.next());
@@ -201,13 +210,19 @@
         Some(Plan { leg: Leg { patience: None, ..plan.leg }, ..plan })
     }
 
-    fn choose<F>(&self, call: &Call, config: &PublishedConfig, repeated: bool, skip: F) -> Option<Plan>
+    pub(super) fn choose<F>(
+        &self,
+        service: &str,
+        config: &PublishedConfig,
+        repeated: bool,
+        skip: F,
+    ) -> Option<Plan>
     where
         F: Fn(&Arc<str>) -> bool,
     {
         let now = Instant::now();
         let snapshot = self.parts.directory.snapshot();
-        let keys = snapshot.upstreams_of(&call.head.service);
+        let keys = snapshot.upstreams_of(service);
         let ramp = Duration::from_millis(config.upstream_rule.ramp_ms);
         let all: Vec<Candidate> =
             keys.iter().map(|key| self.candidate(snapshot.entry(*key), ramp, now)).collect();
@@ -247,7 +262,15 @@
         let result = if local {
             self.through_own_gate(call, plan.leg, request).await
         } else {
-            self.through_peer(call, &entry.member, request).await
+            let peer = PeerCall {
+                id: &call.id,
+                addr: entry.member.peer_addr,
+                deadline: call.deadline,
+                idempotent: call.head.idempotent,
+                outlives_caller: call.ticket.is_some(),
+            };
+            let response = through_peer(&self.parts.channels, peer, request).await;
+            response.map(|response| response.map(Either::Left))
         };
         match result {
             Ok(response) => {
@@ -277,6 +300,22 @@
         }
     }
 
+    /// The one attempt of a call that only one gate may run.
+    pub(super) async fn only_attempt(
+        &self,
+        call: &Call,
+        config: &PublishedConfig,
+        entry: DirectoryEntry,
+        outgoing: &mut Outgoing,
+    ) -> Result<Answered> {
+        let plan = Plan { entry, leg: Leg { patience: None, repeated: false } };
+        let request = outgoing.next_request(call, plan.leg).ok_or_else(|| unproved(no_upstream(), true))?;
+        let budgets = self.budgets(&call.head.service);
+        let visited = Visited::default();
+        let race = Race { call, config, budgets: &budgets, visited: &visited };
+        self.attempt(race, &plan, request).await
+    }
+
     fn budgets(&self, service: &Arc<str>) -> Arc<ServiceBudgets> {
         if let Some(budgets) = self.budgets.load().get(service) {
             return Arc::clone(budgets);
@@ -291,9 +330,14 @@
     }
 }
 
-fn may_retry(call: &Call, kind: ErrorKind, budgets: &ServiceBudgets) -> bool {
-    let worth_it = !is_full(kind) || budgets.spill(call.head.priority).has_credit();
-    call.may_retry(kind) && worth_it && budgets.retry.spend()
+fn may_retry(call: &Call, answer: &ErrorAnswer, budgets: &ServiceBudgets) -> bool {
+    let worth_it = !is_full(answer.kind) || budgets.spill(call.head.priority).has_credit();
+    call.may_retry(answer) && worth_it && (is_free(answer.kind) || budgets.retry.spend())
+}
+
+/// A gate that is about to stop hands calls back; that they go elsewhere adds no load.
+fn is_free(kind: ErrorKind) -> bool {
+    kind == ErrorKind::Draining
 }
 
 /// Whether the gate was full, so that another one helps only while most are not.
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -6,20 +6,17 @@
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use http::HeaderMap;
-use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::StatusCode;
-use http::header::CONNECTION;
 use http::header::HOST;
-use http::header::TE;
+use http_body::Body;
 use http_body_util::BodyExt;
+use http_body_util::Either;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
+use snafu::ResultExt;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -42,14 +39,22 @@
 use crate::protocol::load_report::LoadReport;
 use crate::protocol::service_spec::UpstreamRuleSpec;
 use crate::state::call_records::CallRecords;
-use crate::state::call_records::CallState;
+use crate::state::call_records::Seen;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
 use crate::state::parent_calls::ParentCalls;
-use crate::transport::call_body::BodyGuard;
+use crate::transport::answer_relay::AnswerRelay;
+use crate::transport::answer_relay::RelayBody;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
-use crate::transport::upstream_pool::PooledConnection;
+use crate::transport::call_body::MAX_AWAITED_BYTES;
+use crate::transport::call_body::whole_if_small;
+use crate::transport::gate_guard::GateGuard;
+use crate::transport::gate_guard::Slot;
+use crate::transport::upstream_fields::for_upstream;
+use crate::transport::upstream_fields::strip_own_fields;
+use crate::transport::upstream_fields::tell_queued;
+use crate::transport::upstream_pool::CutShortSnafu;
 use crate::transport::upstream_pool::UpstreamError;
 use crate::transport::upstream_pool::UpstreamPool;
 
@@ -59,7 +64,6 @@
 const RETRY_HINT: Duration = Duration::from_millis(100);
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_DOCUMENT_BYTES: usize = 16_384;
-const OWN_FIELD_PREFIX: &str = "yuccatray-";
 
 /// What the gate has to know about a call.
 #[derive(Clone, Debug)]
@@ -78,6 +82,8 @@
     pub deadline: Instant,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether it came with a ticket, so that it may come again and gets the same answer.
+    pub ticketed: bool,
     /// Longest time in all for which it is worth staying here, when another gate may be better.
     pub patience: Option<Duration>,
 }
@@ -100,7 +106,10 @@
 }
 
 /// An answer of the upstream on its way out of the gate.
-pub type GateResponse = Response<GuardedBody<CallBody, GateGuard>>;
+pub type GateResponse = Response<GateBody>;
+
+/// Body of such an answer: straight from the upstream, or by way of a relay.
+pub type GateBody = Either<GuardedBody<CallBody, GateGuard>, RelayBody>;
 
 #[derive(Debug)]
 struct Queue {
@@ -112,7 +121,7 @@
 #[derive(Debug)]
 pub struct Gate {
     queue: Mutex<Queue>,
-    records: CallRecords,
+    records: CallRecords<Arc<AnswerRelay>>,
     parents: ParentCalls,
     pool: ArcSwapOption<UpstreamPool>,
     metrics: SharedMetrics,
@@ -172,10 +181,13 @@
         let request = Request::get(path).header(HOST, pool.addr().to_string());
         let request = request.body(CallBody::from(Bytes::new())).ok()?;
         let asking = async {
-            let (response, connection) = pool.send(request).await.ok()?;
+            let mut connection = None;
+            let response = pool.send(request, &mut connection).await.ok()?;
             let good = response.status().is_success();
             let body = Limited::new(response.into_body(), MAX_DOCUMENT_BYTES).collect().await.ok()?;
-            pool.give_back(connection);
+            if let Some(connection) = connection {
+                pool.give_back(connection);
+            }
             good.then(|| body.to_bytes())
         };
         tokio::time::timeout(ASK_TIMEOUT, asking).await.ok()?
@@ -187,12 +199,6 @@
         self.queue.lock().admission.load(Instant::now())
     }
 
-    /// What became of a call, fencing it when it was never seen.
-    #[must_use]
-    pub fn resolve(&self, call: &CallId) -> CallState {
-        self.records.resolve(call)
-    }
-
     /// The call of that identity, while the upstream runs it.
     #[must_use]
     pub fn running_call(&self, id: &CallId) -> Option<ParentCall> {
@@ -201,45 +207,182 @@
 
     /// Passes one call to the upstream.
     ///
+    /// A call that may run more than once ends when the returned future or body is
+    /// dropped. Any other goes on, and its answer can be had by [`Gate::attach`].
+    ///
     /// # Errors
     ///
-    /// A refusal that proves that the call did not run, or word that its outcome is unknown.
+    /// With the refusal, or with what is known when the answer was lost.
     pub async fn call(self: &Arc<Self>, call: GateCall, request: Request<CallBody>) -> Result<GateResponse> {
-        if !self.records.begin(&call.id) {
-            self.count("duplicate");
-            return Err(ErrorAnswer::new(ErrorKind::DuplicateCall, "this call was already here"));
+        if call.idempotent {
+            let mut guard = GateGuard::default();
+            let response = self.pass(&call, request, &mut guard).await?;
+            return Ok(response.map(|body| Either::Left(GuardedBody::new(body, guard))));
+        }
+        let relay = Arc::new(AnswerRelay::new(fingerprint(&request)));
+        if let Err(seen) = self.records.begin(&call.id, Arc::clone(&relay), Instant::now()) {
+            return self.seen_before(&call, seen, relay.fingerprint()).await;
+        }
+        let recorded = Recorded {
+            gate: Arc::clone(self),
+            id: call.id.clone(),
+            relay: Arc::clone(&relay),
+            may_come_again: call.ticketed,
+        };
+        tokio::spawn(Arc::clone(self).run(call, request, recorded));
+        Ok(relay.read().await?.map(Either::Right))
+    }
+
+    /// The answer of a call that is running or whose answer is kept.
+    ///
+    /// # Errors
+    ///
+    /// Otherwise with what is known; a call never seen is fenced, so that it can't start later.
+    pub async fn attach(&self, call: &CallId) -> Result<GateResponse> {
+        let seen = self.records.resolve(call, Instant::now());
+        let relay = match seen {
+            Seen::Running(relay) => {
+                self.count("attached");
+                relay.ask_again();
+                relay
+            }
+            Seen::Kept(relay) => {
+                self.count("answer_fetched");
+                relay
+            }
+            Seen::Fenced => {
+                self.count("fenced");
+                let message = "the connection failed before the call arrived";
+                return Err(ErrorAnswer::new(ErrorKind::NoUpstream, message).retry_after(RETRY_HINT));
+            }
+            Seen::Ended | Seen::Forgotten => {
+                self.count("answer_gone");
+                let message = "the call was here and its answer is not kept any more";
+                return Err(ErrorAnswer::new(ErrorKind::OutcomeUnknown, message));
+            }
+        };
+        Ok(relay.read().await?.map(Either::Right))
+    }
+
+    /// Gives up a call whose caller left, and fences it when it was never seen.
+    pub fn cancel(&self, call: &CallId) {
+        if let Seen::Running(relay) = self.records.resolve(call, Instant::now()) {
+            self.count("cancelled");
+            relay.cancel();
+        }
+    }
+
+    /// Sees a call through that may run only once, whoever still waits for it.
+    async fn run(self: Arc<Self>, call: GateCall, request: Request<CallBody>, recorded: Recorded) {
+        let relay = &recorded.relay;
+        tokio::select! {
+            () = relay.cancelled() => relay.refuse(caller_left()),
+            () = self.run_to_end(&call, request, relay) => {}
+        }
+    }
+
+    async fn run_to_end(self: &Arc<Self>, call: &GateCall, request: Request<CallBody>, relay: &AnswerRelay) {
+        let mut guard = GateGuard::default();
+        let arrived = tokio::select! {
+            biased;
+            arrived = arrived(request, call.deadline) => arrived,
+            () = relay.asked_again() => Err(cut_on_its_way("its connection failed")),
+        };
+        let request = match arrived {
+            Ok(request) => request,
+            Err(answer) => return relay.refuse(answer),
+        };
+        let response = match self.pass(call, request, &mut guard).await {
+            Ok(response) => response,
+            Err(answer) => return relay.refuse(answer),
+        };
+        let (head, body) = response.into_parts();
+        relay.begin(head);
+        let mut body = GuardedBody::new(body, guard);
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => relay.push(frame).await,
+                Err(_) => return relay.end(false),
+            }
         }
-        let mut slot =
-            Slot { gate: Arc::clone(self), id: call.id.clone(), grant: None, ended: Ended::Abandoned };
+        relay.end(true);
+    }
+
+    async fn pass(
+        self: &Arc<Self>,
+        call: &GateCall,
+        request: Request<CallBody>,
+        guard: &mut GateGuard,
+    ) -> Result<Response<CallBody>> {
+        let mut slot = Slot::wanted(Arc::clone(self), call.id.clone());
         let arrived = Instant::now();
-        self.admit(&call, &mut slot).await?;
+        self.admit(call, &mut slot).await?;
         let queued = arrived.elapsed();
         self.parents.insert(call.id.clone(), call.as_parent());
         let pool = self.pool.load_full().ok_or_else(no_upstream)?;
-        let sent = tokio::time::timeout_at(call.deadline, pool.send(for_upstream(request, pool.addr())));
-        match sent.await {
-            Ok(Ok((response, connection))) => {
-                slot.judge(response.status());
-                let mut response = self.answered(response, slot, pool, connection);
+        guard.hold(slot, Arc::clone(&pool));
+        let request = for_upstream(request, pool.addr());
+        let answered = async {
+            let response = pool.send(request, guard.connection()).await?;
+            whole_if_small(response, call.deadline).await.context(CutShortSnafu)
+        };
+        let sent = tokio::time::timeout_at(call.deadline, answered).await;
+        match sent {
+            Ok(Ok(response)) => {
+                guard.judge(response.status());
+                let mut response = self.answered(response);
                 tell_queued(response.headers_mut(), queued);
                 Ok(response)
             }
             Ok(Err(error)) => {
-                slot.ended = Ended::Failed;
-                Err(self.failed(&call, &error))
+                guard.failed();
+                Err(self.failed(call, &error))
             }
             Err(_) => {
-                slot.ended = Ended::Failed;
+                guard.failed();
                 self.count("deadline_while_running");
+                guard.suspect_connection();
                 Err(ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "the upstream did not answer in time"))
             }
         }
     }
 
+    /// Answers a call that was here before; only one with a ticket shares the first one's answer.
+    async fn seen_before(
+        &self,
+        call: &GateCall,
+        seen: Seen<Arc<AnswerRelay>>,
+        fingerprint: u64,
+    ) -> Result<GateResponse> {
+        match seen {
+            Seen::Running(relay) | Seen::Kept(relay)
+                if call.ticketed && relay.fingerprint() == fingerprint =>
+            {
+                self.count("answer_shared");
+                let read = tokio::time::timeout_at(call.deadline, relay.read()).await;
+                let late =
+                    |_elapsed| ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "the first copy runs still");
+                Ok(read.map_err(late)??.map(Either::Right))
+            }
+            seen => Err(self.refused_seen(&seen)),
+        }
+    }
+
+    fn refused_seen(&self, seen: &Seen<Arc<AnswerRelay>>) -> ErrorAnswer {
+        self.count("duplicate_call");
+        match seen {
+            Seen::Fenced => {
+                let message = "the call was given up before it arrived";
+                ErrorAnswer::new(ErrorKind::NoUpstream, message).retry_after(RETRY_HINT)
+            }
+            _ => ErrorAnswer::new(ErrorKind::DuplicateCall, "this call was already here"),
+        }
+    }
+
     async fn admit(self: &Arc<Self>, call: &GateCall, slot: &mut Slot) -> Result<()> {
         let (key, verdict) = match self.offer(call)? {
             Entry::Granted(grant) => {
-                slot.grant = Some(grant);
+                slot.grant(grant);
                 self.count("admitted");
                 return Ok(());
             }
@@ -249,7 +392,7 @@
         let verdict = tokio::time::timeout_at(call.deadline, waiting.verdict()).await;
         match verdict {
             Ok(Ok(grant)) => {
-                slot.grant = Some(grant);
+                slot.grant(grant);
                 self.count("admitted_after_wait");
                 Ok(())
             }
@@ -281,21 +424,14 @@
         }
     }
 
-    fn answered(
-        &self,
-        response: Response<Incoming>,
-        slot: Slot,
-        pool: Arc<UpstreamPool>,
-        connection: PooledConnection,
-    ) -> GateResponse {
+    fn answered(&self, response: Response<CallBody>) -> Response<CallBody> {
         let (mut head, body) = response.into_parts();
         headers::strip_hop_by_hop(&mut head.headers);
         strip_own_fields(&mut head.headers);
         if let Ok(load) = HeaderValue::from_str(&self.load().to_string()) {
             head.headers.insert(headers::LOAD, load);
         }
-        let guard = GateGuard { slot: Some(slot), pool, connection: Some(connection) };
-        Response::from_parts(head, GuardedBody::new(CallBody::unlimited(body), guard))
+        Response::from_parts(head, body)
     }
 
     fn failed(&self, call: &GateCall, error: &UpstreamError) -> ErrorAnswer {
@@ -327,6 +463,12 @@
         ErrorAnswer::new(kind, message).retry_after(queue.admission.retry_hint()).with_load(load)
     }
 
+    /// A call let go of its slot, and none is made on its behalf any more.
+    pub(crate) fn ended(&self, id: &CallId, grant: Grant, ended: Ended) {
+        self.parents.remove(id);
+        self.release(grant, ended);
+    }
+
     fn release(&self, grant: Grant, ended: Ended) {
         let mut queue = self.queue.lock();
         let verdicts = queue.admission.release(grant, ended, Instant::now());
@@ -336,6 +478,12 @@
     fn count(&self, reason: &'static str) {
         Metrics::count(&self.metrics.gate_decisions, reason);
     }
+
+    fn count_many(&self, reason: &'static str, times: u32) {
+        for _ in 0..times {
+            self.count(reason);
+        }
+    }
 }
 
 impl Queue {
@@ -392,79 +540,60 @@
     }
 }
 
-/// A call inside the gate; dropped, it frees its slot and ends its record.
+/// The record of a running call, ended when dropped.
 #[derive(Debug)]
-struct Slot {
+struct Recorded {
     gate: Arc<Gate>,
     id: CallId,
-    grant: Option<Grant>,
-    ended: Ended,
-}
-
-impl Slot {
-    /// Takes in what the header section of the upstream's answer says of the upstream.
-    fn judge(&mut self, status: StatusCode) {
-        self.ended = match &self.grant {
-            Some(grant) if !status.is_server_error() => Ended::Good(grant.started().elapsed()),
-            _ => Ended::Failed,
-        };
-    }
+    relay: Arc<AnswerRelay>,
+    may_come_again: bool,
 }
 
-impl Drop for Slot {
+impl Drop for Recorded {
     fn drop(&mut self) {
-        self.gate.records.finish(&self.id);
-        if let Some(grant) = self.grant {
-            self.gate.parents.remove(&self.id);
-            self.gate.release(grant, self.ended);
+        if self.may_come_again && self.relay.is_not_executed() {
+            return self.gate.records.abandon(&self.id);
         }
+        let kept_bytes = self.relay.kept_bytes();
+        if kept_bytes.is_none() {
+            // Nobody may wait for an answer that will not come.
+            self.relay.end(false);
+            self.gate.count("answer_not_kept");
+        }
+        let dropped = self.gate.records.finish(&self.id, kept_bytes, Instant::now());
+        self.gate.count_many("answer_expired", dropped.expired);
+        self.gate.count_many("answer_evicted", dropped.evicted);
     }
 }
 
-/// Holds a call's slot and connection until the answer has been read.
-#[derive(Debug)]
-pub struct GateGuard {
-    slot: Option<Slot>,
-    pool: Arc<UpstreamPool>,
-    connection: Option<PooledConnection>,
-}
-
-impl BodyGuard for GateGuard {
-    fn ended(&mut self, whole: bool) {
-        if let Some(connection) = self.connection.take().filter(|_| whole) {
-            self.pool.give_back(connection);
-        }
-        self.slot = None;
+/// Waits for a small body, so that a call cut on its way here never starts.
+async fn arrived(request: Request<CallBody>, deadline: Instant) -> Result<Request<CallBody>> {
+    if request.body().size_hint().exact().is_none_or(|size| size > MAX_AWAITED_BYTES) {
+        return Ok(request);
     }
+    let (head, body) = request.into_parts();
+    let late = |_elapsed| ErrorAnswer::new(ErrorKind::DeadlineBeforeStart, "the body did not arrive in time");
+    let collected = tokio::time::timeout_at(deadline, body.collect()).await.map_err(late)?;
+    let whole = collected.map_err(|error| cut_on_its_way(&error.to_string()))?;
+    let trailers = whole.trailers().cloned();
+    Ok(Request::from_parts(head, CallBody::kept(whole.to_bytes(), trailers)))
 }
 
-fn for_upstream(request: Request<CallBody>, addr: SocketAddr) -> Request<CallBody> {
-    let (mut head, body) = request.into_parts();
-    headers::strip_hop_by_hop(&mut head.headers);
-    head.version = http::Version::HTTP_11;
-    if let Some(target) = head.uri.path_and_query() {
-        head.uri = http::Uri::from(target.clone());
-    }
-    if head.headers.contains_key(TE) {
-        head.headers.insert(CONNECTION, HeaderValue::from_static("te"));
-    }
-    if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
-        head.headers.entry(HOST).or_insert(host);
-    }
-    Request::from_parts(head, body)
+/// Tells apart requests that a caller sends with the same ticket by mistake.
+fn fingerprint(request: &Request<CallBody>) -> u64 {
+    let size = request.body().size_hint().exact();
+    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+    let identity = format!("{} {target} {size:?}", request.method());
+    xxh3_64(identity.as_bytes())
 }
 
-fn tell_queued(fields: &mut HeaderMap, queued: Duration) {
-    let queued_us = u64::try_from(queued.as_micros()).unwrap_or(u64::MAX);
-    fields.insert(headers::QUEUED_US, HeaderValue::from(queued_us));
+fn cut_on_its_way(reason: &str) -> ErrorAnswer {
+    let message = format!("the request was cut short on its way to the gate: {reason}");
+    ErrorAnswer::new(ErrorKind::NoUpstream, message).retry_after(RETRY_HINT)
 }
 
-fn strip_own_fields(fields: &mut HeaderMap) {
-    let own: Vec<HeaderName> =
-        fields.keys().filter(|name| name.as_str().starts_with(OWN_FIELD_PREFIX)).cloned().collect();
-    for name in own {
-        fields.remove(name);
-    }
+fn caller_left() -> ErrorAnswer {
+    ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the caller left and the call was cancelled")
 }
 
 fn no_upstream() -> ErrorAnswer {
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::Request;
 use http::Response;
 use http_body::Body;
@@ -17,6 +18,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::server::graceful::Watcher;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
@@ -118,20 +120,16 @@
             log_event_limited!(Warn, "connection closed at the limit", remote = remote);
             continue;
         };
-        let builder = builder.clone();
-        let handler = handler.clone();
-        let security = Arc::clone(&security);
-        let watcher = graceful.watcher();
+        let served = admit(&builder, &security, stream, remote, handler.clone(), graceful.watcher());
         tokio::spawn(async move {
-            let secured = tokio::time::timeout(HANDSHAKE_TIMEOUT, security.accept(stream)).await;
-            match secured {
-                Ok(Ok(stream)) => serve_connection(&builder, stream, remote, handler, watcher).await,
-                Ok(Err(error)) => log_event_limited!(Warn, "host refused", remote = remote, error = error),
-                Err(_) => log_event_limited!(Warn, "host did not prove itself in time", remote = remote),
-            }
+            served.await;
             drop(permit);
         });
     }
+    // Callers whose connections the system has already opened are served as well.
+    while let Some(Ok((stream, remote))) = listener.accept().now_or_never() {
+        tokio::spawn(admit(&builder, &security, stream, remote, handler.clone(), graceful.watcher()));
+    }
     drop(listener);
     tokio::time::timeout(limits.shutdown_timeout, graceful.shutdown()).await.is_ok()
 }
@@ -153,6 +151,30 @@
     builder
 }
 
+/// Serves a connection once its host has proved itself.
+fn admit<H>(
+    builder: &auto::Builder<TokioExecutor>,
+    security: &Arc<PeerSecurity>,
+    stream: TcpStream,
+    remote: SocketAddr,
+    handler: H,
+    watcher: Watcher,
+) -> impl Future<Output = ()> + Send + 'static
+where
+    H: Handler,
+{
+    let builder = builder.clone();
+    let security = Arc::clone(security);
+    async move {
+        let secured = tokio::time::timeout(HANDSHAKE_TIMEOUT, security.accept(stream)).await;
+        match secured {
+            Ok(Ok(stream)) => serve_connection(&builder, stream, remote, handler, watcher).await,
+            Ok(Err(error)) => log_event_limited!(Warn, "host refused", remote = remote, error = error),
+            Err(_) => log_event_limited!(Warn, "host did not prove itself in time", remote = remote),
+        }
+    }
+}
+
 async fn serve_connection<H>(
     builder: &auto::Builder<TokioExecutor>,
     stream: PeerStream,
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -13,6 +13,7 @@
 use http::Request;
 use http::Response;
 use http::Version;
+use http::header::CONNECTION;
 use http::header::CONTENT_LENGTH;
 use http::header::HOST;
 use http::request::Parts;
@@ -23,8 +24,6 @@
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use tokio::time::Instant;
-use yuccatray_proto::peer_v1 as wire;
-use yuccatray_proto::peer_v1::peer_client::PeerClient;
 
 use crate::coordination::burn_tally::BurnTally;
 use crate::coordination::routing::RoutingPolicy;
@@ -40,6 +39,7 @@
 use crate::protocol::headers;
 use crate::protocol::member::Member;
 use crate::protocol::published::PublishedConfig;
+use crate::protocol::ticket::Ticket;
 use crate::protocol::trace::Step;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::burn_counts::BurnKey;
@@ -51,9 +51,11 @@
 use crate::transport::call_body::BodyWatch;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
+use crate::transport::call_resolution::OwnGateCaller;
+use crate::transport::call_resolution::PeerAnswerBody;
 use crate::transport::gate::Gate;
+use crate::transport::gate::GateBody;
 use crate::transport::gate::GateCall;
-use crate::transport::gate::GateGuard;
 use crate::transport::gate::caller_key;
 use crate::transport::http_server::Handler;
 use crate::transport::ingress_guard::InFlight;
@@ -64,16 +66,14 @@
 use crate::transport::outgoing_call::OutgoingBody;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::ControlChannels;
-use crate::transport::peer_channel::ControlClient;
 
 /// Result of one attempt.
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
-const RESOLVE_TIMEOUT: Duration = Duration::from_secs(1);
 const RETRY_HINT: Duration = Duration::from_millis(200);
 
 /// Body of an upstream's answer: over a peer connection, or from the gate beside.
-pub(super) type AnswerBody = Either<CallBody, GuardedBody<CallBody, GateGuard>>;
+pub(super) type AnswerBody = Either<PeerAnswerBody, GateBody>;
 
 /// Body of an answer to a caller: an upstream's answer, or an error.
 pub type IngressBody = Either<GuardedBody<AnswerBody, IngressGuard>, Full<Bytes>>;
@@ -122,6 +122,7 @@
 pub(super) struct Call {
     pub(super) id: CallId,
     pub(super) id_field: HeaderValue,
+    pub(super) ticket: Option<Ticket>,
     pub(super) head: CallHead,
     pub(super) priority_name: Arc<str>,
     pub(super) caller: Arc<str>,
@@ -141,20 +142,31 @@
         Self { parts, budgets: ArcSwap::default(), draining: AtomicBool::new(false) }
     }
 
-    /// Refuses new calls from now on.
+    /// Asks callers from now on to go elsewhere with their next call.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
     }
 
     async fn serve(&self, request: Request<Incoming>, remote: SocketAddr) -> Response<IngressBody> {
-        let id = self.parts.ids.next();
+        let one_by_one = request.version() < Version::HTTP_2;
+        let ticket = match Ticket::of_request(request.headers()) {
+            Ok(ticket) => ticket,
+            Err(answer) => return refusal(answer, None),
+        };
+        let id = ticket.as_ref().map_or_else(|| self.parts.ids.next(), |ticket| ticket.call.clone());
+        if request.headers().contains_key(headers::TICKET) {
+            return self.issue(id, &request);
+        }
         let id_field = HeaderValue::from_str(&id.to_string());
         let id_field = id_field.unwrap_or_else(|_| HeaderValue::from_static(""));
-        let mut response = match self.accept(id.clone(), id_field.clone(), request, remote).await {
+        let mut response = match self.accept(id.clone(), id_field.clone(), ticket, request, remote).await {
             Ok(response) => response.map(Either::Left),
-            Err(answer) => answer.into_response(Some(&id)).map(|bytes| Either::Right(Full::new(bytes))),
+            Err(answer) => refusal(answer, Some(&id)),
         };
         response.headers_mut().insert(headers::CALL, id_field);
+        if one_by_one && self.draining.load(Ordering::Relaxed) {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         response
     }
 
@@ -162,26 +174,25 @@
         &self,
         id: CallId,
         id_field: HeaderValue,
+        ticket: Option<Ticket>,
         request: Request<Incoming>,
         remote: SocketAddr,
     ) -> Result<Answered> {
-        if self.draining.load(Ordering::Relaxed) {
-            return Err(
-                ErrorAnswer::new(ErrorKind::Draining, "this node is stopping").retry_after(RETRY_HINT)
-            );
-        }
-        self.check_form(&request)?;
-        let service = service_name(request.headers(), request.method())?;
+        let copies = ticket.is_some();
+        self.check_form(&request).map_err(|answer| unproved(answer, copies))?;
+        let service = service_name(request.headers(), request.method());
+        let service = service.map_err(|answer| unproved(answer, copies))?;
         let published = self.parts.config.get(&service);
         let config = published.as_ref().and_then(|published| published.config.as_ref());
         let config = config.ok_or_else(|| {
-            ErrorAnswer::new(ErrorKind::UnknownService, format!("no published service is named {service:?}"))
+            let message = format!("no published service is named {service:?}");
+            unproved(ErrorAnswer::new(ErrorKind::UnknownService, message), copies)
         })?;
-        let mut head = CallHead::read(service, request.headers(), request.method(), config)?;
-        if let Some(parent) = self.parent_of(request.headers()) {
-            head.bound_by(&parent, config, Instant::now())?;
-        }
+        let head = self.read_head(service, &request, config);
+        let head = head.map_err(|answer| unproved(answer, copies))?;
         let mut call = Call::new(id, id_field, head, config, &self.parts.burn, remote);
+        call.head.idempotent &= ticket.is_none();
+        call.ticket = ticket;
         let result = self.see_through(&mut call, config, request).await;
         if let Err(answer) = &result {
             log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
@@ -192,6 +203,19 @@
         result
     }
 
+    fn read_head(
+        &self,
+        service: Arc<str>,
+        request: &Request<Incoming>,
+        config: &PublishedConfig,
+    ) -> Result<CallHead> {
+        let mut head = CallHead::read(service, request.headers(), request.method(), config)?;
+        if let Some(parent) = self.parent_of(request.headers()) {
+            head.bound_by(&parent, config, Instant::now())?;
+        }
+        Ok(head)
+    }
+
     /// Refuses what is no good request before anything else is read of it.
     fn check_form(&self, request: &Request<Incoming>) -> Result<()> {
         let limit_bytes = self.parts.max_header_bytes as usize;
@@ -218,7 +242,11 @@
         config: &PublishedConfig,
         request: Request<Incoming>,
     ) -> Result<Answered> {
-        let mut outgoing = self.outgoing(call, config, request).await?;
+        let outgoing = self.outgoing(call, config, request).await;
+        let mut outgoing = outgoing.map_err(|answer| unproved(answer, call.ticket.is_some()))?;
+        if let Some(ticket) = &call.ticket {
+            return self.redeem(call, config, ticket, outgoing).await;
+        }
         self.attempts(call, config, &mut outgoing).await
     }
 
@@ -270,55 +298,14 @@
             caller: caller_key(&call.caller),
             deadline: call.deadline,
             idempotent: call.head.idempotent,
+            ticketed: call.ticket.is_some(),
             patience: leg.patience,
         };
-        let response = self.parts.gate.call(gate_call, request).await?;
-        Ok(response.map(Either::Right))
-    }
-
-    pub(super) async fn through_peer(
-        &self,
-        call: &Call,
-        member: &Member,
-        mut request: Request<CallBody>,
-    ) -> Result<Response<AnswerBody>> {
-        let channel = self.parts.channels.get(member.peer_addr);
-        *request.uri_mut() = channel.absolute(request.uri());
-        let sent = tokio::time::timeout_at(call.deadline, channel.send(request)).await;
-        match sent {
-            Ok(Ok(response)) => refusal_or_answer(response),
-            Ok(Err(error)) if error.proves_not_executed() => {
-                Err(ErrorAnswer::new(ErrorKind::NoUpstream, error.to_string()).retry_after(RETRY_HINT))
-            }
-            Ok(Err(error)) => {
-                log::debug!("peer lost; call={} peer={} error={error}", call.id, member.id.name);
-                Err(self.resolve(call, member).await)
-            }
-            Err(_) => Err(ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "no answer within the deadline")),
-        }
-    }
-
-    /// Asks the gate what became of a call whose connection was lost.
-    async fn resolve(&self, call: &Call, member: &Member) -> ErrorAnswer {
-        let control = self.parts.control.get(member.peer_addr);
-        let mut client = PeerClient::new(ControlClient::new(control));
-        let question = wire::ResolveCallRequest {
-            call: Some(wire::CallId {
-                node: call.id.node.to_string(),
-                incarnation: call.id.incarnation,
-                sequence: call.id.sequence,
-            }),
-        };
-        let until = call.deadline.min(Instant::now() + RESOLVE_TIMEOUT);
-        let fate = match tokio::time::timeout_at(until, client.resolve_call(question)).await {
-            Ok(Ok(reply)) => reply.into_inner().fate(),
-            _ => wire::CallFate::Unknown,
-        };
-        if fate == wire::CallFate::Fenced {
-            return ErrorAnswer::new(ErrorKind::NoUpstream, "the connection failed before the call arrived")
-                .retry_after(RETRY_HINT);
-        }
-        ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the connection failed while the call was under way")
+        let ends_with_caller = !call.head.idempotent && call.ticket.is_none();
+        let caller = OwnGateCaller::new(&self.parts.gate, &call.id, ends_with_caller);
+        let response = self.parts.gate.call(gate_call, request).await;
+        caller.answered();
+        Ok(response?.map(Either::Right))
     }
 
     pub(super) fn answered(
@@ -410,6 +397,7 @@
             max_attempts: config.service.retry.max_attempts,
             tally: Arc::new(BurnTally::new(Arc::clone(burn), key, objective, started)),
             head,
+            ticket: None,
         }
     }
 
@@ -422,11 +410,10 @@
         }
     }
 
-    pub(super) fn may_retry(&self, kind: ErrorKind) -> bool {
-        let row = kind.row();
-        match row.execution {
-            Execution::NotExecuted => row.retryable,
-            Execution::OutcomeUnknown => self.head.idempotent && kind == ErrorKind::OutcomeUnknown,
+    pub(super) fn may_retry(&self, answer: &ErrorAnswer) -> bool {
+        match answer.execution {
+            Execution::NotExecuted => answer.kind.row().retryable,
+            Execution::OutcomeUnknown => self.head.idempotent && answer.kind == ErrorKind::OutcomeUnknown,
         }
     }
 }
@@ -436,22 +423,6 @@
     Duration::from_micros(micros.unwrap_or(0))
 }
 
-fn refusal_or_answer(response: Response<Incoming>) -> Result<Response<AnswerBody>> {
-    let kind = response.headers().get(headers::ERROR).and_then(|value| value.to_str().ok());
-    let Some(kind) = kind.and_then(ErrorKind::from_name) else {
-        return Ok(response.map(|body| Either::Left(CallBody::unlimited(body))));
-    };
-    let after_ms = response.headers().get(headers::RETRY_AFTER_MS);
-    let after_ms = after_ms.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
-    let mut answer = ErrorAnswer::new(kind, "the upstream's gate refused or lost the call");
-    let load = response.headers().get(headers::LOAD).and_then(|value| value.to_str().ok());
-    answer.load = load.and_then(|text| text.parse().ok());
-    Err(match after_ms {
-        Some(millis) => answer.retry_after(Duration::from_millis(millis)),
-        None => answer,
-    })
-}
-
 /// Gives a request of HTTP/2 the field that names its host in HTTP/1.1.
 fn name_host(parts: &mut Parts) {
     let host = parts.uri.authority().and_then(|name| HeaderValue::from_str(name.as_str()).ok());
@@ -460,6 +431,15 @@
     }
 }
 
+/// A refusal of one copy proves nothing for the others; only the gate that a ticket names can.
+pub(super) fn unproved(answer: ErrorAnswer, may_have_copies: bool) -> ErrorAnswer {
+    if may_have_copies { answer.maybe_executed() } else { answer }
+}
+
+pub(super) fn refusal(answer: ErrorAnswer, call: Option<&CallId>) -> Response<IngressBody> {
+    answer.into_response(call).map(|bytes| Either::Right(Full::new(bytes)))
+}
+
 pub(super) fn no_upstream() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::NoUpstream, "no upstream of this service takes work").retry_after(RETRY_HINT)
 }
--- a/lib/src/transport/outgoing_call.rs
+++ b/lib/src/transport/outgoing_call.rs
@@ -64,6 +64,7 @@
         if leg.repeated || call.head.repeated {
             fields.insert(headers::REPEAT, HeaderValue::from_static("true"));
         }
+        fields.remove(headers::RESOLVE);
         fields.remove(headers::PATIENCE_US);
         if let Some(patience) = leg.patience {
             insert(fields, headers::PATIENCE_US, &patience.as_micros().to_string());
--- a/lib/src/transport/peer_channel.rs
+++ b/lib/src/transport/peer_channel.rs
@@ -27,18 +27,20 @@
 use snafu::Snafu;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
+use tokio::time::Instant;
 use tower_service::Service;
 
 use crate::log_event_limited;
 use crate::transport::call_body::BoxError;
 use crate::transport::call_body::CallBody;
 use crate::transport::peer_security::PeerSecurity;
+use crate::transport::silence_watch::PING_INTERVAL;
+use crate::transport::silence_watch::WatchedStream;
 
 /// Result of talking to a peer.
 pub type Result<T, E = PeerError> = std::result::Result<T, E>;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const PING_INTERVAL: Duration = Duration::from_millis(500);
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Largest header section of an answer.
@@ -156,8 +158,10 @@
 where
     B: http_body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Unpin + 'static,
 {
+    let started = Instant::now();
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
     let stream = connecting.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
+    let round_trip = started.elapsed();
     stream.set_nodelay(true).context(ConnectSnafu)?;
     let securing = tokio::time::timeout(CONNECT_TIMEOUT, security.connect(stream));
     let stream = securing.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
@@ -167,7 +171,8 @@
         .max_header_list_size(MAX_ANSWER_HEADER_BYTES)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT);
-    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
+    let io = TokioIo::new(WatchedStream::new(stream, round_trip));
+    let (sender, connection) = builder.handshake(io).await.context(HandshakeSnafu)?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             log_event_limited!(Info, "peer connection ended", peer = addr, error = error);
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -24,15 +24,15 @@
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::headers;
+use crate::protocol::resolve_wish::ResolveWish;
+use crate::protocol::ticket::Ticket;
 use crate::protocol::trace::Step;
-use crate::state::call_records::CallState;
 use crate::state::config_table::ConfigTable;
 use crate::state::decision_log::DecisionLog;
 use crate::transport::call_body::CallBody;
-use crate::transport::call_body::GuardedBody;
 use crate::transport::gate::Gate;
+use crate::transport::gate::GateBody;
 use crate::transport::gate::GateCall;
-use crate::transport::gate::GateGuard;
 use crate::transport::gate::GateResponse;
 use crate::transport::gate::caller_key;
 use crate::transport::gossip::Gossip;
@@ -41,7 +41,7 @@
 const CONTROL_PREFIX: &str = "/yuccatray.peer.v1.Peer/";
 
 /// Body of an answer to a peer: control, an upstream's answer, or a refusal.
-pub type PeerBody = Either<tonic::body::Body, Either<GuardedBody<CallBody, GateGuard>, Full<Bytes>>>;
+pub type PeerBody = Either<tonic::body::Body, Either<GateBody, Full<Bytes>>>;
 
 /// Answers the other nodes.
 #[derive(Clone, Debug)]
@@ -61,11 +61,14 @@
         gossip: Arc<Gossip>,
         decisions: Arc<DecisionLog>,
     ) -> Self {
-        let control = PeerServer::new(Control { gate: Arc::clone(&gate), gossip });
+        let control = PeerServer::new(Control { gossip });
         Self { gate, config, decisions, control }
     }
 
     async fn call(&self, request: Request<Incoming>) -> Response<PeerBody> {
+        if request.headers().contains_key(headers::RESOLVE) {
+            return self.resolve(request.headers()).await;
+        }
         let call = match self.read_call(request.headers()) {
             Ok(call) => call,
             Err(answer) => return refusal(answer, None),
@@ -80,6 +83,24 @@
         }
     }
 
+    /// Answers for a call that came over another connection.
+    async fn resolve(&self, fields: &HeaderMap) -> Response<PeerBody> {
+        let asked =
+            parsed(fields, &headers::RESOLVE).and_then(|wish| Ok((parsed(fields, &headers::CALL)?, wish)));
+        let (id, wish): (CallId, ResolveWish) = match asked {
+            Ok(asked) => asked,
+            Err(answer) => return refusal(answer, None),
+        };
+        if wish == ResolveWish::Cancel {
+            self.gate.cancel(&id);
+            return Response::new(Either::Right(Either::Right(Full::default())));
+        }
+        match self.gate.attach(&id).await {
+            Ok(response) => response.map(|body| Either::Right(Either::Left(body))),
+            Err(answer) => refusal(answer, Some(&id)),
+        }
+    }
+
     fn read_call(&self, fields: &HeaderMap) -> Result<GateCall, ErrorAnswer> {
         let id: CallId = parsed(fields, &headers::CALL)?;
         let timeout_ms = parsed(fields, &headers::TIMEOUT_MS)?;
@@ -90,7 +111,8 @@
             repeated: text(fields, &headers::REPEAT) == Some("true"),
             caller: caller_key(text(fields, &headers::CALLER).unwrap_or_default()),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
-            idempotent: text(fields, &headers::IDEMPOTENT) == Some("true"),
+            idempotent: parsed(fields, &headers::IDEMPOTENT)?,
+            ticketed: Ticket::is_in(fields),
             patience: optional(fields, &headers::PATIENCE_US).map(Duration::from_micros),
         })
     }
@@ -130,7 +152,6 @@
 /// The generated service over this node's parts.
 #[derive(Clone, Debug)]
 struct Control {
-    gate: Arc<Gate>,
     gossip: Arc<Gossip>,
 }
 
@@ -150,24 +171,6 @@
         let complete = self.gossip.take_zone_report(request.get_ref());
         Ok(tonic::Response::new(wire::ZoneReportReply { complete }))
     }
-
-    async fn resolve_call(
-        &self,
-        request: tonic::Request<wire::ResolveCallRequest>,
-    ) -> Result<tonic::Response<wire::ResolveCallReply>, Status> {
-        let call = request.into_inner().call.ok_or_else(|| Status::invalid_argument("no call named"))?;
-        let id = CallId {
-            node: Arc::from(call.node.as_str()),
-            incarnation: call.incarnation,
-            sequence: call.sequence,
-        };
-        let fate = match self.gate.resolve(&id) {
-            CallState::Running => wire::CallFate::Running,
-            CallState::Finished => wire::CallFate::Finished,
-            CallState::Fenced => wire::CallFate::Fenced,
-        };
-        Ok(tonic::Response::new(wire::ResolveCallReply { fate: fate.into() }))
-    }
 }
 
 fn refusal(answer: ErrorAnswer, call: Option<&CallId>) -> Response<PeerBody> {
