--- a/lib/src/protocol/member.rs
+++ b/lib/src/protocol/member.rs
@@ -59,8 +59,6 @@
     pub admin_addr: SocketAddr,
     /// Its upstream, once one has announced itself.
     pub upstream: Option<UpstreamInfo>,
-    /// Digest of the services and revisions that it has applied.
-    pub config_digest: u64,
 }
 
 impl Member {
@@ -93,7 +91,6 @@
             ingress_addr: member.ingress_addr.to_string(),
             admin_addr: member.admin_addr.to_string(),
             upstream: member.upstream.as_ref().map(wire::Upstream::from),
-            config_digest: member.config_digest,
         }
     }
 }
@@ -128,7 +125,6 @@
         ingress_addr: message.ingress_addr.parse().ok()?,
         admin_addr: message.admin_addr.parse().ok()?,
         upstream: message.upstream.as_ref().map(upstream_from_wire),
-        config_digest: message.config_digest,
     })
 }
 
--- a/load/src/commands/mod.rs
+++ b/load/src/commands/mod.rs
@@ -4,5 +4,6 @@
 pub mod experiment;
 pub mod fleet;
 pub mod peer_bodies;
+pub mod scale;
 pub mod slopes;
 pub mod vm_loss;
--- a/load/src/commands/slopes.rs
+++ b/load/src/commands/slopes.rs
@@ -126,7 +126,6 @@
             slots: 10,
             draining: false,
         }),
-        ..wire::Member::default()
     };
     (0..args.members).filter_map(|index| member_from_wire(&named(index))).map(Arc::new).collect()
 }
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -11,6 +11,7 @@
 use crate::commands::experiment;
 use crate::commands::fleet;
 use crate::commands::peer_bodies;
+use crate::commands::scale;
 use crate::commands::slopes;
 use crate::commands::vm_loss;
 
@@ -33,6 +34,7 @@
     Slopes(slopes::SlopesArgs),
     VmLoss(vm_loss::VmLossArgs),
     Experiment(experiment::ExperimentArgs),
+    Scale(scale::ScaleArgs),
 }
 
 #[tokio::main]
@@ -47,9 +49,17 @@
         }
         Command::VmLoss(args) => vm_loss::cmd_vm_loss(&args).await,
         Command::Experiment(args) => experiment::cmd_experiment(&args).await,
+        Command::Scale(args) => return finish(scale::cmd_scale(&args).await),
     };
+    finish(result)
+}
+
+fn finish<T, E>(result: Result<T, E>) -> ExitCode
+where
+    E: std::fmt::Display,
+{
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
             ExitCode::FAILURE
