--- a/load/src/commands/mod.rs
+++ b/load/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod experiment;
 pub mod fleet;
 pub mod peer_bodies;
+pub mod relay;
 pub mod scale;
 pub mod slopes;
 pub mod vm_loss;
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod probe_pool;
 pub mod process_fleet;
 pub mod process_usage;
+pub mod relay;
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -11,6 +11,7 @@
 use crate::commands::experiment;
 use crate::commands::fleet;
 use crate::commands::peer_bodies;
+use crate::commands::relay;
 use crate::commands::scale;
 use crate::commands::slopes;
 use crate::commands::vm_loss;
@@ -31,6 +32,7 @@
     Fleet(fleet::FleetArgs),
     Compare(compare::CompareArgs),
     PeerBodies(peer_bodies::PeerBodiesArgs),
+    Relay(relay::RelayArgs),
     Slopes(slopes::SlopesArgs),
     VmLoss(vm_loss::VmLossArgs),
     Experiment(experiment::ExperimentArgs),
@@ -43,6 +45,7 @@
         Command::Fleet(args) => fleet::cmd_fleet(&args).await,
         Command::Compare(args) => compare::cmd_compare(&args).await,
         Command::PeerBodies(args) => peer_bodies::cmd_peer_bodies(&args).await,
+        Command::Relay(args) => relay::cmd_relay(&args).await,
         Command::Slopes(args) => {
             slopes::cmd_slopes(&args);
             Ok(())
