--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -65,10 +65,10 @@
     Get(get::GetArgs),
     List(list::ListArgs),
     Nodes(nodes::NodesArgs),
-    Top(top::TopArgs),
-    Trace(trace::TraceArgs),
     /// Prints the version.
     Version,
+    Top(top::TopArgs),
+    Trace(trace::TraceArgs),
     Wait(wait::WaitArgs),
     Watch(watch::WatchArgs),
 }
@@ -112,12 +112,12 @@
         Command::Get(args) => get::cmd_get(context, args).await,
         Command::List(args) => list::cmd_list(context, args).await,
         Command::Nodes(args) => nodes::cmd_nodes(context, args).await,
-        Command::Top(args) => top::cmd_top(context, args).await,
-        Command::Trace(args) => trace::cmd_trace(context, args).await,
         Command::Version => {
             version::cmd_version(context);
             Ok(())
         }
+        Command::Top(args) => top::cmd_top(context, args).await,
+        Command::Trace(args) => trace::cmd_trace(context, args).await,
         Command::Wait(args) => wait::cmd_wait(context, args).await,
         Command::Watch(args) => watch::cmd_watch(context, args).await,
     }
