trace: a call that no node remembers has an error of its own

Cause: the hint for objects that do not exist told operators to list calls. Change: its own error kind of the command line, with exit code 3 as before.

--- a/cli/src/cli_error.rs
+++ b/cli/src/cli_error.rs
@@ -37,6 +37,12 @@
         /// Name of the object.
         name: String,
     },
+    /// No node remembers the call any more.
+    #[snafu(display("no node remembers the call {call}"))]
+    Forgotten {
+        /// Identity of the call.
+        call: String,
+    },
     /// Somebody else changed the object first.
     #[snafu(display("{name}: somebody else changed it first"))]
     Conflict {
@@ -77,7 +83,7 @@
         match self {
             Self::Platform { .. } | Self::Node { .. } => 1,
             Self::Usage { .. } | Self::Objects { .. } => 2,
-            Self::NotFound { .. } => 3,
+            Self::NotFound { .. } | Self::Forgotten { .. } => 3,
             Self::Conflict { .. } => 4,
             Self::Timeout { .. } => 5,
             Self::Unsettled { .. } => 6,
--- a/cli/src/commands/trace.rs
+++ b/cli/src/commands/trace.rs
@@ -66,7 +66,7 @@
         print(&trace);
     }
     if trace.decisions.is_empty() {
-        return Err(CliError::NotFound { kind: "remembered call".to_owned(), name: trace.call });
+        return Err(CliError::Forgotten { call: trace.call });
     }
     Ok(())
 }
--- a/cli/tests/top_and_trace.rs
+++ b/cli/tests/top_and_trace.rs
@@ -102,7 +102,7 @@
     assert_data_eq!(
         text(unknown.stderr),
         str![["
-error: no remembered call named \"vm-gate.1.1\"
+error: no node remembers the call vm-gate.1.1
 
 "]]
     );
