--- a/lib/src/coordination/publication_ledger.rs
+++ b/lib/src/coordination/publication_ledger.rs
@@ -124,6 +124,11 @@
         correct(&mut self.statuses, name, current);
     }
 
+    /// The statuses turned out to be these.
+    pub fn replace_statuses(&mut self, statuses: &[Object]) {
+        self.statuses = statuses.iter().map(by_name).collect();
+    }
+
     /// The status as last written or read.
     #[must_use]
     pub fn status(&self, name: &str) -> Option<&Versioned<ServiceStatus>> {
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -12,6 +12,7 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -19,6 +20,7 @@
 use crate::coordination::fleet_view::FleetView;
 use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::routing::TwoChoices;
+use crate::log_event;
 use crate::protocol::call_id::CallIdSource;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberId;
@@ -26,6 +28,7 @@
 use crate::protocol::settings::Settings;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
+use crate::state::decision_log::DecisionLog;
 use crate::state::directory::Directory;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
@@ -147,9 +150,18 @@
     ///
     /// When an address can't be listened on.
     pub async fn start_with(settings: &Settings, policy: P) -> Result<Self> {
+        Self::start_on(settings, policy, &Handle::current()).await
+    }
+
+    /// Starts a node whose calls run on a runtime of their own, apart from control.
+    ///
+    /// # Errors
+    ///
+    /// When an address can't be listened on.
+    pub async fn start_on(settings: &Settings, policy: P, calls: &Handle) -> Result<Self> {
         let security = Arc::new(PeerSecurity::load(settings.peer_security.as_ref())?);
         if !security.is_on() {
-            log::warn!("peers are not authenticated: /peer_security is not set, so any host may join");
+            log_event!(Warn, "peers are not authenticated: /peer_security is not set, so any host may join");
         }
         let listeners = Listeners::bind(settings).await?;
         let addrs = listeners.addrs()?;
@@ -158,6 +170,7 @@
         let config = Arc::new(ConfigTable::new());
         let directory = Arc::new(Directory::default());
         let burn = Arc::new(BurnCounts::new(Instant::now()));
+        let decisions = Arc::new(DecisionLog::new(Instant::now()));
         let gate = Arc::new(Gate::new(Arc::clone(&metrics)));
         let shared = SharedParts {
             config: Arc::clone(&config),
@@ -177,6 +190,7 @@
             control: Arc::clone(gossip.channels()),
             metrics: Arc::clone(&metrics),
             burn: Arc::clone(&burn),
+            decisions: Arc::clone(&decisions),
             policy,
             max_replay_bytes: settings.limits.max_replay_bytes,
             max_header_bytes: settings.limits.max_header_bytes,
@@ -184,19 +198,26 @@
         let stop_callers = CancellationToken::new();
         let stop_rest = CancellationToken::new();
         let limits = server_limits(settings);
-        let peer_handler = PeerHandler::new(Arc::clone(&gate), Arc::clone(&config), Arc::clone(&gossip));
+        let peer_handler = PeerHandler::new(
+            Arc::clone(&gate),
+            Arc::clone(&config),
+            Arc::clone(&gossip),
+            Arc::clone(&decisions),
+        );
         let admin_handler = AdminHandler {
             me: me.clone(),
             directory: Arc::clone(&directory),
             config: Arc::clone(&config),
             gate: Arc::clone(&gate),
+            desk: Arc::clone(&desk),
             metrics: Arc::clone(&metrics),
             burn,
+            decisions,
         };
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
-        let caller_server = spawn_server(listeners.ingress, limits, caller_handler, &stop_callers);
+        let caller_server = spawn_server(calls, listeners.ingress, limits, caller_handler, &stop_callers);
         let peer_limits = ServerLimits { max_connections: usize::from(u16::MAX), ..limits };
-        let peer_server = tokio::spawn(serve_secured(
+        let peer_server = calls.spawn(serve_secured(
             listeners.peer,
             peer_limits,
             peer_handler,
@@ -204,23 +225,17 @@
             stop_rest.clone(),
         ));
         let announce_handler = AnnounceHandler::new(Arc::clone(&desk));
-        drop(spawn_server(listeners.announce, ServerLimits::default(), announce_handler, &stop_rest));
-        drop(spawn_server(listeners.admin, ServerLimits::default(), admin_handler, &stop_rest));
+        let control = Handle::current();
+        let control_limits = ServerLimits::default();
+        drop(spawn_server(&control, listeners.announce, control_limits, announce_handler, &stop_rest));
+        drop(spawn_server(&control, listeners.admin, control_limits, admin_handler, &stop_rest));
         let mut loops = spawn_platform_loops(settings, &gossip, &shared, &stop_rest);
         loops.extend([
             tokio::spawn(Arc::clone(&gossip).run(stop_rest.clone())),
             tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
             tokio::spawn(security.run(stop_rest.clone())),
         ]);
-        log::info!(
-            "node started; node={} incarnation={:x} ingress={} peer={} announce={} admin={}",
-            me.id.name,
-            me.id.incarnation,
-            addrs.ingress,
-            addrs.peer,
-            addrs.announce,
-            addrs.admin
-        );
+        log_started(&me, addrs);
         Ok(Self {
             addrs,
             gate,
@@ -327,8 +342,8 @@
         zone: Arc::clone(&settings.node.zone),
         peer_addr: addrs.peer,
         ingress_addr: addrs.ingress,
-        upstream: None,
         admin_addr: addrs.admin,
+        upstream: None,
     }
 }
 
@@ -366,6 +381,19 @@
     })
 }
 
+fn log_started(me: &Member, addrs: NodeAddrs) {
+    log_event!(
+        Info,
+        "node started",
+        node = &me.id.name,
+        incarnation = format_args!("{:x}", me.id.incarnation),
+        ingress = addrs.ingress,
+        peer = addrs.peer,
+        announce = addrs.announce,
+        admin = addrs.admin,
+    );
+}
+
 /// Starts what the node does about the platform while it has a role there.
 fn spawn_platform_loops(
     settings: &Settings,
@@ -403,6 +431,7 @@
 }
 
 fn spawn_server<H>(
+    runtime: &Handle,
     listener: TcpListener,
     limits: ServerLimits,
     handler: H,
@@ -411,5 +440,5 @@
 where
     H: Handler,
 {
-    tokio::spawn(serve(listener, limits, handler, stop.clone()))
+    runtime.spawn(serve(listener, limits, handler, stop.clone()))
 }
--- a/lib/src/protocol/member.rs
+++ b/lib/src/protocol/member.rs
@@ -55,10 +55,10 @@
     pub peer_addr: SocketAddr,
     /// Where callers reach it.
     pub ingress_addr: SocketAddr,
-    /// Its upstream, once one has announced itself.
-    pub upstream: Option<UpstreamInfo>,
     /// Where operators and their tools reach it.
     pub admin_addr: SocketAddr,
+    /// Its upstream, once one has announced itself.
+    pub upstream: Option<UpstreamInfo>,
 }
 
 impl Member {
@@ -89,8 +89,8 @@
             zone: member.zone.to_string(),
             peer_addr: member.peer_addr.to_string(),
             ingress_addr: member.ingress_addr.to_string(),
-            upstream: member.upstream.as_ref().map(wire::Upstream::from),
             admin_addr: member.admin_addr.to_string(),
+            upstream: member.upstream.as_ref().map(wire::Upstream::from),
         }
     }
 }
@@ -123,8 +123,8 @@
         zone: Arc::from(message.zone.as_str()),
         peer_addr: message.peer_addr.parse().ok()?,
         ingress_addr: message.ingress_addr.parse().ok()?,
-        upstream: message.upstream.as_ref().map(upstream_from_wire),
         admin_addr: message.admin_addr.parse().ok()?,
+        upstream: message.upstream.as_ref().map(upstream_from_wire),
     })
 }
 
--- a/lib/src/transport/admin_server.rs
+++ b/lib/src/transport/admin_server.rs
@@ -19,15 +19,22 @@
 use tokio::time::Instant;
 
 use crate::protocol::burn::BurnReport;
+use crate::protocol::call_id::CallId;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberState;
+use crate::protocol::trace::TraceReport;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
+use crate::state::decision_log::DecisionLog;
 use crate::state::directory::Directory;
 use crate::state::metrics::SharedMetrics;
+use crate::transport::announce_server::AnnounceDesk;
 use crate::transport::gate::Gate;
 use crate::transport::http_server::Handler;
 
+/// Put to drain the node's upstream, deleted to let it take work again.
+pub const DRAINING_PATH: &str = "/v1/draining";
+
 /// What a node says of itself and of the members that it knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeReport {
@@ -39,6 +46,8 @@
     pub queued: u32,
     /// Slots that its gate grants.
     pub limit: u32,
+    /// Whether operators told it to drain its upstream.
+    pub draining: bool,
     /// Revision applied, by service.
     pub revisions: IndexMap<Arc<str>, u64>,
     /// Members that it knows.
@@ -81,10 +90,14 @@
     pub config: Arc<ConfigTable>,
     /// The node's gate.
     pub gate: Arc<Gate>,
+    /// The node's upstream, to drain it.
+    pub desk: Arc<AnnounceDesk>,
     /// Counters.
     pub metrics: SharedMetrics,
     /// Calls held against their objectives.
     pub burn: Arc<BurnCounts>,
+    /// The latest decisions, for traces.
+    pub decisions: Arc<DecisionLog>,
 }
 
 impl AdminHandler {
@@ -112,6 +125,7 @@
             running: load.running,
             queued: load.queued,
             limit: load.limit,
+            draining: self.desk.is_draining(),
             revisions: config.iter().map(|(name, held)| (Arc::clone(name), held.revision)).collect(),
             members: members.collect(),
         }
@@ -131,6 +145,34 @@
             rows: self.burn.rows(service, &self.config.snapshot(), now),
         }
     }
+
+    /// Why callers had better call another node, or nothing.
+    fn not_ready(&self) -> Option<&'static str> {
+        let snapshot = self.directory.snapshot();
+        let me = snapshot.by_name(&self.me.id.name);
+        if me.is_some_and(|entry| entry.member.state == MemberState::Leaving) {
+            return Some("stopping");
+        }
+        self.config.snapshot().is_empty().then_some("no configuration yet")
+    }
+
+    fn trace(&self, call: Option<&str>) -> Response<Full<Bytes>> {
+        match call.map(str::parse::<CallId>) {
+            Some(Ok(call)) => json(&self.trace_report(&call)),
+            Some(Err(error)) => answer(StatusCode::BAD_REQUEST, "text/plain", format!("{error}\n")),
+            None => answer(StatusCode::BAD_REQUEST, "text/plain", "no call named\n".to_owned()),
+        }
+    }
+
+    fn trace_report(&self, call: &CallId) -> TraceReport {
+        let remembered_ms = self.decisions.remembered(call, Instant::now()).as_millis();
+        TraceReport {
+            node: Arc::clone(&self.me.id.name),
+            incarnation: self.me.id.incarnation,
+            remembered_ms: u64::try_from(remembered_ms).unwrap_or(u64::MAX),
+            decisions: self.decisions.of(call),
+        }
+    }
 }
 
 impl Handler for AdminHandler {
@@ -139,10 +181,10 @@
     async fn handle(&self, request: Request<Incoming>, _remote: SocketAddr) -> Response<Full<Bytes>> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/livez") => answer(StatusCode::OK, "text/plain", "alive\n".to_owned()),
-            (&Method::GET, "/readyz") if self.config.snapshot().is_empty() => {
-                answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no configuration yet\n".to_owned())
-            }
-            (&Method::GET, "/readyz") => answer(StatusCode::OK, "text/plain", "ready\n".to_owned()),
+            (&Method::GET, "/readyz") => match self.not_ready() {
+                None => answer(StatusCode::OK, "text/plain", "ready\n".to_owned()),
+                Some(reason) => answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", format!("{reason}\n")),
+            },
             (&Method::GET, "/metrics") => answer(
                 StatusCode::OK,
                 "application/openmetrics-text; version=1.0.0; charset=utf-8",
@@ -150,10 +192,20 @@
             ),
             (&Method::GET, "/v1/node") => json(&self.report()),
             (&Method::GET, "/v1/burn") => json(&self.burn_report(queried(request.uri(), "service"))),
+            (&Method::GET, "/v1/trace") => self.trace(queried(request.uri(), "call")),
+            (&Method::PUT, DRAINING_PATH) => {
+                self.desk.drain();
+                json(&self.report())
+            }
+            (&Method::DELETE, DRAINING_PATH) => {
+                self.desk.resume();
+                json(&self.report())
+            }
             _ => answer(
                 StatusCode::NOT_FOUND,
                 "text/plain",
-                "GET /livez, /readyz, /metrics, /v1/node or /v1/burn\n".to_owned(),
+                "GET /livez, /readyz, /metrics, /v1/node, /v1/burn or /v1/trace; PUT or DELETE /v1/draining\n"
+                    .to_owned(),
             ),
         }
     }
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,6 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::admission::PriorityRule;
+use crate::log_event;
 use crate::protocol::checked_json::addr_schema;
 use crate::protocol::checked_json::checked_from_value;
 use crate::protocol::checked_json::parse_jsonc;
@@ -67,13 +70,14 @@
     gossip: Arc<Gossip>,
     config: Arc<ConfigTable>,
     announced: Mutex<Option<Announced>>,
+    draining: AtomicBool,
 }
 
 impl AnnounceDesk {
     /// A desk at which nobody has announced itself yet.
     #[must_use]
     pub fn new(gate: Arc<Gate>, gossip: Arc<Gossip>, config: Arc<ConfigTable>) -> Self {
-        Self { gate, gossip, config, announced: Mutex::new(None) }
+        Self { gate, gossip, config, announced: Mutex::new(None), draining: AtomicBool::new(false) }
     }
 
     /// Lets announcements lapse and follows the configuration until told to stop.
@@ -86,11 +90,26 @@
         }
     }
 
-    /// The upstream takes no new work from now on.
+    /// The upstream takes no new work from now on, whatever it announces.
     pub fn drain(&self) {
+        self.set_draining(true);
+    }
+
+    /// The upstream takes work again if it says so itself.
+    pub fn resume(&self) {
+        self.set_draining(false);
+    }
+
+    /// Whether the node was told to drain its upstream.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    fn set_draining(&self, draining: bool) {
         let mut announced = self.announced.lock();
+        self.draining.store(draining, Ordering::Relaxed);
         if let Some(announced) = announced.as_mut() {
-            announced.announcement.draining = true;
             self.follow(announced);
         }
     }
@@ -116,7 +135,7 @@
         let published = self.config.get(&held.announcement.service);
         let ttl = Duration::from_millis(rule(published.as_deref()).announce_ttl_ms);
         if now - held.renewed_at >= ttl {
-            log::warn!("announcement lapsed; service={}", held.announcement.service);
+            log_event!(Warn, "announcement lapsed", service = &held.announcement.service);
             *announced = None;
             drop(announced);
             self.withdraw();
@@ -132,7 +151,8 @@
         let published = self.config.get(&announcement.service);
         held.revision = published.as_ref().map(|published| published.revision);
         self.gate.set_rules(&priority_rules(published.as_deref()));
-        if announcement.draining {
+        let draining = announcement.draining || self.is_draining();
+        if draining {
             self.gate.drain();
         } else {
             let rule = rule(published.as_deref());
@@ -142,7 +162,7 @@
         self.gossip.set_upstream(published.map(|_| UpstreamInfo {
             service: Arc::clone(&announcement.service),
             slots: announcement.slots,
-            draining: announcement.draining,
+            draining,
         }));
     }
 }
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -20,6 +20,8 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
+use crate::log_event;
+use crate::log_event_limited;
 use crate::transport::call_body::BoxError;
 use crate::transport::peer_security::PeerSecurity;
 use crate::transport::peer_security::PeerStream;
@@ -110,10 +112,10 @@
             continue;
         };
         if let Err(error) = stream.set_nodelay(true) {
-            log::debug!("cannot set nodelay; remote={remote} error={error}");
+            log_event!(Debug, "cannot set nodelay", remote = remote, error = error);
         }
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            log::debug!("connection closed at the limit; remote={remote}");
+            log_event_limited!(Warn, "connection closed at the limit", remote = remote);
             continue;
         };
         let builder = builder.clone();
@@ -124,8 +126,8 @@
             let secured = tokio::time::timeout(HANDSHAKE_TIMEOUT, security.accept(stream)).await;
             match secured {
                 Ok(Ok(stream)) => serve_connection(&builder, stream, remote, handler, watcher).await,
-                Ok(Err(error)) => log::debug!("host refused; remote={remote} error={error}"),
-                Err(_) => log::debug!("host did not prove itself in time; remote={remote}"),
+                Ok(Err(error)) => log_event_limited!(Warn, "host refused", remote = remote, error = error),
+                Err(_) => log_event_limited!(Warn, "host did not prove itself in time", remote = remote),
             }
             drop(permit);
         });
@@ -166,6 +168,6 @@
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
     if let Err(error) = watcher.watch(connection).await {
-        log::debug!("connection ended; remote={remote} error={error}");
+        log_event!(Debug, "connection ended", remote = remote, error = error);
     }
 }
--- a/lib/src/transport/publisher.rs
+++ b/lib/src/transport/publisher.rs
@@ -28,6 +28,7 @@
 use crate::protocol::object::ObjectKind;
 use crate::protocol::object::Precondition;
 use crate::protocol::published::FieldProblem;
+use crate::protocol::published::Published;
 use crate::protocol::published::ServiceStatus;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
@@ -49,6 +50,7 @@
 
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
 const CANDIDATE_INTERVAL: Duration = Duration::from_secs(1);
+const STATUS_RESYNC: Duration = Duration::from_secs(30);
 const STATUS_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Statuses written in one round at most; the others wait for the next.
@@ -77,6 +79,16 @@
     Other(LeaseValue),
 }
 
+/// How a round of publishing ended.
+enum Publishing {
+    /// Nothing is due, or what failed was asked for again.
+    Settled,
+    /// The lease was no longer relied on; to be taken up when it is renewed.
+    Interrupted,
+    /// The lease is over.
+    Over,
+}
+
 /// The objects that operators wrote, kept up by watches.
 #[derive(Debug, Default)]
 struct DeclaredWatch {
@@ -163,21 +175,32 @@
         let mut ledger = self.load_ledger().await?;
         let mut renewals = tokio::time::interval(RENEW_INTERVAL);
         let mut status_rounds = tokio::time::interval(STATUS_INTERVAL);
+        let mut resyncs = tokio::time::interval_at(Instant::now() + STATUS_RESYNC, STATUS_RESYNC);
+        let mut interrupted = false;
         renewals.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         status_rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        resyncs.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 biased;
                 () = stop.cancelled() => return self.release(&held).await,
                 _ = renewals.tick() => match self.renew(&held).await? {
-                    Some(renewed) => held = renewed,
+                    Some(renewed) => {
+                        held = renewed;
+                        if std::mem::take(&mut interrupted) {
+                            watch.changed.notify_one();
+                        }
+                    }
                     None => return Ok(()),
                 },
                 () = watch.changed.notified() => {
-                    if !self.publish(&mut ledger, &watch, &held).await? {
-                        return Ok(());
+                    match self.publish(&mut ledger, &watch, &held).await? {
+                        Publishing::Settled => {}
+                        Publishing::Interrupted => interrupted = true,
+                        Publishing::Over => return Ok(()),
                     }
                 }
+                _ = resyncs.tick() => self.reread_statuses(&mut ledger).await?,
                 _ = status_rounds.tick() => self.write_statuses(&mut ledger, &watch, &held).await?,
             }
         }
@@ -199,9 +222,19 @@
         let published = self.platform.list(ObjectKind::Published).await?;
         self.count("list");
         let statuses = self.platform.list(ObjectKind::ServiceStatus).await?;
+        for object in &published.objects {
+            self.learn(Some(object));
+        }
         Ok(PublicationLedger::new(&published.objects, &statuses.objects))
     }
 
+    /// Applies a publication found in the platform, whose writer may be gone before it applied it.
+    fn learn(&self, found: Option<&Object>) {
+        if let Some(published) = found.and_then(|object| read_value::<Published>(object).ok()) {
+            self.fleet.apply(published);
+        }
+    }
+
     /// The renewed lease, or nothing when it is another's, or this node no longer leads its zone.
     async fn renew(&self, held: &Held) -> Result<Option<Held>> {
         if !self.fleet.leads_zone() {
@@ -232,27 +265,39 @@
         Ok(())
     }
 
-    /// Writes every publication that is due; false when the lease is over.
+    /// Reads every status again, since one written without an answer may have come late.
+    async fn reread_statuses(&self, ledger: &mut PublicationLedger) -> Result<()> {
+        self.count("list");
+        match self.platform.list(ObjectKind::ServiceStatus).await {
+            Ok(listing) => ledger.replace_statuses(&listing.objects),
+            Err(error) => {
+                self.count("failed");
+                log::debug!("statuses not read again; error={error}");
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes every publication that is due.
     async fn publish(
         &self,
         ledger: &mut PublicationLedger,
         watch: &DeclaredWatch,
         held: &Held,
-    ) -> Result<bool> {
+    ) -> Result<Publishing> {
         let Some(declared) = watch.snapshot() else {
-            return Ok(true);
+            return Ok(Publishing::Settled);
         };
         let epoch = held.value.epoch;
         let floor = |service: &str| self.fleet.revision(service);
         loop {
             if Instant::now() >= held.sure_until {
-                watch.changed.notify_one();
-                return Ok(true);
+                return Ok(Publishing::Interrupted);
             }
             let planned = match ledger.plan(&declared, floor, epoch) {
                 Plan::Publish(planned) => planned,
-                Plan::Abdicate => return Ok(false),
-                Plan::Settled => return Ok(true),
+                Plan::Abdicate => return Ok(Publishing::Over),
+                Plan::Settled => return Ok(Publishing::Settled),
             };
             let name = Arc::clone(&planned.published.service);
             let settled = self.write(ObjectKind::Published, &name, &planned.published, planned.precondition);
@@ -267,22 +312,23 @@
                 }
                 Ok(Settled::Lost(current) | Settled::Overtaken(current)) => {
                     ledger.correct_published(&name, current.as_deref());
+                    self.learn(current.as_deref());
                 }
                 Err(error) => {
                     log::debug!("not published; service={name} error={error}");
                     watch.changed.notify_one();
-                    return self.pause_after(&error).await;
+                    self.pause_after_failure().await;
+                    return Ok(Publishing::Settled);
                 }
             }
         }
     }
 
     /// Lets the platform breathe before the same write is tried again on the same condition.
-    async fn pause_after(&self, _error: &PlatformError) -> Result<bool> {
+    async fn pause_after_failure(&self) {
         self.count("failed");
         let pause = platform_backoff().next(&mut rand::rng());
         tokio::time::sleep(pause).await;
-        Ok(true)
     }
 
     async fn write_statuses(
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod faulty_platform;
 pub mod fleet_harness;
 pub mod http_call;
+pub mod objects;
 pub mod raw_http;
 pub mod two_nodes;
 pub mod workspace;
