settings: a schema is compiled once for each type

Cause: a profile of two nodes at 100 calls/s showed schema compilation: each announcement (two a second) and each object in each of the publisher's rounds compiled the schema that it was checked against.

Change: checkers are kept by type.

--- a/lib/src/coordination/publication.rs
+++ b/lib/src/coordination/publication.rs
@@ -97,7 +97,7 @@
 
 fn read<T>(object: &Object) -> Result<T>
 where
-    T: DeserializeOwned + JsonSchema,
+    T: DeserializeOwned + JsonSchema + 'static,
 {
     checked_from_value(&object.value).map_err(|error| error.problems().to_vec())
 }
--- a/lib/src/protocol/checked_json.rs
+++ b/lib/src/protocol/checked_json.rs
@@ -1,15 +1,20 @@
 //! JSON with comments, checked whole against the schema of the type that it should hold.
 
+use std::any::TypeId;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 
 use indexmap::IndexSet;
 use jsonc_parser::CollectOptions;
 use jsonc_parser::ParseOptions;
 use jsonc_parser::ast;
 use jsonschema::ValidationError;
+use jsonschema::Validator;
 use jsonschema::error::TypeKind;
 use jsonschema::error::ValidationErrorKind;
+use parking_lot::Mutex;
 use schemars::JsonSchema;
 use schemars::Schema;
 use schemars::json_schema;
@@ -140,9 +145,9 @@
 /// When fields are unknown, missing or out of range; all of them are listed.
 pub fn checked_from_value<T>(value: &Value) -> Result<T>
 where
-    T: DeserializeOwned + JsonSchema,
+    T: DeserializeOwned + JsonSchema + 'static,
 {
-    let problems = schema_problems(value, &schema_for!(T));
+    let problems = checker::<T>()?.problems(value);
     if !problems.is_empty() {
         return refuse(problems);
     }
@@ -169,16 +174,44 @@
     json_schema!({ "type": "array", "items": addr_schema(generator) })
 }
 
-fn schema_problems(value: &Value, schema: &Schema) -> Vec<FieldProblem> {
-    let options = jsonschema::options()
-        .should_validate_formats(true)
-        .with_format(ADDR_FORMAT, |text: &str| text.parse::<SocketAddr>().is_ok());
-    match options.build(schema.as_value()) {
-        Ok(validator) => {
-            validator.iter_errors(value).flat_map(|error| explain(&error, schema.as_value())).collect()
+/// A schema with what checks values against it.
+#[derive(Debug)]
+struct Checker {
+    schema: Schema,
+    validator: Validator,
+}
+
+impl Checker {
+    fn new(schema: Schema) -> Result<Self> {
+        let options = jsonschema::options()
+            .should_validate_formats(true)
+            .with_format(ADDR_FORMAT, |text: &str| text.parse::<SocketAddr>().is_ok());
+        match options.build(schema.as_value()) {
+            Ok(validator) => Ok(Self { schema, validator }),
+            Err(error) => refuse(vec![FieldProblem { field: "/".to_owned(), problem: error.to_string() }]),
         }
-        Err(error) => vec![FieldProblem { field: "/".to_owned(), problem: error.to_string() }],
     }
+
+    fn problems(&self, value: &Value) -> Vec<FieldProblem> {
+        let errors = self.validator.iter_errors(value);
+        errors.flat_map(|error| explain(&error, self.schema.as_value())).collect()
+    }
+}
+
+/// Checkers by type, made once, since announcements and objects are checked again and again.
+static CHECKERS: Mutex<BTreeMap<TypeId, Arc<Checker>>> = Mutex::new(BTreeMap::new());
+
+fn checker<T>() -> Result<Arc<Checker>>
+where
+    T: JsonSchema + 'static,
+{
+    let mut checkers = CHECKERS.lock();
+    if let Some(checker) = checkers.get(&TypeId::of::<T>()) {
+        return Ok(Arc::clone(checker));
+    }
+    let checker = Arc::new(Checker::new(schema_for!(T))?);
+    checkers.insert(TypeId::of::<T>(), Arc::clone(&checker));
+    Ok(checker)
 }
 
 /// What is wrong and what is allowed, in the words of a person.
