--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -6,16 +6,18 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::coordination::membership::Membership;
-use crate::coordination::membership::Patience;
+use crate::coordination::fleet_view::FleetView;
 use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::routing::TwoChoices;
 use crate::log_event;
@@ -32,23 +34,32 @@
 use crate::transport::admin_server::AdminHandler;
 use crate::transport::announce_server::AnnounceDesk;
 use crate::transport::announce_server::AnnounceHandler;
+use crate::transport::config_reader::ConfigReader;
+use crate::transport::fleet_link::GossipLink;
 use crate::transport::gate::Gate;
 use crate::transport::gossip::Gossip;
+use crate::transport::gossip::GossipParts;
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::ServerLimits;
 use crate::transport::http_server::serve;
+use crate::transport::http_server::serve_secured;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressHandler;
 use crate::transport::ingress::IngressParts;
 use crate::transport::peer_channel::CallChannels;
+use crate::transport::peer_channel::ControlChannels;
+use crate::transport::peer_security::PeerSecurity;
+use crate::transport::peer_security::SecurityError;
 use crate::transport::peer_server::PeerHandler;
 use crate::transport::platform_http::HttpPlatform;
 use crate::transport::publisher::Publisher;
+use crate::transport::rendezvous::Rendezvous;
 
 /// Result of starting a node.
 pub type Result<T, E = NodeError> = std::result::Result<T, E>;
 
-const FORGET_AFTER: Duration = Duration::from_mins(1);
+/// Attempts to find one port that is free for both streams and datagrams.
+const PORT_ATTEMPTS: u32 = 16;
 
 /// Why a node did not start.
 #[derive(Debug, Snafu)]
@@ -63,6 +74,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The keys and certificates for peers can't be used.
+    #[snafu(display("/peer_security: {source}"), context(false))]
+    Security {
+        /// Why.
+        source: SecurityError,
+    },
 }
 
 /// Where a node listens once it has started.
@@ -106,6 +123,7 @@
 struct Listeners {
     ingress: TcpListener,
     peer: TcpListener,
+    gossip: UdpSocket,
     announce: TcpListener,
     admin: TcpListener,
 }
@@ -140,6 +158,10 @@
     ///
     /// When an address can't be listened on.
     pub async fn start_on(settings: &Settings, policy: P, calls: &Handle) -> Result<Self> {
+        let security = Arc::new(PeerSecurity::load(settings.peer_security.as_ref())?);
+        if !security.is_on() {
+            log_event!(Warn, "peers are not authenticated: /peer_security is not set, so any host may join");
+        }
         let listeners = Listeners::bind(settings).await?;
         let addrs = listeners.addrs()?;
         let me = describe_me(settings, addrs);
@@ -148,7 +170,13 @@
         let directory = Arc::new(Directory::default());
         let burn = Arc::new(BurnCounts::new(Instant::now()));
         let gate = Arc::new(Gate::new(Arc::clone(&metrics)));
-        let gossip = Arc::new(gossip(settings, &me, &config, &directory));
+        let shared = SharedParts {
+            config: Arc::clone(&config),
+            directory: Arc::clone(&directory),
+            metrics: Arc::clone(&metrics),
+            security: Arc::clone(&security),
+        };
+        let gossip = Arc::new(gossip(settings, &me, listeners.gossip, &shared));
         let desk = Arc::new(AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&config)));
         let ingress = Arc::new(Ingress::new(IngressParts {
             me: Arc::new(me.clone()),
@@ -156,7 +184,7 @@
             directory: Arc::clone(&directory),
             config: Arc::clone(&config),
             gate: Arc::clone(&gate),
-            channels: Arc::new(CallChannels::default()),
+            channels: Arc::new(CallChannels::new(Arc::clone(&security))),
             control: Arc::clone(gossip.channels()),
             metrics: Arc::clone(&metrics),
             burn: Arc::clone(&burn),
@@ -164,15 +192,6 @@
             max_replay_bytes: settings.limits.max_replay_bytes,
             max_header_bytes: settings.limits.max_header_bytes,
         }));
-        let platform =
-            HttpPlatform::new(settings.platform.addr, Duration::from_millis(settings.platform.timeout_ms));
-        let publisher = Publisher::new(
-            platform,
-            &me.id,
-            Arc::clone(&config),
-            Arc::clone(&directory),
-            Arc::clone(&metrics),
-        );
         let stop_callers = CancellationToken::new();
         let stop_rest = CancellationToken::new();
         let limits = server_limits(settings);
@@ -189,32 +208,25 @@
         let caller_handler = IngressHandler::new(Arc::clone(&ingress));
         let caller_server = spawn_server(calls, listeners.ingress, limits, caller_handler, &stop_callers);
         let peer_limits = ServerLimits { max_connections: usize::from(u16::MAX), ..limits };
-        let peer_server = spawn_server(calls, listeners.peer, peer_limits, peer_handler, &stop_rest);
+        let peer_server = calls.spawn(serve_secured(
+            listeners.peer,
+            peer_limits,
+            peer_handler,
+            Arc::clone(&security),
+            stop_rest.clone(),
+        ));
         let announce_handler = AnnounceHandler::new(Arc::clone(&desk));
         let control = Handle::current();
-        drop(spawn_server(
-            &control,
-            listeners.announce,
-            ServerLimits::default(),
-            announce_handler,
-            &stop_rest,
-        ));
-        drop(spawn_server(&control, listeners.admin, ServerLimits::default(), admin_handler, &stop_rest));
-        let loops = vec![
+        let control_limits = ServerLimits::default();
+        drop(spawn_server(&control, listeners.announce, control_limits, announce_handler, &stop_rest));
+        drop(spawn_server(&control, listeners.admin, control_limits, admin_handler, &stop_rest));
+        let mut loops = spawn_platform_loops(settings, &gossip, &shared, &stop_rest);
+        loops.extend([
             tokio::spawn(Arc::clone(&gossip).run(stop_rest.clone())),
             tokio::spawn(Arc::clone(&desk).run(stop_rest.clone())),
-            tokio::spawn(publisher.run(stop_rest.clone())),
-        ];
-        log_event!(
-            Info,
-            "node started",
-            node = &me.id.name,
-            incarnation = format_args!("{:x}", me.id.incarnation),
-            ingress = addrs.ingress,
-            peer = addrs.peer,
-            announce = addrs.announce,
-            admin = addrs.admin,
-        );
+            tokio::spawn(security.run(stop_rest.clone())),
+        ]);
+        log_started(&me, addrs);
         Ok(Self {
             addrs,
             gate,
@@ -268,9 +280,11 @@
 impl Listeners {
     async fn bind(settings: &Settings) -> Result<Self> {
         let listen = &settings.listen;
+        let (peer, gossip) = bind_peer(listen.peer_addr).await?;
         Ok(Self {
             ingress: bind(listen.ingress_addr, "/listen/ingress_addr").await?,
-            peer: bind(listen.peer_addr, "/listen/peer_addr").await?,
+            peer,
+            gossip,
             announce: bind(listen.announce_addr, "/listen/announce_addr").await?,
             admin: bind(listen.admin_addr, "/listen/admin_addr").await?,
         })
@@ -290,6 +304,21 @@
     TcpListener::bind(addr).await.context(ListenSnafu { addr, purpose })
 }
 
+/// Streams and datagrams of peers share one port, so that members need to name only one.
+async fn bind_peer(addr: SocketAddr) -> Result<(TcpListener, UdpSocket)> {
+    let purpose = "/listen/peer_addr";
+    let mut attempt = 1;
+    loop {
+        let listener = bind(addr, purpose).await?;
+        let shared = local_addr(&listener)?;
+        match UdpSocket::bind(shared).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(_) if addr.port() == 0 && attempt < PORT_ATTEMPTS => attempt += 1,
+            Err(source) => return Err(NodeError::Listen { addr: shared, purpose, source }),
+        }
+    }
+}
+
 fn local_addr(listener: &TcpListener) -> Result<SocketAddr> {
     let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
     listener.local_addr().context(ListenSnafu { addr: unknown, purpose: "the address in use" })
@@ -305,7 +334,6 @@
         peer_addr: addrs.peer,
         ingress_addr: addrs.ingress,
         upstream: None,
-        config_digest: 0,
         admin_addr: addrs.admin,
     }
 }
@@ -316,19 +344,72 @@
     u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
 }
 
-fn gossip(settings: &Settings, me: &Member, config: &Arc<ConfigTable>, directory: &Arc<Directory>) -> Gossip {
-    let patience = Patience {
-        suspect_after: Duration::from_millis(settings.gossip.suspect_after_ms),
-        dead_after: Duration::from_millis(settings.gossip.dead_after_ms),
-        forget_after: FORGET_AFTER,
-    };
-    Gossip::new(
-        Membership::new(me.clone(), patience),
-        Arc::clone(config),
-        Arc::clone(directory),
+/// Parts that gossip shares with the rest of the node.
+struct SharedParts {
+    config: Arc<ConfigTable>,
+    directory: Arc<Directory>,
+    metrics: SharedMetrics,
+    security: Arc<PeerSecurity>,
+}
+
+fn gossip(settings: &Settings, me: &Member, socket: UdpSocket, shared: &SharedParts) -> Gossip {
+    let view = FleetView::new(
+        me.clone(),
+        settings.gossip.clone(),
         settings.seeds.clone(),
-        Duration::from_millis(settings.gossip.interval_ms),
-    )
+        Arc::clone(&shared.config),
+        Pcg64Mcg::from_rng(&mut rand::rng()),
+        tokio::time::Instant::now(),
+    );
+    Gossip::new(GossipParts {
+        view,
+        config: Arc::clone(&shared.config),
+        directory: Arc::clone(&shared.directory),
+        socket,
+        channels: Arc::new(ControlChannels::new(Arc::clone(&shared.security))),
+        security: Arc::clone(&shared.security),
+        metrics: Arc::clone(&shared.metrics),
+    })
+}
+
+fn log_started(me: &Member, addrs: NodeAddrs) {
+    log_event!(
+        Info,
+        "node started",
+        node = &me.id.name,
+        incarnation = format_args!("{:x}", me.id.incarnation),
+        ingress = addrs.ingress,
+        peer = addrs.peer,
+        announce = addrs.announce,
+        admin = addrs.admin,
+    );
+}
+
+/// Starts what the node does about the platform while it has a role there.
+fn spawn_platform_loops(
+    settings: &Settings,
+    gossip: &Arc<Gossip>,
+    shared: &SharedParts,
+    stop: &CancellationToken,
+) -> Vec<JoinHandle<()>> {
+    let timeout = Duration::from_millis(settings.platform.timeout_ms);
+    let platform = HttpPlatform::new(settings.platform.addr, timeout);
+    let metrics = &shared.metrics;
+    let link = GossipLink::new(Arc::clone(gossip), Arc::clone(&shared.config), Arc::clone(&shared.directory));
+    let publisher = Publisher::new(platform.clone(), link, Arc::clone(metrics), &gossip.me().id);
+    let reader =
+        ConfigReader { platform: platform.clone(), gossip: Arc::clone(gossip), metrics: Arc::clone(metrics) };
+    let rendezvous = Rendezvous {
+        platform,
+        gossip: Arc::clone(gossip),
+        has_seeds: !settings.seeds.is_empty(),
+        metrics: Arc::clone(metrics),
+    };
+    vec![
+        tokio::spawn(publisher.run(stop.clone())),
+        tokio::spawn(reader.run(stop.clone())),
+        tokio::spawn(rendezvous.run(stop.clone())),
+    ]
 }
 
 fn server_limits(settings: &Settings) -> ServerLimits {
--- a/lib/src/transport/peer_channel.rs
+++ b/lib/src/transport/peer_channel.rs
@@ -32,6 +32,7 @@
 use crate::log_event_limited;
 use crate::transport::call_body::BoxError;
 use crate::transport::call_body::CallBody;
+use crate::transport::peer_security::PeerSecurity;
 
 /// Result of talking to a peer.
 pub type Result<T, E = PeerError> = std::result::Result<T, E>;
@@ -84,6 +85,7 @@
 #[derive(Debug)]
 pub struct PeerChannel<B> {
     addr: SocketAddr,
+    security: Arc<PeerSecurity>,
     authority: Option<Authority>,
     sender: ArcSwapOption<SendRequest<B>>,
     connecting: Mutex<()>,
@@ -93,9 +95,10 @@
 where
     B: http_body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Unpin + 'static,
 {
-    fn new(addr: SocketAddr) -> Self {
+    fn new(addr: SocketAddr, security: Arc<PeerSecurity>) -> Self {
         let authority = addr.to_string().parse().ok();
-        Self { addr, authority, sender: ArcSwapOption::const_empty(), connecting: Mutex::const_new(()) }
+        let sender = ArcSwapOption::const_empty();
+        Self { addr, security, authority, sender, connecting: Mutex::const_new(()) }
     }
 
     /// The target of a request as HTTP/2 carries it to this peer.
@@ -138,7 +141,7 @@
         if let Some(sender) = self.open_sender() {
             return Ok(sender);
         }
-        let sender = connect(self.addr).await?;
+        let sender = connect(self.addr, &self.security).await?;
         self.sender.store(Some(Arc::new(sender.clone())));
         Ok(sender)
     }
@@ -149,13 +152,15 @@
     }
 }
 
-async fn connect<B>(addr: SocketAddr) -> Result<SendRequest<B>>
+async fn connect<B>(addr: SocketAddr, security: &PeerSecurity) -> Result<SendRequest<B>>
 where
     B: http_body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Unpin + 'static,
 {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
     let stream = connecting.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
     stream.set_nodelay(true).context(ConnectSnafu)?;
+    let securing = tokio::time::timeout(CONNECT_TIMEOUT, security.connect(stream));
+    let stream = securing.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
     let mut builder = http2::Builder::new(TokioExecutor::new());
     builder
         .timer(TokioTimer::new())
@@ -175,6 +180,7 @@
 #[derive(Debug)]
 pub struct PeerChannels<B> {
     by_addr: ArcSwap<IndexMap<SocketAddr, Arc<PeerChannel<B>>>>,
+    security: Arc<PeerSecurity>,
 }
 
 /// Channels that carry calls.
@@ -185,7 +191,15 @@
 
 impl<B> Default for PeerChannels<B> {
     fn default() -> Self {
-        Self { by_addr: ArcSwap::default() }
+        Self::new(Arc::default())
+    }
+}
+
+impl<B> PeerChannels<B> {
+    /// Channels to peers that prove themselves as `security` asks.
+    #[must_use]
+    pub fn new(security: Arc<PeerSecurity>) -> Self {
+        Self { by_addr: ArcSwap::default(), security }
     }
 }
 
@@ -198,7 +212,7 @@
         if let Some(channel) = self.by_addr.load().get(&addr) {
             return Arc::clone(channel);
         }
-        let fresh = Arc::new(PeerChannel::new(addr));
+        let fresh = Arc::new(PeerChannel::new(addr, Arc::clone(&self.security)));
         self.by_addr.rcu(|channels| {
             let mut next = IndexMap::clone(channels);
             next.entry(addr).or_insert_with(|| Arc::clone(&fresh));
@@ -207,6 +221,11 @@
         self.by_addr.load().get(&addr).map_or(fresh, Arc::clone)
     }
 
+    /// A channel that nobody else uses and whose connection ends with it.
+    pub fn fresh(&self, addr: SocketAddr) -> Arc<PeerChannel<B>> {
+        Arc::new(PeerChannel::new(addr, Arc::clone(&self.security)))
+    }
+
     /// Forgets the channels to addresses that `keep` refuses.
     pub fn retain<F>(&self, keep: F)
     where
--- a/load/src/commands/mod.rs
+++ b/load/src/commands/mod.rs
@@ -5,3 +5,4 @@
 pub mod fleet;
 pub mod peer_bodies;
 pub mod relay;
+pub mod scale;
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod open_loop;
 pub mod policy_variant;
 pub mod probe_pool;
+pub mod process_fleet;
 pub mod process_usage;
 pub mod relay;
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -12,6 +12,7 @@
 use crate::commands::fleet;
 use crate::commands::peer_bodies;
 use crate::commands::relay;
+use crate::commands::scale;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -31,6 +32,7 @@
     PeerBodies(peer_bodies::PeerBodiesArgs),
     Relay(relay::RelayArgs),
     Experiment(experiment::ExperimentArgs),
+    Scale(scale::ScaleArgs),
 }
 
 #[tokio::main]
@@ -41,9 +43,17 @@
         Command::PeerBodies(args) => peer_bodies::cmd_peer_bodies(&args).await,
         Command::Relay(args) => relay::cmd_relay(&args).await,
         Command::Experiment(args) => experiment::cmd_experiment(&args).await,
+        Command::Scale(args) => return finish(scale::cmd_scale(&args).await),
     };
+    finish(result)
+}
+
+fn finish<T, E>(result: Result<T, E>) -> ExitCode
+where
+    E: std::fmt::Display,
+{
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
             ExitCode::FAILURE
