--- a/lib/testutils/src/fault_relay.rs
+++ b/lib/testutils/src/fault_relay.rs
@@ -1,21 +1,24 @@
-//! A TCP relay that breaks a connection when chosen bytes pass.
+//! A relay that breaks a TCP connection when chosen bytes pass, and passes datagrams.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio_util::sync::CancellationToken;
 
 const BUFFER_BYTES: usize = 65_536;
+const PORT_ATTEMPTS: u32 = 16;
 
 /// What happens to a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -96,10 +99,11 @@
     ///
     /// When no port is free.
     pub async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let (listener, socket) = bind_both().await;
         let addr = listener.local_addr().expect("the listener has an address");
         let shared = Arc::new(Shared::default());
         tokio::spawn(accept(listener, Arc::clone(&shared)));
+        tokio::spawn(pass_datagrams(socket, Arc::clone(&shared)));
         Self { addr, shared }
     }
 
@@ -133,6 +137,58 @@
     }
 }
 
+/// A port that is free for both connections and datagrams.
+async fn bind_both() -> (TcpListener, UdpSocket) {
+    for _ in 0..PORT_ATTEMPTS {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let addr = listener.local_addr().expect("the listener has an address");
+        if let Ok(socket) = UdpSocket::bind(addr).await {
+            return (listener, socket);
+        }
+    }
+    panic!("no port is free for both connections and datagrams");
+}
+
+/// Passes datagrams on, each sender's by a socket of its own, so that answers find back.
+async fn pass_datagrams(socket: UdpSocket, shared: Arc<Shared>) {
+    let socket = Arc::new(socket);
+    let mut senders: IndexMap<SocketAddr, Arc<UdpSocket>> = IndexMap::new();
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let (length, from) = tokio::select! {
+            () = shared.stop.cancelled() => return,
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok(received) => received,
+                Err(_) => continue,
+            },
+        };
+        let Some(target) = *shared.target.lock() else {
+            continue;
+        };
+        if !senders.contains_key(&from) {
+            let outward = Arc::new(UdpSocket::bind("127.0.0.1:0").await.expect("a port is free"));
+            tokio::spawn(pass_answers(Arc::clone(&outward), Arc::clone(&socket), from, Arc::clone(&shared)));
+            senders.insert(from, outward);
+        }
+        // A datagram that is lost here is lost as on any network.
+        let _passed = senders[&from].send_to(&buffer[..length], target).await;
+    }
+}
+
+async fn pass_answers(outward: Arc<UdpSocket>, socket: Arc<UdpSocket>, to: SocketAddr, shared: Arc<Shared>) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            received = outward.recv_from(&mut buffer) => {
+                if let Ok((length, _)) = received {
+                    let _passed = socket.send_to(&buffer[..length], to).await;
+                }
+            }
+        }
+    }
+}
+
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
         let client = tokio::select! {
