node, gate: listeners, queue and arriving requests in modules of their own

Change: `transport/listeners.rs`, `transport/gate_queue.rs` and `transport/arriving_request.rs` hold what moved; behaviour is the same.

--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -1,6 +1,5 @@
 //! One node: its servers, its loops, and how they start and stop.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -8,7 +7,6 @@
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -47,6 +45,9 @@
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressHandler;
 use crate::transport::ingress::IngressParts;
+use crate::transport::listeners::ListenError;
+use crate::transport::listeners::Listeners;
+use crate::transport::listeners::NodeAddrs;
 use crate::transport::load_probe::LoadProbe;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::ControlChannels;
@@ -62,21 +63,15 @@
 
 const IDLE_POLL: Duration = Duration::from_millis(10);
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
-/// Attempts to find one port that is free for both streams and datagrams.
-const PORT_ATTEMPTS: u32 = 16;
 
 /// Why a node did not start.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
     /// An address of the settings can't be listened on.
-    #[snafu(display("cannot listen on {addr} for {purpose}"))]
+    #[snafu(transparent)]
     Listen {
-        /// The address.
-        addr: SocketAddr,
-        /// The setting that names it.
-        purpose: &'static str,
-        /// What the system said.
-        source: std::io::Error,
+        /// Which, and why.
+        source: ListenError,
     },
     /// The keys and certificates for peers can't be used.
     #[snafu(display("/peer_security: {source}"), context(false))]
@@ -86,19 +81,6 @@
     },
 }
 
-/// Where a node listens once it has started.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NodeAddrs {
-    /// For callers.
-    pub ingress: SocketAddr,
-    /// For the other nodes.
-    pub peer: SocketAddr,
-    /// For the node's own upstream.
-    pub announce: SocketAddr,
-    /// For operators.
-    pub admin: SocketAddr,
-}
-
 /// A running node.
 #[derive(Debug)]
 pub struct Node<P = TwoChoices> {
@@ -165,14 +147,6 @@
     }
 }
 
-struct Listeners {
-    ingress: TcpListener,
-    peer: TcpListener,
-    gossip: UdpSocket,
-    announce: TcpListener,
-    admin: TcpListener,
-}
-
 impl Node {
     /// Starts a node by its settings.
     ///
@@ -405,62 +379,16 @@
     }
 }
 
-impl Listeners {
-    async fn bind(settings: &Settings) -> Result<Self> {
-        let listen = &settings.listen;
-        let (peer, gossip) = bind_peer(listen.peer_addr).await?;
-        Ok(Self {
-            ingress: bind(listen.ingress_addr, "/listen/ingress_addr").await?,
-            peer,
-            gossip,
-            announce: bind(listen.announce_addr, "/listen/announce_addr").await?,
-            admin: bind(listen.admin_addr, "/listen/admin_addr").await?,
-        })
-    }
-
-    fn addrs(&self) -> Result<NodeAddrs> {
-        Ok(NodeAddrs {
-            ingress: local_addr(&self.ingress)?,
-            peer: local_addr(&self.peer)?,
-            announce: local_addr(&self.announce)?,
-            admin: local_addr(&self.admin)?,
-        })
-    }
-}
-
-async fn bind(addr: SocketAddr, purpose: &'static str) -> Result<TcpListener> {
-    TcpListener::bind(addr).await.context(ListenSnafu { addr, purpose })
-}
-
-/// Streams and datagrams of peers share one port, so that members need to name only one.
-async fn bind_peer(addr: SocketAddr) -> Result<(TcpListener, UdpSocket)> {
-    let purpose = "/listen/peer_addr";
-    let mut attempt = 1;
-    loop {
-        let listener = bind(addr, purpose).await?;
-        let shared = local_addr(&listener)?;
-        match UdpSocket::bind(shared).await {
-            Ok(socket) => return Ok((listener, socket)),
-            Err(_) if addr.port() == 0 && attempt < PORT_ATTEMPTS => attempt += 1,
-            Err(source) => return Err(NodeError::Listen { addr: shared, purpose, source }),
-        }
-    }
-}
-
-fn local_addr(listener: &TcpListener) -> Result<SocketAddr> {
-    let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
-    listener.local_addr().context(ListenSnafu { addr: unknown, purpose: "the address in use" })
-}
-
 fn log_started(me: &Member, addrs: NodeAddrs) {
-    log::info!(
-        "node started; node={} incarnation={:x} ingress={} peer={} announce={} admin={}",
-        me.id.name,
-        me.id.incarnation,
-        addrs.ingress,
-        addrs.peer,
-        addrs.announce,
-        addrs.admin
+    log_event!(
+        Info,
+        "node started",
+        node = &me.id.name,
+        incarnation = format_args!("{:x}", me.id.incarnation),
+        ingress = addrs.ingress,
+        peer = addrs.peer,
+        announce = addrs.announce,
+        admin = addrs.admin,
     );
 }
 
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -10,24 +10,20 @@
 use http::Request;
 use http::Response;
 use http::header::HOST;
-use http_body::Body;
 use http_body_util::BodyExt;
 use http_body_util::Either;
 use http_body_util::Limited;
-use indexmap::IndexMap;
 use parking_lot::Mutex;
 use snafu::ResultExt;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::coordination::admission::Admission;
 use crate::coordination::admission::Grant;
 use crate::coordination::admission::Offer;
 use crate::coordination::admission::Refusal;
 use crate::coordination::admission::Ticket;
 use crate::coordination::admission::TicketKey;
-use crate::coordination::admission::Verdict;
 use crate::coordination::priority_lane::CallerKey;
 use crate::coordination::priority_lane::PriorityRule;
 use crate::coordination::service_estimate::Ended;
@@ -45,12 +41,15 @@
 use crate::state::parent_calls::ParentCalls;
 use crate::transport::answer_relay::AnswerRelay;
 use crate::transport::answer_relay::RelayBody;
+use crate::transport::arriving_request::arrived;
+use crate::transport::arriving_request::cut_on_its_way;
+use crate::transport::arriving_request::fingerprint;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
-use crate::transport::call_body::MAX_AWAITED_BYTES;
 use crate::transport::call_body::whole_if_small;
 use crate::transport::gate_guard::GateGuard;
 use crate::transport::gate_guard::Slot;
+use crate::transport::gate_queue::GateQueue;
 use crate::transport::upstream_fields::for_upstream;
 use crate::transport::upstream_fields::strip_own_fields;
 use crate::transport::upstream_fields::tell_queued;
@@ -61,7 +60,7 @@
 /// Result of passing a call through the gate.
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
-const RETRY_HINT: Duration = Duration::from_millis(100);
+pub(super) const RETRY_HINT: Duration = Duration::from_millis(100);
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_DOCUMENT_BYTES: usize = 16_384;
 
@@ -111,16 +110,10 @@
 /// Body of such an answer: straight from the upstream, or by way of a relay.
 pub type GateBody = Either<GuardedBody<CallBody, GateGuard>, RelayBody>;
 
-#[derive(Debug)]
-struct Queue {
-    admission: Admission,
-    waiters: IndexMap<TicketKey, oneshot::Sender<Result<Grant, Refusal>>>,
-}
-
 /// The gate of one node.
 #[derive(Debug)]
 pub struct Gate {
-    queue: Mutex<Queue>,
+    queue: Mutex<GateQueue>,
     records: CallRecords<Arc<AnswerRelay>>,
     parents: ParentCalls,
     pool: ArcSwapOption<UpstreamPool>,
@@ -131,7 +124,7 @@
     /// A gate without an upstream.
     #[must_use]
     pub fn new(metrics: SharedMetrics) -> Self {
-        let queue = Queue { admission: Admission::new(0, &[], Instant::now()), waiters: IndexMap::new() };
+        let queue = GateQueue::new(Instant::now());
         Self {
             queue: Mutex::new(queue),
             records: CallRecords::default(),
@@ -486,21 +479,6 @@
     }
 }
 
-impl Queue {
-    fn deliver(&mut self, verdicts: Vec<Verdict>) {
-        for verdict in verdicts {
-            let (key, outcome) = match verdict {
-                Verdict::Admit(key, grant) => (key, Ok(grant)),
-                Verdict::Refuse(key, refusal) => (key, Err(refusal)),
-            };
-            if let Some(waiter) = self.waiters.swap_remove(&key) {
-                // A waiter that is gone gives its slot back when it is dropped.
-                let _delivered = waiter.send(outcome);
-            }
-        }
-    }
-}
-
 /// How a call came through the door.
 enum Entry {
     Granted(Grant),
@@ -566,32 +544,6 @@
     }
 }
 
-/// Waits for a small body, so that a call cut on its way here never starts.
-async fn arrived(request: Request<CallBody>, deadline: Instant) -> Result<Request<CallBody>> {
-    if request.body().size_hint().exact().is_none_or(|size| size > MAX_AWAITED_BYTES) {
-        return Ok(request);
-    }
-    let (head, body) = request.into_parts();
-    let late = |_elapsed| ErrorAnswer::new(ErrorKind::DeadlineBeforeStart, "the body did not arrive in time");
-    let collected = tokio::time::timeout_at(deadline, body.collect()).await.map_err(late)?;
-    let whole = collected.map_err(|error| cut_on_its_way(&error.to_string()))?;
-    let trailers = whole.trailers().cloned();
-    Ok(Request::from_parts(head, CallBody::kept(whole.to_bytes(), trailers)))
-}
-
-/// Tells apart requests that a caller sends with the same ticket by mistake.
-fn fingerprint(request: &Request<CallBody>) -> u64 {
-    let size = request.body().size_hint().exact();
-    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
-    let identity = format!("{} {target} {size:?}", request.method());
-    xxh3_64(identity.as_bytes())
-}
-
-fn cut_on_its_way(reason: &str) -> ErrorAnswer {
-    let message = format!("the request was cut short on its way to the gate: {reason}");
-    ErrorAnswer::new(ErrorKind::NoUpstream, message).retry_after(RETRY_HINT)
-}
-
 fn caller_left() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the caller left and the call was cancelled")
 }
