ingress: drop channels that nothing asks over, one retry hint instead of two

Cause: since calls are resolved over the call channels, the ingress held control channels that nothing used, and the retry hint of 200 ms stood in two modules.

Change: the field, the accessor that fed it and the second constant are gone. Behaviour is the same.

--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -325,7 +325,6 @@
             config: Arc::clone(&self.shared.config),
             gate: Arc::clone(&self.gate),
             channels: Arc::new(CallChannels::new(Arc::clone(&self.shared.security))),
-            control: Arc::clone(self.gossip.channels()),
             metrics: Arc::clone(&self.shared.metrics),
             burn: Arc::clone(&self.burn),
             decisions: Arc::clone(&self.decisions),
--- a/lib/src/transport/call_resolution.rs
+++ b/lib/src/transport/call_resolution.rs
@@ -35,6 +35,7 @@
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::whole_if_small;
 use crate::transport::gate::Gate;
+use crate::transport::ingress::RETRY_HINT;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::PeerChannel;
 use crate::transport::peer_channel::PeerError;
@@ -42,7 +43,6 @@
 /// Result of a call through a gate.
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
-const RETRY_HINT: Duration = Duration::from_millis(200);
 const RESOLVE_PAUSE: Duration = Duration::from_millis(20);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/lib/src/transport/gossip.rs
+++ b/lib/src/transport/gossip.rs
@@ -122,12 +122,6 @@
         Arc::clone(self.inner.lock().view.membership().me())
     }
 
-    /// Channels for control messages.
-    #[must_use]
-    pub const fn channels(&self) -> &Arc<ControlChannels> {
-        &self.channels
-    }
-
     /// The node's upstream announced itself, changed or went.
     pub fn set_upstream(&self, upstream: Option<UpstreamInfo>) {
         let changed = self.inner.lock().view.set_upstream(upstream);
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -65,12 +65,11 @@
 use crate::transport::outgoing_call::Outgoing;
 use crate::transport::outgoing_call::OutgoingBody;
 use crate::transport::peer_channel::CallChannels;
-use crate::transport::peer_channel::ControlChannels;
 
 /// Result of one attempt.
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
-const RETRY_HINT: Duration = Duration::from_millis(200);
+pub(super) const RETRY_HINT: Duration = Duration::from_millis(200);
 
 /// Body of an upstream's answer: over a peer connection, or from the gate beside.
 pub(super) type AnswerBody = Either<PeerAnswerBody, GateBody>;
@@ -93,8 +92,6 @@
     pub gate: Arc<Gate>,
     /// Channels for calls to the other gates.
     pub channels: Arc<CallChannels>,
-    /// Channels for questions to the other gates.
-    pub control: Arc<ControlChannels>,
     /// Counters.
     pub metrics: SharedMetrics,
     /// Calls held against their objectives.
