--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -16,8 +16,10 @@
 use yuccatray::node::CallsLeft;
 use yuccatray::node::Node;
 use yuccatray::protocol::checked_json::JsonError;
+use yuccatray::protocol::settings::DialectName;
 use yuccatray::protocol::settings::LogLevel;
 use yuccatray::protocol::settings::Settings;
+use yuccatray_platform::UsersPlatform;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -34,7 +36,7 @@
 #[command(name = "yuccatrayd", version)]
 struct Args {
     /// Settings file: JSON with comments.
-    #[arg(long, required_unless_present = "print_defaults")]
+    #[arg(long, env = "YUCCATRAY_SETTINGS", required_unless_present = "print_defaults")]
     settings: Option<PathBuf>,
     /// Check the settings and stop.
     #[arg(long)]
@@ -85,7 +87,11 @@
         eprintln!("error: cannot listen for signals");
         return ExitCode::from(EXIT_FAILED);
     };
-    let node = match Node::start_on(settings, TwoChoices, calls).await {
+    let started = match settings.dialect {
+        DialectName::Own => Node::start_on(settings, TwoChoices, calls).await,
+        DialectName::Platform => Node::start_routed::<UsersPlatform>(settings, TwoChoices, calls).await,
+    };
+    let node = match started {
         Ok(node) => node,
         Err(error) => {
             eprintln!(
--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -51,6 +51,8 @@
     pub caller: CallerKey,
     /// When the call is of no more use.
     pub deadline: Instant,
+    /// When its answer is worth less, where that is not the objective of its priority.
+    pub objective_at: Option<Instant>,
     /// Longest time in all for which it is worth staying here, when another gate may be better.
     pub patience: Option<Duration>,
     /// Whether it may run more than once, which makes it the better trial of a bad upstream.
@@ -214,9 +216,11 @@
     }
 
     fn enqueue(&mut self, ticket: Ticket, index: usize, wait: Duration, now: Instant) -> Offer {
-        let longest_wait = self.longest_wait(index, ticket.caller);
+        let objective = ticket.objective_at.map(|at| at.saturating_duration_since(now));
+        let objective = objective.unwrap_or(self.lanes[index].rule().objective);
+        let longest_wait = self.longest_wait(index, objective, ticket.caller);
         let lane = &mut self.lanes[index];
-        let objective_at = now + lane.rule().objective;
+        let objective_at = now + objective;
         if now + wait >= ticket.deadline {
             return Offer::Refused(Refusal::TooLate);
         }
@@ -233,17 +237,17 @@
     }
 
     /// Longest wait with which a call may join the queue of the lane.
-    fn longest_wait(&self, index: usize, caller: CallerKey) -> Duration {
+    fn longest_wait(&self, index: usize, objective: Duration, caller: CallerKey) -> Duration {
         let lane = &self.lanes[index];
         let rule = lane.rule();
         let service_time = self.service_time();
-        let usual = rule.objective.saturating_sub(service_time) / WAIT_DIVISOR;
+        let usual = objective.saturating_sub(service_time) / WAIT_DIVISOR;
         let kept_slots = (rule.min_share_percent * self.slots()).div_ceil(100);
         if lane.ahead_of(caller) > kept_slots {
             return usual;
         }
         // Too short a queue runs empty between arrivals, and the priority loses its share.
-        usual.max(rule.objective.saturating_sub(service_time * 2))
+        usual.max(objective.saturating_sub(service_time * 2))
     }
 
     /// A call that was let through let go of its slot.
--- a/lib/src/coordination/publication.rs
+++ b/lib/src/coordination/publication.rs
@@ -97,7 +97,7 @@
         return None;
     }
     let revision = last_revision.max(floor) + 1;
-    Some(Published { service: Arc::clone(name), revision, epoch, config })
+    Some(Published { service: Arc::clone(name), revision, epoch, config, routes: None })
 }
 
 fn read<T>(object: &Object) -> Result<T>
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -1,6 +1,8 @@
 //! One node: its servers, its loops, and how they start and stop.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -33,6 +35,7 @@
 use crate::transport::admin_server::AdminHandler;
 use crate::transport::announce_server::AnnounceDesk;
 use crate::transport::announce_server::AnnounceHandler;
+use crate::transport::check_in_server::CheckInHandler;
 use crate::transport::config_reader::ConfigReader;
 use crate::transport::fleet_link::GossipLink;
 use crate::transport::gate::Gate;
@@ -45,6 +48,7 @@
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressHandler;
 use crate::transport::ingress::IngressParts;
+use crate::transport::interface::Interface;
 use crate::transport::listeners::ListenError;
 use crate::transport::listeners::Listeners;
 use crate::transport::listeners::NodeAddrs;
@@ -57,6 +61,8 @@
 use crate::transport::platform_http::HttpPlatform;
 use crate::transport::publisher::Publisher;
 use crate::transport::rendezvous::Rendezvous;
+use crate::transport::routed_ingress::RoutedHandler;
+use crate::transport::routes_reader::RoutesReader;
 
 /// Result of starting a node.
 pub type Result<T, E = NodeError> = std::result::Result<T, E>;
@@ -91,6 +97,8 @@
     desk: Arc<AnnounceDesk>,
     ingress: Arc<Ingress<P>>,
     under_way: CallsUnderWay,
+    stopping: Arc<AtomicBool>,
+    unready_notice: Duration,
     shutdown_timeout: Duration,
     stop_callers: CancellationToken,
     stop_rest: CancellationToken,
@@ -182,14 +190,54 @@
             log_event!(Warn, "peers are not authenticated: /peer_security is not set, so any host may join");
         }
         let listeners = Listeners::bind(settings).await?;
-        let addrs = listeners.addrs()?;
-        let core = Core::new(settings, addrs, listeners.gossip, security);
+        let gate = Gate::new;
+        let core = Core::new(settings, &listeners, security, gate)?;
         let ingress = Arc::new(core.ingress(settings, policy));
-        let stop_callers = CancellationToken::new();
+        let handlers = Handlers {
+            callers: IngressHandler::new(Arc::clone(&ingress)),
+            upstream: AnnounceHandler::new(Arc::clone(&core.desk)),
+        };
+        let stop_rest = CancellationToken::new();
+        let platform = spawn_platform_loops(settings, &core.gossip, &core.shared, &stop_rest);
+        let parts = Parts { listeners, core, ingress, handlers, platform, stop_rest };
+        Ok(Self::launch(settings, parts, calls))
+    }
+
+    /// Starts a node whose callers, upstream and platform speak a dialect of their own.
+    ///
+    /// # Errors
+    ///
+    /// When an address can't be listened on.
+    pub async fn start_routed<I>(settings: &Settings, policy: P, calls: &Handle) -> Result<Self>
+    where
+        I: Interface,
+    {
+        let security = Arc::new(PeerSecurity::load(settings.peer_security.as_ref())?);
+        let listeners = Listeners::bind(settings).await?;
+        let gate = |metrics| Gate::new(metrics).with_foreign_upstream(I::upstream_fields());
+        let core = Core::new(settings, &listeners, security, gate)?;
+        let ingress = Arc::new(core.ingress(settings, policy));
+        let own_service = settings.upstream.as_ref().map(|upstream| upstream.service.as_ref());
+        let handlers = Handlers {
+            callers: RoutedHandler::<P, I>::new(Arc::clone(&ingress), own_service),
+            upstream: CheckInHandler::<I>::new(Arc::clone(&core.desk)),
+        };
         let stop_rest = CancellationToken::new();
+        let platform = spawn_routed_loops::<I>(settings, &core.gossip, &core.shared, &stop_rest);
+        let parts = Parts { listeners, core, ingress, handlers, platform, stop_rest };
+        Ok(Self::launch(settings, parts, calls))
+    }
+
+    fn launch<C, U>(settings: &Settings, parts: Parts<P, C, U>, calls: &Handle) -> Self
+    where
+        C: Handler,
+        U: Handler,
+    {
+        let Parts { listeners, core, ingress, handlers, platform, stop_rest } = parts;
+        let addrs = core.addrs;
+        let stop_callers = CancellationToken::new();
         let limits = server_limits(settings);
-        let caller_handler = IngressHandler::new(Arc::clone(&ingress));
-        let caller_server = spawn_server(calls, listeners.ingress, limits, caller_handler, &stop_callers);
+        let caller_server = spawn_server(calls, listeners.ingress, limits, handlers.callers, &stop_callers);
         let peer_limits = ServerLimits { max_connections: usize::from(u16::MAX), ..limits };
         let peer_server = calls.spawn(serve_secured(
             listeners.peer,
@@ -198,19 +246,21 @@
             Arc::clone(&core.shared.security),
             stop_rest.clone(),
         ));
-        let announce_handler = AnnounceHandler::new(Arc::clone(&core.desk));
         let control = Handle::current();
         let control_limits = ServerLimits::default();
-        drop(spawn_server(&control, listeners.announce, control_limits, announce_handler, &stop_rest));
+        drop(spawn_server(&control, listeners.announce, control_limits, handlers.upstream, &stop_rest));
         drop(spawn_server(&control, listeners.admin, control_limits, core.admin_handler(), &stop_rest));
-        let loops = core.spawn_loops(settings, &stop_rest);
+        let mut loops = core.spawn_loops(&stop_rest);
+        loops.extend(platform);
         log_started(&core.me, addrs);
-        let Core { gate, gossip, desk, shared, .. } = core;
+        let Core { gate, gossip, desk, shared, stopping, .. } = core;
         let SharedParts { directory, metrics, .. } = shared;
         let under_way = CallsUnderWay { gate: Arc::clone(&gate), directory };
-        Ok(Self {
+        Self {
             addrs,
             under_way,
+            stopping,
+            unready_notice: Duration::from_millis(settings.limits.unready_notice_ms),
             shutdown_timeout: limits.shutdown_timeout,
             gate,
             metrics,
@@ -222,7 +272,7 @@
             caller_server,
             peer_server,
             loops,
-        })
+        }
     }
 
     /// Where the node listens.
@@ -254,6 +304,8 @@
     /// All of it together takes no longer than the shutdown timeout of the settings.
     pub async fn stop(mut self) -> Shutdown {
         let until = Instant::now() + self.shutdown_timeout;
+        self.stopping.store(true, Ordering::Relaxed);
+        tokio::time::sleep_until(until.min(Instant::now() + self.unready_notice)).await;
         self.desk.drain();
         self.ingress.drain();
         // What peers don't hear now they hear from the gate, which refuses their calls.
@@ -279,10 +331,28 @@
     matches!(tokio::time::timeout_at(until, server).await, Ok(Ok(true)))
 }
 
+/// What a node is put together from.
+struct Parts<P, C, U> {
+    listeners: Listeners,
+    core: Core,
+    ingress: Arc<Ingress<P>>,
+    handlers: Handlers<C, U>,
+    platform: Vec<JoinHandle<()>>,
+    stop_rest: CancellationToken,
+}
+
+/// What answers callers and the upstream beside.
+struct Handlers<C, U> {
+    callers: C,
+    upstream: U,
+}
+
 /// What the parts of one node share.
 #[derive(Debug)]
 struct Core {
     me: Member,
+    addrs: NodeAddrs,
+    stopping: Arc<AtomicBool>,
     shared: SharedParts,
     burn: Arc<BurnCounts>,
     decisions: Arc<DecisionLog>,
@@ -292,7 +362,17 @@
 }
 
 impl Core {
-    fn new(settings: &Settings, addrs: NodeAddrs, socket: UdpSocket, security: Arc<PeerSecurity>) -> Self {
+    fn new<G>(
+        settings: &Settings,
+        listeners: &Listeners,
+        security: Arc<PeerSecurity>,
+        gate: G,
+    ) -> Result<Self>
+    where
+        G: FnOnce(SharedMetrics) -> Gate,
+    {
+        let addrs = listeners.addrs()?;
+        let socket = Arc::clone(&listeners.gossip);
         let me = describe_me(settings, addrs);
         let shared = SharedParts {
             config: Arc::new(ConfigTable::new()),
@@ -300,18 +380,20 @@
             metrics: SharedMetrics::new(Metrics::default()),
             security,
         };
-        let gate = Arc::new(Gate::new(Arc::clone(&shared.metrics)));
+        let gate = Arc::new(gate(Arc::clone(&shared.metrics)));
         let gossip = Arc::new(gossip(settings, &me, socket, &shared));
         let desk = AnnounceDesk::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&shared.config));
-        Self {
+        Ok(Self {
             me,
+            addrs,
+            stopping: Arc::default(),
             shared,
             burn: Arc::new(BurnCounts::new(Instant::now())),
             decisions: Arc::new(DecisionLog::new(Instant::now())),
             gate,
             gossip,
             desk: Arc::new(desk),
-        }
+        })
     }
 
     fn ingress<P>(&self, settings: &Settings, policy: P) -> Ingress<P>
@@ -350,6 +432,7 @@
             config: Arc::clone(&self.shared.config),
             gate: Arc::clone(&self.gate),
             desk: Arc::clone(&self.desk),
+            stopping: Arc::clone(&self.stopping),
             metrics: Arc::clone(&self.shared.metrics),
             burn: Arc::clone(&self.burn),
             decisions: Arc::clone(&self.decisions),
@@ -366,15 +449,13 @@
         }
     }
 
-    fn spawn_loops(&self, settings: &Settings, stop: &CancellationToken) -> Vec<JoinHandle<()>> {
-        let mut loops = spawn_platform_loops(settings, &self.gossip, &self.shared, stop);
-        loops.extend([
+    fn spawn_loops(&self, stop: &CancellationToken) -> Vec<JoinHandle<()>> {
+        vec![
             tokio::spawn(Arc::clone(&self.gossip).run(stop.clone())),
             tokio::spawn(Arc::clone(&self.desk).run(stop.clone())),
             tokio::spawn(self.load_probe().run(stop.clone())),
             tokio::spawn(Arc::clone(&self.shared.security).run(stop.clone())),
-        ]);
-        loops
+        ]
     }
 }
 
@@ -420,7 +501,7 @@
     security: Arc<PeerSecurity>,
 }
 
-fn gossip(settings: &Settings, me: &Member, socket: UdpSocket, shared: &SharedParts) -> Gossip {
+fn gossip(settings: &Settings, me: &Member, socket: Arc<UdpSocket>, shared: &SharedParts) -> Gossip {
     let view = FleetView::new(
         me.clone(),
         settings.gossip.clone(),
@@ -467,6 +548,28 @@
     ]
 }
 
+/// Starts what the node does about a platform that speaks a dialect of its own.
+fn spawn_routed_loops<I>(
+    settings: &Settings,
+    gossip: &Arc<Gossip>,
+    shared: &SharedParts,
+    stop: &CancellationToken,
+) -> Vec<JoinHandle<()>>
+where
+    I: Interface,
+{
+    let platform = I::store(&settings.platform);
+    let metrics = &shared.metrics;
+    let reader = RoutesReader::<I>::new(platform.clone(), Arc::clone(gossip), Arc::clone(metrics));
+    let rendezvous = Rendezvous {
+        platform,
+        gossip: Arc::clone(gossip),
+        has_seeds: !settings.seeds.is_empty(),
+        metrics: Arc::clone(metrics),
+    };
+    vec![tokio::spawn(reader.run(stop.clone())), tokio::spawn(rendezvous.run(stop.clone()))]
+}
+
 fn server_limits(settings: &Settings) -> ServerLimits {
     ServerLimits {
         max_connections: settings.limits.max_caller_connections as usize,
--- a/lib/src/protocol/error_kind.rs
+++ b/lib/src/protocol/error_kind.rs
@@ -17,6 +17,10 @@
     MalformedRequest,
     /// No published configuration knows the service.
     UnknownService,
+    /// No route of the configuration in force takes the request.
+    UnknownRoute,
+    /// The node knows no configuration yet.
+    NoConfiguration,
     /// The service declares no such priority.
     UnknownPriority,
     /// The header section is larger than the node accepts.
@@ -76,9 +80,11 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 18] = [
         Self::MalformedRequest,
         Self::UnknownService,
+        Self::UnknownRoute,
+        Self::NoConfiguration,
         Self::UnknownPriority,
         Self::HeadersTooLarge,
         Self::BodyTooLarge,
@@ -103,6 +109,10 @@
         match self {
             Self::MalformedRequest => row("malformed_request", StatusCode::BAD_REQUEST, NotExecuted, false),
             Self::UnknownService => row("unknown_service", StatusCode::NOT_FOUND, NotExecuted, false),
+            Self::UnknownRoute => row("unknown_route", StatusCode::NOT_FOUND, NotExecuted, false),
+            Self::NoConfiguration => {
+                row("no_configuration", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true)
+            }
             Self::UnknownPriority => row("unknown_priority", StatusCode::BAD_REQUEST, NotExecuted, false),
             Self::HeadersTooLarge => {
                 row("headers_too_large", StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, NotExecuted, false)
--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -15,6 +15,8 @@
 pub const REPEAT: HeaderName = HeaderName::from_static("yuccatray-repeat");
 /// Longest time in all for which the call should stay at the gate, in microseconds.
 pub const PATIENCE_US: HeaderName = HeaderName::from_static("yuccatray-patience-us");
+/// Time left until the answer is worth less, in milliseconds; between nodes only.
+pub const OBJECTIVE_MS: HeaderName = HeaderName::from_static("yuccatray-objective-ms");
 /// `true` or `false`: whether the call may run more than once.
 pub const IDEMPOTENT: HeaderName = HeaderName::from_static("yuccatray-idempotent");
 /// A key of the caller's that ties its own resends together.
--- a/lib/src/protocol/object.rs
+++ b/lib/src/protocol/object.rs
@@ -24,11 +24,13 @@
     Lease,
     /// Addresses of nodes that others may join through.
     Rendezvous,
+    /// The routes of the fleet, where operators write them as one whole.
+    Routes,
 }
 
 impl ObjectKind {
     /// Every kind.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Service,
         Self::PrioritySet,
         Self::UpstreamRule,
@@ -36,6 +38,7 @@
         Self::ServiceStatus,
         Self::Lease,
         Self::Rendezvous,
+        Self::Routes,
     ];
 
     /// Kinds that operators write.
@@ -52,6 +55,7 @@
             Self::ServiceStatus => "ServiceStatus",
             Self::Lease => "Lease",
             Self::Rendezvous => "Rendezvous",
+            Self::Routes => "Routes",
         }
     }
 
--- a/lib/src/protocol/published.rs
+++ b/lib/src/protocol/published.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::protocol::route::RouteSet;
 use crate::protocol::service_spec::PrioritySetSpec;
 use crate::protocol::service_spec::ServiceSpec;
 use crate::protocol::service_spec::UpstreamRuleSpec;
@@ -21,6 +22,9 @@
     pub epoch: u64,
     /// The configuration, or nothing once the service was deleted.
     pub config: Option<PublishedConfig>,
+    /// The routes of the fleet, under their own name instead of a service's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub routes: Option<RouteSet>,
 }
 
 /// The objects that a service refers to, resolved.
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -31,6 +31,12 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's object API.
     pub platform: PlatformSettings,
+    /// What callers, the upstream and the platform speak with the node.
+    #[serde(default)]
+    pub dialect: DialectName,
+    /// The upstream beside the node, where it is known beforehand.
+    #[serde(default)]
+    pub upstream: Option<UpstreamSettings>,
     /// Bounds on what the node accepts.
     #[serde(default)]
     pub limits: LimitSettings,
@@ -65,6 +71,26 @@
     pub authority_file: Arc<str>,
 }
 
+/// What callers, the upstream and the platform speak with a node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum DialectName {
+    /// The interface of this project.
+    #[default]
+    Own,
+    /// Routed requests and check-ins of the users' platform.
+    Platform,
+}
+
+/// The upstream beside a node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamSettings {
+    /// Service that it serves.
+    #[schemars(length(min = 1, max = 255))]
+    pub service: Arc<str>,
+}
+
 /// Who a node is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -112,6 +138,10 @@
     #[serde(default = "default_platform_timeout_ms")]
     #[schemars(range(min = 10, max = 60_000))]
     pub timeout_ms: u64,
+    /// Time for which a watch waits for a change, in milliseconds.
+    #[serde(default = "default_watch_wait_ms")]
+    #[schemars(range(min = 100, max = 30_000))]
+    pub watch_wait_ms: u64,
 }
 
 /// Bounds on what a node accepts.
@@ -130,6 +160,9 @@
     /// Largest request body kept for a retry, in bytes.
     #[schemars(range(min = 0, max = 16_777_216))]
     pub max_replay_bytes: u64,
+    /// Time between saying that the node is not ready and taking no more calls, in milliseconds.
+    #[schemars(range(min = 0, max = 3_600_000))]
+    pub unready_notice_ms: u64,
     /// Time for calls in flight at shutdown, in milliseconds.
     #[schemars(range(min = 0, max = 3_600_000))]
     pub shutdown_timeout_ms: u64,
@@ -219,7 +252,7 @@
 
     fn cross_field_problems(&self) -> Vec<FieldProblem> {
         let mut problems = Vec::new();
-        if !self.listen.announce_addr.ip().is_loopback() {
+        if self.dialect == DialectName::Own && !self.listen.announce_addr.ip().is_loopback() {
             problems.push(FieldProblem {
                 field: "/listen/announce_addr".to_owned(),
                 problem: "has to be a loopback address, since only the upstream beside the node may announce"
@@ -243,6 +276,7 @@
             max_caller_connections: 2_000,
             header_timeout_ms: 10_000,
             max_replay_bytes: 65_536,
+            unready_notice_ms: 0,
             shutdown_timeout_ms: 30_000,
         }
     }
@@ -274,6 +308,10 @@
     }
 }
 
+const fn default_watch_wait_ms() -> u64 {
+    20_000
+}
+
 const fn default_platform_timeout_ms() -> u64 {
     2_000
 }
--- a/lib/src/state/config_table.rs
+++ b/lib/src/state/config_table.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::protocol::published::Published;
+use crate::state::route_table::RouteTable;
 
 /// Services by name at one moment.
 pub type ConfigSnapshot = IndexMap<Arc<str>, Arc<Published>>;
@@ -15,6 +17,7 @@
 #[derive(Debug, Default)]
 pub struct ConfigTable {
     current: ArcSwap<ConfigSnapshot>,
+    routes: ArcSwapOption<RouteTable>,
 }
 
 impl ConfigTable {
@@ -30,10 +33,20 @@
         self.current.load_full()
     }
 
-    /// The publication of a service, deleted ones included.
+    /// The publication of a service, deleted ones included, or what the routes declare of it.
     #[must_use]
     pub fn get(&self, service: &str) -> Option<Arc<Published>> {
-        self.current.load().get(service).map(Arc::clone)
+        if let Some(published) = self.current.load().get(service) {
+            return Some(Arc::clone(published));
+        }
+        let routes = self.routes.load();
+        routes.as_ref().and_then(|routes| routes.service(service)).map(Arc::clone)
+    }
+
+    /// The routes in force, once any are known.
+    #[must_use]
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes.load_full()
     }
 
     /// Digest of the services and revisions held, the same on nodes that hold the same.
@@ -56,8 +69,18 @@
             next.insert(Arc::clone(&published.service), Arc::clone(&published));
             Arc::new(next)
         });
+        if applied && let Some(set) = &published.routes {
+            self.use_routes(&Arc::new(RouteTable::new(set, published.revision)));
+        }
         applied
     }
+
+    fn use_routes(&self, table: &Arc<RouteTable>) {
+        self.routes.rcu(|held| match held {
+            Some(held) if held.revision() >= table.revision() => Some(Arc::clone(held)),
+            _ => Some(Arc::clone(table)),
+        });
+    }
 }
 
 fn is_newer(table: &ConfigSnapshot, published: &Published) -> bool {
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -8,5 +8,6 @@
 pub mod directory;
 pub mod metrics;
 pub mod parent_calls;
+pub mod route_table;
 pub mod time_ring;
 pub mod upstream_stats;
--- a/lib/src/transport/admin_server.rs
+++ b/lib/src/transport/admin_server.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -92,6 +94,8 @@
     pub gate: Arc<Gate>,
     /// The node's upstream, to drain it.
     pub desk: Arc<AnnounceDesk>,
+    /// Whether the node has been told to stop.
+    pub stopping: Arc<AtomicBool>,
     /// Counters.
     pub metrics: SharedMetrics,
     /// Calls held against their objectives.
@@ -148,6 +152,9 @@
 
     /// Why callers had better call another node, or nothing.
     fn not_ready(&self) -> Option<&'static str> {
+        if self.stopping.load(Ordering::Relaxed) {
+            return Some("stopping");
+        }
         let snapshot = self.directory.snapshot();
         let me = snapshot.by_name(&self.me.id.name);
         if me.is_some_and(|entry| entry.member.state == MemberState::Leaving) {
@@ -181,7 +188,7 @@
     async fn handle(&self, request: Request<Incoming>, _remote: SocketAddr) -> Response<Full<Bytes>> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/livez") => answer(StatusCode::OK, "text/plain", "alive\n".to_owned()),
-            (&Method::GET, "/readyz") => match self.not_ready() {
+            (&Method::GET, "/readyz" | "/ready") => match self.not_ready() {
                 None => answer(StatusCode::OK, "text/plain", "ready\n".to_owned()),
                 Some(reason) => answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", format!("{reason}\n")),
             },
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -24,6 +24,9 @@
 
 use crate::coordination::priority_lane::PriorityRule;
 use crate::log_event;
+use crate::protocol::check_in::Boot;
+use crate::protocol::check_in::CheckIn;
+use crate::protocol::check_in::Heartbeat;
 use crate::protocol::checked_json::addr_schema;
 use crate::protocol::checked_json::checked_from_value;
 use crate::protocol::checked_json::parse_jsonc;
@@ -59,10 +62,41 @@
 #[derive(Debug)]
 struct Announced {
     announcement: Announcement,
+    life: Option<Life>,
     renewed_at: Instant,
     revision: Option<u64>,
 }
 
+/// The life of an upstream that an announcement speaks of, and its place among that life's words.
+#[derive(Clone, Debug)]
+struct Life {
+    boot: Boot,
+    sequence: u64,
+}
+
+impl Life {
+    /// Whether `self` is a later word than `other`; a later life goes before any word of an earlier.
+    fn is_after(&self, other: &Self) -> bool {
+        if self.boot == other.boot {
+            return self.sequence > other.sequence;
+        }
+        self.is_after_boot(&other.boot)
+    }
+
+    fn is_after_boot(&self, other: &Boot) -> bool {
+        self.boot.started_unix_ms >= other.started_unix_ms
+    }
+}
+
+/// What a desk made of a check-in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It holds from now on.
+    Followed,
+    /// Something newer is known already.
+    Outdated,
+}
+
 /// The upstream beside the node, as it announced itself.
 #[derive(Debug)]
 pub struct AnnounceDesk {
@@ -70,6 +104,8 @@
     gossip: Arc<Gossip>,
     config: Arc<ConfigTable>,
     announced: Mutex<Option<Announced>>,
+    /// The life that said that it leaves, until a later one speaks.
+    left: Mutex<Option<Boot>>,
     draining: AtomicBool,
 }
 
@@ -77,7 +113,14 @@
     /// A desk at which nobody has announced itself yet.
     #[must_use]
     pub fn new(gate: Arc<Gate>, gossip: Arc<Gossip>, config: Arc<ConfigTable>) -> Self {
-        Self { gate, gossip, config, announced: Mutex::new(None), draining: AtomicBool::new(false) }
+        Self {
+            gate,
+            gossip,
+            config,
+            announced: Mutex::new(None),
+            left: Mutex::new(None),
+            draining: AtomicBool::new(false),
+        }
     }
 
     /// Lets announcements lapse and follows the configuration until told to stop.
@@ -116,11 +159,72 @@
 
     fn announce(&self, announcement: Announcement) {
         let mut announced = self.announced.lock();
-        let mut next = Announced { announcement, renewed_at: Instant::now(), revision: None };
+        let mut next = Announced { announcement, life: None, renewed_at: Instant::now(), revision: None };
         self.follow(&mut next);
         *announced = Some(next);
     }
 
+    /// Takes in what an upstream of another dialect says of itself.
+    pub(super) fn check_in(&self, check_in: CheckIn) -> Taken {
+        match check_in {
+            CheckIn::Heartbeat(heartbeat) => self.take_heartbeat(heartbeat),
+            CheckIn::Leave(instance) => self.take_leave(&instance),
+        }
+    }
+
+    fn take_heartbeat(&self, heartbeat: Heartbeat) -> Taken {
+        let life = Life { boot: heartbeat.boot, sequence: heartbeat.sequence };
+        let mut announced = self.announced.lock();
+        let mut left = self.left.lock();
+        let known = announced.as_ref().and_then(|held| held.life.as_ref());
+        if known.is_some_and(|known| !life.is_after(known))
+            || left.as_ref().is_some_and(|gone| *gone == life.boot || !life.is_after_boot(gone))
+        {
+            return Taken::Outdated;
+        }
+        let changed = announced.as_ref().is_none_or(|held| {
+            held.life.as_ref().is_none_or(|known| known.boot != life.boot)
+                || held.announcement.draining != heartbeat.draining
+        });
+        if changed {
+            log_event!(
+                Info,
+                "upstream checked in",
+                instance = &life.boot.instance,
+                service = &heartbeat.service,
+                sequence = life.sequence,
+                draining = heartbeat.draining,
+            );
+        }
+        *left = None;
+        let announcement = Announcement {
+            service: heartbeat.service,
+            addr: heartbeat.addr,
+            slots: heartbeat.slots,
+            draining: heartbeat.draining,
+        };
+        let mut next =
+            Announced { announcement, life: Some(life), renewed_at: Instant::now(), revision: None };
+        self.follow(&mut next);
+        *announced = Some(next);
+        Taken::Followed
+    }
+
+    fn take_leave(&self, instance: &Arc<str>) -> Taken {
+        let mut announced = self.announced.lock();
+        let boot = announced.as_ref().and_then(|held| held.life.as_ref()).map(|life| life.boot.clone());
+        let Some(boot) = boot.filter(|boot| boot.instance == *instance) else {
+            return Taken::Outdated;
+        };
+        log_event!(Info, "upstream leaves", instance = instance);
+        *self.left.lock() = Some(boot);
+        *announced = None;
+        drop(announced);
+        self.gate.drain();
+        self.gossip.set_upstream(None);
+        Taken::Followed
+    }
+
     fn withdraw(&self) {
         *self.announced.lock() = None;
         self.gate.drain();
@@ -156,7 +260,8 @@
             self.gate.drain();
         } else {
             let rule = rule(published.as_deref());
-            self.gate.set_upstream(announcement.addr, announcement.slots, &rule);
+            let instance = held.life.as_ref().map(|life| &life.boot.instance);
+            self.gate.set_upstream(announcement.addr, instance, announcement.slots, &rule);
         }
         // Nobody hears of the upstream before the gate has the rules to take its calls by.
         let ready = published.is_some_and(|published| published.config.is_some());
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -27,10 +27,13 @@
 use crate::coordination::priority_lane::CallerKey;
 use crate::coordination::priority_lane::PriorityRule;
 use crate::coordination::service_estimate::Ended;
+use crate::log_event_limited;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_head::ParentCall;
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
+use crate::protocol::foreign_fields::AnswerOrigin;
+use crate::protocol::foreign_fields::UpstreamFields;
 use crate::protocol::headers;
 use crate::protocol::load_report::LoadReport;
 use crate::protocol::service_spec::UpstreamRuleSpec;
@@ -52,6 +55,7 @@
 use crate::transport::gate_queue::GateQueue;
 use crate::transport::upstream_fields::for_upstream;
 use crate::transport::upstream_fields::strip_own_fields;
+use crate::transport::upstream_fields::tell_foreign;
 use crate::transport::upstream_fields::tell_queued;
 use crate::transport::upstream_pool::CutShortSnafu;
 use crate::transport::upstream_pool::UpstreamError;
@@ -79,6 +83,8 @@
     pub caller: CallerKey,
     /// When the call is of no more use.
     pub deadline: Instant,
+    /// When its answer is worth less, where that is not the objective of its priority.
+    pub objective_at: Option<Instant>,
     /// Whether it may run more than once.
     pub idempotent: bool,
     /// Whether it came with a ticket, so that it may come again and gets the same answer.
@@ -117,6 +123,7 @@
     records: CallRecords<Arc<AnswerRelay>>,
     parents: ParentCalls,
     pool: ArcSwapOption<UpstreamPool>,
+    foreign: Option<UpstreamFields>,
     metrics: SharedMetrics,
 }
 
@@ -130,15 +137,30 @@
             records: CallRecords::default(),
             parents: ParentCalls::default(),
             pool: ArcSwapOption::empty(),
+            foreign: None,
             metrics,
         }
     }
 
+    /// The same gate for an upstream that speaks another dialect.
+    #[must_use]
+    pub fn with_foreign_upstream(self, fields: UpstreamFields) -> Self {
+        Self { foreign: Some(fields), ..self }
+    }
+
     /// An upstream announced itself, or changed what it says of itself.
-    pub fn set_upstream(&self, addr: SocketAddr, slots: u32, rule: &UpstreamRuleSpec) {
-        let same = self.pool.load().as_ref().is_some_and(|pool| pool.addr() == addr);
+    pub fn set_upstream(
+        &self,
+        addr: SocketAddr,
+        instance: Option<&Arc<str>>,
+        slots: u32,
+        rule: &UpstreamRuleSpec,
+    ) {
+        let held = self.pool.load();
+        let same = held.as_ref().is_some_and(|pool| pool.addr() == addr && pool.instance() == instance);
         if !same {
-            self.pool.store(Some(Arc::new(UpstreamPool::new(addr, rule.max_connections))));
+            let pool = UpstreamPool::new(addr, instance.cloned(), rule.max_connections);
+            self.pool.store(Some(Arc::new(pool)));
         }
         let mut queue = self.queue.lock();
         queue.admission.resume();
@@ -314,7 +336,11 @@
         self.parents.insert(call.id.clone(), call.as_parent());
         let pool = self.pool.load_full().ok_or_else(no_upstream)?;
         guard.hold(slot, Arc::clone(&pool));
-        let request = for_upstream(request, pool.addr());
+        let mut request = for_upstream(request, pool.addr());
+        let request_id = self.foreign.as_ref().and_then(|fields| {
+            tell_foreign(request.headers_mut(), fields, pool.instance(), call.deadline);
+            request.headers().get(&fields.request_id).cloned()
+        });
         let answered = async {
             let response = pool.send(request, guard.connection()).await?;
             whole_if_small(response, call.deadline).await.context(CutShortSnafu)
@@ -322,6 +348,7 @@
         let sent = tokio::time::timeout_at(call.deadline, answered).await;
         match sent {
             Ok(Ok(response)) => {
+                let response = self.genuine(call, response, request_id.as_ref(), guard)?;
                 guard.judge(response.status());
                 let mut response = self.answered(response);
                 tell_queued(response.headers_mut(), queued);
@@ -340,6 +367,52 @@
         }
     }
 
+    /// The answer, unless its head shows that the upstream did not make it for this request.
+    fn genuine(
+        &self,
+        call: &GateCall,
+        mut response: Response<CallBody>,
+        request_id: Option<&HeaderValue>,
+        guard: &mut GateGuard,
+    ) -> Result<Response<CallBody>> {
+        let Some(fields) = &self.foreign else {
+            return Ok(response);
+        };
+        let word = fields.load_of(response.headers());
+        let origin = fields.origin(response.status(), response.headers(), request_id);
+        response.headers_mut().remove(&fields.load);
+        let answer = match origin {
+            AnswerOrigin::Genuine => return Ok(response),
+            AnswerOrigin::NotExecuted => {
+                guard.refused(response.body());
+                self.count("upstream_refused");
+                let load = self.load();
+                ErrorAnswer::new(ErrorKind::Overloaded, "the upstream refused the call before it ran")
+                    .retry_after(RETRY_HINT)
+                    .with_load(load)
+            }
+            AnswerOrigin::OtherInstance => {
+                guard.failed();
+                self.count("other_instance");
+                ErrorAnswer::new(ErrorKind::NoUpstream, "another instance has the upstream's address")
+                    .retry_after(RETRY_HINT)
+            }
+            AnswerOrigin::Foreign => {
+                guard.failed();
+                self.count("foreign_answer");
+                ErrorAnswer::new(ErrorKind::OutcomeUnknown, "an answer that the upstream did not make for it")
+            }
+        };
+        log_event_limited!(
+            Info,
+            "upstream's answer not passed on",
+            call = &call.id,
+            origin = format_args!("{origin:?}"),
+            upstream_load = format_args!("{word:?}"),
+        );
+        Err(answer)
+    }
+
     /// Answers a call that was here before; only one with a ticket shares the first one's answer.
     async fn seen_before(
         &self,
@@ -399,6 +472,7 @@
             priority: call.priority,
             caller: call.caller,
             deadline: call.deadline,
+            objective_at: call.objective_at,
             patience: call.patience,
             idempotent: call.idempotent,
         };
--- a/lib/src/transport/gate_guard.rs
+++ b/lib/src/transport/gate_guard.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 
 use http::StatusCode;
+use http_body::Body;
 use tokio::runtime::Handle;
 
 use crate::coordination::admission::Grant;
 use crate::coordination::service_estimate::Ended;
 use crate::protocol::call_id::CallId;
 use crate::transport::call_body::BodyGuard;
+use crate::transport::call_body::CallBody;
 use crate::transport::gate::Gate;
 use crate::transport::upstream_pool::PooledConnection;
 use crate::transport::upstream_pool::UpstreamPool;
@@ -85,6 +87,14 @@
         }
     }
 
+    /// The upstream refused the call before it ran; its connection serves on when it is idle.
+    pub fn refused(&mut self, body: &CallBody) {
+        if let Some(slot) = &mut self.slot {
+            slot.ended = Ended::Abandoned;
+        }
+        self.ended(body.is_end_stream() || matches!(body, CallBody::Kept { .. }));
+    }
+
     /// The upstream gave no answer.
     pub const fn failed(&mut self) {
         if let Some(slot) = &mut self.slot {
--- a/lib/src/transport/gossip.rs
+++ b/lib/src/transport/gossip.rs
@@ -59,7 +59,7 @@
     /// Members as the rest of the node reads them.
     pub directory: Arc<Directory>,
     /// Where datagrams come and go.
-    pub socket: UdpSocket,
+    pub socket: Arc<UdpSocket>,
     /// What proves datagrams and connections.
     pub security: Arc<PeerSecurity>,
     /// Channels for questions about calls.
@@ -82,7 +82,7 @@
     inner: Mutex<Inner>,
     config: Arc<ConfigTable>,
     directory: Arc<Directory>,
-    socket: UdpSocket,
+    socket: Arc<UdpSocket>,
     security: Arc<PeerSecurity>,
     channels: Arc<ControlChannels>,
     metrics: SharedMetrics,
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -125,6 +125,7 @@
     pub(super) caller: Arc<str>,
     started: Instant,
     pub(super) deadline: Instant,
+    pub(super) objective_at: Option<Instant>,
     pub(super) max_attempts: u32,
     pub(super) tally: Arc<BurnTally>,
 }
@@ -192,14 +193,24 @@
         call.ticket = ticket;
         let result = self.see_through(&mut call, config, request).await;
         if let Err(answer) = &result {
-            log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
-            self.count(&call, answer.kind.name());
-            call.tally.failed(answer.kind, Instant::now());
-            self.trace(&call, Step::CallFailed { kind: answer.kind });
+            self.note_failure(&call, answer);
         }
         result
     }
 
+    /// Counts and remembers a call that no upstream answered.
+    pub(super) fn note_failure(&self, call: &Call, answer: &ErrorAnswer) {
+        log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
+        self.count(call, answer.kind.name());
+        call.tally.failed(answer.kind, Instant::now());
+        self.trace(call, Step::CallFailed { kind: answer.kind });
+    }
+
+    /// Whether callers are asked to go elsewhere.
+    pub(super) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
     fn read_head(
         &self,
         service: Arc<str>,
@@ -214,7 +225,7 @@
     }
 
     /// Refuses what is no good request before anything else is read of it.
-    fn check_form(&self, request: &Request<Incoming>) -> Result<()> {
+    pub(super) fn check_form(&self, request: &Request<Incoming>) -> Result<()> {
         let limit_bytes = self.parts.max_header_bytes as usize;
         let target_bytes = request.uri().path_and_query().map_or(0, |target| target.as_str().len());
         if headers::size_bytes(request.headers()) + target_bytes > limit_bytes {
@@ -233,7 +244,7 @@
         self.parts.gate.running_call(&id)
     }
 
-    async fn see_through(
+    pub(super) async fn see_through(
         &self,
         call: &mut Call,
         config: &PublishedConfig,
@@ -294,6 +305,7 @@
             repeated: leg.repeated || call.head.repeated,
             caller: caller_key(&call.caller),
             deadline: call.deadline,
+            objective_at: call.objective_at,
             idempotent: call.head.idempotent,
             ticketed: call.ticket.is_some(),
             patience: leg.patience,
@@ -371,7 +383,7 @@
 }
 
 impl Call {
-    fn new(
+    pub(super) fn new(
         id: CallId,
         id_field: HeaderValue,
         head: CallHead,
@@ -391,6 +403,7 @@
             caller: head.caller.clone().unwrap_or_else(|| Arc::from(remote.ip().to_string())),
             started,
             deadline: started + head.timeout,
+            objective_at: None,
             max_attempts: config.service.retry.max_attempts,
             tally: Arc::new(BurnTally::new(Arc::clone(burn), key, objective, started)),
             head,
--- a/lib/src/transport/listeners.rs
+++ b/lib/src/transport/listeners.rs
@@ -1,6 +1,7 @@
 //! The sockets that a node listens on.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -42,7 +43,7 @@
 pub(crate) struct Listeners {
     pub(crate) ingress: TcpListener,
     pub(crate) peer: TcpListener,
-    pub(crate) gossip: UdpSocket,
+    pub(crate) gossip: Arc<UdpSocket>,
     pub(crate) announce: TcpListener,
     pub(crate) admin: TcpListener,
 }
@@ -54,7 +55,7 @@
         Ok(Self {
             ingress: bind(listen.ingress_addr, "/listen/ingress_addr").await?,
             peer,
-            gossip,
+            gossip: Arc::new(gossip),
             announce: bind(listen.announce_addr, "/listen/announce_addr").await?,
             admin: bind(listen.admin_addr, "/listen/admin_addr").await?,
         })
--- a/lib/src/transport/outgoing_call.rs
+++ b/lib/src/transport/outgoing_call.rs
@@ -65,6 +65,11 @@
             fields.insert(headers::REPEAT, HeaderValue::from_static("true"));
         }
         fields.remove(headers::RESOLVE);
+        fields.remove(headers::OBJECTIVE_MS);
+        if let Some(objective_at) = call.objective_at {
+            let left = objective_at.saturating_duration_since(Instant::now());
+            insert(fields, headers::OBJECTIVE_MS, &left.as_millis().to_string());
+        }
         fields.remove(headers::PATIENCE_US);
         if let Some(patience) = leg.patience {
             insert(fields, headers::PATIENCE_US, &patience.as_micros().to_string());
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -111,6 +111,8 @@
             repeated: text(fields, &headers::REPEAT) == Some("true"),
             caller: caller_key(text(fields, &headers::CALLER).unwrap_or_default()),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
+            objective_at: optional(fields, &headers::OBJECTIVE_MS)
+                .map(|left_ms| Instant::now() + Duration::from_millis(left_ms)),
             idempotent: parsed(fields, &headers::IDEMPOTENT)?,
             ticketed: Ticket::is_in(fields),
             patience: optional(fields, &headers::PATIENCE_US).map(Duration::from_micros),
--- /dev/null
+++ b/lib/src/transport/routed_ingress.rs
@@ -0,0 +1,201 @@
+//! Taking requests that name a host and a path, and leave the rest to the routes.
+
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header::CONNECTION;
+use http::header::HOST;
+use http_body_util::Either;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::coordination::routing::RoutingPolicy;
+use crate::log_event_limited;
+use crate::protocol::answer::ErrorAnswer;
+use crate::protocol::call_head::CallHead;
+use crate::protocol::error_kind::ErrorKind;
+use crate::protocol::foreign_fields::CallerFields;
+use crate::state::route_table::Route;
+use crate::state::route_table::RouteTable;
+use crate::state::route_table::rank;
+use crate::transport::call_attempts::Answered;
+use crate::transport::gate::RETRY_HINT;
+use crate::transport::http_server::Handler;
+use crate::transport::ingress::Call;
+use crate::transport::ingress::Ingress;
+use crate::transport::ingress::IngressBody;
+use crate::transport::ingress::Result;
+use crate::transport::ingress::no_upstream;
+use crate::transport::interface::Interface;
+use crate::transport::upstream_fields::strip_own_fields;
+
+/// Time that a request has when neither it nor its route says so.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What a routed ingress knows beside the ingress itself.
+#[derive(Debug)]
+struct Entrance<P> {
+    ingress: Arc<Ingress<P>>,
+    fields: CallerFields,
+    /// Service of the VM that the node stands on.
+    own_service: Option<HeaderValue>,
+}
+
+/// An ingress that finds services by routes, as the server takes it.
+#[derive(Debug)]
+pub struct RoutedHandler<P, I> {
+    entrance: Arc<Entrance<P>>,
+    interface: PhantomData<fn() -> I>,
+}
+
+impl<P, I> RoutedHandler<P, I>
+where
+    I: Interface,
+{
+    /// A handler over the ingress of a node on the VM of `own_service`.
+    #[must_use]
+    pub fn new(ingress: Arc<Ingress<P>>, own_service: Option<&str>) -> Self {
+        let own_service = own_service.and_then(|name| HeaderValue::from_str(name).ok());
+        let entrance = Entrance { ingress, fields: I::caller_fields(), own_service };
+        Self { entrance: Arc::new(entrance), interface: PhantomData }
+    }
+}
+
+impl<P, I> Clone for RoutedHandler<P, I> {
+    fn clone(&self) -> Self {
+        Self { entrance: Arc::clone(&self.entrance), interface: PhantomData }
+    }
+}
+
+impl<P, I> Handler for RoutedHandler<P, I>
+where
+    P: RoutingPolicy + Send + Sync + 'static,
+    I: Interface,
+{
+    type Body = IngressBody;
+
+    async fn handle(&self, request: Request<Incoming>, remote: SocketAddr) -> Response<IngressBody> {
+        let entrance = &self.entrance;
+        let request_id = request.headers().get(&entrance.fields.request_id).cloned();
+        let mut response = match entrance.accept(request, request_id.as_ref(), remote).await {
+            Ok(response) => response.map(Either::Left),
+            Err(answer) => {
+                let mut response = I::refusal(&answer);
+                if let Some(id) = request_id {
+                    response.headers_mut().insert(entrance.fields.request_id.clone(), id);
+                }
+                response.map(|bytes| Either::Right(Full::new(bytes)))
+            }
+        };
+        strip_own_fields(response.headers_mut());
+        if entrance.ingress.is_draining() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+impl<P> Entrance<P>
+where
+    P: RoutingPolicy + Send + Sync + 'static,
+{
+    async fn accept(
+        &self,
+        mut request: Request<Incoming>,
+        request_id: Option<&HeaderValue>,
+        remote: SocketAddr,
+    ) -> Result<Answered> {
+        let arrived = Instant::now();
+        self.ingress.check_form(&request)?;
+        let table = self.ingress.parts.config.routes().ok_or_else(no_configuration)?;
+        let route = find_route(&table, &request)?;
+        let service = route.next_service().ok_or_else(no_upstream)?;
+        let published = self.ingress.parts.config.get(service).ok_or_else(no_upstream)?;
+        let config = published.config.as_ref().ok_or_else(no_upstream)?;
+        let head = CallHead {
+            service: Arc::clone(service),
+            priority: rank(route.spec.priority),
+            timeout: timeout(request.headers(), &self.fields.timeout_ms, route)?,
+            idempotent: route.spec.idempotent,
+            caller: None,
+            repeated: false,
+        };
+        self.prepare(request.headers_mut());
+        let id = self.ingress.parts.ids.next();
+        let id_field = HeaderValue::from_str(&id.to_string());
+        let id_field = id_field.unwrap_or_else(|_| HeaderValue::from_static(""));
+        let mut call = Call::new(id, id_field, head, config, &self.ingress.parts.burn, remote);
+        call.max_attempts = route.spec.max_attempts.max(1);
+        call.objective_at = Some(arrived + Duration::from_millis(route.spec.objective_ms));
+        let result = self.ingress.see_through(&mut call, config, request).await;
+        if let Err(answer) = &result {
+            self.ingress.note_failure(&call, answer);
+            log_event_limited!(
+                Info,
+                "request not served",
+                request = request_id.and_then(|id| id.to_str().ok()).unwrap_or("none"),
+                call = &call.id,
+                route = &route.spec.name,
+                config = table.version(),
+                service = service,
+                error = answer.kind,
+                execution = answer.execution.name(),
+                reason = &answer.message,
+                after_ms = arrived.elapsed().as_millis(),
+            );
+        }
+        result
+    }
+
+    /// Sets what only a node may say, and removes what only nodes may send.
+    fn prepare(&self, fields: &mut HeaderMap) {
+        strip_own_fields(fields);
+        fields.remove(&self.fields.caller_service);
+        if let Some(service) = &self.own_service {
+            fields.insert(self.fields.caller_service.clone(), service.clone());
+        }
+    }
+}
+
+fn find_route<'a>(table: &'a RouteTable, request: &Request<Incoming>) -> Result<&'a Route> {
+    let named = request.uri().authority().map(http::uri::Authority::as_str);
+    let host = named.or_else(|| request.headers().get(HOST).and_then(|value| value.to_str().ok()));
+    let path = request.uri().path();
+    table.find(host.unwrap_or_default(), path).ok_or_else(|| {
+        let message =
+            format!("no route for host {host:?} and path {path:?} in configuration {}", table.version());
+        ErrorAnswer::new(ErrorKind::UnknownRoute, message)
+    })
+}
+
+/// Time that a request has: what its caller waits, but no longer than its route allows.
+fn timeout(fields: &HeaderMap, name: &HeaderName, route: &Route) -> Result<Duration> {
+    let asked = match fields.get(name) {
+        None => None,
+        Some(value) => {
+            let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+            Some(Duration::from_millis(millis.ok_or_else(|| {
+                let message = format!("the field {name} is no whole number of milliseconds");
+                ErrorAnswer::new(ErrorKind::MalformedRequest, message)
+            })?))
+        }
+    };
+    let allowed = route.spec.timeout_ms.map(Duration::from_millis);
+    let timeout = asked.into_iter().chain(allowed).min().unwrap_or(DEFAULT_TIMEOUT);
+    if timeout.is_zero() {
+        return Err(ErrorAnswer::new(ErrorKind::DeadlineBeforeStart, "the request came with no time left"));
+    }
+    Ok(timeout)
+}
+
+fn no_configuration() -> ErrorAnswer {
+    ErrorAnswer::new(ErrorKind::NoConfiguration, "no configuration is known yet").retry_after(RETRY_HINT)
+}
--- a/lib/src/transport/silence_watch.rs
+++ b/lib/src/transport/silence_watch.rs
@@ -12,9 +12,12 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::WaitForCancellationFutureOwned;
@@ -24,6 +27,28 @@
 /// Silence after which the library sends a ping while calls are outstanding.
 pub const PING_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Idle time after which the system probes a connection, and time between its probes.
+const PROBE_IDLE: Duration = Duration::from_secs(1);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const UNANSWERED_PROBES: u32 = 2;
+/// Time for which sent bytes may stay unacknowledged before the connection fails.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+
+/// Lets the system find out that nothing passes any more over a connection.
+///
+/// # Errors
+///
+/// When the system refuses the options.
+pub fn probe_when_idle(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_IDLE)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(UNANSWERED_PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
+
 const MIN_PATIENCE: Duration = Duration::from_millis(200);
 const MAX_PATIENCE: Duration = Duration::from_secs(1);
 const ROUND_TRIPS_OF_PATIENCE: u32 = 8;
--- a/lib/src/transport/upstream_fields.rs
+++ b/lib/src/transport/upstream_fields.rs
@@ -1,6 +1,7 @@
 //! Header fields as the upstream gets them, and as its answer leaves the gate.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -10,7 +11,9 @@
 use http::header::CONNECTION;
 use http::header::HOST;
 use http::header::TE;
+use tokio::time::Instant;
 
+use crate::protocol::foreign_fields::UpstreamFields;
 use crate::protocol::headers;
 use crate::transport::call_body::CallBody;
 
@@ -34,6 +37,23 @@
     Request::from_parts(head, body)
 }
 
+/// Tells an upstream of another dialect which instance is meant and how much time is left.
+pub fn tell_foreign(
+    fields: &mut HeaderMap,
+    names: &UpstreamFields,
+    instance: Option<&Arc<str>>,
+    deadline: Instant,
+) {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    strip_own_fields(fields);
+    fields.insert(&names.timeout_ms, HeaderValue::from(left_ms));
+    fields.remove(&names.expected_instance);
+    if let Some(instance) = instance.and_then(|name| HeaderValue::from_str(name).ok()) {
+        fields.insert(&names.expected_instance, instance);
+    }
+}
+
 /// Tells the ingress how long the gate queued the call.
 pub fn tell_queued(fields: &mut HeaderMap, queued: Duration) {
     let queued_us = u64::try_from(queued.as_micros()).unwrap_or(u64::MAX);
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -102,16 +102,23 @@
 #[derive(Debug)]
 pub struct UpstreamPool {
     addr: SocketAddr,
+    instance: Option<Arc<str>>,
     idle: Mutex<Vec<PooledConnection>>,
     permits: Arc<Semaphore>,
 }
 
 impl UpstreamPool {
-    /// A pool of at most `max_connections` to `addr`.
+    /// A pool of at most `max_connections` to `addr`, where that instance listens if it has a name.
     #[must_use]
-    pub fn new(addr: SocketAddr, max_connections: u32) -> Self {
+    pub fn new(addr: SocketAddr, instance: Option<Arc<str>>, max_connections: u32) -> Self {
         let permits = Arc::new(Semaphore::new(max_connections as usize));
-        Self { addr, idle: Mutex::new(Vec::new()), permits }
+        Self { addr, instance, idle: Mutex::new(Vec::new()), permits }
+    }
+
+    /// Name of the instance that listens there, if it has one.
+    #[must_use]
+    pub const fn instance(&self) -> Option<&Arc<str>> {
+        self.instance.as_ref()
     }
 
     /// Where the upstream listens.
--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -120,6 +120,7 @@
             priority,
             caller: CallerKey(0),
             deadline,
+            objective_at: None,
             patience,
             idempotent: timeout_ms.is_multiple_of(2),
         };
@@ -248,7 +249,14 @@
         self.arrivals[lane].1 = now + gap.mul_f64(self.rng.random_range(0.0..2.0));
         let priority = u8::try_from(lane).expect("four priorities");
         let deadline = now + Duration::from_secs(10);
-        let ticket = Ticket { priority, caller: CallerKey(0), deadline, patience: None, idempotent: false };
+        let ticket = Ticket {
+            priority,
+            caller: CallerKey(0),
+            deadline,
+            objective_at: None,
+            patience: None,
+            idempotent: false,
+        };
         match self.admission.offer(ticket, now) {
             Offer::Admitted(grant) => self.start(lane, grant, now),
             Offer::Queued(key) => {
@@ -355,7 +363,14 @@
 
 fn caller_ticket(caller: u64, now: Instant) -> Ticket {
     let deadline = now + Duration::from_secs(10);
-    Ticket { priority: 0, caller: CallerKey(caller), deadline, patience: None, idempotent: false }
+    Ticket {
+        priority: 0,
+        caller: CallerKey(caller),
+        deadline,
+        objective_at: None,
+        patience: None,
+        idempotent: false,
+    }
 }
 
 #[test]
--- a/lib/tests/publishing.rs
+++ b/lib/tests/publishing.rs
@@ -308,7 +308,13 @@
     prepare(&platform).await;
     let tables = Tables::new();
     let name = SERVICES[0];
-    tables.nodes[0].apply(Published { service: Arc::from(name), revision: 41, epoch: 7, config: None });
+    tables.nodes[0].apply(Published {
+        service: Arc::from(name),
+        revision: 41,
+        epoch: 7,
+        config: None,
+        routes: None,
+    });
     tables.spread();
     let stop = CancellationToken::new();
     let _clients = start_publishers(&platform, &tables, &stop);
--- a/lib/testutils/src/fleet_harness.rs
+++ b/lib/testutils/src/fleet_harness.rs
@@ -434,7 +434,7 @@
 }
 
 fn published(service: &Arc<str>, revision: u64) -> Published {
-    Published { service: Arc::clone(service), revision, epoch: 1, config: None }
+    Published { service: Arc::clone(service), revision, epoch: 1, config: None, routes: None }
 }
 
 fn seen_alive(life: &Life) -> Vec<MemberId> {
--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -16,6 +16,7 @@
 use yuccatray::protocol::object::ObjectKind;
 use yuccatray::protocol::object::Precondition;
 use yuccatray::protocol::published::ServiceStatus;
+use yuccatray::protocol::settings::DialectName;
 use yuccatray::protocol::settings::GossipSettings;
 use yuccatray::protocol::settings::LimitSettings;
 use yuccatray::protocol::settings::ListenSettings;
@@ -253,7 +254,9 @@
             admin_addr: any_port(),
         },
         seeds: fleet.members.first().map(|member| member.node.addrs().peer).into_iter().collect(),
-        platform: PlatformSettings { addr: fleet.platform.addr, timeout_ms: 2_000 },
+        platform: PlatformSettings { addr: fleet.platform.addr, timeout_ms: 2_000, watch_wait_ms: 20_000 },
+        dialect: DialectName::Own,
+        upstream: None,
         limits: LimitSettings::default(),
         gossip: GossipSettings::default(),
         peer_security: None,
