--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -359,7 +359,7 @@
         str![[r#"
 exit code 2
 error: no kind named "Quilt"
-hint: the kinds are Service, PrioritySet, UpstreamRule, Published, ServiceStatus, Lease, Rendezvous
+hint: the kinds are Service, PrioritySet, UpstreamRule, Published, ServiceStatus, Lease, Rendezvous, Routes
 
 "#]]
     );
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -11,10 +11,13 @@
 use tokio::runtime::Handle;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use yuccatray::coordination::routing::RoutingPolicy;
 use yuccatray::coordination::routing::TwoChoices;
+use yuccatray::coordination::routing::ZoneFirst;
 use yuccatray::log_event;
 use yuccatray::node::CallsLeft;
 use yuccatray::node::Node;
+use yuccatray::node::NodeError;
 use yuccatray::protocol::checked_json::JsonError;
 use yuccatray::protocol::settings::DialectName;
 use yuccatray::protocol::settings::LogLevel;
@@ -81,17 +84,24 @@
 }
 
 async fn run(settings: &Settings, calls: &Handle) -> ExitCode {
+    match settings.dialect {
+        DialectName::Own => serve(Node::start_on(settings, TwoChoices, calls)).await,
+        DialectName::Platform => serve(Node::start_routed::<UsersPlatform>(settings, ZoneFirst, calls)).await,
+    }
+}
+
+/// Runs a node until it is told to stop.
+async fn serve<P>(starting: impl Future<Output = Result<Node<P>, NodeError>>) -> ExitCode
+where
+    P: RoutingPolicy + Send + Sync + 'static,
+{
     let (Ok(mut terminate), Ok(mut interrupt)) =
         (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
     else {
         eprintln!("error: cannot listen for signals");
         return ExitCode::from(EXIT_FAILED);
     };
-    let started = match settings.dialect {
-        DialectName::Own => Node::start_on(settings, TwoChoices, calls).await,
-        DialectName::Platform => Node::start_routed::<UsersPlatform>(settings, TwoChoices, calls).await,
-    };
-    let node = match started {
+    let node = match starting.await {
         Ok(node) => node,
         Err(error) => {
             eprintln!(
--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -250,6 +250,11 @@
         usual.max(objective.saturating_sub(service_time * 2))
     }
 
+    /// Takes in the pace at which the upstream says that its VM works, 100 the usual.
+    pub fn note_pace(&mut self, percent: u32, now: Instant) {
+        self.estimate.note_pace(percent, now);
+    }
+
     /// A call that was let through let go of its slot.
     pub fn release(&mut self, grant: Grant, ended: Ended, now: Instant) -> Vec<Verdict> {
         self.settle(now);
--- a/lib/src/coordination/membership.rs
+++ b/lib/src/coordination/membership.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::protocol::member::Member;
+use crate::protocol::member::MemberId;
 use crate::protocol::member::MemberState;
 use crate::protocol::member::UpstreamInfo;
 
@@ -52,6 +53,8 @@
 #[derive(Debug)]
 pub struct Membership {
     me: Arc<Member>,
+    /// Every incarnation that this process has gone by.
+    incarnations: Vec<u64>,
     times: StateTimes,
     others: IndexMap<Arc<str>, Known>,
     buckets: [u64; BUCKETS],
@@ -64,7 +67,8 @@
         let me = Arc::new(me);
         let mut buckets = [0; BUCKETS];
         buckets[bucket(&me.id.name)] ^= fingerprint(&me);
-        Self { me, times, others: IndexMap::new(), buckets }
+        let incarnations = vec![me.id.incarnation];
+        Self { me, incarnations, times, others: IndexMap::new(), buckets }
     }
 
     /// The node's own record.
@@ -73,6 +77,12 @@
         &self.me
     }
 
+    /// Whether this process is, or went by, the given name and incarnation.
+    #[must_use]
+    pub fn was_me(&self, id: &MemberId) -> bool {
+        id.name == self.me.id.name && self.incarnations.contains(&id.incarnation)
+    }
+
     /// The other members, dead ones included.
     #[must_use]
     pub const fn others(&self) -> &IndexMap<Arc<str>, Known> {
@@ -225,6 +235,7 @@
             me.id.incarnation = said.id.incarnation + 1;
             me.version = 1;
         });
+        self.incarnations.push(self.me.id.incarnation);
         Merged::Refuted
     }
 }
--- a/lib/src/coordination/routing.rs
+++ b/lib/src/coordination/routing.rs
@@ -14,6 +14,14 @@
 const REPORT_HALF_LIFE_US: u64 = 100_000;
 const FAILURE_PENALTY_SHIFT_MAX: u32 = 6;
 const REMOTE_ZONE_COST_US: u64 = 500;
+/// Candidates of a zone's side that one choice looks at.
+const SAMPLE: usize = 4;
+const PERMILLE: u64 = 1_000;
+/// Shares of the objective up to which an answer is sure to be in time, and past which it is not.
+const SURE_PERMILLE: u64 = 600;
+const HOPELESS_PERMILLE: u64 = 1_400;
+/// What an objective's worth of time costs among answers that are all in time, or all late.
+const LATE_PERMILLE: u64 = 50;
 const PATIENCE_PERCENT: u64 = 150;
 const PERCENT: u64 = 100;
 /// Share of its work that an upstream gets while it ramps up, at full strength.
@@ -35,11 +43,17 @@
     pub ramp_permille: u32,
 }
 
-/// What operators allow the choice to do.
+/// What operators allow the choice to do, and what the call needs.
 #[derive(Clone, Copy, Debug)]
 pub struct RoutingLimits {
     /// Share of the candidates that may be left out as outliers, in percent.
     pub max_ejected_percent: u32,
+    /// Time left until an answer is worth less, in microseconds; 0 when nothing is known.
+    pub objective_us: u64,
+    /// Time that such a call usually takes, in microseconds; 0 when nothing is known.
+    pub usual_us: u64,
+    /// Price of crossing to another zone, in thousandths of the worth of an answer in time.
+    pub crossing_permille: u64,
 }
 
 /// A way to choose among upstreams.
@@ -53,11 +67,129 @@
     ///
     /// A gate that expects to need longer refuses at once, and the call goes on to the
     /// next one. Without a patience the gate decides by itself.
-    fn patience(&self, _candidates: &[Candidate]) -> Option<Duration> {
+    fn patience(
+        &self,
+        _candidates: &[Candidate],
+        _chosen: &Candidate,
+        _limits: RoutingLimits,
+    ) -> Option<Duration> {
         None
     }
 }
 
+/// The best chance of an answer in time, less the price of crossing to another zone.
+///
+/// Over few candidates it looks at each; over many, at a sample of the own zone and one of the rest.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ZoneFirst;
+
+impl RoutingPolicy for ZoneFirst {
+    fn choose<R>(&self, candidates: &[Candidate], limits: RoutingLimits, rng: &mut R) -> Option<usize>
+    where
+        R: Rng,
+    {
+        let eligible = eligible(candidates, limits, rng);
+        let (own, others): (Vec<usize>, Vec<usize>) =
+            eligible.into_iter().partition(|index| candidates[*index].same_zone);
+        let scale = Scale::of(candidates, limits);
+        let sampled = sample(own, rng).into_iter().chain(sample(others, rng));
+        sampled.max_by_key(|index| scale.worth(&candidates[*index]))
+    }
+
+    /// The service time at the chosen gate, as gates know it, at which another would be better.
+    fn patience(
+        &self,
+        candidates: &[Candidate],
+        chosen: &Candidate,
+        limits: RoutingLimits,
+    ) -> Option<Duration> {
+        let scale = Scale::of(candidates, limits);
+        let others = candidates.iter().filter(|other| other.peer_addr != chosen.peer_addr);
+        let best = others.map(|other| scale.worth(other)).max()?;
+        scale.service_time_worth(best, chosen).map(Duration::from_micros)
+    }
+}
+
+/// What a time at one of the candidates is worth to one call.
+#[derive(Clone, Copy, Debug)]
+struct Scale {
+    limits: RoutingLimits,
+    /// Usual service time at these candidates, over all the calls that they run.
+    usual_service_us: u64,
+}
+
+impl Scale {
+    fn of(candidates: &[Candidate], limits: RoutingLimits) -> Self {
+        let usual_service_us = usual_service_time_us(candidates).max(1);
+        let known = limits.usual_us > 0;
+        let usual_us = if known { limits.usual_us } else { usual_service_us };
+        let objective_us = if limits.objective_us == 0 { usual_us } else { limits.objective_us };
+        let limits = RoutingLimits { objective_us: objective_us.max(1), usual_us, ..limits };
+        Self { limits, usual_service_us }
+    }
+
+    /// Worth of sending the call to the candidate, in thousandths of an answer in time.
+    fn worth(&self, candidate: &Candidate) -> i64 {
+        let crossing = if candidate.same_zone { 0 } else { self.limits.crossing_permille };
+        let time_us = self.call_time_us(candidate);
+        let late = time_us.saturating_mul(LATE_PERMILLE) / self.limits.objective_us;
+        self.in_time_permille(time_us) - signed(late.min(PERMILLE)) - signed(crossing)
+    }
+
+    /// Time of this call at the candidate: what it usually takes, by how slow the candidate is.
+    fn call_time_us(&self, candidate: &Candidate) -> u64 {
+        let own_us = queued_us(candidate);
+        own_us.saturating_mul(self.limits.usual_us) / self.usual_service_us
+    }
+
+    /// Chance of an answer in time: sure well within the objective, none well past it.
+    fn in_time_permille(&self, time_us: u64) -> i64 {
+        let share = time_us.saturating_mul(PERMILLE) / self.limits.objective_us;
+        let past = share.saturating_sub(SURE_PERMILLE).min(HOPELESS_PERMILLE - SURE_PERMILLE);
+        signed(PERMILLE - past * PERMILLE / (HOPELESS_PERMILLE - SURE_PERMILLE))
+    }
+
+    /// The service time at the candidate at which sending a call there is worth so much.
+    fn service_time_worth(&self, worth: i64, candidate: &Candidate) -> Option<u64> {
+        let crossing = if candidate.same_zone { 0 } else { signed(self.limits.crossing_permille) };
+        let chance = u64::try_from(worth + crossing).ok().filter(|chance| *chance > 0)?;
+        let past = (HOPELESS_PERMILLE - SURE_PERMILLE) * PERMILLE.saturating_sub(chance) / PERMILLE;
+        let time_us = self.limits.objective_us.saturating_mul(SURE_PERMILLE + past) / PERMILLE;
+        Some(time_us.saturating_mul(self.usual_service_us) / self.limits.usual_us.max(1))
+    }
+}
+
+fn signed(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+/// Some of the candidates by chance, in an order by chance.
+fn sample<R>(mut candidates: Vec<usize>, rng: &mut R) -> Vec<usize>
+where
+    R: Rng,
+{
+    let count = candidates.len().min(SAMPLE);
+    for place in 0..count {
+        let other = rng.random_range(place..candidates.len());
+        candidates.swap(place, other);
+    }
+    candidates.truncate(count);
+    candidates
+}
+
+/// Time that a call sent now would take where calls wait only once every slot is taken.
+fn queued_us(candidate: &Candidate) -> u64 {
+    let load = &candidate.load;
+    let service_time_us =
+        if load.service_time_us == 0 { DEFAULT_SERVICE_TIME_US } else { load.service_time_us };
+    let limit = if load.reported_limit == 0 { candidate.slots } else { load.reported_limit };
+    let limit = u64::from(limit.max(1));
+    let busy = u64::from(load.in_flight) + u64::from(aged_report(load));
+    let waiting = (busy + 1).saturating_sub(limit);
+    let time_us = service_time_us + service_time_us * waiting / limit;
+    time_us << load.consecutive_failures.min(FAILURE_PENALTY_SHIFT_MAX)
+}
+
 /// The better of two random candidates by expected time, outliers left out.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TwoChoices;
@@ -81,7 +213,12 @@
         }
     }
 
-    fn patience(&self, candidates: &[Candidate]) -> Option<Duration> {
+    fn patience(
+        &self,
+        candidates: &[Candidate],
+        _chosen: &Candidate,
+        _limits: RoutingLimits,
+    ) -> Option<Duration> {
         let usual_us = usual_service_time_us(candidates);
         (candidates.len() > 1 && usual_us > 0)
             .then(|| Duration::from_micros(usual_us * PATIENCE_PERCENT / PERCENT))
--- a/lib/src/coordination/service_estimate.rs
+++ b/lib/src/coordination/service_estimate.rs
@@ -13,6 +13,11 @@
 const TRIAL_INTERVAL_MAX: Duration = Duration::from_secs(1);
 const PRECIOUS_TRIAL_DELAY: Duration = Duration::from_secs(1);
 
+/// Time in which what an upstream said of its pace loses half of its force.
+const PACE_HALF_LIFE: Duration = Duration::from_millis(150);
+const PACE_SMOOTHING: u64 = 32;
+const MIN_PACE_PERCENT: u64 = 10;
+
 /// How a call ended for the upstream that ran it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -35,6 +40,29 @@
     trial_interval: Duration,
     next_trial: Instant,
     trial_patience: Option<Duration>,
+    pace: Option<Pace>,
+}
+
+/// How fast the upstream's VM works, by the upstream's own word.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    percent: u64,
+    usual_percent: u64,
+    told_at: Instant,
+}
+
+impl Pace {
+    /// The pace expected at `now`: the last word, which loses force with age against the usual.
+    fn percent(&self, now: Instant) -> u64 {
+        let age = now.saturating_duration_since(self.told_at);
+        let halvings = u32::try_from(age.as_micros() / PACE_HALF_LIFE.as_micros()).unwrap_or(u32::MAX);
+        let fades = |distance: u64| distance.checked_shr(halvings).unwrap_or(0);
+        if self.percent > self.usual_percent {
+            self.usual_percent + fades(self.percent - self.usual_percent)
+        } else {
+            self.usual_percent - fades(self.usual_percent - self.percent)
+        }
+    }
 }
 
 impl ServiceEstimate {
@@ -50,9 +78,19 @@
             trial_interval: Duration::ZERO,
             next_trial: now,
             trial_patience: None,
+            pace: None,
         }
     }
 
+    /// Takes in the pace at which the upstream says that its VM works, 100 the usual.
+    pub fn note_pace(&mut self, percent: u32, now: Instant) {
+        let percent = u64::from(percent).max(MIN_PACE_PERCENT);
+        let usual_percent = self
+            .pace
+            .map_or(percent, |pace| (pace.usual_percent * (PACE_SMOOTHING - 1) + percent) / PACE_SMOOTHING);
+        self.pace = Some(Pace { percent, usual_percent, told_at: now });
+    }
+
     /// A call takes a slot.
     pub fn start(&mut self, now: Instant) {
         self.running += 1;
@@ -86,7 +124,10 @@
     /// so that neither a sudden slowdown nor failing fast looks like speed.
     #[must_use]
     pub fn live_us(&self, now: Instant) -> u64 {
-        let base_us = self.mean_us.max(self.mean_age_us(now));
+        let paced_us = self
+            .pace
+            .map_or(self.mean_us, |pace| self.mean_us.saturating_mul(pace.percent(now)) / pace.usual_percent);
+        let base_us = paced_us.max(self.mean_age_us(now));
         let good_permille = ALL_FAILING_PERMILLE.saturating_sub(self.failing_permille).max(MIN_GOOD_PERMILLE);
         base_us.saturating_mul(ALL_FAILING_PERMILLE) / good_permille
     }
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -560,7 +560,7 @@
 {
     let platform = I::store(&settings.platform);
     let metrics = &shared.metrics;
-    let reader = RoutesReader::<I>::new(platform.clone(), Arc::clone(gossip), Arc::clone(metrics));
+    let reader = RoutesReader::<I>::new(&settings.platform, Arc::clone(gossip), Arc::clone(metrics));
     let rendezvous = Rendezvous {
         platform,
         gossip: Arc::clone(gossip),
--- a/lib/src/protocol/error_kind.rs
+++ b/lib/src/protocol/error_kind.rs
@@ -33,6 +33,8 @@
     CallerLimited,
     /// Every candidate was full or its queue for the priority was.
     Overloaded,
+    /// The upstream itself refused the call before it ran.
+    UpstreamRefused,
     /// The objective could not be met any more before a slot was free.
     ObjectiveMissed,
     /// No upstream of the service is known to be able to serve.
@@ -80,7 +82,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::MalformedRequest,
         Self::UnknownService,
         Self::UnknownRoute,
@@ -91,6 +93,7 @@
         Self::UpgradeRefused,
         Self::CallerLimited,
         Self::Overloaded,
+        Self::UpstreamRefused,
         Self::ObjectiveMissed,
         Self::NoUpstream,
         Self::Draining,
@@ -121,6 +124,9 @@
             Self::UpgradeRefused => row("upgrade_refused", StatusCode::NOT_IMPLEMENTED, NotExecuted, false),
             Self::CallerLimited => row("caller_limited", StatusCode::TOO_MANY_REQUESTS, NotExecuted, true),
             Self::Overloaded => row("overloaded", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true),
+            Self::UpstreamRefused => {
+                row("upstream_refused", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true)
+            }
             Self::ObjectiveMissed => {
                 row("objective_missed", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true)
             }
--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -27,6 +27,8 @@
 pub const CALLER: HeaderName = HeaderName::from_static("yuccatray-caller");
 /// Identity of the call, on the way to the gate and on every answer.
 pub const CALL: HeaderName = HeaderName::from_static("yuccatray-call");
+/// Name and incarnation of the node whose gate is meant; between nodes only.
+pub const GATE: HeaderName = HeaderName::from_static("yuccatray-gate");
 /// Asks about a call that was sent over another connection; between nodes only.
 pub const RESOLVE: HeaderName = HeaderName::from_static("yuccatray-resolve");
 /// Load of the gate that answered, for the ingress only.
--- a/lib/src/protocol/member.rs
+++ b/lib/src/protocol/member.rs
@@ -1,8 +1,11 @@
 //! What nodes tell one another about themselves.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 
+use snafu::Snafu;
 use yuccatray_proto::peer_v1 as wire;
 
 /// One life of one node.
@@ -14,6 +17,27 @@
     pub incarnation: u64,
 }
 
+impl fmt::Display for MemberId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:x}", self.name, self.incarnation)
+    }
+}
+
+/// A text is no name and incarnation of a node.
+#[derive(Debug, Snafu)]
+#[snafu(display("not a name and an incarnation in hexadecimal"))]
+pub struct MemberIdError;
+
+impl FromStr for MemberId {
+    type Err = MemberIdError;
+
+    fn from_str(text: &str) -> Result<Self, MemberIdError> {
+        let (name, incarnation) = text.rsplit_once('.').ok_or(MemberIdError)?;
+        let incarnation = u64::from_str_radix(incarnation, 16).map_err(|_not_hexadecimal| MemberIdError)?;
+        Ok(Self { name: Arc::from(name), incarnation })
+    }
+}
+
 /// What is said of one incarnation; a later state goes before an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum MemberState {
--- a/lib/src/protocol/service_spec.rs
+++ b/lib/src/protocol/service_spec.rs
@@ -138,6 +138,9 @@
     /// Share of a service's upstreams that may be ejected at once, in percent.
     #[schemars(range(min = 0, max = 100))]
     pub max_ejected_percent: u32,
+    /// Share of an upstream's slots that its gate uses, in percent; some slow down when nearly full.
+    #[schemars(range(min = 1, max = 100))]
+    pub usable_slots_percent: u32,
     /// Whether a gate lets fewer calls run at once while latency grows with their number.
     pub adaptive_limit: bool,
 }
@@ -173,6 +176,7 @@
             drain_timeout_ms: 30_000,
             max_connections: 200,
             max_ejected_percent: 34,
+            usable_slots_percent: 100,
             adaptive_limit: true,
         }
     }
--- a/lib/src/state/config_table.rs
+++ b/lib/src/state/config_table.rs
@@ -70,7 +70,11 @@
             Arc::new(next)
         });
         if applied && let Some(set) = &published.routes {
-            self.use_routes(&Arc::new(RouteTable::new(set, published.revision)));
+            self.use_routes(&Arc::new(RouteTable::new(
+                set,
+                published.revision,
+                self.routes.load().as_deref(),
+            )));
         }
         applied
     }
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -11,3 +11,4 @@
 pub mod route_table;
 pub mod time_ring;
 pub mod upstream_stats;
+pub mod usual_time;
--- a/lib/src/state/route_table.rs
+++ b/lib/src/state/route_table.rs
@@ -19,6 +19,7 @@
 use crate::protocol::service_spec::RetrySpec;
 use crate::protocol::service_spec::ServiceSpec;
 use crate::protocol::service_spec::UpstreamRuleSpec;
+use crate::state::usual_time::UsualTime;
 
 /// Ranks told apart at a gate; less urgent ones share the last.
 pub const RANKS: u8 = 4;
@@ -33,6 +34,8 @@
 const DRAIN_TIMEOUT_MS: u64 = 30_000;
 const RAMP_MS: u64 = 2_000;
 const MAX_EJECTED_PERCENT: u32 = 50;
+/// Share of its slots beyond which an upstream may slow down, in percent.
+const USABLE_SLOTS_PERCENT: u32 = 80;
 /// Retries per hundred calls of a service, below the share that all nodes together may use.
 const RETRY_PERCENT: u32 = 10;
 const MAX_RANK_QUEUE_SHARE_PERCENT: u32 = 100;
@@ -44,6 +47,8 @@
 pub struct Route {
     /// As declared.
     pub spec: RouteSpec,
+    /// Time that its calls usually take at upstreams.
+    pub usual: Arc<UsualTime>,
     total_weight: u64,
     taken: AtomicU64,
 }
@@ -59,9 +64,9 @@
 }
 
 impl Route {
-    fn new(spec: RouteSpec) -> Self {
+    fn new(spec: RouteSpec, usual: Arc<UsualTime>) -> Self {
         let total_weight = spec.destinations.iter().map(|part| u64::from(part.weight)).sum();
-        Self { spec, total_weight, taken: AtomicU64::new(rand::random()) }
+        Self { spec, usual, total_weight, taken: AtomicU64::new(rand::random()) }
     }
 
     /// The service that the next request goes to, each in proportion to its weight.
@@ -82,13 +87,14 @@
 }
 
 impl RouteTable {
-    /// The table of a set of routes.
+    /// The table of a set of routes, which goes on with what the former one learned.
     #[must_use]
-    pub fn new(set: &RouteSet, revision: u64) -> Self {
+    pub fn new(set: &RouteSet, revision: u64, former: Option<&Self>) -> Self {
         let mut by_host: IndexMap<Arc<str>, Vec<Route>> = IndexMap::new();
         for spec in &set.routes {
-            let host = Arc::from(spec.host.to_ascii_lowercase());
-            by_host.entry(host).or_default().push(Route::new(spec.clone()));
+            let host: Arc<str> = Arc::from(spec.host.to_ascii_lowercase());
+            let usual = former.and_then(|table| table.usual_of(&host, &spec.path_prefix));
+            by_host.entry(host).or_default().push(Route::new(spec.clone(), usual.unwrap_or_default()));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.spec.path_prefix.len()));
@@ -135,6 +141,11 @@
         routes.iter().find(|route| path.starts_with(route.spec.path_prefix.as_ref()))
     }
 
+    fn usual_of(&self, host: &str, path_prefix: &str) -> Option<Arc<UsualTime>> {
+        let same = self.by_host.get(host)?.iter().find(|route| *route.spec.path_prefix == *path_prefix);
+        same.map(|route| Arc::clone(&route.usual))
+    }
+
     /// The configuration of a service that routes go to.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Arc<Published>> {
@@ -192,6 +203,7 @@
             drain_timeout_ms: DRAIN_TIMEOUT_MS,
             max_connections,
             max_ejected_percent: MAX_EJECTED_PERCENT,
+            usable_slots_percent: USABLE_SLOTS_PERCENT,
             adaptive_limit: false,
         },
     };
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -261,7 +261,13 @@
         } else {
             let rule = rule(published.as_deref());
             let instance = held.life.as_ref().map(|life| &life.boot.instance);
-            self.gate.set_upstream(announcement.addr, instance, announcement.slots, &rule);
+            self.gate.set_upstream(
+                announcement.addr,
+                &announcement.service,
+                instance,
+                announcement.slots,
+                &rule,
+            );
         }
         // Nobody hears of the upstream before the gate has the rules to take its calls by.
         let ready = published.is_some_and(|published| published.config.is_some());
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -43,6 +43,11 @@
 /// Gates that may move one call on before the next one has to keep it.
 const MAX_SPILLS: usize = 2;
 
+/// Price of crossing to another zone, in thousandths of the worth of an answer in time, by rank.
+///
+/// The bytes cost the same whatever a call is worth, and the urgent are worth most.
+const CROSSING_PERMILLE: [u64; 3] = [120, 300, 500];
+
 /// An answer on its way to the caller.
 pub type Answered = Response<GuardedBody<AnswerBody, IngressGuard>>;
 
@@ -68,6 +73,30 @@
     leg: Leg,
 }
 
+/// What a call wants of the upstream that is chosen for it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wanted<'a> {
+    pub(super) service: &'a str,
+    pub(super) priority: u8,
+    /// Time left until its answer is worth less.
+    pub(super) objective: Duration,
+    /// Time that such calls usually take; nothing when it is not known.
+    pub(super) usual: Duration,
+}
+
+impl Wanted<'_> {
+    fn limits(self, config: &PublishedConfig) -> RoutingLimits {
+        let rank = usize::from(self.priority).min(CROSSING_PERMILLE.len() - 1);
+        let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        RoutingLimits {
+            max_ejected_percent: config.upstream_rule.max_ejected_percent,
+            objective_us: micros(self.objective),
+            usual_us: micros(self.usual),
+            crossing_permille: CROSSING_PERMILLE[rank],
+        }
+    }
+}
+
 /// What the attempts of one call share.
 #[derive(Clone, Copy, Debug)]
 struct Race<'a> {
@@ -171,7 +200,7 @@
         let taken = &plan.entry.member.id.name;
         let open = race.budgets.spill(race.call.head.priority).has_credit();
         let skip = |name: &Arc<str>| name == taken || race.visited.contains(name);
-        let copy = self.choose(&race.call.head.service, race.config, true, skip)?;
+        let copy = self.choose(race.call.wanted(), race.config, true, skip)?;
         if !open || copy.leg.patience.is_none() || !race.budgets.hedging.spend() {
             return None;
         }
@@ -197,12 +226,12 @@
         let repeated = !visited.failed.is_empty();
         let may_move_on = can_repeat && visited.moved_on.len() < MAX_SPILLS;
         if may_move_on && budgets.spill(call.head.priority).is_open() {
-            let planned = self.choose(&call.head.service, config, repeated, |name| visited.contains(name));
+            let planned = self.choose(call.wanted(), config, repeated, |name| visited.contains(name));
             if planned.is_some() {
                 return planned;
             }
         }
-        let plan = self.choose(&call.head.service, config, repeated, |name| visited.failed.contains(name))?;
+        let plan = self.choose(call.wanted(), config, repeated, |name| visited.failed.contains(name))?;
         if visited.moved_on.contains(&plan.entry.member.id.name) {
             // The gate has refused this identity for good, and the call never ran.
             call.rename(self.parts.ids.next());
@@ -212,7 +241,7 @@
 
     pub(super) fn choose<F>(
         &self,
-        service: &str,
+        wanted: Wanted<'_>,
         config: &PublishedConfig,
         repeated: bool,
         skip: F,
@@ -222,7 +251,7 @@
     {
         let now = Instant::now();
         let snapshot = self.parts.directory.snapshot();
-        let keys = snapshot.upstreams_of(service);
+        let keys = snapshot.upstreams_of(wanted.service);
         let ramp = Duration::from_millis(config.upstream_rule.ramp_ms);
         let all: Vec<Candidate> =
             keys.iter().map(|key| self.candidate(snapshot.entry(*key), ramp, now)).collect();
@@ -235,10 +264,11 @@
                 entries.push(entry);
             }
         }
-        let limits = RoutingLimits { max_ejected_percent: config.upstream_rule.max_ejected_percent };
+        let limits = wanted.limits(config);
         let index = self.parts.policy.choose(&candidates, limits, &mut rand::rng())?;
         let entry = DirectoryEntry::clone(entries.get(index)?);
-        Some(Plan { entry, leg: Leg { patience: self.parts.policy.patience(&all), repeated } })
+        let patience = self.parts.policy.patience(&all, candidates.get(index)?, limits);
+        Some(Plan { entry, leg: Leg { patience, repeated } })
     }
 
     fn candidate(&self, entry: &DirectoryEntry, ramp: Duration, now: Instant) -> Candidate {
@@ -264,6 +294,7 @@
         } else {
             let peer = PeerCall {
                 id: &call.id,
+                gate: &entry.member.id,
                 addr: entry.member.peer_addr,
                 deadline: call.deadline,
                 idempotent: call.head.idempotent,
@@ -281,6 +312,7 @@
                     entry.stats.fail();
                 } else {
                     entry.stats.observe(sent_at.elapsed());
+                    call.note_service_time(sent_at.elapsed());
                 }
                 Ok(self.answered(call, response, in_flight))
             }
--- a/lib/src/transport/call_resolution.rs
+++ b/lib/src/transport/call_resolution.rs
@@ -30,6 +30,7 @@
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::error_kind::Execution;
 use crate::protocol::headers;
+use crate::protocol::member::MemberId;
 use crate::protocol::resolve_wish::ResolveWish;
 use crate::transport::call_body::BodyError;
 use crate::transport::call_body::CallBody;
@@ -51,6 +52,8 @@
 pub struct PeerCall<'a> {
     /// Identity of the call.
     pub id: &'a CallId,
+    /// Whose gate it is.
+    pub gate: &'a MemberId,
     /// Where the gate listens.
     pub addr: SocketAddr,
     /// When the call is of no more use.
@@ -73,10 +76,14 @@
 ) -> Result<Response<PeerAnswerBody>> {
     let question = Question {
         id: call.id.clone(),
+        gate: HeaderValue::from_str(&call.gate.to_string()).ok(),
         addr: call.addr,
         deadline: call.deadline,
         channel: channels.get(call.addr),
     };
+    if let Some(gate) = &question.gate {
+        request.headers_mut().insert(headers::GATE, gate.clone());
+    }
     *request.uri_mut() = question.channel.absolute(request.uri());
     let caller =
         (!call.idempotent && !call.outlives_caller).then(|| PeerCaller { question: Some(question.clone()) });
@@ -111,6 +118,7 @@
 #[derive(Clone, Debug)]
 struct Question {
     id: CallId,
+    gate: Option<HeaderValue>,
     addr: SocketAddr,
     deadline: Instant,
     channel: Arc<PeerChannel<CallBody>>,
@@ -155,6 +163,9 @@
                 fields.insert(name, value);
             }
         }
+        if let Some(gate) = &self.gate {
+            fields.insert(headers::GATE, gate.clone());
+        }
         request
     }
 }
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -65,6 +65,7 @@
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
 pub(super) const RETRY_HINT: Duration = Duration::from_millis(100);
+const PERCENT: u32 = 100;
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_DOCUMENT_BYTES: usize = 16_384;
 
@@ -73,6 +74,8 @@
 pub struct GateCall {
     /// Identity of the call.
     pub id: CallId,
+    /// Service called; an upstream of another one doesn't get it.
+    pub service: Arc<str>,
     /// Position of the priority, 0 the most urgent.
     pub priority: u8,
     /// Name of the priority.
@@ -152,20 +155,24 @@
     pub fn set_upstream(
         &self,
         addr: SocketAddr,
+        service: &Arc<str>,
         instance: Option<&Arc<str>>,
         slots: u32,
         rule: &UpstreamRuleSpec,
     ) {
         let held = self.pool.load();
-        let same = held.as_ref().is_some_and(|pool| pool.addr() == addr && pool.instance() == instance);
+        let same = held.as_ref().is_some_and(|pool| {
+            pool.addr() == addr && pool.service() == service && pool.instance() == instance
+        });
         if !same {
-            let pool = UpstreamPool::new(addr, instance.cloned(), rule.max_connections);
+            let pool = UpstreamPool::new(addr, Arc::clone(service), instance.cloned(), rule.max_connections);
             self.pool.store(Some(Arc::new(pool)));
         }
         let mut queue = self.queue.lock();
         queue.admission.resume();
         queue.admission.set_adaptive(rule.adaptive_limit);
-        let verdicts = queue.admission.set_limit(slots, Instant::now());
+        let usable = (slots * rule.usable_slots_percent / PERCENT).max(1);
+        let verdicts = queue.admission.set_limit(usable, Instant::now());
         queue.deliver(verdicts);
     }
 
@@ -335,6 +342,10 @@
         let queued = arrived.elapsed();
         self.parents.insert(call.id.clone(), call.as_parent());
         let pool = self.pool.load_full().ok_or_else(no_upstream)?;
+        if *pool.service() != call.service {
+            self.count("other_service");
+            return Err(other_service(&call.service, pool.service()));
+        }
         guard.hold(slot, Arc::clone(&pool));
         let mut request = for_upstream(request, pool.addr());
         let request_id = self.foreign.as_ref().and_then(|fields| {
@@ -379,6 +390,9 @@
             return Ok(response);
         };
         let word = fields.load_of(response.headers());
+        if let Some(word) = word {
+            self.queue.lock().admission.note_pace(word.pace_percent, Instant::now());
+        }
         let origin = fields.origin(response.status(), response.headers(), request_id);
         response.headers_mut().remove(&fields.load);
         let answer = match origin {
@@ -387,7 +401,7 @@
                 guard.refused(response.body());
                 self.count("upstream_refused");
                 let load = self.load();
-                ErrorAnswer::new(ErrorKind::Overloaded, "the upstream refused the call before it ran")
+                ErrorAnswer::new(ErrorKind::UpstreamRefused, "the upstream refused the call before it ran")
                     .retry_after(RETRY_HINT)
                     .with_load(load)
             }
@@ -622,6 +636,11 @@
     ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the caller left and the call was cancelled")
 }
 
+fn other_service(asked: &str, served: &str) -> ErrorAnswer {
+    let message = format!("the upstream here serves {served}, not {asked}");
+    ErrorAnswer::new(ErrorKind::NoUpstream, message).retry_after(RETRY_HINT)
+}
+
 fn no_upstream() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::NoUpstream, "no upstream has announced itself here").retry_after(RETRY_HINT)
 }
--- a/lib/src/transport/gossip.rs
+++ b/lib/src/transport/gossip.rs
@@ -23,6 +23,7 @@
 use crate::coordination::platform_role::role_of;
 use crate::coordination::platform_role::zone_readers;
 use crate::protocol::member::Member;
+use crate::protocol::member::MemberId;
 use crate::protocol::member::MemberState;
 use crate::protocol::member::UpstreamInfo;
 use crate::protocol::published::Published;
@@ -122,6 +123,12 @@
         Arc::clone(self.inner.lock().view.membership().me())
     }
 
+    /// Whether this process is, or went by, the given name and incarnation.
+    #[must_use]
+    pub fn was_me(&self, id: &MemberId) -> bool {
+        self.inner.lock().view.membership().was_me(id)
+    }
+
     /// The node's upstream announced itself, changed or went.
     pub fn set_upstream(&self, upstream: Option<UpstreamInfo>) {
         let changed = self.inner.lock().view.set_upstream(upstream);
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -47,7 +47,9 @@
 use crate::state::decision_log::DecisionLog;
 use crate::state::directory::Directory;
 use crate::state::metrics::SharedMetrics;
+use crate::state::usual_time::UsualTime;
 use crate::transport::call_attempts::Answered;
+use crate::transport::call_attempts::Wanted;
 use crate::transport::call_body::BodyWatch;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
@@ -125,6 +127,8 @@
     pub(super) caller: Arc<str>,
     started: Instant,
     pub(super) deadline: Instant,
+    usual: Option<Arc<UsualTime>>,
+    objective: Duration,
     pub(super) objective_at: Option<Instant>,
     pub(super) max_attempts: u32,
     pub(super) tally: Arc<BurnTally>,
@@ -300,6 +304,7 @@
     ) -> Result<Response<AnswerBody>> {
         let gate_call = GateCall {
             id: call.id.clone(),
+            service: Arc::clone(&call.head.service),
             priority: call.head.priority,
             priority_name: Arc::clone(&call.priority_name),
             repeated: leg.repeated || call.head.repeated,
@@ -403,6 +408,8 @@
             caller: head.caller.clone().unwrap_or_else(|| Arc::from(remote.ip().to_string())),
             started,
             deadline: started + head.timeout,
+            usual: None,
+            objective,
             objective_at: None,
             max_attempts: config.service.retry.max_attempts,
             tally: Arc::new(BurnTally::new(Arc::clone(burn), key, objective, started)),
@@ -420,6 +427,27 @@
         }
     }
 
+    /// Gives the call the objective of its route, counted from when it arrived.
+    pub(super) fn follow_route(&mut self, objective: Duration, usual: &Arc<UsualTime>) {
+        self.objective = objective;
+        self.objective_at = Some(self.started + objective);
+        self.usual = Some(Arc::clone(usual));
+    }
+
+    /// What the call wants of its upstream.
+    pub(super) fn wanted(&self) -> Wanted<'_> {
+        let objective = self.objective.saturating_sub(self.started.elapsed());
+        let usual = self.usual.as_ref().map_or(Duration::ZERO, |usual| usual.get());
+        Wanted { service: &self.head.service, priority: self.head.priority, objective, usual }
+    }
+
+    /// Takes in how long an upstream took for the call.
+    pub(super) fn note_service_time(&self, took: Duration) {
+        if let Some(usual) = &self.usual {
+            usual.observe(took);
+        }
+    }
+
     pub(super) fn may_retry(&self, answer: &ErrorAnswer) -> bool {
         match answer.execution {
             Execution::NotExecuted => answer.kind.row().retryable,
--- a/lib/src/transport/kind_watch.rs
+++ b/lib/src/transport/kind_watch.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::coordination::backoff::Backoff;
+use crate::log_event;
 use crate::protocol::object::Object;
 use crate::protocol::object::ObjectKind;
 use crate::state::metrics::Metrics;
@@ -11,7 +12,7 @@
 use crate::transport::platform::Platform;
 
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
-const LONGEST_PAUSE: Duration = Duration::from_secs(10);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
 /// What became known of a kind.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,6 +30,9 @@
 }
 
 /// Lists a kind and then watches it for as long as the caller lets it.
+///
+/// A watch that ends with nothing is asked again from where it began, so that a change that
+/// the platform failed to tell is told by the next one. After a failure the kind is listed.
 pub async fn follow_kind<P, F>(platform: P, kind: ObjectKind, metrics: SharedMetrics, mut on_event: F)
 where
     P: Platform,
@@ -36,6 +40,7 @@
 {
     let mut backoff = platform_backoff();
     let mut watched: Option<u64> = None;
+    let mut in_touch = true;
     loop {
         let result = match watched {
             None => {
@@ -51,21 +56,30 @@
                     if changes.expired {
                         return None;
                     }
-                    if !changes.changes.is_empty() {
-                        on_event(KindEvent::Changed(changes.changes));
+                    if changes.changes.is_empty() {
+                        return Some(after);
                     }
+                    on_event(KindEvent::Changed(changes.changes));
                     Some(changes.version)
                 })
             }
         };
         match result {
             Ok(next) => {
+                if !in_touch {
+                    log_event!(Info, "platform followed again", kind = kind, watched = watched.unwrap_or(0));
+                }
+                in_touch = true;
                 watched = next;
                 backoff.reset();
             }
             Err(error) => {
                 Metrics::count(&metrics.platform_calls, "failed");
-                log::debug!("platform not followed; kind={kind} error={error}");
+                if in_touch {
+                    log_event!(Warn, "platform not followed", kind = kind, error = &error);
+                }
+                in_touch = false;
+                watched = None;
                 let pause = backoff.next(&mut rand::rng());
                 tokio::time::sleep(pause).await;
             }
--- a/lib/src/transport/peer_channel.rs
+++ b/lib/src/transport/peer_channel.rs
@@ -34,6 +34,7 @@
 use crate::transport::call_body::BoxError;
 use crate::transport::call_body::CallBody;
 use crate::transport::peer_security::PeerSecurity;
+use crate::transport::silence_watch::Outstanding;
 use crate::transport::silence_watch::PING_INTERVAL;
 use crate::transport::silence_watch::WatchedStream;
 
@@ -83,13 +84,20 @@
     }
 }
 
+/// A connection that calls can be sent over.
+#[derive(Debug)]
+struct OpenConnection<B> {
+    sender: SendRequest<B>,
+    outstanding: Outstanding,
+}
+
 /// One connection to a peer, made when needed and replaced when it fails.
 #[derive(Debug)]
 pub struct PeerChannel<B> {
     addr: SocketAddr,
     security: Arc<PeerSecurity>,
     authority: Option<Authority>,
-    sender: ArcSwapOption<SendRequest<B>>,
+    open: ArcSwapOption<OpenConnection<B>>,
     connecting: Mutex<()>,
 }
 
@@ -99,8 +107,8 @@
 {
     fn new(addr: SocketAddr, security: Arc<PeerSecurity>) -> Self {
         let authority = addr.to_string().parse().ok();
-        let sender = ArcSwapOption::const_empty();
-        Self { addr, security, authority, sender, connecting: Mutex::const_new(()) }
+        let open = ArcSwapOption::const_empty();
+        Self { addr, security, authority, open, connecting: Mutex::const_new(()) }
     }
 
     /// The target of a request as HTTP/2 carries it to this peer.
@@ -121,8 +129,11 @@
     pub async fn send(&self, mut request: Request<B>) -> Result<Response<Incoming>> {
         let mut may_reconnect = true;
         loop {
-            let mut sender = self.sender().await?;
-            match sender.try_send_request(request).await {
+            let connection = self.connection().await?;
+            let awaited = connection.outstanding.begin();
+            let sent = connection.sender.clone().try_send_request(request).await;
+            drop(awaited);
+            match sent {
                 Ok(response) => return Ok(response),
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) if may_reconnect => request = unsent,
@@ -131,30 +142,29 @@
                 },
             }
             may_reconnect = false;
-            self.sender.store(None);
+            self.open.store(None);
         }
     }
 
-    async fn sender(&self) -> Result<SendRequest<B>> {
-        if let Some(sender) = self.open_sender() {
-            return Ok(sender);
+    async fn connection(&self) -> Result<Arc<OpenConnection<B>>> {
+        if let Some(connection) = self.open_connection() {
+            return Ok(connection);
         }
         let _one_at_a_time = self.connecting.lock().await;
-        if let Some(sender) = self.open_sender() {
-            return Ok(sender);
+        if let Some(connection) = self.open_connection() {
+            return Ok(connection);
         }
-        let sender = connect(self.addr, &self.security).await?;
-        self.sender.store(Some(Arc::new(sender.clone())));
-        Ok(sender)
+        let connection = Arc::new(connect(self.addr, &self.security).await?);
+        self.open.store(Some(Arc::clone(&connection)));
+        Ok(connection)
     }
 
-    fn open_sender(&self) -> Option<SendRequest<B>> {
-        let held = self.sender.load();
-        held.as_ref().filter(|sender| !sender.is_closed()).map(|sender| SendRequest::clone(sender))
+    fn open_connection(&self) -> Option<Arc<OpenConnection<B>>> {
+        self.open.load_full().filter(|connection| !connection.sender.is_closed())
     }
 }
 
-async fn connect<B>(addr: SocketAddr, security: &PeerSecurity) -> Result<SendRequest<B>>
+async fn connect<B>(addr: SocketAddr, security: &PeerSecurity) -> Result<OpenConnection<B>>
 where
     B: http_body::Body<Data = Bytes, Error: Into<BoxError>> + Send + Unpin + 'static,
 {
@@ -171,14 +181,15 @@
         .max_header_list_size(MAX_ANSWER_HEADER_BYTES)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT);
-    let io = TokioIo::new(WatchedStream::new(stream, round_trip));
-    let (sender, connection) = builder.handshake(io).await.context(HandshakeSnafu)?;
+    let stream = WatchedStream::new(stream, round_trip);
+    let outstanding = stream.outstanding();
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             log_event_limited!(Info, "peer connection ended", peer = addr, error = error);
         }
     });
-    Ok(sender)
+    Ok(OpenConnection { sender, outstanding })
 }
 
 /// Channels by address of the peer.
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -24,6 +24,7 @@
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::headers;
+use crate::protocol::member::MemberId;
 use crate::protocol::resolve_wish::ResolveWish;
 use crate::protocol::ticket::Ticket;
 use crate::protocol::trace::Step;
@@ -49,6 +50,8 @@
     gate: Arc<Gate>,
     config: Arc<ConfigTable>,
     decisions: Arc<DecisionLog>,
+    gossip: Arc<Gossip>,
+    name: Arc<str>,
     control: PeerServer<Control>,
 }
 
@@ -61,8 +64,9 @@
         gossip: Arc<Gossip>,
         decisions: Arc<DecisionLog>,
     ) -> Self {
-        let control = PeerServer::new(Control { gossip });
-        Self { gate, config, decisions, control }
+        let control = PeerServer::new(Control { gossip: Arc::clone(&gossip) });
+        let name = Arc::clone(&gossip.me().id.name);
+        Self { gate, config, decisions, gossip, name, control }
     }
 
     async fn call(&self, request: Request<Incoming>) -> Response<PeerBody> {
@@ -95,6 +99,11 @@
             self.gate.cancel(&id);
             return Response::new(Either::Right(Either::Right(Full::default())));
         }
+        let gate: Result<MemberId, _> = parsed(fields, &headers::GATE);
+        if !gate.is_ok_and(|gate| self.gossip.was_me(&gate)) {
+            let message = "another process than the one that the call was sent to";
+            return refusal(ErrorAnswer::new(ErrorKind::OutcomeUnknown, message), Some(&id));
+        }
         match self.gate.attach(&id).await {
             Ok(response) => response.map(|body| Either::Right(Either::Left(body))),
             Err(answer) => refusal(answer, Some(&id)),
@@ -103,9 +112,15 @@
 
     fn read_call(&self, fields: &HeaderMap) -> Result<GateCall, ErrorAnswer> {
         let id: CallId = parsed(fields, &headers::CALL)?;
+        let gate: MemberId = parsed(fields, &headers::GATE)?;
+        if gate.name != self.name {
+            let message = format!("this is not the gate of {}", gate.name);
+            return Err(ErrorAnswer::new(ErrorKind::NoUpstream, message));
+        }
         let timeout_ms = parsed(fields, &headers::TIMEOUT_MS)?;
         Ok(GateCall {
             id,
+            service: Arc::from(text(fields, &headers::SERVICE).unwrap_or_default()),
             priority: self.priority(fields),
             priority_name: Arc::from(text(fields, &headers::PRIORITY).unwrap_or_default()),
             repeated: text(fields, &headers::REPEAT) == Some("true"),
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -134,7 +134,7 @@
         let id_field = id_field.unwrap_or_else(|_| HeaderValue::from_static(""));
         let mut call = Call::new(id, id_field, head, config, &self.ingress.parts.burn, remote);
         call.max_attempts = route.spec.max_attempts.max(1);
-        call.objective_at = Some(arrived + Duration::from_millis(route.spec.objective_ms));
+        call.follow_route(Duration::from_millis(route.spec.objective_ms), &route.usual);
         let result = self.ingress.see_through(&mut call, config, request).await;
         if let Err(answer) = &result {
             self.ingress.note_failure(&call, answer);
--- a/lib/src/transport/routes_reader.rs
+++ b/lib/src/transport/routes_reader.rs
@@ -2,27 +2,41 @@
 
 use std::marker::PhantomData;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
 
+use crate::coordination::backoff::jittered;
 use crate::log_event;
 use crate::protocol::object::Object;
 use crate::protocol::object::ObjectKind;
 use crate::protocol::published::Published;
 use crate::protocol::route::ROUTES_NAME;
+use crate::protocol::settings::PlatformSettings;
 use crate::state::metrics::SharedMetrics;
 use crate::transport::gossip::Gossip;
 use crate::transport::interface::Interface;
 use crate::transport::kind_watch::KindEvent;
 use crate::transport::kind_watch::follow_kind;
 
+/// Time between two looks at the node's role.
+const ROLE_CHECK: Duration = Duration::from_millis(500);
+/// How much longer a watch may wait on nodes that hear of new routes from their zone's leader too.
+const RELAXED_FACTOR: u64 = 6;
+/// Longest wait that the platform allows, in milliseconds.
+const MAX_WATCH_WAIT_MS: u64 = 30_000;
+
 /// Watches the platform for new routes and passes them on.
+///
+/// Every node watches. A watch may go silent without failing, so the zone's leading node asks
+/// again soon, and the others rely on it and ask seldom.
 #[derive(Debug)]
 pub struct RoutesReader<I>
 where
     I: Interface,
 {
-    platform: I::Store,
+    reader: I::Store,
+    relaxed: I::Store,
     gossip: Arc<Gossip>,
     metrics: SharedMetrics,
     interface: PhantomData<fn() -> I>,
@@ -32,21 +46,48 @@
 where
     I: Interface,
 {
-    /// A reader of the given platform.
+    /// A reader of the platform that the settings name.
     #[must_use]
-    pub const fn new(platform: I::Store, gossip: Arc<Gossip>, metrics: SharedMetrics) -> Self {
-        Self { platform, gossip, metrics, interface: PhantomData }
+    pub fn new(settings: &PlatformSettings, gossip: Arc<Gossip>, metrics: SharedMetrics) -> Self {
+        let relaxed_ms = (settings.watch_wait_ms * RELAXED_FACTOR).min(MAX_WATCH_WAIT_MS);
+        let relaxed = PlatformSettings { watch_wait_ms: relaxed_ms, ..settings.clone() };
+        Self {
+            reader: I::store(settings),
+            relaxed: I::store(&relaxed),
+            gossip,
+            metrics,
+            interface: PhantomData,
+        }
     }
 
     /// Works until told to stop.
     pub async fn run(self, stop: CancellationToken) {
-        let gossip = self.gossip;
-        let follow = follow_kind(self.platform, ObjectKind::Routes, self.metrics, move |event| {
-            apply_event::<I>(&gossip, event);
-        });
+        let work = async {
+            loop {
+                let reads = self.gossip.role().leads_zone;
+                tokio::select! {
+                    () = self.follow(reads) => {}
+                    () = self.until_role(!reads) => {}
+                }
+            }
+        };
         tokio::select! {
             () = stop.cancelled() => {}
-            () = follow => {}
+            () = work => {}
+        }
+    }
+
+    async fn follow(&self, reads: bool) {
+        let store = if reads { &self.reader } else { &self.relaxed };
+        let gossip = Arc::clone(&self.gossip);
+        let on_event = move |event| apply_event::<I>(&gossip, event);
+        follow_kind(store.clone(), ObjectKind::Routes, Arc::clone(&self.metrics), on_event).await;
+    }
+
+    async fn until_role(&self, reads: bool) {
+        while self.gossip.role().leads_zone != reads {
+            let pause = jittered(ROLE_CHECK, &mut rand::rng());
+            tokio::time::sleep(pause).await;
         }
     }
 }
--- a/lib/src/transport/silence_watch.rs
+++ b/lib/src/transport/silence_watch.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -63,6 +64,36 @@
     read_at_us: AtomicU64,
     unanswered_since_us: AtomicU64,
     round_trip_us: AtomicU64,
+    outstanding: AtomicU32,
+}
+
+/// What passes over one connection, for who sends calls over it.
+#[derive(Clone, Debug)]
+pub struct Outstanding {
+    traffic: Arc<Traffic>,
+}
+
+/// A call whose answer has not begun yet; only such a call makes silence suspicious.
+#[derive(Debug)]
+pub struct AwaitedAnswer {
+    traffic: Arc<Traffic>,
+}
+
+impl Outstanding {
+    /// Counts a call in that is about to be sent.
+    #[must_use]
+    pub fn begin(&self) -> AwaitedAnswer {
+        if self.traffic.outstanding.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.traffic.unanswered_since_us.store(self.traffic.now_us(), Ordering::Relaxed);
+        }
+        AwaitedAnswer { traffic: Arc::clone(&self.traffic) }
+    }
+}
+
+impl Drop for AwaitedAnswer {
+    fn drop(&mut self) {
+        self.traffic.outstanding.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Traffic {
@@ -72,6 +103,7 @@
             read_at_us: AtomicU64::new(0),
             unanswered_since_us: AtomicU64::new(NEVER),
             round_trip_us: AtomicU64::new(micros(round_trip)),
+            outstanding: AtomicU32::new(0),
         }
     }
 
@@ -110,7 +142,7 @@
 
     fn is_silent(&self) -> bool {
         let since_us = self.unanswered_since_us.load(Ordering::Relaxed);
-        if since_us == NEVER {
+        if since_us == NEVER || self.outstanding.load(Ordering::Relaxed) == 0 {
             return false;
         }
         let quiet_since_us = since_us.max(self.read_at_us.load(Ordering::Relaxed));
@@ -139,6 +171,14 @@
     }
 }
 
+impl WatchedStream {
+    /// Counts the calls that wait for an answer over this connection.
+    #[must_use]
+    pub fn outstanding(&self) -> Outstanding {
+        Outstanding { traffic: Arc::clone(&self.traffic) }
+    }
+}
+
 impl Drop for WatchedStream {
     fn drop(&mut self) {
         self.closed.cancel();
--- a/lib/src/transport/ticketed_call.rs
+++ b/lib/src/transport/ticketed_call.rs
@@ -1,5 +1,7 @@
 //! Calls with an idempotency key that a node issued: one gate alone may run each.
 
+use std::time::Duration;
+
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -19,6 +21,7 @@
 use crate::protocol::ticket::Ticket;
 use crate::state::directory::DirectoryEntry;
 use crate::transport::call_attempts::Answered;
+use crate::transport::call_attempts::Wanted;
 use crate::transport::ingress::Call;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressBody;
@@ -49,7 +52,9 @@
         let service = service_name(request.headers(), request.method())?;
         let published = self.parts.config.get(&service);
         let config = published.as_ref().and_then(|published| published.config.as_ref());
-        let plan = config.and_then(|config| self.choose(&service, config, false, |_| false));
+        let wanted =
+            Wanted { service: &service, priority: 0, objective: Duration::ZERO, usual: Duration::ZERO };
+        let plan = config.and_then(|config| self.choose(wanted, config, false, |_| false));
         let gate = plan.ok_or_else(no_upstream)?.entry.member.id.clone();
         HeaderValue::from_str(&Ticket { gate, call: id }.to_string()).map_err(|error| {
             ErrorAnswer::new(ErrorKind::Internal, format!("a ticket that is no field: {error}"))
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -102,6 +102,7 @@
 #[derive(Debug)]
 pub struct UpstreamPool {
     addr: SocketAddr,
+    service: Arc<str>,
     instance: Option<Arc<str>>,
     idle: Mutex<Vec<PooledConnection>>,
     permits: Arc<Semaphore>,
@@ -110,9 +111,20 @@
 impl UpstreamPool {
     /// A pool of at most `max_connections` to `addr`, where that instance listens if it has a name.
     #[must_use]
-    pub fn new(addr: SocketAddr, instance: Option<Arc<str>>, max_connections: u32) -> Self {
+    pub fn new(
+        addr: SocketAddr,
+        service: Arc<str>,
+        instance: Option<Arc<str>>,
+        max_connections: u32,
+    ) -> Self {
         let permits = Arc::new(Semaphore::new(max_connections as usize));
-        Self { addr, instance, idle: Mutex::new(Vec::new()), permits }
+        Self { addr, service, instance, idle: Mutex::new(Vec::new()), permits }
+    }
+
+    /// Service that the upstream serves.
+    #[must_use]
+    pub const fn service(&self) -> &Arc<str> {
+        &self.service
     }
 
     /// Name of the instance that listens there, if it has one.
--- a/lib/tests/routing.rs
+++ b/lib/tests/routing.rs
@@ -28,7 +28,8 @@
 use yuccatray::state::upstream_stats::UpstreamStats;
 
 const CHOICES: usize = 10_000;
-const LIMITS: RoutingLimits = RoutingLimits { max_ejected_percent: 34 };
+const LIMITS: RoutingLimits =
+    RoutingLimits { max_ejected_percent: 34, objective_us: 0, usual_us: 0, crossing_permille: 0 };
 const PATIENCE: Duration = Duration::from_millis(45);
 const USUAL: Duration = Duration::from_millis(30);
 
@@ -123,8 +124,9 @@
 
 #[test]
 fn patience_one_upstream_none() {
-    assert_eq!(TwoChoices.patience(&candidates(1)), None);
-    assert_eq!(TwoChoices.patience(&candidates(2)), Some(PATIENCE));
+    let (one, two) = (candidates(1), candidates(2));
+    assert_eq!(TwoChoices.patience(&one, &one[0], LIMITS), None);
+    assert_eq!(TwoChoices.patience(&two, &two[0], LIMITS), Some(PATIENCE));
 }
 
 #[test]
--- a/load/src/baselines.rs
+++ b/load/src/baselines.rs
@@ -116,9 +116,14 @@
         }
     }
 
-    fn patience(&self, candidates: &[Candidate]) -> Option<Duration> {
+    fn patience(
+        &self,
+        candidates: &[Candidate],
+        chosen: &Candidate,
+        limits: RoutingLimits,
+    ) -> Option<Duration> {
         match self {
-            Self::Yuccatray(policy) => policy.patience(candidates),
+            Self::Yuccatray(policy) => policy.patience(candidates, chosen, limits),
             _ => None,
         }
     }
