--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -16,6 +16,7 @@
 use crate::protocol::load_report::LoadReport;
 
 const PERCENT: u64 = 100;
+const HUNDRED: u32 = 100;
 /// Least share that a wait is reckoned with, in percent, for a priority that keeps none.
 const LEAST_SHARE_PERCENT: u64 = 2;
 /// Share of the time between service time and objective that a wait may fill.
@@ -53,6 +54,8 @@
     pub deadline: Instant,
     /// When its answer is worth less, where that is not the objective of its priority.
     pub objective_at: Option<Instant>,
+    /// Time that such a call usually takes; that of all calls here when it is not known.
+    pub usual: Option<Duration>,
     /// Longest time in all for which it is worth staying here, when another gate may be better.
     pub patience: Option<Duration>,
     /// Whether it may run more than once, which makes it the better trial of a bad upstream.
@@ -200,7 +203,7 @@
         let Some(index) = self.lane_of(ticket.priority) else {
             return Offer::Refused(Refusal::QueueFull);
         };
-        let free = self.free_for_all();
+        let free = self.is_free_for(index);
         let wait = if free { Duration::ZERO } else { self.expected_wait(index, ticket.caller, now) };
         let service_time = Duration::from_micros(self.estimate.live_us(now));
         if let Some(patience) = ticket.patience
@@ -221,10 +224,11 @@
         let longest_wait = self.longest_wait(index, objective, ticket.caller);
         let lane = &mut self.lanes[index];
         let objective_at = now + objective;
-        if now + wait >= ticket.deadline {
+        let lasts = if lane.rule().serve_late { ticket.usual.unwrap_or_default() } else { Duration::ZERO };
+        if now + wait + lasts >= ticket.deadline {
             return Offer::Refused(Refusal::TooLate);
         }
-        if wait > longest_wait {
+        if wait > longest_wait && !lane.rule().serve_late {
             return Offer::Refused(Refusal::ObjectiveMissed);
         }
         if let Some(refusal) = lane.refuses(ticket.caller) {
@@ -232,7 +236,7 @@
         }
         let key = TicketKey { deadline: ticket.deadline, sequence: self.next_sequence, lane: index };
         self.next_sequence += 1;
-        lane.push(key, Waiter { caller: ticket.caller, objective_at });
+        lane.push(key, Waiter { caller: ticket.caller, objective_at, usual: ticket.usual });
         Offer::Queued(key)
     }
 
@@ -308,8 +312,19 @@
         Some(usize::from(priority).min(last))
     }
 
-    fn free_for_all(&self) -> bool {
-        self.running < self.slots() && !self.lanes.iter().any(PriorityLane::has_waiting)
+    /// Slots that calls of the lane may fill, whoever holds the others.
+    fn slots_for(&self, index: usize) -> u32 {
+        let slots = self.slots();
+        (slots * self.lanes[index].rule().usable_slots_percent / HUNDRED).clamp(slots.min(1), slots)
+    }
+
+    /// Whether a call of the lane gets a slot at once.
+    fn is_free_for(&self, index: usize) -> bool {
+        let before = |lane: &PriorityLane| lane.has_waiting() && lane.rule().usable_slots_percent == HUNDRED;
+        let (urgent, rest) = self.lanes.split_at(index + 1);
+        self.running < self.slots_for(index)
+            && !urgent.iter().any(PriorityLane::has_waiting)
+            && !rest.iter().any(before)
     }
 
     fn service_time(&self) -> Duration {
@@ -352,10 +367,12 @@
         let service_time = self.service_time();
         let mut verdicts = Vec::new();
         while self.running < self.slots() {
-            let Some(index) = self.next_lane() else {
+            let Some(index) = self.next_lane(service_time, now) else {
                 break;
             };
-            let Some((key, caller)) = self.lanes[index].next(service_time, now, &mut verdicts) else {
+            let most_late = self.slots() as usize;
+            let next = self.lanes[index].next(service_time, most_late, now, &mut verdicts);
+            let Some((key, caller)) = next else {
                 continue;
             };
             let grant = self.start(index, caller, now);
@@ -365,10 +382,19 @@
     }
 
     /// The most urgent lane that is owed slot time, else the most urgent that waits.
-    fn next_lane(&self) -> Option<usize> {
-        let mut waiting = (0..self.lanes.len()).filter(|index| self.lanes[*index].has_waiting());
-        let first = waiting.clone().next();
-        waiting.find(|index| self.shares.is_owed(*index)).or(first)
+    ///
+    /// Lanes with calls that can still be in time go before those with late calls only.
+    fn next_lane(&self, service_time: Duration, now: Instant) -> Option<usize> {
+        let open = |index: &usize| self.lanes[*index].has_waiting() && self.running < self.slots_for(*index);
+        let in_time = |index: &usize| {
+            let lane = &self.lanes[*index];
+            !lane.rule().serve_late || lane.has_in_time(service_time, now)
+        };
+        let waiting: Vec<usize> = (0..self.lanes.len()).filter(open).collect();
+        let first = waiting.iter().copied().filter(in_time);
+        let first: Vec<usize> = first.collect();
+        let candidates = if first.is_empty() { waiting } else { first };
+        candidates.iter().find(|index| self.shares.is_owed(**index)).or(candidates.first()).copied()
     }
 
     fn start(&mut self, index: usize, caller: CallerKey, now: Instant) -> Grant {
--- a/lib/src/coordination/hedge.rs
+++ b/lib/src/coordination/hedge.rs
@@ -8,6 +8,8 @@
 use crate::coordination::retry_budget::RetryBudget;
 use crate::protocol::service_spec::HedgeSpec;
 
+/// Copies that one node may save up for a bad moment.
+const MAX_SAVED_COPIES: u32 = 10;
 const SAMPLES_MIN: u32 = 100;
 const STEP_FRACTION: f64 = 0.05;
 const STEP_US_MIN: f64 = 1.0;
@@ -71,7 +73,7 @@
         if !spec.enabled || !idempotent {
             return None;
         }
-        self.budget.earn(spec.budget_percent);
+        self.budget.earn(spec.budget_percent, MAX_SAVED_COPIES);
         self.latency.get()
     }
 
--- a/lib/src/coordination/priority_lane.rs
+++ b/lib/src/coordination/priority_lane.rs
@@ -27,6 +27,10 @@
     pub max_caller_queue_percent: u32,
     /// Latency objective.
     pub objective: Duration,
+    /// Whether calls that miss their objective are still served, after those that don't.
+    pub serve_late: bool,
+    /// Share of the declared slots that its calls may fill, in percent.
+    pub usable_slots_percent: u32,
 }
 
 /// A call that waits.
@@ -36,6 +40,15 @@
     pub caller: CallerKey,
     /// When its objective passes.
     pub objective_at: Instant,
+    /// Time that such a call usually takes; that of all calls here when it is not known.
+    pub usual: Option<Duration>,
+}
+
+impl Waiter {
+    /// Whether its answer can still be in time when it starts now.
+    fn is_in_time(&self, service_time: Duration, now: Instant) -> bool {
+        self.objective_at >= now + self.usual.unwrap_or(service_time)
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -125,13 +138,26 @@
         true
     }
 
-    /// Takes the next call out of the queue, and refuses those that can't be answered in time.
+    /// Whether a call waits whose answer can still be in time.
+    #[must_use]
+    pub fn has_in_time(&self, service_time: Duration, now: Instant) -> bool {
+        self.waiting.values().any(|waiter| waiter.is_in_time(service_time, now))
+    }
+
+    /// Takes the next call out of the queue, and refuses those that are not served any more.
+    ///
+    /// Where late calls are served, those still in time go first, and of the late ones no
+    /// more than `most_late` stay: the rest would wait in vain.
     pub fn next(
         &mut self,
         service_time: Duration,
+        most_late: usize,
         now: Instant,
         verdicts: &mut Vec<Verdict>,
     ) -> Option<(TicketKey, CallerKey)> {
+        if self.rule.serve_late {
+            return self.next_or_late(service_time, most_late, now, verdicts);
+        }
         loop {
             let (key, waiter) = self.first_in_turn()?;
             self.remove(key);
@@ -146,6 +172,29 @@
         }
     }
 
+    fn next_or_late(
+        &mut self,
+        service_time: Duration,
+        most_late: usize,
+        now: Instant,
+        verdicts: &mut Vec<Verdict>,
+    ) -> Option<(TicketKey, CallerKey)> {
+        let past: Vec<TicketKey> = self.waiting.keys().take_while(|key| key.deadline() <= now).copied().collect();
+        let late: Vec<TicketKey> =
+            self.waiting.iter().filter(|(_, waiter)| !waiter.is_in_time(service_time, now)).map(|(key, _)| *key).collect();
+        let surplus = late.len().saturating_sub(most_late).max(past.len());
+        for key in &late[..surplus.min(late.len())] {
+            let refusal = if key.deadline() <= now { Refusal::TooLate } else { Refusal::ObjectiveMissed };
+            self.remove(*key);
+            verdicts.push(Verdict::Refuse(*key, refusal));
+        }
+        let in_time = self.waiting.iter().find(|(_, waiter)| waiter.is_in_time(service_time, now));
+        let (key, caller) =
+            in_time.or_else(|| self.waiting.first_key_value()).map(|(key, waiter)| (*key, waiter.caller))?;
+        self.remove(key);
+        Some((key, caller))
+    }
+
     /// A call of the caller takes a slot.
     pub fn start(&mut self, caller: CallerKey) {
         self.running += 1;
--- a/lib/src/coordination/retry_budget.rs
+++ b/lib/src/coordination/retry_budget.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::Ordering;
 
 const TOKENS_PER_RETRY: i64 = 100;
-const MAX_SAVED_RETRIES: i64 = 10;
 
 /// A budget that every first attempt fills a little and every retry draws on.
 #[derive(Debug, Default)]
@@ -13,9 +12,9 @@
 }
 
 impl RetryBudget {
-    /// Counts a first attempt, which earns `percent` hundredths of a retry.
-    pub fn earn(&self, percent: u32) {
-        let limit = TOKENS_PER_RETRY * MAX_SAVED_RETRIES;
+    /// Counts a first attempt, which earns `percent` hundredths of a retry up to `most_saved` retries.
+    pub fn earn(&self, percent: u32, most_saved: u32) {
+        let limit = TOKENS_PER_RETRY * i64::from(most_saved);
         let earned = i64::from(percent);
         let add = |tokens: i64| Some((tokens + earned).min(limit));
         let _previous = self.tokens.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
--- a/lib/src/protocol/error_kind.rs
+++ b/lib/src/protocol/error_kind.rs
@@ -35,6 +35,8 @@
     Overloaded,
     /// The upstream itself refused the call before it ran.
     UpstreamRefused,
+    /// The upstream ran the call and failed it.
+    UpstreamFailed,
     /// The objective could not be met any more before a slot was free.
     ObjectiveMissed,
     /// No upstream of the service is known to be able to serve.
@@ -82,7 +84,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::MalformedRequest,
         Self::UnknownService,
         Self::UnknownRoute,
@@ -94,6 +96,7 @@
         Self::CallerLimited,
         Self::Overloaded,
         Self::UpstreamRefused,
+        Self::UpstreamFailed,
         Self::ObjectiveMissed,
         Self::NoUpstream,
         Self::Draining,
@@ -127,6 +130,7 @@
             Self::UpstreamRefused => {
                 row("upstream_refused", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true)
             }
+            Self::UpstreamFailed => row("upstream_failed", StatusCode::BAD_GATEWAY, OutcomeUnknown, true),
             Self::ObjectiveMissed => {
                 row("objective_missed", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true)
             }
--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -17,6 +17,8 @@
 pub const PATIENCE_US: HeaderName = HeaderName::from_static("yuccatray-patience-us");
 /// Time left until the answer is worth less, in milliseconds; between nodes only.
 pub const OBJECTIVE_MS: HeaderName = HeaderName::from_static("yuccatray-objective-ms");
+/// Time that such a call usually takes, in milliseconds; between nodes only.
+pub const USUAL_MS: HeaderName = HeaderName::from_static("yuccatray-usual-ms");
 /// `true` or `false`: whether the call may run more than once.
 pub const IDEMPOTENT: HeaderName = HeaderName::from_static("yuccatray-idempotent");
 /// A key of the caller's that ties its own resends together.
--- a/lib/src/protocol/service_spec.rs
+++ b/lib/src/protocol/service_spec.rs
@@ -73,6 +73,13 @@
     #[serde(default = "default_max_caller_queue_percent")]
     #[schemars(range(min = 1, max = 100))]
     pub max_caller_queue_percent: u32,
+    /// Whether calls that miss their objective are still served, after those that don't.
+    #[serde(default)]
+    pub serve_late: bool,
+    /// Share of an upstream's slots that its calls may fill, in percent; some slow down when nearly full.
+    #[serde(default = "default_usable_slots_percent")]
+    #[schemars(range(min = 1, max = 100))]
+    pub usable_slots_percent: u32,
 }
 
 /// When a call may be sent again.
@@ -85,6 +92,9 @@
     /// Retries per hundred calls of the service.
     #[schemars(range(min = 0, max = 100))]
     pub budget_percent: u32,
+    /// Retries that one node may save up for a bad moment.
+    #[schemars(range(min = 1, max = 1_000))]
+    pub max_saved: u32,
 }
 
 /// When a second copy of an idempotent call may race the first.
@@ -138,16 +148,13 @@
     /// Share of a service's upstreams that may be ejected at once, in percent.
     #[schemars(range(min = 0, max = 100))]
     pub max_ejected_percent: u32,
-    /// Share of an upstream's slots that its gate uses, in percent; some slow down when nearly full.
-    #[schemars(range(min = 1, max = 100))]
-    pub usable_slots_percent: u32,
     /// Whether a gate lets fewer calls run at once while latency grows with their number.
     pub adaptive_limit: bool,
 }
 
 impl Default for RetrySpec {
     fn default() -> Self {
-        Self { max_attempts: 3, budget_percent: 10 }
+        Self { max_attempts: 3, budget_percent: 10, max_saved: 10 }
     }
 }
 
@@ -176,7 +183,6 @@
             drain_timeout_ms: 30_000,
             max_connections: 200,
             max_ejected_percent: 34,
-            usable_slots_percent: 100,
             adaptive_limit: true,
         }
     }
@@ -206,6 +212,10 @@
     100
 }
 
+const fn default_usable_slots_percent() -> u32 {
+    100
+}
+
 const fn default_max_caller_queue_percent() -> u32 {
     50
 }
--- a/lib/src/state/route_table.rs
+++ b/lib/src/state/route_table.rs
@@ -34,10 +34,14 @@
 const DRAIN_TIMEOUT_MS: u64 = 30_000;
 const RAMP_MS: u64 = 2_000;
 const MAX_EJECTED_PERCENT: u32 = 50;
-/// Share of its slots beyond which an upstream may slow down, in percent.
-const USABLE_SLOTS_PERCENT: u32 = 80;
+/// Share of an upstream's slots that each rank may fill, in percent.
+///
+/// Upstreams may slow down when nearly full, and the urgent must find a slot at once.
+const USABLE_SLOTS_PERCENT: [u32; RANKS as usize] = [100, 80, 60, 50];
 /// Retries per hundred calls of a service, below the share that all nodes together may use.
 const RETRY_PERCENT: u32 = 10;
+/// Retries that one node may save up, few since all nodes may spend theirs at once.
+const MAX_SAVED_RETRIES: u32 = 3;
 const MAX_RANK_QUEUE_SHARE_PERCENT: u32 = 100;
 /// Step of the golden ratio in 64 bits: its multiples fall evenly into any division of the range.
 const EVEN_STEP: u64 = 0x9E37_79B9_7F4A_7C15;
@@ -175,6 +179,8 @@
             min_share_percent: RANK_SHARE_PERCENT,
             max_queue: MAX_QUEUE,
             max_caller_queue_percent: MAX_RANK_QUEUE_SHARE_PERCENT,
+            serve_late: true,
+            usable_slots_percent: USABLE_SLOTS_PERCENT[index],
         };
         (Arc::from(index.to_string()), spec)
     });
@@ -192,7 +198,11 @@
             default_timeout_ms: DEFAULT_TIMEOUT_MS,
             idempotent_methods: Vec::new(),
             max_body_bytes: set.limits.max_body_bytes,
-            retry: RetrySpec { budget_percent: RETRY_PERCENT, ..RetrySpec::default() },
+            retry: RetrySpec {
+                budget_percent: RETRY_PERCENT,
+                max_saved: MAX_SAVED_RETRIES,
+                ..RetrySpec::default()
+            },
             hedge: HedgeSpec::default(),
             measuring: MeasuringSpec::default(),
         },
@@ -203,7 +213,6 @@
             drain_timeout_ms: DRAIN_TIMEOUT_MS,
             max_connections,
             max_ejected_percent: MAX_EJECTED_PERCENT,
-            usable_slots_percent: USABLE_SLOTS_PERCENT,
             adaptive_limit: false,
         },
     };
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -292,6 +292,8 @@
         max_queue: priority.max_queue as usize,
         max_caller_queue_percent: priority.max_caller_queue_percent,
         objective: Duration::from_millis(priority.objective_ms),
+        serve_late: priority.serve_late,
+        usable_slots_percent: priority.usable_slots_percent,
     });
     rules.collect()
 }
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -43,6 +43,8 @@
 /// Gates that may move one call on before the next one has to keep it.
 const MAX_SPILLS: usize = 2;
 
+/// Gates that may refuse or fail one call before it is given up.
+const MAX_GATES: usize = 4;
 /// Price of crossing to another zone, in thousandths of the worth of an answer in time, by rank.
 ///
 /// The bytes cost the same whatever a call is worth, and the urgent are worth most.
@@ -119,10 +121,11 @@
     ) -> Result<Answered> {
         let budgets = self.budgets(&call.head.service);
         if !call.head.repeated {
-            budgets.retry.earn(config.service.retry.budget_percent);
+            let retry = &config.service.retry;
+            budgets.retry.earn(retry.budget_percent, retry.max_saved);
         }
         let mut visited = Visited::default();
-        let mut attempt = 1;
+        let mut sent = 0;
         let mut last = None;
         let mut may_have_run = false;
         while let Some(plan) = self.plan(call, config, &budgets, &visited, outgoing.can_repeat()) {
@@ -131,8 +134,18 @@
             };
             let race = Race { call, config, budgets: &budgets, visited: &visited };
             let answer = match self.race(race, &plan, request, outgoing).await {
+                Ok(response) if response.status().is_server_error() => {
+                    sent += 1;
+                    if sent >= call.max_attempts || !may_run_again(call, outgoing, &budgets) {
+                        return Ok(response);
+                    }
+                    ErrorAnswer::new(ErrorKind::UpstreamFailed, "the upstream failed the call")
+                }
                 Ok(response) => return Ok(response),
-                Err(answer) => outcome_of_all(outgoing.explain(answer), may_have_run),
+                Err(answer) => {
+                    sent += u32::from(reached_upstream(answer.kind));
+                    outcome_of_all(outgoing.explain(answer), may_have_run)
+                }
             };
             may_have_run |= answer.execution == Execution::OutcomeUnknown;
             let name = Arc::clone(&plan.entry.member.id.name);
@@ -142,12 +155,13 @@
                 continue;
             }
             visited.failed.push(name);
-            if attempt == call.max_attempts || !may_retry(call, &answer, &budgets) {
+            let tried_enough = sent >= call.max_attempts || visited.failed.len() >= MAX_GATES;
+            let again = answer.kind == ErrorKind::UpstreamFailed || may_retry(call, &answer, &budgets);
+            if tried_enough || !again {
                 return Err(answer);
             }
             Metrics::count(&self.parts.metrics.retries, answer.kind.name());
             call.tally.retried(Instant::now());
-            attempt += 1;
             last = Some(answer);
         }
         Err(last.unwrap_or_else(no_upstream))
@@ -364,12 +378,27 @@
 
 fn may_retry(call: &Call, answer: &ErrorAnswer, budgets: &ServiceBudgets) -> bool {
     let worth_it = !is_full(answer.kind) || budgets.spill(call.head.priority).has_credit();
-    call.may_retry(answer) && worth_it && (is_free(answer.kind) || budgets.retry.spend())
+    call.may_retry(answer) && worth_it && (!reached_upstream(answer.kind) || budgets.retry.spend())
+}
+
+/// Whether a call that an upstream failed may run again elsewhere.
+fn may_run_again(call: &Call, outgoing: &Outgoing, budgets: &ServiceBudgets) -> bool {
+    call.follows_route() && call.head.idempotent && outgoing.can_repeat() && budgets.retry.spend()
 }
 
-/// A gate that is about to stop hands calls back; that they go elsewhere adds no load.
-fn is_free(kind: ErrorKind) -> bool {
-    kind == ErrorKind::Draining
+/// Whether an upstream saw the call, so that another attempt is work on top of it.
+///
+/// What a gate refused by itself went no further, and adds no load elsewhere.
+const fn reached_upstream(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::UpstreamRefused
+            | ErrorKind::UpstreamFailed
+            | ErrorKind::OutcomeUnknown
+            | ErrorKind::DeadlineWhileRunning
+            | ErrorKind::DuplicateCall
+            | ErrorKind::Internal
+    )
 }
 
 /// Whether the gate was full, so that another one helps only while most are not.
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -65,7 +65,6 @@
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
 pub(super) const RETRY_HINT: Duration = Duration::from_millis(100);
-const PERCENT: u32 = 100;
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_DOCUMENT_BYTES: usize = 16_384;
 
@@ -88,6 +87,8 @@
     pub deadline: Instant,
     /// When its answer is worth less, where that is not the objective of its priority.
     pub objective_at: Option<Instant>,
+    /// Time that such a call usually takes, where that is known.
+    pub usual: Option<Duration>,
     /// Whether it may run more than once.
     pub idempotent: bool,
     /// Whether it came with a ticket, so that it may come again and gets the same answer.
@@ -171,8 +172,7 @@
         let mut queue = self.queue.lock();
         queue.admission.resume();
         queue.admission.set_adaptive(rule.adaptive_limit);
-        let usable = (slots * rule.usable_slots_percent / PERCENT).max(1);
-        let verdicts = queue.admission.set_limit(usable, Instant::now());
+        let verdicts = queue.admission.set_limit(slots, Instant::now());
         queue.deliver(verdicts);
     }
 
@@ -487,6 +487,7 @@
             caller: call.caller,
             deadline: call.deadline,
             objective_at: call.objective_at,
+            usual: call.usual,
             patience: call.patience,
             idempotent: call.idempotent,
         };
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -311,6 +311,7 @@
             caller: caller_key(&call.caller),
             deadline: call.deadline,
             objective_at: call.objective_at,
+            usual: call.usual_time(),
             idempotent: call.head.idempotent,
             ticketed: call.ticket.is_some(),
             patience: leg.patience,
@@ -437,10 +438,20 @@
     /// What the call wants of its upstream.
     pub(super) fn wanted(&self) -> Wanted<'_> {
         let objective = self.objective.saturating_sub(self.started.elapsed());
-        let usual = self.usual.as_ref().map_or(Duration::ZERO, |usual| usual.get());
+        let usual = self.usual_time().unwrap_or_default();
         Wanted { service: &self.head.service, priority: self.head.priority, objective, usual }
     }
 
+    /// Whether a route says what the call needs.
+    pub(super) const fn follows_route(&self) -> bool {
+        self.usual.is_some()
+    }
+
+    /// Time that such calls usually take, where that is known.
+    pub(super) fn usual_time(&self) -> Option<Duration> {
+        self.usual.as_ref().map(|usual| usual.get()).filter(|usual| !usual.is_zero())
+    }
+
     /// Takes in how long an upstream took for the call.
     pub(super) fn note_service_time(&self, took: Duration) {
         if let Some(usual) = &self.usual {
--- a/lib/src/transport/outgoing_call.rs
+++ b/lib/src/transport/outgoing_call.rs
@@ -66,6 +66,10 @@
         }
         fields.remove(headers::RESOLVE);
         fields.remove(headers::OBJECTIVE_MS);
+        fields.remove(headers::USUAL_MS);
+        if let Some(usual) = call.usual_time() {
+            insert(fields, headers::USUAL_MS, &usual.as_millis().to_string());
+        }
         if let Some(objective_at) = call.objective_at {
             let left = objective_at.saturating_duration_since(Instant::now());
             insert(fields, headers::OBJECTIVE_MS, &left.as_millis().to_string());
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -128,6 +128,7 @@
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
             objective_at: optional(fields, &headers::OBJECTIVE_MS)
                 .map(|left_ms| Instant::now() + Duration::from_millis(left_ms)),
+            usual: optional(fields, &headers::USUAL_MS).map(Duration::from_millis),
             idempotent: parsed(fields, &headers::IDEMPOTENT)?,
             ticketed: Ticket::is_in(fields),
             patience: optional(fields, &headers::PATIENCE_US).map(Duration::from_micros),
--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -36,6 +36,8 @@
         max_queue: 20,
         max_caller_queue_percent: 100,
         objective: Duration::from_secs(1),
+        serve_late: false,
+        usable_slots_percent: 100,
     }
 }
 
@@ -121,6 +123,7 @@
             caller: CallerKey(0),
             deadline,
             objective_at: None,
+            usual: None,
             patience,
             idempotent: timeout_ms.is_multiple_of(2),
         };
@@ -254,6 +257,7 @@
             caller: CallerKey(0),
             deadline,
             objective_at: None,
+            usual: None,
             patience: None,
             idempotent: false,
         };
@@ -368,6 +372,7 @@
         caller: CallerKey(caller),
         deadline,
         objective_at: None,
+            usual: None,
         patience: None,
         idempotent: false,
     }
--- a/lib/tests/routing.rs
+++ b/lib/tests/routing.rs
@@ -215,7 +215,7 @@
     let budget = RetryBudget::default();
     let mut retries = 0;
     for _ in 0..10_000 {
-        budget.earn(10);
+        budget.earn(10, 10);
         retries += u32::from(budget.spend());
     }
     assert_eq!(retries, 1_000);
