--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -275,6 +275,12 @@
         }
     }
 
+    /// Name and incarnation of the node.
+    #[must_use]
+    pub fn member_id(&self) -> MemberId {
+        self.gossip.me().id.clone()
+    }
+
     /// Where the node listens.
     #[must_use]
     pub const fn addrs(&self) -> NodeAddrs {
--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -413,3 +413,70 @@
     assert_eq!(offers[11..], [Offer::Refused(Refusal::CallerLimited); 2]);
     assert!(matches!(admission.offer(caller_ticket(2, now), now), Offer::Queued(_)), "others find room");
 }
+
+fn late_rules() -> Vec<PriorityRule> {
+    let usable = [100, 80, 60];
+    usable
+        .map(|usable_slots_percent| PriorityRule { serve_late: true, usable_slots_percent, ..rule(0) })
+        .to_vec()
+}
+
+fn ranked(priority: u8, objective_ms: u64, timeout_ms: u64, now: Instant) -> Ticket {
+    Ticket {
+        priority,
+        caller: CallerKey(0),
+        deadline: now + Duration::from_millis(timeout_ms),
+        objective_at: Some(now + Duration::from_millis(objective_ms)),
+        usual: Some(Duration::from_millis(50)),
+        patience: None,
+        idempotent: true,
+    }
+}
+
+fn granted(admission: &mut Admission, ticket: Ticket, now: Instant) -> Option<Grant> {
+    match admission.offer(ticket, now) {
+        Offer::Admitted(grant) => Some(grant),
+        _ => None,
+    }
+}
+
+#[test]
+fn usable_slots_left_free_for_the_urgent() {
+    let now = Instant::now();
+    let mut admission = Admission::new(10, &late_rules(), now);
+    let taken = |admission: &mut Admission, priority| {
+        (0..10).filter(|_| granted(admission, ranked(priority, 500, 1_000, now), now).is_some()).count()
+    };
+    assert_eq!(taken(&mut admission, 2), 6);
+    assert_eq!(taken(&mut admission, 1), 2, "the next rank finds two more, though others wait");
+    assert_eq!(taken(&mut admission, 0), 2, "the most urgent find the rest");
+}
+
+#[test]
+fn late_call_served_after_those_in_time() {
+    let now = Instant::now();
+    let mut admission = Admission::new(1, &late_rules(), now);
+    let running = granted(&mut admission, ranked(0, 500, 1_000, now), now).expect("a free slot");
+    let queued = |offer| match offer {
+        Offer::Queued(key) => key,
+        other => panic!("expected to wait, not {other:?}"),
+    };
+    let late = queued(admission.offer(ranked(0, 10, 1_000, now), now));
+    let in_time = queued(admission.offer(ranked(0, 500, 2_000, now), now));
+    let verdicts = admission.release(running, Ended::Good(Duration::from_millis(50)), now);
+    let [Verdict::Admit(first, grant)] = verdicts[..] else {
+        panic!("one call starts: {verdicts:?}");
+    };
+    assert_eq!(first, in_time, "though its deadline is later");
+    let verdicts = admission.release(grant, Ended::Good(Duration::from_millis(50)), now);
+    assert!(matches!(verdicts[..], [Verdict::Admit(second, _)] if second == late), "{verdicts:?}");
+}
+
+#[test]
+fn late_call_that_cannot_end_in_its_time_refused_at_once() {
+    let now = Instant::now();
+    let mut admission = Admission::new(1, &late_rules(), now);
+    granted(&mut admission, ranked(0, 500, 1_000, now), now).expect("a free slot");
+    let offer = admission.offer(ranked(0, 10, 40, now), now);
+    assert_eq!(offer, Offer::Refused(Refusal::TooLate), "it usually takes 50 ms");
+}
--- a/lib/tests/source_layout.rs
+++ b/lib/tests/source_layout.rs
@@ -5,7 +5,7 @@
 
 use yuccatray_testutils::workspace::root;
 
-const CRATES: [&str; 7] = ["burn", "cli", "daemon", "lib", "lib/testutils", "load", "standin"];
+const CRATES: [&str; 8] = ["burn", "cli", "daemon", "lib", "lib/testutils", "load", "platform", "standin"];
 const LAYERS: [&str; 4] = ["transport", "coordination", "state", "protocol"];
 
 fn rust_files(directory: &Path, found: &mut Vec<PathBuf>) {
@@ -107,3 +107,41 @@
     let wrong: Vec<PathBuf> = sources().into_iter().filter(|path| read(path).contains(&forbidden)).collect();
     assert_eq!(wrong, Vec::<PathBuf>::new());
 }
+
+/// Names of the users' platform, each cut in two so that this list is not one of its places.
+const WIRE_NAMES: [(&str, &str); 12] = [
+    ("Request", "-Id"),
+    ("Deadline", "-Ms"),
+    ("Caller", "-Service"),
+    ("Expect", "-Instance"),
+    ("Server", "-Stamp"),
+    ("Server", "-Load"),
+    ("Not", "-Run"),
+    ("Heartbeat", "Addr"),
+    ("instances", ".heartbeat"),
+    ("Route", "Rules"),
+    ("Weighted", "Services"),
+    ("TargetLatency", "S\""),
+];
+
+#[test]
+fn wire_names_of_the_platform_only_in_its_folder() {
+    let mut wrong = Vec::new();
+    let mut used = 0;
+    for path in sources() {
+        let text = read(&path).to_ascii_lowercase();
+        for (front, back) in WIRE_NAMES {
+            let name = format!("\"{front}{back}").to_ascii_lowercase();
+            if !text.contains(&name) {
+                continue;
+            }
+            if path.starts_with(root().join("platform")) {
+                used += 1;
+            } else {
+                wrong.push(format!("{}: {front}{back}", path.display()));
+            }
+        }
+    }
+    assert_eq!(wrong, Vec::<String>::new());
+    assert!(used > 5, "the names are where the test looks");
+}
