--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,12 +1,15 @@
 //! The yuccatray node, one beside each upstream.
 
+mod reload;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
 use simplelog::ConfigBuilder;
 use simplelog::LevelFilter;
-use simplelog::SimpleLogger;
+use simplelog::WriteLogger;
 use tokio::runtime::Builder;
 use tokio::runtime::Handle;
 use tokio::signal::unix::SignalKind;
@@ -22,11 +25,17 @@
 use yuccatray::protocol::settings::DialectName;
 use yuccatray::protocol::settings::LogLevel;
 use yuccatray::protocol::settings::Settings;
+use yuccatray::transport::log_pipe::LogPipe;
 use yuccatray_platform::UsersPlatform;
 
+use crate::reload::SettingsFile;
+use crate::reload::level_filter;
+
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(2);
 /// The node could not start.
 const EXIT_FAILED: u8 = 1;
 /// The settings are wrong.
@@ -72,7 +81,7 @@
     let calls = Builder::new_multi_thread().worker_threads(threads).thread_name("calls").enable_all().build();
     match (control, calls) {
         (Ok(control), Ok(calls)) => {
-            let code = control.block_on(run(&settings, calls.handle()));
+            let code = control.block_on(run(path, settings, calls.handle()));
             calls.shutdown_background();
             code
         }
@@ -83,20 +92,26 @@
     }
 }
 
-async fn run(settings: &Settings, calls: &Handle) -> ExitCode {
+async fn run(path: PathBuf, settings: Settings, calls: &Handle) -> ExitCode {
+    let file = SettingsFile::new(path, settings.clone());
     match settings.dialect {
-        DialectName::Own => serve(Node::start_on(settings, TwoChoices, calls)).await,
-        DialectName::Platform => serve(Node::start_routed::<UsersPlatform>(settings, ZoneFirst, calls)).await,
+        DialectName::Own => serve(Node::start_on(&settings, TwoChoices, calls), file).await,
+        DialectName::Platform => {
+            serve(Node::start_routed::<UsersPlatform>(&settings, ZoneFirst, calls), file).await
+        }
     }
 }
 
 /// Runs a node until it is told to stop.
-async fn serve<P>(starting: impl Future<Output = Result<Node<P>, NodeError>>) -> ExitCode
+async fn serve<P>(
+    starting: impl Future<Output = Result<Node<P>, NodeError>>,
+    mut file: SettingsFile,
+) -> ExitCode
 where
     P: RoutingPolicy + Send + Sync + 'static,
 {
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()), signal(SignalKind::hangup()))
     else {
         eprintln!("error: cannot listen for signals");
         return ExitCode::from(EXIT_FAILED);
@@ -116,9 +131,13 @@
         "ready ingress={} peer={} announce={} admin={}",
         addrs.ingress, addrs.peer, addrs.announce, addrs.admin
     );
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => file.check("signal"),
+            () = tokio::time::sleep(SETTINGS_CHECK) => file.check("file"),
+        }
     }
     log_event!(Info, "stopping", second_signal = "cuts calls in flight short");
     let under_way = node.calls_under_way();
@@ -155,15 +174,13 @@
 }
 
 fn start_log(level: LogLevel) {
-    let filter = match level {
-        LogLevel::Error => LevelFilter::Error,
-        LogLevel::Warn => LevelFilter::Warn,
-        LogLevel::Info => LevelFilter::Info,
-        LogLevel::Debug => LevelFilter::Debug,
-        LogLevel::Trace => LevelFilter::Trace,
-    };
     let config = ConfigBuilder::new().set_time_format_rfc3339().add_filter_allow_str("yuccatray").build();
-    if SimpleLogger::init(filter, config).is_err() {
-        eprintln!("warning: a logger was set before; going on with it");
+    // The logger lets everything through; the level in force may change while the node runs.
+    let started = LogPipe::to(std::io::stdout()).map_err(|error| error.to_string()).and_then(|pipe| {
+        WriteLogger::init(LevelFilter::Trace, config, pipe).map_err(|error| error.to_string())
+    });
+    if let Err(error) = started {
+        eprintln!("warning: nothing will be logged: {error}");
     }
+    log::set_max_level(level_filter(level));
 }
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -17,6 +17,7 @@
 use crate::coordination::routing::RoutingLimits;
 use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::service_budgets::ServiceBudgets;
+use crate::log_event_limited;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::error_kind::Execution;
@@ -134,6 +135,7 @@
             let Some(request) = outgoing.next_request(call, plan.leg) else {
                 break;
             };
+            call.sent_to(&plan.entry.member.id.name);
             let race = Race { call, config, budgets: &budgets, visited: &visited };
             let answer = match self.race(race, &plan, request, outgoing).await {
                 Ok(response) if response.status().is_server_error() => {
@@ -163,6 +165,16 @@
                 return Err(answer);
             }
             Metrics::count(&self.parts.metrics.retries, answer.kind.name());
+            log_event_limited!(
+                Info,
+                "call tried again elsewhere",
+                call = &call.id,
+                service = &call.head.service,
+                failed_at = &plan.entry.member.id,
+                error = answer.kind,
+                execution = answer.execution.name(),
+                reached_upstreams = sent,
+            );
             call.tally.retried(Instant::now());
             last = Some(answer);
         }
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -476,8 +476,8 @@
                 self.count("admitted_after_wait");
                 Ok(())
             }
-            Ok(Err(refusal)) => Err(self.refused(refusal)),
-            Err(_) => Err(self.refused(Refusal::TooLate)),
+            Ok(Err(refusal)) => Err(self.refused(call, refusal)),
+            Err(_) => Err(self.refused(call, Refusal::TooLate)),
         }
     }
 
@@ -501,7 +501,7 @@
             }
             Offer::Refused(refusal) => {
                 drop(queue);
-                Err(self.refused(refusal))
+                Err(self.refused(call, refusal))
             }
         }
     }
@@ -526,7 +526,7 @@
         ErrorAnswer::new(ErrorKind::OutcomeUnknown, error.to_string())
     }
 
-    fn refused(&self, refusal: Refusal) -> ErrorAnswer {
+    fn refused(&self, call: &GateCall, refusal: Refusal) -> ErrorAnswer {
         let (kind, reason, message) = match refusal {
             Refusal::QueueFull => (ErrorKind::Overloaded, "queue_full", "the queue of this priority is full"),
             Refusal::TooLate => (ErrorKind::DeadlineBeforeStart, "too_late", "no slot was free in time"),
@@ -540,9 +540,24 @@
             Refusal::Draining => (ErrorKind::Draining, "draining", "the upstream takes no new work"),
         };
         self.count(reason);
-        let queue = self.queue.lock();
-        let load = queue.admission.load(Instant::now());
-        ErrorAnswer::new(kind, message).retry_after(queue.admission.retry_hint()).with_load(load)
+        let (load, hint) = {
+            let queue = self.queue.lock();
+            (queue.admission.load(Instant::now()), queue.admission.retry_hint())
+        };
+        log_event_limited!(
+            Info,
+            "gate refused a call",
+            call = &call.id,
+            reason = reason,
+            priority = call.priority,
+            running = load.running,
+            queued = load.queued,
+            limit = load.limit,
+            service_time_us = load.service_time_us,
+            usual_ms = call.usual.unwrap_or_default().as_millis(),
+            left_ms = call.deadline.saturating_duration_since(Instant::now()).as_millis(),
+        );
+        ErrorAnswer::new(kind, message).retry_after(hint).with_load(load)
     }
 
     /// A call let go of its slot, and none is made on its behalf any more.
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -25,6 +25,7 @@
 use crate::log_event;
 use crate::log_event_limited;
 use crate::transport::call_body::BoxError;
+use crate::transport::peer_greeting::answer;
 use crate::transport::peer_security::PeerSecurity;
 use crate::transport::peer_security::PeerStream;
 
@@ -86,10 +87,18 @@
 where
     H: Handler,
 {
-    serve_secured(listener, limits, handler, Arc::default(), stop).await
+    serve_admitted(listener, limits, handler, Admission::Anyone, stop).await
 }
 
-/// Serves as [`serve`] does, but only hosts that prove themselves as `security` asks.
+/// Who is served.
+#[derive(Clone, Debug)]
+enum Admission {
+    Anyone,
+    /// Nodes that prove themselves, by keys where there are any and by their greeting.
+    Nodes(Arc<PeerSecurity>),
+}
+
+/// Serves as [`serve`] does, but only nodes that prove themselves as `security` asks.
 pub async fn serve_secured<H>(
     listener: TcpListener,
     limits: ServerLimits,
@@ -97,6 +106,19 @@
     security: Arc<PeerSecurity>,
     stop: CancellationToken,
 ) -> bool
+where
+    H: Handler,
+{
+    serve_admitted(listener, limits, handler, Admission::Nodes(security), stop).await
+}
+
+async fn serve_admitted<H>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: H,
+    admission: Admission,
+    stop: CancellationToken,
+) -> bool
 where
     H: Handler,
 {
@@ -120,7 +142,7 @@
             log_event_limited!(Warn, "connection closed at the limit", remote = remote);
             continue;
         };
-        let served = admit(&builder, &security, stream, remote, handler.clone(), graceful.watcher());
+        let served = admit(&builder, &admission, stream, remote, handler.clone(), graceful.watcher());
         tokio::spawn(async move {
             served.await;
             drop(permit);
@@ -128,7 +150,7 @@
     }
     // Callers whose connections the system has already opened are served as well.
     while let Some(Ok((stream, remote))) = listener.accept().now_or_never() {
-        tokio::spawn(admit(&builder, &security, stream, remote, handler.clone(), graceful.watcher()));
+        tokio::spawn(admit(&builder, &admission, stream, remote, handler.clone(), graceful.watcher()));
     }
     drop(listener);
     tokio::time::timeout(limits.shutdown_timeout, graceful.shutdown()).await.is_ok()
@@ -154,7 +176,7 @@
 /// Serves a connection once its host has proved itself.
 fn admit<H>(
     builder: &auto::Builder<TokioExecutor>,
-    security: &Arc<PeerSecurity>,
+    admission: &Admission,
     stream: TcpStream,
     remote: SocketAddr,
     handler: H,
@@ -164,10 +186,9 @@
     H: Handler,
 {
     let builder = builder.clone();
-    let security = Arc::clone(security);
+    let admission = admission.clone();
     async move {
-        let secured = tokio::time::timeout(HANDSHAKE_TIMEOUT, security.accept(stream)).await;
-        match secured {
+        match tokio::time::timeout(HANDSHAKE_TIMEOUT, admission.prove(stream)).await {
             Ok(Ok(stream)) => serve_connection(&builder, stream, remote, handler, watcher).await,
             Ok(Err(error)) => log_event_limited!(Warn, "host refused", remote = remote, error = error),
             Err(_) => log_event_limited!(Warn, "host did not prove itself in time", remote = remote),
@@ -175,6 +196,17 @@
     }
 }
 
+impl Admission {
+    async fn prove(&self, stream: TcpStream) -> std::io::Result<PeerStream> {
+        let Self::Nodes(security) = self else {
+            return Ok(PeerStream::Plain { stream });
+        };
+        let mut stream = security.accept(stream).await?;
+        answer(&mut stream).await?;
+        Ok(stream)
+    }
+}
+
 async fn serve_connection<H>(
     builder: &auto::Builder<TokioExecutor>,
     stream: PeerStream,
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -128,6 +128,9 @@
     started: Instant,
     pub(super) deadline: Instant,
     usual: Option<Arc<UsualTime>>,
+    /// Gates that it was sent to, and the last of them.
+    pub(super) sent: u32,
+    pub(super) last_gate: Option<Arc<str>>,
     objective: Duration,
     pub(super) objective_at: Option<Instant>,
     pub(super) max_attempts: u32,
@@ -410,6 +413,8 @@
             started,
             deadline: started + head.timeout,
             usual: None,
+            sent: 0,
+            last_gate: None,
             objective,
             objective_at: None,
             max_attempts: config.service.retry.max_attempts,
@@ -419,6 +424,12 @@
         }
     }
 
+    /// The call is about to go to the gate of that node.
+    pub(super) fn sent_to(&mut self, gate: &Arc<str>) {
+        self.sent += 1;
+        self.last_gate = Some(Arc::clone(gate));
+    }
+
     /// Goes on under another identity, after a proof that it never ran under this one.
     pub(super) fn rename(&mut self, id: CallId) {
         log::debug!("call goes on under a new identity; call={} next={id}", self.id);
--- a/lib/src/transport/peer_channel.rs
+++ b/lib/src/transport/peer_channel.rs
@@ -33,6 +33,7 @@
 use crate::log_event_limited;
 use crate::transport::call_body::BoxError;
 use crate::transport::call_body::CallBody;
+use crate::transport::peer_greeting::greet;
 use crate::transport::peer_security::PeerSecurity;
 use crate::transport::silence_watch::Outstanding;
 use crate::transport::silence_watch::PING_INTERVAL;
@@ -174,7 +175,9 @@
     let round_trip = started.elapsed();
     stream.set_nodelay(true).context(ConnectSnafu)?;
     let securing = tokio::time::timeout(CONNECT_TIMEOUT, security.connect(stream));
-    let stream = securing.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
+    let mut stream = securing.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
+    let greeting = tokio::time::timeout(CONNECT_TIMEOUT, greet(&mut stream));
+    greeting.await.map_err(|_elapsed| PeerError::ConnectTimeout)?.context(ConnectSnafu)?;
     let mut builder = http2::Builder::new(TokioExecutor::new());
     builder
         .timer(TokioTimer::new())
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -10,6 +10,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header::CONNECTION;
 use http::header::HOST;
 use http_body_util::Either;
@@ -136,21 +137,13 @@
         call.max_attempts = route.spec.max_attempts.max(1);
         call.follow_route(Duration::from_millis(route.spec.objective_ms), &route.usual);
         let result = self.ingress.see_through(&mut call, config, request).await;
-        if let Err(answer) = &result {
-            self.ingress.note_failure(&call, answer);
-            log_event_limited!(
-                Info,
-                "request not served",
-                request = request_id.and_then(|id| id.to_str().ok()).unwrap_or("none"),
-                call = &call.id,
-                route = &route.spec.name,
-                config = table.version(),
-                service = service,
-                error = answer.kind,
-                execution = answer.execution.name(),
-                reason = &answer.message,
-                after_ms = arrived.elapsed().as_millis(),
-            );
+        let taken = Taken { request_id, route, version: table.version(), took: arrived.elapsed() };
+        match &result {
+            Ok(response) => taken.log_answer(&call, response.status()),
+            Err(answer) => {
+                self.ingress.note_failure(&call, answer);
+                taken.log_failure(&call, answer);
+            }
         }
         result
     }
@@ -165,6 +158,62 @@
     }
 }
 
+/// A request that was taken in, for the log.
+struct Taken<'a> {
+    request_id: Option<&'a HeaderValue>,
+    route: &'a Route,
+    version: &'a Arc<str>,
+    took: Duration,
+}
+
+impl Taken<'_> {
+    fn request_id(&self) -> &str {
+        self.request_id.and_then(|id| id.to_str().ok()).unwrap_or("none")
+    }
+
+    /// An answer in time that is no failure explains itself and is not written.
+    fn log_answer(&self, call: &Call, status: StatusCode) {
+        let objective = Duration::from_millis(self.route.spec.objective_ms);
+        if self.took <= objective && !status.is_server_error() {
+            return;
+        }
+        log_event_limited!(
+            Info,
+            "request answered late or failed by its upstream",
+            request = self.request_id(),
+            call = &call.id,
+            route = &self.route.spec.name,
+            config = self.version,
+            service = &call.head.service,
+            status = status.as_u16(),
+            gate = call.last_gate.as_deref().unwrap_or("none"),
+            gates_tried = call.sent,
+            took_ms = self.took.as_millis(),
+            objective_ms = self.route.spec.objective_ms,
+            usual_ms = call.usual_time().unwrap_or_default().as_millis(),
+        );
+    }
+
+    fn log_failure(&self, call: &Call, answer: &ErrorAnswer) {
+        log_event_limited!(
+            Info,
+            "request not served",
+            request = self.request_id(),
+            call = &call.id,
+            route = &self.route.spec.name,
+            config = self.version,
+            service = &call.head.service,
+            error = answer.kind,
+            execution = answer.execution.name(),
+            reason = &answer.message,
+            gate = call.last_gate.as_deref().unwrap_or("none"),
+            gates_tried = call.sent,
+            retry_after_ms = answer.retry_after.unwrap_or_default().as_millis(),
+            took_ms = self.took.as_millis(),
+        );
+    }
+}
+
 fn find_route<'a>(table: &'a RouteTable, request: &Request<Incoming>) -> Result<&'a Route> {
     let named = request.uri().authority().map(http::uri::Authority::as_str);
     let host = named.or_else(|| request.headers().get(HOST).and_then(|value| value.to_str().ok()));
