--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -25,6 +25,7 @@
 
 use crate::transport::call_body::BodyError;
 use crate::transport::call_body::CallBody;
+use crate::transport::silence_watch::probe_when_idle;
 
 /// Result of sending a call to the upstream.
 pub type Result<T, E = UpstreamError> = std::result::Result<T, E>;
@@ -207,6 +208,8 @@
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
     let stream = connecting.await.map_err(|_elapsed| UpstreamError::ConnectTimeout)?.context(ConnectSnafu)?;
     stream.set_nodelay(true).context(ConnectSnafu)?;
+    // A slot stays taken until the upstream has let go, which a silent connection never tells.
+    probe_when_idle(&stream).context(ConnectSnafu)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
     let let_go = CancellationToken::new();
     tokio::spawn(drive(connection, permit, let_go.clone().drop_guard()));
