--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -10,6 +10,7 @@
 use crate::coordination::priority_lane::PriorityRule;
 use crate::coordination::priority_lane::Waiter;
 use crate::coordination::service_estimate::Ended;
+use crate::coordination::service_estimate::Run;
 use crate::coordination::service_estimate::ServiceEstimate;
 use crate::coordination::slot_shares::LaneUse;
 use crate::coordination::slot_shares::SlotShares;
@@ -17,6 +18,7 @@
 
 const PERCENT: u64 = 100;
 const HUNDRED: u32 = 100;
+const PERMILLE: u64 = 1_000;
 /// Least share that a wait is reckoned with, in percent, for a priority that keeps none.
 const LEAST_SHARE_PERCENT: u64 = 2;
 /// Share of the time between service time and objective that a wait may fill.
@@ -24,22 +26,29 @@
 /// The rest is for service times above the mean: a call let in at the edge would hold a
 /// slot and miss its objective all the same.
 const WAIT_DIVISOR: u32 = 3;
+/// Share of the slots past which upstreams tend to slow down, and what a call is then reckoned to take.
+pub(super) const NEARLY_FULL_PERCENT: u32 = 80;
+pub(super) const CROWDED_PERCENT: u64 = 150;
+/// Age up to which the upstream's word on its pace is good enough to decide by.
+const PACE_FRESH: Duration = Duration::from_millis(80);
+/// Time after a call for which the pace is kept fresh for the next one.
+const PACE_INTEREST: Duration = Duration::from_millis(500);
 const RETRY_HINT_MIN: Duration = Duration::from_millis(10);
 const RETRY_HINT_MAX: Duration = Duration::from_secs(5);
 
-/// Names one call waiting at a gate, in the order of deadlines.
+/// Names one call waiting at a gate, in the order of the latest moments to start them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TicketKey {
-    deadline: Instant,
+    start_by: Instant,
     sequence: u64,
     lane: usize,
 }
 
 impl TicketKey {
-    /// When the call is of no more use.
+    /// The latest moment at which the call may get a slot.
     #[must_use]
-    pub const fn deadline(&self) -> Instant {
-        self.deadline
+    pub const fn start_by(&self) -> Instant {
+        self.start_by
     }
 }
 
@@ -52,6 +61,8 @@
     pub caller: CallerKey,
     /// When the call is of no more use.
     pub deadline: Instant,
+    /// Latest moment at which it may get a slot, where its sender can't wait until the deadline.
+    pub start_by: Option<Instant>,
     /// When its answer is worth less, where that is not the objective of its priority.
     pub objective_at: Option<Instant>,
     /// Time that such a call usually takes; that of all calls here when it is not known.
@@ -84,14 +95,14 @@
 pub struct Grant {
     lane: usize,
     caller: CallerKey,
-    started: Instant,
+    run: Run,
 }
 
 impl Grant {
     /// When the call got the slot.
     #[must_use]
     pub const fn started(&self) -> Instant {
-        self.started
+        self.run.started
     }
 }
 
@@ -127,6 +138,7 @@
     lanes: Vec<PriorityLane>,
     shares: SlotShares,
     estimate: ServiceEstimate,
+    last_offer: Option<Instant>,
 }
 
 impl Admission {
@@ -143,6 +155,7 @@
             lanes: rules.iter().map(|rule| PriorityLane::new(*rule)).collect(),
             shares: SlotShares::new(now),
             estimate: ServiceEstimate::new(now),
+            last_offer: None,
         }
     }
 
@@ -197,6 +210,7 @@
         if self.draining {
             return Offer::Refused(Refusal::Draining);
         }
+        self.last_offer = Some(now);
         if ticket.deadline <= now {
             return Offer::Refused(Refusal::TooLate);
         }
@@ -205,19 +219,37 @@
         };
         let free = self.is_free_for(index);
         let wait = if free { Duration::ZERO } else { self.expected_wait(index, ticket.caller, now) };
-        let service_time = Duration::from_micros(self.estimate.live_us(now));
         if let Some(patience) = ticket.patience
-            && wait + service_time > patience
-            && !(free && self.estimate.claim_trial(patience, ticket.idempotent, now))
+            && wait + self.expected_run(ticket.usual, now) > patience
+            && !(free && self.claim_trial(patience, ticket.idempotent, now))
         {
             return Offer::Refused(Refusal::Impatient);
         }
         if free {
-            return Offer::Admitted(self.start(index, ticket.caller, now));
+            return Offer::Admitted(self.start(index, ticket.caller, ticket.usual, now));
         }
         self.enqueue(ticket, index, wait, now)
     }
 
+    /// Time that a call would run that starts now.
+    fn expected_run(&self, usual: Option<Duration>, now: Instant) -> Duration {
+        let slowness_permille = self.estimate.slowness_permille(now);
+        let Some(usual) = usual.filter(|_| slowness_permille > 0) else {
+            return Duration::from_micros(self.estimate.live_us(now));
+        };
+        let usual_us = u64::try_from(usual.as_micros()).unwrap_or(u64::MAX);
+        let nearly_full = (self.running + 1) * HUNDRED > self.slots() * NEARLY_FULL_PERCENT;
+        let crowding_percent = if nearly_full { CROWDED_PERCENT } else { PERCENT };
+        let slowness = slowness_permille.saturating_mul(crowding_percent);
+        Duration::from_micros(usual_us.saturating_mul(slowness) / (PERMILLE * PERCENT))
+    }
+
+    /// Whether a call may try an upstream that looks worse than others, where nothing else tells how it is.
+    fn claim_trial(&mut self, patience: Duration, idempotent: bool, now: Instant) -> bool {
+        self.estimate.pace_is_older_than(PACE_INTEREST, now)
+            && self.estimate.claim_trial(patience, idempotent, now)
+    }
+
     fn enqueue(&mut self, ticket: Ticket, index: usize, wait: Duration, now: Instant) -> Offer {
         let objective = ticket.objective_at.map(|at| at.saturating_duration_since(now));
         let objective = objective.unwrap_or(self.lanes[index].rule().objective);
@@ -225,7 +257,10 @@
         let lane = &mut self.lanes[index];
         let objective_at = now + objective;
         let lasts = if lane.rule().serve_late { ticket.usual.unwrap_or_default() } else { Duration::ZERO };
-        if now + wait + lasts >= ticket.deadline {
+        // A slot that comes later would be held for an answer that nobody waits for.
+        let useful_until = ticket.deadline.checked_sub(lasts).unwrap_or(now);
+        let start_by = ticket.start_by.map_or(useful_until, |start_by| start_by.min(useful_until));
+        if now + wait >= start_by {
             return Offer::Refused(Refusal::TooLate);
         }
         if wait > longest_wait && !lane.rule().serve_late {
@@ -234,7 +269,7 @@
         if let Some(refusal) = lane.refuses(ticket.caller) {
             return Offer::Refused(refusal);
         }
-        let key = TicketKey { deadline: ticket.deadline, sequence: self.next_sequence, lane: index };
+        let key = TicketKey { start_by, sequence: self.next_sequence, lane: index };
         self.next_sequence += 1;
         lane.push(key, Waiter { caller: ticket.caller, objective_at, usual: ticket.usual });
         Offer::Queued(key)
@@ -259,6 +294,13 @@
         self.estimate.note_pace(percent, now);
     }
 
+    /// Whether calls come of late and the upstream's word on its pace is too old to decide them by.
+    #[must_use]
+    pub fn wants_pace(&self, now: Instant) -> bool {
+        let called = self.last_offer.is_some_and(|at| now.saturating_duration_since(at) < PACE_INTEREST);
+        called && self.running < self.slots() && self.estimate.pace_is_older_than(PACE_FRESH, now)
+    }
+
     /// A call that was let through let go of its slot.
     pub fn release(&mut self, grant: Grant, ended: Ended, now: Instant) -> Vec<Verdict> {
         self.settle(now);
@@ -266,7 +308,7 @@
         if let Some(lane) = self.lanes.get_mut(grant.lane) {
             lane.finish(grant.caller);
         }
-        self.estimate.finish(grant.started, ended, now);
+        self.estimate.finish(grant.run, ended, now);
         if let Ended::Good(took) = ended
             && self.adaptive
         {
@@ -289,6 +331,7 @@
             queued: u32::try_from(queued).unwrap_or(u32::MAX),
             limit: self.slots(),
             service_time_us: self.estimate.live_us(now),
+            slowness_permille: self.estimate.slowness_permille(now),
         }
     }
 
@@ -372,10 +415,10 @@
             };
             let most_late = self.slots() as usize;
             let next = self.lanes[index].next(service_time, most_late, now, &mut verdicts);
-            let Some((key, caller)) = next else {
+            let Some((key, waiter)) = next else {
                 continue;
             };
-            let grant = self.start(index, caller, now);
+            let grant = self.start(index, waiter.caller, waiter.usual, now);
             verdicts.push(Verdict::Admit(key, grant));
         }
         verdicts
@@ -397,10 +440,11 @@
         candidates.iter().find(|index| self.shares.is_owed(**index)).or(candidates.first()).copied()
     }
 
-    fn start(&mut self, index: usize, caller: CallerKey, now: Instant) -> Grant {
+    fn start(&mut self, index: usize, caller: CallerKey, usual: Option<Duration>, now: Instant) -> Grant {
+        let run = Run { started: now, usual, pace_percent: self.estimate.pace_percent(now) };
         self.running += 1;
         self.lanes[index].start(caller);
-        self.estimate.start(now);
-        Grant { lane: index, caller, started: now }
+        self.estimate.start(run);
+        Grant { lane: index, caller, run }
     }
 }
--- a/lib/src/coordination/anti_entropy.rs
+++ b/lib/src/coordination/anti_entropy.rs
@@ -11,11 +11,16 @@
 use crate::coordination::fleet_view::Action;
 use crate::coordination::fleet_view::FleetView;
 use crate::coordination::membership::bucket;
+use crate::protocol::member::Member;
+use crate::protocol::member::MemberState;
 use crate::protocol::published::Published;
 
 /// Time that differing digests get to agree by news alone.
 const MISMATCH_PATIENCE: Duration = Duration::from_secs(2);
 
+/// The same for a peer in another zone, while members of the own zone may settle it for less.
+const ACROSS_MISMATCH_PATIENCE: Duration = Duration::from_secs(6);
+
 /// Time between two exchanges for differing digests.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -115,14 +120,32 @@
             }
             return;
         }
-        let stranger = self.membership.get(&datagram.name).is_none();
+        let sender = self.membership.get(&datagram.name);
+        let stranger = sender.is_none();
+        let patience = match sender {
+            Some(sender) if self.shares_zone_with_others() && !self.is_of_own_zone(sender) => {
+                ACROSS_MISMATCH_PATIENCE
+            }
+            _ => MISMATCH_PATIENCE,
+        };
         if pending.is_none() || stranger {
-            let due = if stranger { now } else { now + MISMATCH_PATIENCE };
+            let due = if stranger { now } else { now + patience };
             self.timers.mismatch = Some(Mismatch { peer: from, theirs, due });
         }
         self.settle_mismatch(now, actions);
     }
 
+    fn is_of_own_zone(&self, member: &Member) -> bool {
+        let me = self.membership.me();
+        member.zone == me.zone && member.region == me.region
+    }
+
+    /// Whether a live member of the own zone is known besides this node.
+    fn shares_zone_with_others(&self) -> bool {
+        let mut others = self.membership.others().values().map(|known| &known.member);
+        others.any(|member| member.state != MemberState::Dead && self.is_of_own_zone(member))
+    }
+
     /// Exchanges with a peer whose digests differed, unless news has made them agree meanwhile.
     pub(super) fn settle_mismatch(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mine = self.digests();
--- a/lib/src/coordination/fleet_view.rs
+++ b/lib/src/coordination/fleet_view.rs
@@ -31,6 +31,9 @@
 /// Nodes that news is sent to in one round.
 const NEWS_FANOUT: usize = 3;
 
+/// One in so many sendings of news goes to another zone.
+const NEWS_ACROSS_EVERY: u32 = 4;
+
 /// Nodes that a leaving node tells at once.
 const LEAVE_FANOUT: usize = 10;
 
@@ -387,7 +390,7 @@
             return;
         }
         self.timers.news = now + Duration::from_millis(self.settings.interval_ms);
-        for member in self.random_live(NEWS_FANOUT, None) {
+        for member in self.news_targets() {
             let mut gossip = self.datagram(wire::DatagramKind::Gossip, 0);
             self.add_news(&mut gossip);
             if gossip.members.is_empty() && gossip.revisions.is_empty() {
@@ -397,6 +400,27 @@
         }
     }
 
+    /// Whom to tell: anybody of what is pressing, else mostly members of the own zone.
+    ///
+    /// Bytes between zones are dear, and each record goes out many times.
+    fn news_targets(&mut self) -> Vec<Arc<Member>> {
+        if self.news.is_pressing() {
+            return self.random_live(NEWS_FANOUT, None);
+        }
+        let me = Arc::clone(self.membership.me());
+        let mut targets = Vec::with_capacity(NEWS_FANOUT);
+        for _ in 0..NEWS_FANOUT {
+            let across = self.rng.random_range(0..NEWS_ACROSS_EVERY) == 0;
+            let live = self.membership.others().values().map(|known| &known.member);
+            let wanted = live.filter(|member| {
+                let own_zone = member.zone == me.zone && member.region == me.region;
+                member.state != MemberState::Dead && own_zone != across && !targets.contains(*member)
+            });
+            targets.extend(wanted.sample(&mut self.rng, 1).into_iter().map(Arc::clone));
+        }
+        if targets.is_empty() { self.random_live(NEWS_FANOUT, None) } else { targets }
+    }
+
     /// A ping that tells a suspect or dead member what is said of it.
     pub(super) fn ping(&mut self, target: &Member, sequence: u32) -> wire::Datagram {
         let mut ping = self.datagram(wire::DatagramKind::Ping, sequence);
--- a/lib/src/coordination/hedge.rs
+++ b/lib/src/coordination/hedge.rs
@@ -77,9 +77,10 @@
         self.latency.get()
     }
 
-    /// Takes one copy out of the budget, or refuses.
-    pub fn spend(&self) -> bool {
-        self.budget.spend()
+    /// What copies are paid from.
+    #[must_use]
+    pub const fn budget(&self) -> &RetryBudget {
+        &self.budget
     }
 
     /// Takes in the time that a call took from its first attempt to its answer.
--- a/lib/src/coordination/news_queue.rs
+++ b/lib/src/coordination/news_queue.rs
@@ -86,6 +86,14 @@
         self.entries.is_empty()
     }
 
+    /// Whether something waits that every node has to hear of soon: a revision, or that a member leaves.
+    #[must_use]
+    pub fn is_pressing(&self) -> bool {
+        let pressing =
+            |entry: &Entry| entry.content.is_urgent() || matches!(entry.content, Content::Revision(_));
+        self.entries.values().any(pressing)
+    }
+
     /// Queues a member's record in place of any older news about it.
     pub fn push_member(&mut self, member: Arc<Member>) {
         let subject = Subject::Member(Arc::clone(&member.id.name));
--- a/lib/src/coordination/priority_lane.rs
+++ b/lib/src/coordination/priority_lane.rs
@@ -158,19 +158,19 @@
         most_late: usize,
         now: Instant,
         verdicts: &mut Vec<Verdict>,
-    ) -> Option<(TicketKey, CallerKey)> {
+    ) -> Option<(TicketKey, Waiter)> {
         if self.rule.serve_late {
             return self.next_or_late(service_time, most_late, now, verdicts);
         }
         loop {
             let (key, waiter) = self.first_in_turn()?;
             self.remove(key);
-            let refusal = if key.deadline() <= now {
+            let refusal = if key.start_by() <= now {
                 Refusal::TooLate
             } else if waiter.objective_at < now + service_time {
                 Refusal::ObjectiveMissed
             } else {
-                return Some((key, waiter.caller));
+                return Some((key, waiter));
             };
             verdicts.push(Verdict::Refuse(key, refusal));
         }
@@ -182,9 +182,9 @@
         most_late: usize,
         now: Instant,
         verdicts: &mut Vec<Verdict>,
-    ) -> Option<(TicketKey, CallerKey)> {
+    ) -> Option<(TicketKey, Waiter)> {
         let past: Vec<TicketKey> =
-            self.waiting.keys().take_while(|key| key.deadline() <= now).copied().collect();
+            self.waiting.keys().take_while(|key| key.start_by() <= now).copied().collect();
         let late: Vec<TicketKey> = self
             .waiting
             .iter()
@@ -193,15 +193,15 @@
             .collect();
         let surplus = late.len().saturating_sub(most_late).max(past.len());
         for key in &late[..surplus.min(late.len())] {
-            let refusal = if key.deadline() <= now { Refusal::TooLate } else { Refusal::ObjectiveMissed };
+            let refusal = if key.start_by() <= now { Refusal::TooLate } else { Refusal::ObjectiveMissed };
             self.remove(*key);
             verdicts.push(Verdict::Refuse(*key, refusal));
         }
         let in_time = self.waiting.iter().find(|(_, waiter)| waiter.is_in_time(service_time, now));
-        let (key, caller) =
-            in_time.or_else(|| self.waiting.last_key_value()).map(|(key, waiter)| (*key, waiter.caller))?;
+        let next = in_time.or_else(|| self.waiting.last_key_value());
+        let (key, waiter) = next.map(|(key, waiter)| (*key, *waiter))?;
         self.remove(key);
-        Some((key, caller))
+        Some((key, waiter))
     }
 
     /// A call of the caller takes a slot.
--- a/lib/src/coordination/retry_budget.rs
+++ b/lib/src/coordination/retry_budget.rs
@@ -20,6 +20,11 @@
         let _previous = self.tokens.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
     }
 
+    /// Gives back what was taken for a retry that no upstream saw.
+    pub fn refund(&self) {
+        self.tokens.fetch_add(TOKENS_PER_RETRY, Ordering::Relaxed);
+    }
+
     /// Takes one retry out of the budget, or refuses.
     pub fn spend(&self) -> bool {
         let take = |tokens: i64| (tokens >= TOKENS_PER_RETRY).then(|| tokens - TOKENS_PER_RETRY);
--- a/lib/src/coordination/routing.rs
+++ b/lib/src/coordination/routing.rs
@@ -6,6 +6,8 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::coordination::admission::CROWDED_PERCENT;
+use crate::coordination::admission::NEARLY_FULL_PERCENT;
 use crate::coordination::outlier_ejection::ejected;
 use crate::coordination::outlier_ejection::usual_service_time_us;
 use crate::state::upstream_stats::UpstreamLoad;
@@ -22,6 +24,8 @@
 const HOPELESS_PERMILLE: u64 = 1_400;
 /// What an objective's worth of time costs among answers that are all in time, or all late.
 const LATE_PERMILLE: u64 = 50;
+/// How much better another gate has to look for a call to be moved there, by the same scale.
+const MOVE_PERMILLE: i64 = 100;
 const PATIENCE_PERCENT: u64 = 150;
 const PERCENT: u64 = 100;
 /// Share of its work that an upstream gets while it ramps up, at full strength.
@@ -96,7 +100,7 @@
         sampled.max_by_key(|index| scale.worth(&candidates[*index]))
     }
 
-    /// The service time at the chosen gate, as gates know it, at which another would be better.
+    /// The time that the call takes at the chosen gate at which another would be better.
     fn patience(
         &self,
         candidates: &[Candidate],
@@ -106,7 +110,7 @@
         let scale = Scale::of(candidates, limits);
         let others = candidates.iter().filter(|other| other.peer_addr != chosen.peer_addr);
         let best = others.map(|other| scale.worth(other)).max()?;
-        scale.service_time_worth(best, chosen).map(Duration::from_micros)
+        scale.call_time_worth(best - MOVE_PERMILLE, chosen).map(Duration::from_micros)
     }
 }
 
@@ -138,8 +142,15 @@
 
     /// Time of this call at the candidate: what it usually takes, by how slow the candidate is.
     fn call_time_us(&self, candidate: &Candidate) -> u64 {
-        let own_us = queued_us(candidate);
-        own_us.saturating_mul(self.limits.usual_us) / self.usual_service_us
+        let slowness_permille = match candidate.load.slowness_permille {
+            0 => service_time_us(candidate).saturating_mul(PERMILLE) / self.usual_service_us,
+            told => told,
+        };
+        let runs_us = self.limits.usual_us.saturating_mul(slowness_permille) / PERMILLE;
+        let time_us = runs_us + runs_us.saturating_mul(waiting(candidate)) / slots(candidate);
+        let crowded_us =
+            if is_nearly_full(candidate) { time_us * CROWDED_PERCENT / PERCENT } else { time_us };
+        crowded_us << candidate.load.consecutive_failures.min(FAILURE_PENALTY_SHIFT_MAX)
     }
 
     /// Chance of an answer in time: sure well within the objective, none well past it.
@@ -149,13 +160,12 @@
         signed(PERMILLE - past * PERMILLE / (HOPELESS_PERMILLE - SURE_PERMILLE))
     }
 
-    /// The service time at the candidate at which sending a call there is worth so much.
-    fn service_time_worth(&self, worth: i64, candidate: &Candidate) -> Option<u64> {
+    /// The time that the call takes at the candidate at which sending it there is worth so much.
+    fn call_time_worth(&self, worth: i64, candidate: &Candidate) -> Option<u64> {
         let crossing = if candidate.same_zone { 0 } else { signed(self.limits.crossing_permille) };
         let chance = u64::try_from(worth + crossing).ok().filter(|chance| *chance > 0)?;
         let past = (HOPELESS_PERMILLE - SURE_PERMILLE) * PERMILLE.saturating_sub(chance) / PERMILLE;
-        let time_us = self.limits.objective_us.saturating_mul(SURE_PERMILLE + past) / PERMILLE;
-        Some(time_us.saturating_mul(self.usual_service_us) / self.limits.usual_us.max(1))
+        Some(self.limits.objective_us.saturating_mul(SURE_PERMILLE + past) / PERMILLE)
     }
 }
 
@@ -177,17 +187,29 @@
     candidates
 }
 
-/// Time that a call sent now would take where calls wait only once every slot is taken.
-fn queued_us(candidate: &Candidate) -> u64 {
-    let load = &candidate.load;
-    let service_time_us =
-        if load.service_time_us == 0 { DEFAULT_SERVICE_TIME_US } else { load.service_time_us };
-    let limit = if load.reported_limit == 0 { candidate.slots } else { load.reported_limit };
-    let limit = u64::from(limit.max(1));
-    let busy = u64::from(load.in_flight) + u64::from(aged_report(load));
-    let waiting = (busy + 1).saturating_sub(limit);
-    let time_us = service_time_us + service_time_us * waiting / limit;
-    time_us << load.consecutive_failures.min(FAILURE_PENALTY_SHIFT_MAX)
+fn service_time_us(candidate: &Candidate) -> u64 {
+    match candidate.load.service_time_us {
+        0 => DEFAULT_SERVICE_TIME_US,
+        known => known,
+    }
+}
+
+fn slots(candidate: &Candidate) -> u64 {
+    let told = candidate.load.reported_limit;
+    u64::from(if told == 0 { candidate.slots } else { told }.max(1))
+}
+
+fn busy(candidate: &Candidate) -> u64 {
+    u64::from(candidate.load.in_flight) + u64::from(aged_report(&candidate.load))
+}
+
+/// Calls that would wait before one that is sent now, since calls wait only once every slot is taken.
+fn waiting(candidate: &Candidate) -> u64 {
+    (busy(candidate) + 1).saturating_sub(slots(candidate))
+}
+
+fn is_nearly_full(candidate: &Candidate) -> bool {
+    (busy(candidate) + 1) * PERCENT > slots(candidate) * u64::from(NEARLY_FULL_PERCENT)
 }
 
 /// The better of two random candidates by expected time, outliers left out.
@@ -244,11 +266,9 @@
 #[must_use]
 pub fn expected_us(candidate: &Candidate) -> u64 {
     let load = &candidate.load;
-    let service_time_us =
-        if load.service_time_us == 0 { DEFAULT_SERVICE_TIME_US } else { load.service_time_us };
-    let busy = u64::from(load.in_flight) + u64::from(aged_report(load));
+    let service_time_us = service_time_us(candidate);
     let slots = u64::from(candidate.slots.max(1));
-    let wait_us = service_time_us + service_time_us * busy / slots;
+    let wait_us = service_time_us + service_time_us * busy(candidate) / slots;
     let hop_us = if candidate.same_zone { 0 } else { REMOTE_ZONE_COST_US };
     (wait_us << load.consecutive_failures.min(FAILURE_PENALTY_SHIFT_MAX)) + hop_us
 }
--- a/lib/src/coordination/service_budgets.rs
+++ b/lib/src/coordination/service_budgets.rs
@@ -17,6 +17,12 @@
 }
 
 impl ServiceBudgets {
+    /// What second copies are paid from: on a route they share the bound that retries have.
+    #[must_use]
+    pub const fn copies(&self, on_route: bool) -> &RetryBudget {
+        if on_route { &self.retry } else { self.hedging.budget() }
+    }
+
     /// The budget of the priority for being moved on; the last ones share theirs.
     #[must_use]
     pub fn spill(&self, priority: u8) -> &SpillBudget {
--- a/lib/src/coordination/service_estimate.rs
+++ b/lib/src/coordination/service_estimate.rs
@@ -17,6 +17,14 @@
 const PACE_HALF_LIFE: Duration = Duration::from_millis(150);
 const PACE_SMOOTHING: u64 = 32;
 const MIN_PACE_PERCENT: u64 = 10;
+const PERMILLE: u64 = 1_000;
+const PERCENT: u64 = 100;
+/// Smoothing of the time that the calls of an upstream usually take, which changes with their mix only.
+const MIX_SMOOTHING: u64 = 64;
+/// Fixed point of the weights of runs, in bits.
+const WEIGHT_BITS: u32 = 32;
+/// Least usual time that a run is weighed with.
+const MIN_USUAL_US: u64 = 100;
 
 /// How a call ended for the upstream that ran it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,13 +37,86 @@
     Abandoned,
 }
 
+/// A call that the upstream runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// When it took its slot.
+    pub started: Instant,
+    /// Time that such a call usually takes, where that is known.
+    pub usual: Option<Duration>,
+    /// Pace of the upstream's VM when it started, 100 the usual.
+    pub pace_percent: u64,
+}
+
+impl Run {
+    fn usual_us(&self) -> Option<u64> {
+        self.usual.map(|usual| micros(usual).max(MIN_USUAL_US))
+    }
+
+    /// Time that it takes at the pace of its start, where its usual time is known.
+    fn expected_us(&self) -> Option<u64> {
+        self.usual_us().map(|usual_us| (usual_us * self.pace_percent / PERCENT).max(1))
+    }
+
+    /// Time against the usual, in thousandths, had it run at the usual pace.
+    fn slowness_permille(&self, took_us: u64, usual_us: u64) -> u64 {
+        took_us.saturating_mul(PERMILLE * PERCENT) / usual_us.saturating_mul(self.pace_percent.max(1))
+    }
+}
+
+/// Runs whose usual time is known, by how much of it has passed, summed exactly.
+#[derive(Clone, Copy, Debug, Default)]
+struct Exposure {
+    runs: u64,
+    weights: u128,
+    weighted_starts: u128,
+}
+
+impl Exposure {
+    /// Share of its expected time that a run spends in a microsecond.
+    const fn weight(expected_us: u64) -> u128 {
+        (1 << WEIGHT_BITS) / expected_us as u128
+    }
+
+    const fn add(&mut self, expected_us: u64, start_us: u64) {
+        let weight = Self::weight(expected_us);
+        self.runs += 1;
+        self.weights += weight;
+        self.weighted_starts += weight * start_us as u128;
+    }
+
+    const fn remove(&mut self, expected_us: u64, start_us: u64) {
+        let weight = Self::weight(expected_us);
+        self.runs = self.runs.saturating_sub(1);
+        self.weights = self.weights.saturating_sub(weight);
+        self.weighted_starts = self.weighted_starts.saturating_sub(weight * start_us as u128);
+    }
+
+    /// Usual times that have passed over all runs together, in thousandths.
+    fn passed_permille(&self, now_us: u64) -> u64 {
+        let passed = (self.weights * u128::from(now_us)).saturating_sub(self.weighted_starts);
+        u64::try_from((passed * u128::from(PERMILLE)) >> WEIGHT_BITS).unwrap_or(u64::MAX)
+    }
+}
+
 /// Live estimate of service time and failures, fed with starts and ends.
+///
+/// Calls differ in how long they usually take. Where that is known, what counts of a call is its time
+/// against the usual, so that a change of the mix does not look like a change of the upstream. A call
+/// keeps the pace that it started at, so its time is divided by that before it is learned from.
 #[derive(Debug)]
 pub struct ServiceEstimate {
     epoch: Instant,
     mean_us: u64,
+    /// Usual time of the calls that come here, and their time against it at the usual pace.
+    ///
+    /// Both are 0 before the first such call has ended.
+    usual_us: u64,
+    slowness_permille: u64,
+    exposure: Exposure,
     failing_permille: u64,
     running: u32,
+    unweighed: u32,
     sum_of_starts_us: u64,
     trial_interval: Duration,
     next_trial: Instant,
@@ -72,8 +153,12 @@
         Self {
             epoch: now,
             mean_us: 0,
+            usual_us: 0,
+            slowness_permille: 0,
+            exposure: Exposure { runs: 0, weights: 0, weighted_starts: 0 },
             failing_permille: 0,
             running: 0,
+            unweighed: 0,
             sum_of_starts_us: 0,
             trial_interval: Duration::ZERO,
             next_trial: now,
@@ -91,21 +176,61 @@
         self.pace = Some(Pace { percent, usual_percent, told_at: now });
     }
 
+    /// Pace expected of the upstream's VM, 100 the usual, or that when nothing is known.
+    #[must_use]
+    pub fn pace_percent(&self, now: Instant) -> u64 {
+        self.pace.map_or(PERCENT, |pace| pace.percent(now))
+    }
+
+    /// Time that a call takes at present against the usual of its kind, in thousandths.
+    ///
+    /// It is 0 while neither the upstream nor a call has told anything.
+    #[must_use]
+    pub fn slowness_permille(&self, now: Instant) -> u64 {
+        if self.slowness_permille == 0 && self.pace.is_none() {
+            return 0;
+        }
+        let learned = if self.slowness_permille == 0 { PERMILLE } else { self.slowness_permille };
+        let paced = learned * self.pace_percent(now) / PERCENT;
+        self.per_good_answer(paced.max(learned + self.overdue_permille(now) / SMOOTHING))
+    }
+
+    /// Whether the upstream said nothing of its pace within the given time.
+    #[must_use]
+    pub fn pace_is_older_than(&self, age: Duration, now: Instant) -> bool {
+        self.pace.is_none_or(|pace| now.saturating_duration_since(pace.told_at) > age)
+    }
+
     /// A call takes a slot.
-    pub fn start(&mut self, now: Instant) {
+    pub fn start(&mut self, run: Run) {
         self.running += 1;
-        self.sum_of_starts_us += self.since_epoch_us(now);
+        let start_us = self.since_epoch_us(run.started);
+        if let Some(expected_us) = run.expected_us() {
+            self.exposure.add(expected_us, start_us);
+        } else {
+            self.unweighed += 1;
+            self.sum_of_starts_us += start_us;
+        }
     }
 
-    /// A call that started at `started` lets go of its slot.
-    pub fn finish(&mut self, started: Instant, ended: Ended, now: Instant) {
+    /// A call lets go of its slot.
+    pub fn finish(&mut self, run: Run, ended: Ended, now: Instant) {
         self.running = self.running.saturating_sub(1);
-        self.sum_of_starts_us = self.sum_of_starts_us.saturating_sub(self.since_epoch_us(started));
+        let start_us = self.since_epoch_us(run.started);
+        if let Some(expected_us) = run.expected_us() {
+            self.exposure.remove(expected_us, start_us);
+        } else {
+            self.unweighed = self.unweighed.saturating_sub(1);
+            self.sum_of_starts_us = self.sum_of_starts_us.saturating_sub(start_us);
+        }
         let trial = self.trial_patience.take();
         match ended {
-            Ended::Good(took) => self.good(micros(took), trial.is_some()),
+            Ended::Good(took) => self.good(micros(took), run, trial.is_some()),
             Ended::Failed => self.failed(),
-            Ended::Abandoned => self.abandoned(micros(now.saturating_duration_since(started))),
+            Ended::Abandoned => {
+                let age_us = micros(now.saturating_duration_since(run.started));
+                self.abandoned(age_us, run);
+            }
         }
         if let Some(patience) = trial {
             self.judge_trial(matches!(ended, Ended::Good(took) if took <= patience), now);
@@ -115,7 +240,10 @@
     /// Smoothed service time of good answers, in microseconds; 0 before the first one.
     #[must_use]
     pub const fn mean_us(&self) -> u64 {
-        self.mean_us
+        if self.usual_us == 0 {
+            return self.mean_us;
+        }
+        self.usual_us.saturating_mul(self.slowness_permille) / PERMILLE
     }
 
     /// Time that a good answer costs at present, in microseconds.
@@ -124,12 +252,16 @@
     /// so that neither a sudden slowdown nor failing fast looks like speed.
     #[must_use]
     pub fn live_us(&self, now: Instant) -> u64 {
-        let paced_us = self
-            .pace
-            .map_or(self.mean_us, |pace| self.mean_us.saturating_mul(pace.percent(now)) / pace.usual_percent);
-        let base_us = paced_us.max(self.mean_age_us(now));
+        if self.usual_us > 0 {
+            return self.usual_us.saturating_mul(self.slowness_permille(now)) / PERMILLE;
+        }
+        self.per_good_answer(self.mean_us.max(self.mean_age_us(now)))
+    }
+
+    /// What one good answer costs where failures have to be made up for.
+    fn per_good_answer(&self, cost: u64) -> u64 {
         let good_permille = ALL_FAILING_PERMILLE.saturating_sub(self.failing_permille).max(MIN_GOOD_PERMILLE);
-        base_us.saturating_mul(ALL_FAILING_PERMILLE) / good_permille
+        cost.saturating_mul(ALL_FAILING_PERMILLE) / good_permille
     }
 
     /// Whether one call may try an upstream that looks worse than others; claims the trial.
@@ -144,20 +276,33 @@
         true
     }
 
-    fn good(&mut self, sample_us: u64, trial: bool) {
+    fn good(&mut self, sample_us: u64, run: Run, trial: bool) {
         let smoothing = if trial { TRIAL_SMOOTHING } else { SMOOTHING };
-        self.mean_us = match self.mean_us {
-            0 => sample_us,
-            mean_us => (mean_us * (smoothing - 1) + sample_us) / smoothing,
-        };
+        match run.usual_us() {
+            None => self.mean_us = smoothed(self.mean_us, sample_us, smoothing),
+            Some(usual_us) => {
+                self.usual_us = smoothed(self.usual_us, usual_us, MIX_SMOOTHING);
+                let slowness_permille = run.slowness_permille(sample_us, usual_us).max(1);
+                self.slowness_permille = smoothed(self.slowness_permille, slowness_permille, smoothing);
+            }
+        }
         let fading = if trial { TRIAL_SMOOTHING } else { FAILURE_SMOOTHING };
         self.failing_permille -= self.failing_permille.div_ceil(fading);
     }
 
     /// A call given up after longer than usual took at least that long.
-    const fn abandoned(&mut self, age_us: u64) {
-        if self.mean_us > 0 && age_us > self.mean_us {
-            self.mean_us = (self.mean_us * (SMOOTHING - 1) + age_us) / SMOOTHING;
+    fn abandoned(&mut self, age_us: u64, run: Run) {
+        match run.usual_us() {
+            None if self.mean_us > 0 && age_us > self.mean_us => {
+                self.mean_us = smoothed(self.mean_us, age_us, SMOOTHING);
+            }
+            Some(usual_us) if self.slowness_permille > 0 => {
+                let slowness_permille = run.slowness_permille(age_us, usual_us);
+                if slowness_permille > self.slowness_permille {
+                    self.slowness_permille = smoothed(self.slowness_permille, slowness_permille, SMOOTHING);
+                }
+            }
+            _ => {}
         }
     }
 
@@ -172,18 +317,31 @@
     }
 
     fn mean_age_us(&self, now: Instant) -> u64 {
-        let running = u64::from(self.running);
+        let running = u64::from(self.unweighed);
         if running == 0 {
             return 0;
         }
         (running * self.since_epoch_us(now)).saturating_sub(self.sum_of_starts_us) / running
     }
 
+    /// Usual times that the runs are overdue, all together, in thousandths.
+    ///
+    /// A single long call among several says little.
+    fn overdue_permille(&self, now: Instant) -> u64 {
+        let expected = self.exposure.runs * self.slowness_permille.max(PERMILLE);
+        self.exposure.passed_permille(self.since_epoch_us(now)).saturating_sub(expected)
+    }
+
     fn since_epoch_us(&self, now: Instant) -> u64 {
         micros(now.saturating_duration_since(self.epoch))
     }
 }
 
+/// A smoothed figure with one more sample; the first sample stands for itself.
+const fn smoothed(old: u64, sample: u64, smoothing: u64) -> u64 {
+    if old == 0 { sample } else { (old * (smoothing - 1) + sample) / smoothing }
+}
+
 fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -53,6 +53,7 @@
 use crate::transport::listeners::Listeners;
 use crate::transport::listeners::NodeAddrs;
 use crate::transport::load_probe::LoadProbe;
+use crate::transport::pace_probe::PaceProbe;
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_security::PeerSecurity;
@@ -69,6 +70,8 @@
 
 const IDLE_POLL: Duration = Duration::from_millis(10);
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
+/// Time before the end of a shutdown at which calls without a slot are handed back.
+const HAND_BACK_MARGIN: Duration = Duration::from_millis(500);
 
 /// Why a node did not start.
 #[derive(Debug, Snafu)]
@@ -198,7 +201,8 @@
             upstream: AnnounceHandler::new(Arc::clone(&core.desk)),
         };
         let stop_rest = CancellationToken::new();
-        let platform = spawn_platform_loops(settings, &core.gossip, &core.shared, &stop_rest);
+        let mut platform = spawn_platform_loops(settings, &core.gossip, &core.shared, &stop_rest);
+        platform.push(tokio::spawn(core.load_probe().run(stop_rest.clone())));
         let parts = Parts { listeners, core, ingress, handlers, platform, stop_rest };
         Ok(Self::launch(settings, parts, calls))
     }
@@ -223,7 +227,8 @@
             upstream: CheckInHandler::<I>::new(Arc::clone(&core.desk)),
         };
         let stop_rest = CancellationToken::new();
-        let platform = spawn_routed_loops::<I>(settings, &core.gossip, &core.shared, &stop_rest);
+        let mut platform = spawn_routed_loops::<I>(settings, &core.gossip, &core.shared, &stop_rest);
+        platform.push(tokio::spawn(core.pace_probe().run(stop_rest.clone())));
         let parts = Parts { listeners, core, ingress, handlers, platform, stop_rest };
         Ok(Self::launch(settings, parts, calls))
     }
@@ -311,6 +316,7 @@
     pub async fn stop(mut self) -> Shutdown {
         let until = Instant::now() + self.shutdown_timeout;
         self.stopping.store(true, Ordering::Relaxed);
+        self.ingress.hand_back_at(until.checked_sub(HAND_BACK_MARGIN).unwrap_or(until));
         tokio::time::sleep_until(until.min(Instant::now() + self.unready_notice)).await;
         self.desk.drain();
         self.ingress.drain();
@@ -419,6 +425,8 @@
             policy,
             max_replay_bytes: settings.limits.max_replay_bytes,
             max_header_bytes: settings.limits.max_header_bytes,
+            longest_wait: Duration::from_millis(settings.limits.shutdown_timeout_ms)
+                .saturating_sub(HAND_BACK_MARGIN),
         })
     }
 
@@ -455,11 +463,18 @@
         }
     }
 
+    fn pace_probe(&self) -> PaceProbe {
+        PaceProbe {
+            gate: Arc::clone(&self.gate),
+            config: Arc::clone(&self.shared.config),
+            metrics: Arc::clone(&self.shared.metrics),
+        }
+    }
+
     fn spawn_loops(&self, stop: &CancellationToken) -> Vec<JoinHandle<()>> {
         vec![
             tokio::spawn(Arc::clone(&self.gossip).run(stop.clone())),
             tokio::spawn(Arc::clone(&self.desk).run(stop.clone())),
-            tokio::spawn(self.load_probe().run(stop.clone())),
             tokio::spawn(Arc::clone(&self.shared.security).run(stop.clone())),
         ]
     }
--- a/lib/src/protocol/load_report.rs
+++ b/lib/src/protocol/load_report.rs
@@ -14,11 +14,18 @@
     pub limit: u32,
     /// Time that a good answer costs at present, in microseconds; 0 when nothing is known.
     pub service_time_us: u64,
+    /// Time that a call takes at present against the usual of its kind, in thousandths; 0 when not known.
+    pub slowness_permille: u64,
 }
 
 impl fmt::Display for LoadReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/{}/{}", self.running, self.queued, self.limit, self.service_time_us)
+        let Self { running, queued, limit, service_time_us, slowness_permille } = self;
+        write!(f, "{running}/{queued}/{limit}/{service_time_us}")?;
+        if *slowness_permille > 0 {
+            write!(f, "/{slowness_permille}")?;
+        }
+        Ok(())
     }
 }
 
@@ -30,6 +37,7 @@
         let mut next = || parts.next().and_then(|part| part.parse().ok()).ok_or(());
         let (running, queued, limit) = (next()?, next()?, next()?);
         let service_time_us = parts.next().and_then(|part| part.parse().ok()).ok_or(())?;
-        Ok(Self { running, queued, limit, service_time_us })
+        let slowness_permille = parts.next().map_or(Ok(0), |part| part.parse().map_err(drop))?;
+        Ok(Self { running, queued, limit, service_time_us, slowness_permille })
     }
 }
--- a/lib/src/state/route_table.rs
+++ b/lib/src/state/route_table.rs
@@ -12,6 +12,7 @@
 use crate::protocol::route::CallerLimits;
 use crate::protocol::route::RouteSet;
 use crate::protocol::route::RouteSpec;
+use crate::protocol::route::RoutedService;
 use crate::protocol::service_spec::HedgeSpec;
 use crate::protocol::service_spec::MeasuringSpec;
 use crate::protocol::service_spec::PrioritySetSpec;
@@ -38,8 +39,10 @@
 ///
 /// Upstreams may slow down when nearly full, and the urgent must find a slot at once.
 const USABLE_SLOTS_PERCENT: [u32; RANKS as usize] = [100, 80, 60, 50];
-/// Retries per hundred calls of a service, below the share that all nodes together may use.
-const RETRY_PERCENT: u32 = 10;
+/// Retries and second copies per hundred calls of a service.
+///
+/// It is below the share that all nodes together may use, since the calls of a copy's run are copies too.
+const RETRY_PERCENT: u32 = 12;
 /// Retries that one node may save up, few since all nodes may spend theirs at once.
 const MAX_SAVED_RETRIES: u32 = 3;
 const MAX_RANK_QUEUE_SHARE_PERCENT: u32 = 100;
@@ -104,7 +107,7 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.spec.path_prefix.len()));
         }
         let services = set.services.iter().map(|service| {
-            let published = service_config(set, &service.name, service.max_connections, revision);
+            let published = service_config(set, service, revision);
             (Arc::clone(&service.name), Arc::new(published))
         });
         Self {
@@ -163,7 +166,8 @@
     priority.min(RANKS - 1)
 }
 
-fn service_config(set: &RouteSet, name: &Arc<str>, max_connections: u32, revision: u64) -> Published {
+fn service_config(set: &RouteSet, service: &RoutedService, revision: u64) -> Published {
+    let RoutedService { name, health_path, max_connections } = service;
     let routes =
         set.routes.iter().filter(|route| route.destinations.iter().any(|part| part.service == *name));
     let mut objectives = [None::<u64>; RANKS as usize];
@@ -204,14 +208,14 @@
                 ..RetrySpec::default()
             },
             hedge: HedgeSpec::default(),
-            measuring: MeasuringSpec::default(),
+            measuring: MeasuringSpec { load_path: Some(Arc::clone(health_path)), ..MeasuringSpec::default() },
         },
         priorities: PrioritySetSpec { priorities: priorities.collect() },
         upstream_rule: UpstreamRuleSpec {
             ramp_ms: RAMP_MS,
             announce_ttl_ms: ANNOUNCE_TTL_MS,
             drain_timeout_ms: DRAIN_TIMEOUT_MS,
-            max_connections,
+            max_connections: *max_connections,
             max_ejected_percent: MAX_EJECTED_PERCENT,
             adaptive_limit: false,
         },
--- a/lib/src/state/upstream_stats.rs
+++ b/lib/src/state/upstream_stats.rs
@@ -11,6 +11,7 @@
 
 const SMOOTHING_SHIFT: u32 = 3;
 const SERVICE_TIME_HALF_LIFE_US: u64 = 500_000;
+const SLOWNESS_HALF_LIFE_US: u64 = 200_000;
 
 /// Live figures about one incarnation of an upstream, written without locks.
 #[derive(Debug)]
@@ -22,6 +23,8 @@
     reported_at_us: AtomicU64,
     reported_service_time_us: AtomicU64,
     service_time_us: AtomicU64,
+    reported_slowness_permille: AtomicU64,
+    mean_slowness_permille: AtomicU64,
     consecutive_failures: AtomicU32,
 }
 
@@ -38,6 +41,8 @@
     pub report_age_us: u64,
     /// Time that a good answer costs there, in microseconds; 0 when nothing is known.
     pub service_time_us: u64,
+    /// Time that a call takes there against the usual of its kind, in thousandths; 0 when not known.
+    pub slowness_permille: u64,
     /// Failures since the last good answer.
     pub consecutive_failures: u32,
 }
@@ -54,6 +59,8 @@
             reported_at_us: AtomicU64::new(0),
             reported_service_time_us: AtomicU64::new(0),
             service_time_us: AtomicU64::new(0),
+            reported_slowness_permille: AtomicU64::new(0),
+            mean_slowness_permille: AtomicU64::new(0),
             consecutive_failures: AtomicU32::new(0),
         }
     }
@@ -79,17 +86,17 @@
         self.reported_busy.store(load.running + load.queued, Ordering::Relaxed);
         self.reported_limit.store(load.limit, Ordering::Relaxed);
         self.reported_service_time_us.store(load.service_time_us, Ordering::Relaxed);
+        if load.slowness_permille > 0 {
+            self.reported_slowness_permille.store(load.slowness_permille, Ordering::Relaxed);
+            smooth_in(&self.mean_slowness_permille, load.slowness_permille);
+        }
         self.reported_at_us.store(micros(now - self.epoch), Ordering::Relaxed);
     }
 
     /// Takes in the time that a good answer took.
     pub fn observe(&self, took: Duration) {
         self.consecutive_failures.store(0, Ordering::Relaxed);
-        let sample = micros(took);
-        let old = self.service_time_us.load(Ordering::Relaxed);
-        let new =
-            if old == 0 { sample } else { old - (old >> SMOOTHING_SHIFT) + (sample >> SMOOTHING_SHIFT) };
-        self.service_time_us.store(new, Ordering::Relaxed);
+        smooth_in(&self.service_time_us, micros(took));
     }
 
     /// Counts a failure that speaks against the upstream.
@@ -107,6 +114,7 @@
             reported_limit: self.reported_limit.load(Ordering::Relaxed),
             report_age_us: since.saturating_sub(self.reported_at_us.load(Ordering::Relaxed)),
             service_time_us: self.service_time_us(since),
+            slowness_permille: self.slowness_permille(since),
             consecutive_failures: self.consecutive_failures.load(Ordering::Relaxed),
         }
     }
@@ -125,6 +133,23 @@
         let above = reported.saturating_sub(own).checked_shr(halvings).unwrap_or(0);
         reported.min(own) + above
     }
+
+    /// The gate's word, which returns to the mean of its words as it ages, whichever way.
+    fn slowness_permille(&self, since_epoch_us: u64) -> u64 {
+        let mean = self.mean_slowness_permille.load(Ordering::Relaxed);
+        let reported = self.reported_slowness_permille.load(Ordering::Relaxed);
+        let age_us = since_epoch_us.saturating_sub(self.reported_at_us.load(Ordering::Relaxed));
+        let halvings = u32::try_from(age_us / SLOWNESS_HALF_LIFE_US).unwrap_or(u32::MAX);
+        let distance = reported.abs_diff(mean).checked_shr(halvings).unwrap_or(0);
+        if reported > mean { mean + distance } else { mean - distance }
+    }
+}
+
+/// Takes one more sample into a smoothed figure; the first stands for itself.
+fn smooth_in(figure: &AtomicU64, sample: u64) {
+    let old = figure.load(Ordering::Relaxed);
+    let new = if old == 0 { sample } else { old - (old >> SMOOTHING_SHIFT) + (sample >> SMOOTHING_SHIFT) };
+    figure.store(new, Ordering::Relaxed);
 }
 
 fn micros(duration: Duration) -> u64 {
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -48,10 +48,12 @@
 
 /// Gates that may refuse or fail one call before it is given up.
 const MAX_GATES: usize = 4;
+/// Copies of one attempt that may be tried, those included that a gate refused.
+const MAX_COPIES: usize = 10;
 /// Price of crossing to another zone, in thousandths of the worth of an answer in time, by rank.
 ///
 /// The bytes cost the same whatever a call is worth, and the urgent are worth most.
-const CROSSING_PERMILLE: [u64; 3] = [120, 300, 500];
+const CROSSING_PERMILLE: [u64; 3] = [200, 350, 500];
 
 /// An answer on its way to the caller.
 pub type Answered = Response<GuardedBody<AnswerBody, IngressGuard>>;
@@ -59,15 +61,26 @@
 /// Gates that one call has been to.
 #[derive(Debug, Default)]
 struct Visited {
-    /// Those where an attempt failed.
+    /// Those whose upstream may have seen an attempt that failed.
     failed: Vec<Arc<str>>,
+    /// Those that refused an attempt by themselves.
+    refused: Vec<Arc<str>>,
     /// Those that moved the call on.
     moved_on: Vec<Arc<str>>,
 }
 
 impl Visited {
     fn contains(&self, name: &Arc<str>) -> bool {
-        self.failed.contains(name) || self.moved_on.contains(name)
+        self.is_settled(name) || self.moved_on.contains(name)
+    }
+
+    /// Whether the gate need not be asked again.
+    fn is_settled(&self, name: &Arc<str>) -> bool {
+        self.failed.contains(name) || self.refused.contains(name)
+    }
+
+    const fn settled(&self) -> usize {
+        self.failed.len() + self.refused.len()
     }
 }
 
@@ -109,6 +122,8 @@
     config: &'a PublishedConfig,
     budgets: &'a ServiceBudgets,
     visited: &'a Visited,
+    /// Upstreams that the call has reached before.
+    reached: u32,
 }
 
 impl<P> Ingress<P>
@@ -136,11 +151,11 @@
                 break;
             };
             call.sent_to(&plan.entry.member.id.name);
-            let race = Race { call, config, budgets: &budgets, visited: &visited };
+            let race = Race { call, config, budgets: &budgets, visited: &visited, reached: sent };
             let answer = match self.race(race, &plan, request, outgoing).await {
                 Ok(response) if response.status().is_server_error() => {
                     sent += 1;
-                    if sent >= call.max_attempts || !may_run_again(call, outgoing, &budgets) {
+                    if sent + call.copies() >= call.max_attempts || !may_run_again(call, outgoing, &budgets) {
                         return Ok(response);
                     }
                     ErrorAnswer::new(ErrorKind::UpstreamFailed, "the upstream failed the call")
@@ -158,8 +173,10 @@
                 visited.moved_on.push(name);
                 continue;
             }
-            visited.failed.push(name);
-            let tried_enough = sent >= call.max_attempts || visited.failed.len() >= MAX_GATES;
+            let settled =
+                if reached_upstream(answer.kind) { &mut visited.failed } else { &mut visited.refused };
+            settled.push(name);
+            let tried_enough = sent + call.copies() >= call.max_attempts || visited.settled() >= MAX_GATES;
             let again = answer.kind == ErrorKind::UpstreamFailed || may_retry(call, &answer, &budgets);
             if tried_enough || !again {
                 return Err(answer);
@@ -183,7 +200,8 @@
 
     /// One attempt, and a copy of it elsewhere when it takes longer than most.
     ///
-    /// The copy starts only where a slot is free at once, and dropping the loser cancels it.
+    /// The copy starts only where a slot is free at once, and dropping the loser cancels it. One that
+    /// a gate refused is tried again a while later, at growing pauses.
     async fn race(
         &self,
         race: Race<'_>,
@@ -195,28 +213,46 @@
         let hedging = &race.budgets.hedging;
         let sent_at = Instant::now();
         let mut first = pin!(self.attempt(race, plan, request));
-        let delay = hedging.delay(spec, call.head.idempotent && !call.head.repeated);
+        let delay = if call.follows_route() {
+            call.copy_after(race.reached)
+        } else {
+            hedging.delay(spec, call.head.idempotent && !call.head.repeated)
+        };
         let in_time = match delay {
-            Some(delay) => tokio::time::timeout(delay, &mut first).await.ok(),
+            Some(delay) => tokio::time::timeout(delay, first.as_mut()).await.ok(),
             None => Some(first.as_mut().await),
         };
+        if in_time.as_ref().is_none_or(Result::is_ok) {
+            hedging.observe(sent_at.elapsed(), spec);
+        }
         if let Some(result) = in_time {
-            if result.is_ok() {
-                hedging.observe(sent_at.elapsed(), spec);
-            }
             return result;
         }
-        hedging.observe(sent_at.elapsed(), spec);
-        let Some((copy, request)) = self.copy(race, plan, outgoing) else {
-            return first.await;
-        };
-        let second = pin!(self.attempt(race, &copy, request));
-        match select(first, second).await {
-            FutureEither::Left((Ok(response), _loser)) => Ok(self.raced("first_won", response)),
-            FutureEither::Right((Ok(response), _loser)) => Ok(self.raced("copy_won", response)),
-            FutureEither::Left((Err(_), second)) => second.await,
-            FutureEither::Right((Err(_), first)) => first.await,
+        let mut pause = delay.unwrap_or_default();
+        for _ in 0..MAX_COPIES {
+            if let Some((copy, request)) = self.copy(race, plan, outgoing) {
+                let second = pin!(self.attempt(race, &copy, request));
+                match select(first.as_mut(), second).await {
+                    FutureEither::Left((Ok(response), _)) => return Ok(self.raced("first_won", response)),
+                    FutureEither::Right((Ok(response), _)) => return Ok(self.raced("copy_won", response)),
+                    FutureEither::Left((Err(_), second)) => return second.await,
+                    FutureEither::Right((Err(answer), _)) if reached_upstream(answer.kind) => break,
+                    FutureEither::Right((Err(_), _)) => self.copy_refused(race),
+                }
+            }
+            pause *= 2;
+            if let Ok(result) = tokio::time::timeout(pause, first.as_mut()).await {
+                return result;
+            }
         }
+        first.await
+    }
+
+    /// A copy went no further than a gate, so that it cost no upstream anything.
+    fn copy_refused(&self, race: Race<'_>) {
+        race.call.copy_refused();
+        race.budgets.copies(race.call.follows_route()).refund();
+        Metrics::count(&self.parts.metrics.hedge_outcomes, "copy_refused");
     }
 
     fn copy(
@@ -227,12 +263,15 @@
     ) -> Option<(Plan, Request<CallBody>)> {
         let taken = &plan.entry.member.id.name;
         let open = race.budgets.spill(race.call.head.priority).has_credit();
-        let skip = |name: &Arc<str>| name == taken || race.visited.contains(name);
+        // A gate that refused a while ago may have room by now.
+        let skip = |name: &Arc<str>| name == taken || race.visited.failed.contains(name);
         let copy = self.choose(race.call.wanted(), race.config, true, skip)?;
-        if !open || copy.leg.patience.is_none() || !race.budgets.hedging.spend() {
+        if !open || copy.leg.patience.is_none() || !outgoing.can_repeat() {
             return None;
         }
-        let request = outgoing.next_request(race.call, copy.leg)?;
+        let paid = race.budgets.copies(race.call.follows_route()).spend();
+        let request = paid.then(|| outgoing.next_request(race.call, copy.leg)).flatten()?;
+        race.call.copy_sent();
         Metrics::count(&self.parts.metrics.hedges, "started");
         Some((copy, request))
     }
@@ -251,7 +290,7 @@
         visited: &Visited,
         can_repeat: bool,
     ) -> Option<Plan> {
-        let repeated = !visited.failed.is_empty();
+        let repeated = visited.settled() > 0;
         let may_move_on = can_repeat && visited.moved_on.len() < MAX_SPILLS;
         if may_move_on && budgets.spill(call.head.priority).is_open() {
             let planned = self.choose(call.wanted(), config, repeated, |name| visited.contains(name));
@@ -259,7 +298,7 @@
                 return planned;
             }
         }
-        let plan = self.choose(call.wanted(), config, repeated, |name| visited.failed.contains(name))?;
+        let plan = self.choose(call.wanted(), config, repeated, |name| visited.is_settled(name))?;
         if visited.moved_on.contains(&plan.entry.member.id.name) {
             // The gate has refused this identity for good, and the call never ran.
             call.rename(self.parts.ids.next());
@@ -339,9 +378,10 @@
                 if response.status().is_server_error() {
                     entry.stats.fail();
                 } else {
-                    entry.stats.observe(sent_at.elapsed());
+                    let took = sent_at.elapsed();
+                    entry.stats.observe(took);
                     let queued = queued_time(response.headers().get(headers::QUEUED_US));
-                    call.note_service_time(sent_at.elapsed().saturating_sub(queued));
+                    call.note_service_time(took.saturating_sub(queued));
                 }
                 Ok(self.answered(call, response, in_flight))
             }
@@ -373,7 +413,7 @@
         let request = outgoing.next_request(call, plan.leg).ok_or_else(|| unproved(no_upstream(), true))?;
         let budgets = self.budgets(&call.head.service);
         let visited = Visited::default();
-        let race = Race { call, config, budgets: &budgets, visited: &visited };
+        let race = Race { call, config, budgets: &budgets, visited: &visited, reached: 0 };
         self.attempt(race, &plan, request).await
     }
 
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -85,6 +85,8 @@
     pub caller: CallerKey,
     /// When the call is of no more use.
     pub deadline: Instant,
+    /// Latest moment at which it may get a slot, where its ingress can't wait until the deadline.
+    pub start_by: Option<Instant>,
     /// When its answer is worth less, where that is not the objective of its priority.
     pub objective_at: Option<Instant>,
     /// Time that such a call usually takes, where that is known.
@@ -197,20 +199,46 @@
         queue.deliver(verdicts);
     }
 
-    /// Asks the upstream for a small document; nothing when there is no good answer in time.
-    pub async fn ask_upstream(&self, path: &str) -> Option<Bytes> {
+    /// Whether calls come of late and the upstream's word on its pace is too old to decide them by.
+    #[must_use]
+    pub fn wants_pace(&self, now: Instant) -> bool {
+        let queue = self.queue.lock();
+        self.foreign.is_some() && queue.admission.wants_pace(now)
+    }
+
+    /// Asks the upstream of another dialect for its pace; whether it told it.
+    pub async fn ask_pace(&self, path: &str) -> bool {
+        let Some(fields) = &self.foreign else {
+            return false;
+        };
+        let answer = self.ask_upstream(path).await;
+        let Some(word) = answer.and_then(|answer| fields.load_of(answer.headers())) else {
+            return false;
+        };
+        self.queue.lock().admission.note_pace(word.pace_percent, Instant::now());
+        true
+    }
+
+    /// Service of the upstream, once one has announced itself.
+    #[must_use]
+    pub fn service(&self) -> Option<Arc<str>> {
+        self.pool.load().as_ref().map(|pool| Arc::clone(pool.service()))
+    }
+
+    /// Asks the upstream for a small document; nothing when there is no answer in time.
+    pub async fn ask_upstream(&self, path: &str) -> Option<Response<Bytes>> {
         let pool = self.pool.load_full()?;
         let request = Request::get(path).header(HOST, pool.addr().to_string());
         let request = request.body(CallBody::from(Bytes::new())).ok()?;
         let asking = async {
             let mut connection = None;
             let response = pool.send(request, &mut connection).await.ok()?;
-            let good = response.status().is_success();
-            let body = Limited::new(response.into_body(), MAX_DOCUMENT_BYTES).collect().await.ok()?;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, MAX_DOCUMENT_BYTES).collect().await.ok()?;
             if let Some(connection) = connection {
                 pool.give_back(connection);
             }
-            good.then(|| body.to_bytes())
+            Some(Response::from_parts(head, body.to_bytes()))
         };
         tokio::time::timeout(ASK_TIMEOUT, asking).await.ok()?
     }
@@ -469,7 +497,7 @@
             Entry::Queued(key, verdict) => (key, verdict),
         };
         let mut waiting = Waiting { gate: self, key, verdict, settled: false };
-        let verdict = tokio::time::timeout_at(call.deadline, waiting.verdict()).await;
+        let verdict = tokio::time::timeout_at(key.start_by(), waiting.verdict()).await;
         match verdict {
             Ok(Ok(grant)) => {
                 slot.grant(grant);
@@ -486,6 +514,7 @@
             priority: call.priority,
             caller: call.caller,
             deadline: call.deadline,
+            start_by: call.start_by,
             objective_at: call.objective_at,
             usual: call.usual,
             patience: call.patience,
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -72,6 +74,9 @@
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
 pub(super) const RETRY_HINT: Duration = Duration::from_millis(200);
+/// Time after which a second copy of a call may start, against the usual time of its route.
+const COPY_AFTER_PERCENT: u32 = 140;
+const PERCENT: u32 = 100;
 
 /// Body of an upstream's answer: over a peer connection, or from the gate beside.
 pub(super) type AnswerBody = Either<PeerAnswerBody, GateBody>;
@@ -106,6 +111,8 @@
     pub max_replay_bytes: u64,
     /// Largest header section taken from a caller, in bytes.
     pub max_header_bytes: u32,
+    /// Longest time that a call may wait for a slot, so that a node that stops can answer in time.
+    pub longest_wait: Duration,
 }
 
 /// Takes calls from callers.
@@ -114,6 +121,8 @@
     pub(super) parts: IngressParts<P>,
     pub(super) budgets: ArcSwap<IndexMap<Arc<str>, Arc<ServiceBudgets>>>,
     draining: AtomicBool,
+    /// When calls that wait for a slot are handed back, once the node is told to stop.
+    hand_back_at: OnceLock<Instant>,
 }
 
 /// A call on its way through the ingress.
@@ -127,7 +136,10 @@
     pub(super) caller: Arc<str>,
     started: Instant,
     pub(super) deadline: Instant,
+    start_by: Instant,
     usual: Option<Arc<UsualTime>>,
+    /// Second copies of it that were sent on a route.
+    copies: AtomicU32,
     /// Gates that it was sent to, and the last of them.
     pub(super) sent: u32,
     pub(super) last_gate: Option<Arc<str>>,
@@ -144,7 +156,14 @@
     /// An ingress over the given parts.
     #[must_use]
     pub fn new(parts: IngressParts<P>) -> Self {
-        Self { parts, budgets: ArcSwap::default(), draining: AtomicBool::new(false) }
+        let draining = AtomicBool::new(false);
+        Self { parts, budgets: ArcSwap::default(), draining, hand_back_at: OnceLock::new() }
+    }
+
+    /// The node stops soon: calls that have no slot by then are handed back as not executed.
+    pub fn hand_back_at(&self, at: Instant) {
+        // A second order to stop changes nothing.
+        let _first = self.hand_back_at.set(at);
     }
 
     /// Asks callers from now on to go elsewhere with their next call.
@@ -259,6 +278,10 @@
     ) -> Result<Answered> {
         let outgoing = self.outgoing(call, config, request).await;
         let mut outgoing = outgoing.map_err(|answer| unproved(answer, call.ticket.is_some()))?;
+        call.wait_until(call.started + self.parts.longest_wait);
+        if let Some(at) = self.hand_back_at.get() {
+            call.wait_until(*at);
+        }
         if let Some(ticket) = &call.ticket {
             return self.redeem(call, config, ticket, outgoing).await;
         }
@@ -313,6 +336,7 @@
             repeated: leg.repeated || call.head.repeated,
             caller: caller_key(&call.caller),
             deadline: call.deadline,
+            start_by: call.start_by(),
             objective_at: call.objective_at,
             usual: call.usual_time(),
             idempotent: call.head.idempotent,
@@ -412,7 +436,9 @@
             caller: head.caller.clone().unwrap_or_else(|| Arc::from(remote.ip().to_string())),
             started,
             deadline: started + head.timeout,
+            start_by: started + head.timeout,
             usual: None,
+            copies: AtomicU32::new(0),
             sent: 0,
             last_gate: None,
             objective,
@@ -446,6 +472,16 @@
         self.usual = Some(Arc::clone(usual));
     }
 
+    /// The call may wait for a slot until then at the latest.
+    fn wait_until(&mut self, at: Instant) {
+        self.start_by = self.start_by.min(at);
+    }
+
+    /// Latest moment at which it may get a slot, where that is before its deadline.
+    pub(super) fn start_by(&self) -> Option<Instant> {
+        (self.start_by < self.deadline).then_some(self.start_by)
+    }
+
     /// What the call wants of its upstream.
     pub(super) fn wanted(&self) -> Wanted<'_> {
         let objective = self.objective.saturating_sub(self.started.elapsed());
@@ -453,6 +489,30 @@
         Wanted { service: &self.head.service, priority: self.head.priority, objective, usual }
     }
 
+    /// Second copies that count among the attempts that its route allows.
+    pub(super) fn copies(&self) -> u32 {
+        self.copies.load(Ordering::Relaxed)
+    }
+
+    /// A second copy is about to go out.
+    pub(super) fn copy_sent(&self) {
+        self.copies.fetch_add(u32::from(self.follows_route()), Ordering::Relaxed);
+    }
+
+    /// The second copy went no further than a gate.
+    pub(super) fn copy_refused(&self) {
+        self.copies.fetch_sub(u32::from(self.follows_route()), Ordering::Relaxed);
+    }
+
+    /// Time after which a second copy may race the first, on a route, if it can still be in time.
+    pub(super) fn copy_after(&self, reached: u32) -> Option<Duration> {
+        let may_run_twice = self.head.idempotent && reached + self.copies() + 2 <= self.max_attempts;
+        let usual = self.usual_time().filter(|_| may_run_twice)?;
+        let delay = usual * COPY_AFTER_PERCENT / PERCENT;
+        let left = self.objective.saturating_sub(self.started.elapsed());
+        (delay + usual <= left).then_some(delay)
+    }
+
     /// Whether a route says what the call needs.
     pub(super) const fn follows_route(&self) -> bool {
         self.usual.is_some()
--- a/lib/src/transport/load_probe.rs
+++ b/lib/src/transport/load_probe.rs
@@ -86,7 +86,8 @@
         }
         let answer = self.gate.ask_upstream(&target.path).await;
         budget.took(asked_at.elapsed());
-        let report = answer.and_then(|bytes| serde_json::from_slice::<UpstreamReport>(&bytes).ok());
+        let good = answer.filter(|answer| answer.status().is_success());
+        let report = good.and_then(|answer| serde_json::from_slice::<UpstreamReport>(answer.body()).ok());
         let Some(report) = report else {
             Metrics::count(&self.metrics.probes, "failed");
             return;
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -25,6 +25,7 @@
 pub mod load_probe;
 pub mod log_pipe;
 pub mod outgoing_call;
+pub mod pace_probe;
 pub mod peer_channel;
 pub mod peer_greeting;
 pub mod peer_security;
--- a/lib/src/transport/outgoing_call.rs
+++ b/lib/src/transport/outgoing_call.rs
@@ -65,8 +65,13 @@
             fields.insert(headers::REPEAT, HeaderValue::from_static("true"));
         }
         fields.remove(headers::RESOLVE);
+        fields.remove(headers::START_WITHIN_MS);
         fields.remove(headers::OBJECTIVE_MS);
         fields.remove(headers::USUAL_MS);
+        if let Some(start_by) = call.start_by() {
+            let within = start_by.saturating_duration_since(Instant::now());
+            insert(fields, headers::START_WITHIN_MS, &within.as_millis().to_string());
+        }
         if let Some(usual) = call.usual_time() {
             insert(fields, headers::USUAL_MS, &usual.as_millis().to_string());
         }
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -126,6 +126,8 @@
             repeated: text(fields, &headers::REPEAT) == Some("true"),
             caller: caller_key(text(fields, &headers::CALLER).unwrap_or_default()),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
+            start_by: optional(fields, &headers::START_WITHIN_MS)
+                .map(|within_ms| Instant::now() + Duration::from_millis(within_ms)),
             objective_at: optional(fields, &headers::OBJECTIVE_MS)
                 .map(|left_ms| Instant::now() + Duration::from_millis(left_ms)),
             usual: optional(fields, &headers::USUAL_MS).map(Duration::from_millis),
--- a/lib/src/transport/routes_reader.rs
+++ b/lib/src/transport/routes_reader.rs
@@ -21,6 +21,8 @@
 
 /// Time between two looks at the node's role.
 const ROLE_CHECK: Duration = Duration::from_millis(500);
+/// Looks in a row that have to find the same role before it is taken up.
+const ROLE_LOOKS: u32 = 4;
 /// How much longer a watch may wait on nodes that hear of new routes from their zone's leader too.
 const RELAXED_FACTOR: u64 = 6;
 /// Longest wait that the platform allows, in milliseconds.
@@ -84,10 +86,13 @@
         follow_kind(store.clone(), ObjectKind::Routes, Arc::clone(&self.metrics), on_event).await;
     }
 
+    /// Waits until the role has held for some looks: in a mass start each node leads for a moment.
     async fn until_role(&self, reads: bool) {
-        while self.gossip.role().leads_zone != reads {
+        let mut held = 0;
+        while held < ROLE_LOOKS {
             let pause = jittered(ROLE_CHECK, &mut rand::rng());
             tokio::time::sleep(pause).await;
+            held = if self.gossip.role().leads_zone == reads { held + 1 } else { 0 };
         }
     }
 }
--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -122,6 +122,7 @@
             priority,
             caller: CallerKey(0),
             deadline,
+            start_by: None,
             objective_at: None,
             usual: None,
             patience,
@@ -256,6 +257,7 @@
             priority,
             caller: CallerKey(0),
             deadline,
+            start_by: None,
             objective_at: None,
             usual: None,
             patience: None,
@@ -371,6 +373,7 @@
         priority: 0,
         caller: CallerKey(caller),
         deadline,
+        start_by: None,
         objective_at: None,
         usual: None,
         patience: None,
@@ -426,6 +429,7 @@
         priority,
         caller: CallerKey(0),
         deadline: now + Duration::from_millis(timeout_ms),
+        start_by: None,
         objective_at: Some(now + Duration::from_millis(objective_ms)),
         usual: Some(Duration::from_millis(50)),
         patience: None,
@@ -480,3 +484,44 @@
     let offer = admission.offer(ranked(0, 10, 40, now), now);
     assert_eq!(offer, Offer::Refused(Refusal::TooLate), "it usually takes 50 ms");
 }
+
+#[test]
+fn call_that_cannot_wait_refused_before_its_deadline() {
+    let now = Instant::now();
+    let mut admission = Admission::new(1, &late_rules(), now);
+    let _running = granted(&mut admission, ranked(0, 500, 9_000, now), now).expect("a free slot");
+    let start_by = now + Duration::from_millis(700);
+    let ticket = Ticket { start_by: Some(start_by), ..ranked(0, 500, 9_000, now) };
+    let Offer::Queued(key) = admission.offer(ticket, now) else {
+        panic!("it may wait for a while");
+    };
+    assert_eq!(key.start_by(), start_by, "its sender hands it back then");
+    let passed = Ticket { start_by: Some(now), ..ranked(0, 500, 9_000, now) };
+    assert_eq!(admission.offer(passed, now), Offer::Refused(Refusal::TooLate));
+}
+
+#[test]
+fn slow_vm_refuses_who_is_faster_elsewhere_by_its_told_pace() {
+    let now = Instant::now();
+    let mut admission = Admission::new(10, &late_rules(), now);
+    let ticket = Ticket { patience: Some(Duration::from_millis(120)), ..ranked(0, 500, 9_000, now) };
+    let grant = granted(&mut admission, ticket, now).expect("as fast as usual, as far as is known");
+    admission.release(grant, Ended::Good(Duration::from_millis(50)), now);
+    admission.note_pace(400, now);
+    assert_eq!(admission.offer(ticket, now), Offer::Refused(Refusal::Impatient));
+    admission.note_pace(100, now);
+    assert!(granted(&mut admission, ticket, now).is_some(), "it is fast again");
+}
+
+#[test]
+fn pace_wanted_while_calls_come_and_the_word_is_old() {
+    let now = Instant::now();
+    let mut admission = Admission::new(10, &late_rules(), now);
+    assert!(!admission.wants_pace(now), "nobody calls");
+    let _grant = granted(&mut admission, ranked(0, 500, 9_000, now), now);
+    assert!(admission.wants_pace(now), "nothing was told yet");
+    admission.note_pace(100, now);
+    assert!(!admission.wants_pace(now + Duration::from_millis(50)));
+    assert!(admission.wants_pace(now + Duration::from_millis(150)));
+    assert!(!admission.wants_pace(now + Duration::from_secs(2)), "nobody called for long");
+}
--- a/lib/tests/gate_identity.rs
+++ b/lib/tests/gate_identity.rs
@@ -83,6 +83,7 @@
         repeated: false,
         caller: caller_key(""),
         deadline: Instant::now() + Duration::from_secs(1),
+        start_by: None,
         objective_at: None,
         usual: None,
         idempotent: false,
--- a/lib/tests/routing.rs
+++ b/lib/tests/routing.rs
@@ -20,12 +20,14 @@
 use yuccatray::coordination::routing::RoutingPolicy;
 use yuccatray::coordination::routing::TwoChoices;
 use yuccatray::coordination::service_estimate::Ended;
+use yuccatray::coordination::service_estimate::Run;
 use yuccatray::coordination::service_estimate::ServiceEstimate;
 use yuccatray::coordination::spill_budget::SpillBudget;
 use yuccatray::protocol::load_report::LoadReport;
 use yuccatray::protocol::service_spec::MeasuringSpec;
 use yuccatray::state::upstream_stats::UpstreamLoad;
 use yuccatray::state::upstream_stats::UpstreamStats;
+use yuccatray::state::usual_time::UsualTime;
 
 const CHOICES: usize = 10_000;
 const LIMITS: RoutingLimits =
@@ -134,7 +136,7 @@
     let start = Instant::now();
     let stats = UpstreamStats::new(start);
     stats.observe(USUAL);
-    let bad = LoadReport { running: 1, queued: 0, limit: 10, service_time_us: 300_000 };
+    let bad = LoadReport { running: 1, limit: 10, service_time_us: 300_000, ..LoadReport::default() };
     stats.report(bad, start);
     let at = |millis| stats.load(start + Duration::from_millis(millis)).service_time_us;
     assert_eq!(at(0), 300_000);
@@ -142,11 +144,15 @@
     assert!(at(10_000) < 31_000, "at last only this node's own figure counts");
 }
 
+fn run(started: Instant) -> Run {
+    Run { started, usual: None, pace_percent: 100 }
+}
+
 fn warm_estimate(now: Instant) -> ServiceEstimate {
     let mut estimate = ServiceEstimate::new(now);
     for _ in 0..100 {
-        estimate.start(now);
-        estimate.finish(now, Ended::Good(USUAL), now);
+        estimate.start(run(now));
+        estimate.finish(run(now), Ended::Good(USUAL), now);
     }
     estimate
 }
@@ -156,7 +162,7 @@
     let start = Instant::now();
     let mut estimate = warm_estimate(start);
     for _ in 0..10 {
-        estimate.start(start);
+        estimate.start(run(start));
     }
     assert_eq!(estimate.live_us(start), 30_000);
     assert_eq!(estimate.live_us(start + Duration::from_millis(90)), 90_000);
@@ -167,8 +173,8 @@
     let now = Instant::now();
     let mut estimate = warm_estimate(now);
     for _ in 0..10 {
-        estimate.start(now);
-        estimate.finish(now, Ended::Failed, now);
+        estimate.start(run(now));
+        estimate.finish(run(now), Ended::Failed, now);
     }
     assert!(estimate.live_us(now) > 90_000, "failures raise it: {}", estimate.live_us(now));
 }
@@ -178,8 +184,8 @@
     let start = Instant::now();
     let mut estimate = warm_estimate(start);
     let later = start + Duration::from_secs(1);
-    estimate.start(start);
-    estimate.finish(start, Ended::Abandoned, later);
+    estimate.start(run(start));
+    estimate.finish(run(start), Ended::Abandoned, later);
     assert!(estimate.live_us(later) > 60_000, "a cancelled loser leaves its mark");
 }
 
@@ -188,10 +194,10 @@
     let now = Instant::now();
     let mut estimate = warm_estimate(now);
     assert!(estimate.claim_trial(PATIENCE, true, now));
-    estimate.start(now);
+    estimate.start(run(now));
     assert!(!estimate.claim_trial(PATIENCE, true, now), "one trial at a time");
     let end = now + Duration::from_millis(300);
-    estimate.finish(now, Ended::Good(Duration::from_millis(300)), end);
+    estimate.finish(run(now), Ended::Good(Duration::from_millis(300)), end);
     assert!(!estimate.claim_trial(PATIENCE, true, end), "a bad trial puts off the next");
     let next = end + Duration::from_millis(250);
     assert!(!estimate.claim_trial(PATIENCE, false, next), "a call that may run once waits longer");
@@ -341,3 +347,72 @@
     assert_eq!(withheld_slots(0, 9, 10, 20), 0, "too little changes nothing");
     assert_eq!(withheld_slots(9, 0, 1, 100), 0, "one slot always stays");
 }
+
+fn of_kind(started: Instant, usual_ms: u64, pace_percent: u64) -> Run {
+    Run { started, usual: Some(Duration::from_millis(usual_ms)), pace_percent }
+}
+
+#[test]
+fn estimate_of_known_kinds_does_not_follow_the_mix() {
+    let now = Instant::now();
+    let mut estimate = ServiceEstimate::new(now);
+    for usual_ms in [20, 200].repeat(50) {
+        let run = of_kind(now, usual_ms, 100);
+        estimate.start(run);
+        estimate.finish(run, Ended::Good(Duration::from_millis(usual_ms)), now);
+    }
+    assert_eq!(estimate.slowness_permille(now), 1_000);
+    estimate.note_pace(400, now);
+    assert_eq!(estimate.slowness_permille(now), 4_000, "by the upstream's own word");
+}
+
+#[test]
+fn estimate_of_a_run_is_learned_at_the_pace_of_its_start() {
+    let now = Instant::now();
+    let mut estimate = ServiceEstimate::new(now);
+    for _ in 0..100 {
+        let run = of_kind(now, 50, 400);
+        estimate.start(run);
+        estimate.finish(run, Ended::Good(Duration::from_millis(200)), now);
+    }
+    assert_eq!(estimate.slowness_permille(now), 1_000, "the VM was slow, not the upstream");
+}
+
+#[test]
+fn estimate_one_long_call_among_others_says_little() {
+    let start = Instant::now();
+    let mut estimate = ServiceEstimate::new(start);
+    let done = of_kind(start, 50, 100);
+    estimate.start(done);
+    estimate.finish(done, Ended::Good(Duration::from_millis(50)), start);
+    let later = start + Duration::from_millis(400);
+    estimate.start(of_kind(start, 50, 100));
+    assert!(estimate.slowness_permille(later) < 1_500, "{}", estimate.slowness_permille(later));
+    for _ in 0..8 {
+        estimate.start(of_kind(start, 50, 100));
+    }
+    assert!(estimate.slowness_permille(later) > 4_000, "all of them are overdue");
+}
+
+#[test]
+fn usual_time_is_not_lifted_by_slow_calls() {
+    let usual = UsualTime::default();
+    for round in 0..1_000 {
+        usual.observe(Duration::from_millis(if round % 4 == 0 { 400 } else { 100 }));
+    }
+    let usual = usual.get();
+    assert!(usual > Duration::from_millis(80) && usual < Duration::from_millis(130), "{usual:?}");
+}
+
+#[test]
+fn stats_told_slowness_returns_to_its_mean() {
+    let start = Instant::now();
+    let stats = UpstreamStats::new(start);
+    for slowness_permille in [1_000; 50] {
+        stats.report(LoadReport { slowness_permille, ..LoadReport::default() }, start);
+    }
+    stats.report(LoadReport { slowness_permille: 4_000, ..LoadReport::default() }, start);
+    let at = |millis| stats.load(start + Duration::from_millis(millis)).slowness_permille;
+    assert_eq!(at(0), 4_000);
+    assert!(at(2_000) < 1_500, "{}", at(2_000));
+}
--- a/lib/tests/zone_first.rs
+++ b/lib/tests/zone_first.rs
@@ -82,3 +82,21 @@
     assert!(patience < Duration::from_micros(LIMITS.objective_us), "{patience:?}");
     assert_eq!(ZoneFirst.patience(&all[..1], &all[0], LIMITS), None, "nowhere else to go");
 }
+
+#[test]
+fn choose_fast_vm_by_the_slowness_that_gates_tell() {
+    let mut slow = candidate(1, true, SERVICE_US, 0);
+    slow.load.slowness_permille = 4_000;
+    let mut fast = candidate(2, false, SERVICE_US * 4, 0);
+    fast.load.slowness_permille = 1_000;
+    assert_eq!(chosen(&[slow, fast]), 2, "what gates tell goes before service times over all calls");
+}
+
+#[test]
+fn choose_less_crowded_upstream_before_it_is_full() {
+    let mut crowded = candidate(1, true, SERVICE_US, 8);
+    crowded.load.slowness_permille = 1_600;
+    let mut free = candidate(2, true, SERVICE_US, 0);
+    free.load.slowness_permille = 1_600;
+    assert_eq!(chosen(&[crowded, free]), 2);
+}
--- a/load/tests/call_decisions.rs
+++ b/load/tests/call_decisions.rs
@@ -99,6 +99,23 @@
     assert!(fleet.stop().await);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn hedge_copy_refused_tried_again() {
+    let fleet = fleet(2).await;
+    let caller = Caller::new(fleet.ingress_addr(0));
+    for _ in 0..WARM_CALLS {
+        assert!(get(&caller).await.error.is_none());
+    }
+    let stuck = UpstreamBehaviour { mean_service_us: 600_000_000, ..UpstreamBehaviour::default() };
+    fleet.members[1].upstream.standin.set_behaviour(stuck);
+    // It takes work again with the upstream's next announcement.
+    fleet.members[0].node.gate().drain();
+    let answered = tokio::time::timeout(Duration::from_secs(20), get(&caller)).await;
+    let outcome = answered.expect("a later copy answers, though the first one was refused");
+    assert!(outcome.error.is_none(), "{outcome:?}");
+    assert!(fleet.stop().await);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn hedge_not_idempotent_runs_once() {
     let fleet = fleet(2).await;
