--- a/lib/src/coordination/fleet_view.rs
+++ b/lib/src/coordination/fleet_view.rs
@@ -236,7 +236,9 @@
         let target = datagram.target.as_str();
         let about_me = target.is_empty() || target == &*self.membership.me().id.name;
         self.take_members(&datagram.members, now, &mut actions);
-        self.take_revisions(from, &datagram.revisions, now, &mut actions);
+        // A host may send datagrams from another address than the one where it is reached.
+        let reached_at = self.membership.get(&datagram.name).map_or(from, |sender| sender.peer_addr);
+        self.take_revisions(reached_at, &datagram.revisions, now, &mut actions);
         match datagram.kind() {
             wire::DatagramKind::Ping if about_me && !self.superseded => {
                 self.answer_ping(from, datagram, &mut actions);
@@ -245,7 +247,7 @@
             wire::DatagramKind::PingRequest => self.relay(from, datagram, now, &mut actions),
             _ => {}
         }
-        self.compare_digests(from, datagram, now, &mut actions);
+        self.compare_digests(reached_at, datagram, now, &mut actions);
         actions
     }
 
--- a/lib/testutils/src/daemon_process.rs
+++ b/lib/testutils/src/daemon_process.rs
@@ -1,13 +1,13 @@
 //! Nodes as processes of their own.
 
-use std::io::BufRead;
-use std::io::BufReader;
+use std::fs::OpenOptions;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
-use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
 
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
@@ -28,9 +28,13 @@
     pub announce: SocketAddr,
     /// For operators.
     pub admin: SocketAddr,
-    _settings: NamedTempFile,
+    settings: NamedTempFile,
 }
 
+/// Time that a node gets to say that it is ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+const READY_POLL: Duration = Duration::from_millis(10);
+
 /// Settings of a node on loopback with free ports.
 #[must_use]
 pub fn loopback_settings(name: &str, zone: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> Value {
@@ -55,21 +59,28 @@
     /// When it does not start.
     #[must_use]
     pub fn start(binary: &Path, settings: &Value) -> Self {
+        let log = NamedTempFile::new().expect("a temporary file can be made");
+        Self::start_logged(binary, settings, log.path())
+    }
+
+    /// The same, with what it writes added to the file at `log`.
+    ///
+    /// # Panics
+    ///
+    /// When it does not start.
+    #[must_use]
+    pub fn start_logged(binary: &Path, settings: &Value, log: &Path) -> Self {
         let file = NamedTempFile::new().expect("a temporary file can be made");
         std::fs::write(file.path(), settings.to_string()).expect("the settings can be written");
-        let mut child = Command::new(binary)
+        let output = OpenOptions::new().create(true).append(true).open(log).expect("the log can be written");
+        let before = output.metadata().expect("a file has a length").len();
+        let child = Command::new(binary)
             .arg("--settings")
             .arg(file.path())
-            .stdout(Stdio::piped())
+            .stdout(output)
             .spawn()
             .expect("the node starts");
-        let mut lines = BufReader::new(child.stdout.take().expect("standard output is piped"));
-        let mut line = String::new();
-        while !line.starts_with("ready ") {
-            line.clear();
-            let read = lines.read_line(&mut line).expect("standard output is text");
-            assert!(read > 0, "the node ended before it was ready");
-        }
+        let line = ready_line(log, before);
         let addr = |name: &str| named_addr(&line, name);
         Self {
             ingress: addr("ingress="),
@@ -77,10 +88,29 @@
             announce: addr("announce="),
             admin: addr("admin="),
             child,
-            _settings: file,
+            settings: file,
         }
     }
 
+    /// Writes the settings file anew, with the same content.
+    ///
+    /// # Panics
+    ///
+    /// When it can't be written.
+    pub fn touch_settings(&self) {
+        let text = std::fs::read(self.settings.path()).expect("the settings can be read");
+        std::fs::write(self.settings.path(), text).expect("the settings can be written");
+    }
+
+    /// How the process ended, if it has.
+    ///
+    /// # Panics
+    ///
+    /// When the system can't tell.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("the process can be asked for")
+    }
+
     /// Sends a signal to the process.
     ///
     /// # Panics
@@ -109,6 +139,22 @@
     }
 }
 
+/// The line of the log, past `before`, that says where the node listens.
+fn ready_line(log: &Path, before: u64) -> String {
+    let until = Instant::now() + READY_TIMEOUT;
+    loop {
+        let text = std::fs::read(log).expect("the log can be read");
+        let text = String::from_utf8_lossy(&text[usize::try_from(before).unwrap_or(0)..]).into_owned();
+        let ready =
+            text.split_inclusive('\n').find(|line| line.starts_with("ready ") && line.ends_with('\n'));
+        if let Some(line) = ready {
+            return line.to_owned();
+        }
+        assert!(Instant::now() < until, "the node is not ready in time: {text}");
+        std::thread::sleep(READY_POLL);
+    }
+}
+
 fn named_addr(line: &str, name: &str) -> SocketAddr {
     let word = line.split_whitespace().find_map(|word| word.strip_prefix(name));
     word.and_then(|word| word.parse().ok()).unwrap_or_else(|| panic!("no {name} in {line:?}"))
--- a/lib/testutils/src/fault_relay.rs
+++ b/lib/testutils/src/fault_relay.rs
@@ -2,8 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Weak;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -72,6 +75,8 @@
     target: Mutex<Option<SocketAddr>>,
     traps: Mutex<Vec<Trap>>,
     sprung: Mutex<Vec<Arc<Link>>>,
+    open: Mutex<Vec<Weak<Link>>>,
+    delay_ms: AtomicU64,
     stop: CancellationToken,
 }
 
@@ -117,6 +122,21 @@
         self.shared.traps.lock().push(trap);
     }
 
+    /// Strikes every connection that is open at this moment.
+    pub fn strike_open(&self, fault: Fault) {
+        let mut open = self.shared.open.lock();
+        for link in open.drain(..).filter_map(|link| link.upgrade()) {
+            link.strike(fault);
+            self.shared.sprung.lock().push(link);
+        }
+    }
+
+    /// Holds back from now on whatever passes for so long.
+    pub fn set_delay(&self, delay: Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.shared.delay_ms.store(delay_ms, Ordering::SeqCst);
+    }
+
     /// Number of traps that have struck.
     #[must_use]
     pub fn struck(&self) -> usize {
@@ -212,6 +232,7 @@
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
     let link = Arc::new(Link::default());
+    shared.note_open(&link);
     let there = pump(client_read, server_write, Direction::ToTarget, &link, &shared);
     let back = pump(server_read, client_write, Direction::ToClient, &link, &shared);
     tokio::select! {
@@ -233,6 +254,7 @@
         && read > 0
     {
         let bytes = &buffer[..read];
+        shared.hold_back().await;
         let Some(trap) = shared.spring(bytes, direction) else {
             link.wait_until_healed(direction).await;
             if to.write_all(bytes).await.is_err() {
@@ -257,6 +279,19 @@
 }
 
 impl Shared {
+    fn note_open(&self, link: &Arc<Link>) {
+        let mut open = self.open.lock();
+        open.retain(|link| link.strong_count() > 0);
+        open.push(Arc::downgrade(link));
+    }
+
+    async fn hold_back(&self) {
+        let delay_ms = self.delay_ms.load(Ordering::SeqCst);
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+    }
+
     fn spring(&self, bytes: &[u8], direction: Direction) -> Option<Trap> {
         let mut traps = self.traps.lock();
         let found = traps.iter().position(|trap| trap.direction() == direction && trap.is_in(bytes))?;
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -141,8 +141,21 @@
 
 /// Sends a call to the node at `addr` and reads its answer to the end.
 pub async fn call(addr: SocketAddr, call: &TestCall, ticker: &Ticker) -> CallSeen {
+    call_over(&mut None, addr, call, ticker).await
+}
+
+/// A connection of a caller that is kept for its next call.
+pub type KeptConnection = Option<http1::SendRequest<Full<Bytes>>>;
+
+/// Sends a call over the kept connection, or over a new one that is kept if it can be.
+pub async fn call_over(
+    kept: &mut KeptConnection,
+    addr: SocketAddr,
+    call: &TestCall,
+    ticker: &Ticker,
+) -> CallSeen {
     let sent = ticker.tick();
-    let outcome = outcome_of(addr, call).await;
+    let outcome = outcome_of(kept, addr, call).await;
     CallSeen {
         request: call.body.clone(),
         right_answer: answer_to(&call.body, call.answer_bytes),
@@ -154,26 +167,24 @@
     }
 }
 
-async fn outcome_of(addr: SocketAddr, call: &TestCall) -> Outcome {
-    let broken = |error: &dyn std::error::Error| Outcome::Broken(error.to_string());
-    let stream = match TcpStream::connect(addr).await {
-        Ok(stream) => stream,
-        Err(error) => return Outcome::NotExecuted(format!("cannot connect: {error}")),
-    };
-    let (mut sender, connection) = match http1::handshake(TokioIo::new(stream)).await {
-        Ok(parts) => parts,
-        Err(error) => return broken(&error),
+async fn outcome_of(kept: &mut KeptConnection, addr: SocketAddr, call: &TestCall) -> Outcome {
+    let mut sender = match kept.take().filter(|kept| !kept.is_closed()) {
+        Some(sender) => sender,
+        None => match connect(addr).await {
+            Ok(sender) => sender,
+            Err(outcome) => return outcome,
+        },
     };
-    tokio::spawn(connection);
     let response = match sender.send_request(call.request(addr)).await {
         Ok(response) => response,
-        Err(error) => return broken(&error),
+        Err(error) => return Outcome::Broken(error.to_string()),
     };
     let (head, body) = response.into_parts();
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => return Outcome::CutShort(error.to_string()),
     };
+    *kept = Some(sender);
     let field = |name| head.headers.get(name).and_then(|value: &http::HeaderValue| value.to_str().ok());
     match (field(&headers::ERROR), field(&headers::EXECUTION)) {
         (None, _) => Outcome::Answered(body),
@@ -182,6 +193,17 @@
     }
 }
 
+async fn connect(addr: SocketAddr) -> Result<http1::SendRequest<Full<Bytes>>, Outcome> {
+    let stream = match TcpStream::connect(addr).await {
+        Ok(stream) => stream,
+        Err(error) => return Err(Outcome::NotExecuted(format!("cannot connect: {error}"))),
+    };
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|error| Outcome::Broken(error.to_string()))?;
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
 impl TestFleet {
     /// Starts a node without an upstream and `upstreams` nodes with one each.
     ///
