transport: a call's own state and its second copy in modules of their own

The state of one call moves to `ingress_call.rs`, the race of copies to `second_copy.rs`, and what an estimate sums over runs to `coordination/run_exposure.rs`. Nothing is decided differently; the library's tests and lints pass.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -23,6 +23,7 @@
 mod rejoin;
 pub mod retry_budget;
 pub mod routing;
+pub mod run_exposure;
 pub mod service_budgets;
 pub mod service_estimate;
 pub mod settled_count;
--- a/lib/src/coordination/service_estimate.rs
+++ b/lib/src/coordination/service_estimate.rs
@@ -4,6 +4,10 @@
 
 use tokio::time::Instant;
 
+use crate::coordination::run_exposure::Exposure;
+use crate::coordination::run_exposure::Run;
+use crate::coordination::run_exposure::micros;
+
 const SMOOTHING: u64 = 16;
 const TRIAL_SMOOTHING: u64 = 2;
 const FAILURE_SMOOTHING: u64 = 8;
@@ -21,10 +25,6 @@
 const PERCENT: u64 = 100;
 /// Smoothing of the time that the calls of an upstream usually take, which changes with their mix only.
 const MIX_SMOOTHING: u64 = 64;
-/// Fixed point of the weights of runs, in bits.
-const WEIGHT_BITS: u32 = 32;
-/// Least usual time that a run is weighed with.
-const MIN_USUAL_US: u64 = 100;
 
 /// How a call ended for the upstream that ran it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,68 +37,6 @@
     Abandoned,
 }
 
-/// A call that the upstream runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Run {
-    /// When it took its slot.
-    pub started: Instant,
-    /// Time that such a call usually takes, where that is known.
-    pub usual: Option<Duration>,
-    /// Pace of the upstream's VM when it started, 100 the usual.
-    pub pace_percent: u64,
-}
-
-impl Run {
-    fn usual_us(&self) -> Option<u64> {
-        self.usual.map(|usual| micros(usual).max(MIN_USUAL_US))
-    }
-
-    /// Time that it takes at the pace of its start, where its usual time is known.
-    fn expected_us(&self) -> Option<u64> {
-        self.usual_us().map(|usual_us| (usual_us * self.pace_percent / PERCENT).max(1))
-    }
-
-    /// Time against the usual, in thousandths, had it run at the usual pace.
-    fn slowness_permille(&self, took_us: u64, usual_us: u64) -> u64 {
-        took_us.saturating_mul(PERMILLE * PERCENT) / usual_us.saturating_mul(self.pace_percent.max(1))
-    }
-}
-
-/// Runs whose usual time is known, by how much of it has passed, summed exactly.
-#[derive(Clone, Copy, Debug, Default)]
-struct Exposure {
-    runs: u64,
-    weights: u128,
-    weighted_starts: u128,
-}
-
-impl Exposure {
-    /// Share of its expected time that a run spends in a microsecond.
-    const fn weight(expected_us: u64) -> u128 {
-        (1 << WEIGHT_BITS) / expected_us as u128
-    }
-
-    const fn add(&mut self, expected_us: u64, start_us: u64) {
-        let weight = Self::weight(expected_us);
-        self.runs += 1;
-        self.weights += weight;
-        self.weighted_starts += weight * start_us as u128;
-    }
-
-    const fn remove(&mut self, expected_us: u64, start_us: u64) {
-        let weight = Self::weight(expected_us);
-        self.runs = self.runs.saturating_sub(1);
-        self.weights = self.weights.saturating_sub(weight);
-        self.weighted_starts = self.weighted_starts.saturating_sub(weight * start_us as u128);
-    }
-
-    /// Usual times that have passed over all runs together, in thousandths.
-    fn passed_permille(&self, now_us: u64) -> u64 {
-        let passed = (self.weights * u128::from(now_us)).saturating_sub(self.weighted_starts);
-        u64::try_from((passed * u128::from(PERMILLE)) >> WEIGHT_BITS).unwrap_or(u64::MAX)
-    }
-}
-
 /// Live estimate of service time and failures, fed with starts and ends.
 ///
 /// Calls differ in how long they usually take. Where that is known, what counts of a call is its time
@@ -155,7 +93,7 @@
             mean_us: 0,
             usual_us: 0,
             slowness_permille: 0,
-            exposure: Exposure { runs: 0, weights: 0, weighted_starts: 0 },
+            exposure: Exposure::new(),
             failing_permille: 0,
             running: 0,
             unweighed: 0,
@@ -328,7 +266,7 @@
     ///
     /// A single long call among several says little.
     fn overdue_permille(&self, now: Instant) -> u64 {
-        let expected = self.exposure.runs * self.slowness_permille.max(PERMILLE);
+        let expected = self.exposure.runs() * self.slowness_permille.max(PERMILLE);
         self.exposure.passed_permille(self.since_epoch_us(now)).saturating_sub(expected)
     }
 
@@ -341,7 +279,3 @@
 const fn smoothed(old: u64, sample: u64, smoothing: u64) -> u64 {
     if old == 0 { sample } else { (old * (smoothing - 1) + sample) / smoothing }
 }
-
-fn micros(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
-}
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -1,11 +1,8 @@
 //! The attempts of one call: which gate next, whether again, what to learn from it.
 
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::Either as FutureEither;
-use futures_util::future::select;
 use http::Request;
 use http::Response;
 use http_body_util::Either;
@@ -32,12 +29,12 @@
 use crate::transport::call_resolution::outcome_of_all;
 use crate::transport::call_resolution::through_peer;
 use crate::transport::ingress::AnswerBody;
-use crate::transport::ingress::Call;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::Result;
 use crate::transport::ingress::no_upstream;
 use crate::transport::ingress::queued_time;
 use crate::transport::ingress::unproved;
+use crate::transport::ingress_call::Call;
 use crate::transport::ingress_guard::InFlight;
 use crate::transport::ingress_guard::IngressGuard;
 use crate::transport::outgoing_call::Leg;
@@ -48,8 +45,6 @@
 
 /// Gates that may refuse or fail one call before it is given up.
 const MAX_GATES: usize = 4;
-/// Copies of one attempt that may be tried, those included that a gate refused.
-const MAX_COPIES: usize = 10;
 /// Price of crossing to another zone, in thousandths of the worth of an answer in time, by rank.
 ///
 /// The bytes cost the same whatever a call is worth, and the urgent are worth most.
@@ -60,9 +55,9 @@
 
 /// Gates that one call has been to.
 #[derive(Debug, Default)]
-struct Visited {
+pub(super) struct Visited {
     /// Those whose upstream may have seen an attempt that failed.
-    failed: Vec<Arc<str>>,
+    pub(super) failed: Vec<Arc<str>>,
     /// Those that refused an attempt by themselves.
     refused: Vec<Arc<str>>,
     /// Those that moved the call on.
@@ -88,7 +83,7 @@
 #[derive(Debug)]
 pub(super) struct Plan {
     pub(super) entry: DirectoryEntry,
-    leg: Leg,
+    pub(super) leg: Leg,
 }
 
 /// What a call wants of the upstream that is chosen for it.
@@ -117,13 +112,13 @@
 
 /// What the attempts of one call share.
 #[derive(Clone, Copy, Debug)]
-struct Race<'a> {
-    call: &'a Call,
-    config: &'a PublishedConfig,
-    budgets: &'a ServiceBudgets,
-    visited: &'a Visited,
+pub(super) struct Race<'a> {
+    pub(super) call: &'a Call,
+    pub(super) config: &'a PublishedConfig,
+    pub(super) budgets: &'a ServiceBudgets,
+    pub(super) visited: &'a Visited,
     /// Upstreams that the call has reached before.
-    reached: u32,
+    pub(super) reached: u32,
 }
 
 impl<P> Ingress<P>
@@ -198,89 +193,6 @@
         Err(last.unwrap_or_else(no_upstream))
     }
 
-    /// One attempt, and a copy of it elsewhere when it takes longer than most.
-    ///
-    /// The copy starts only where a slot is free at once, and dropping the loser cancels it. One that
-    /// a gate refused is tried again a while later, at growing pauses.
-    async fn race(
-        &self,
-        race: Race<'_>,
-        plan: &Plan,
-        request: Request<CallBody>,
-        outgoing: &mut Outgoing,
-    ) -> Result<Answered> {
-        let (call, spec) = (race.call, &race.config.service.hedge);
-        let hedging = &race.budgets.hedging;
-        let sent_at = Instant::now();
-        let mut first = pin!(self.attempt(race, plan, request));
-        let delay = if call.follows_route() {
-            call.copy_after(race.reached)
-        } else {
-            hedging.delay(spec, call.head.idempotent && !call.head.repeated)
-        };
-        let in_time = match delay {
-            Some(delay) => tokio::time::timeout(delay, first.as_mut()).await.ok(),
-            None => Some(first.as_mut().await),
-        };
-        if in_time.as_ref().is_none_or(Result::is_ok) {
-            hedging.observe(sent_at.elapsed(), spec);
-        }
-        if let Some(result) = in_time {
-            return result;
-        }
-        let mut pause = delay.unwrap_or_default();
-        for _ in 0..MAX_COPIES {
-            if let Some((copy, request)) = self.copy(race, plan, outgoing) {
-                let second = pin!(self.attempt(race, &copy, request));
-                match select(first.as_mut(), second).await {
-                    FutureEither::Left((Ok(response), _)) => return Ok(self.raced("first_won", response)),
-                    FutureEither::Right((Ok(response), _)) => return Ok(self.raced("copy_won", response)),
-                    FutureEither::Left((Err(_), second)) => return second.await,
-                    FutureEither::Right((Err(answer), _)) if reached_upstream(answer.kind) => break,
-                    FutureEither::Right((Err(_), _)) => self.copy_refused(race),
-                }
-            }
-            pause *= 2;
-            if let Ok(result) = tokio::time::timeout(pause, first.as_mut()).await {
-                return result;
-            }
-        }
-        first.await
-    }
-
-    /// A copy went no further than a gate, so that it cost no upstream anything.
-    fn copy_refused(&self, race: Race<'_>) {
-        race.call.copy_refused();
-        race.budgets.copies(race.call.follows_route()).refund();
-        Metrics::count(&self.parts.metrics.hedge_outcomes, "copy_refused");
-    }
-
-    fn copy(
-        &self,
-        race: Race<'_>,
-        plan: &Plan,
-        outgoing: &mut Outgoing,
-    ) -> Option<(Plan, Request<CallBody>)> {
-        let taken = &plan.entry.member.id.name;
-        let open = race.budgets.spill(race.call.head.priority).has_credit();
-        // A gate that refused a while ago may have room by now.
-        let skip = |name: &Arc<str>| name == taken || race.visited.failed.contains(name);
-        let copy = self.choose(race.call.wanted(), race.config, true, skip)?;
-        if !open || copy.leg.patience.is_none() || !outgoing.can_repeat() {
-            return None;
-        }
-        let paid = race.budgets.copies(race.call.follows_route()).spend();
-        let request = paid.then(|| outgoing.next_request(race.call, copy.leg)).flatten()?;
-        race.call.copy_sent();
-        Metrics::count(&self.parts.metrics.hedges, "started");
-        Some((copy, request))
-    }
-
-    fn raced(&self, outcome: &'static str, response: Answered) -> Answered {
-        Metrics::count(&self.parts.metrics.hedge_outcomes, outcome);
-        response
-    }
-
     /// The next gate; when every one moved the call on, the best of them has to keep it.
     fn plan(
         &self,
@@ -348,7 +260,12 @@
         }
     }
 
-    async fn attempt(&self, race: Race<'_>, plan: &Plan, request: Request<CallBody>) -> Result<Answered> {
+    pub(super) async fn attempt(
+        &self,
+        race: Race<'_>,
+        plan: &Plan,
+        request: Request<CallBody>,
+    ) -> Result<Answered> {
         let (call, entry) = (race.call, &plan.entry);
         let spill = race.budgets.spill(call.head.priority);
         let in_flight = InFlight::new(&entry.stats);
@@ -444,7 +361,7 @@
 /// Whether an upstream saw the call, so that another attempt is work on top of it.
 ///
 /// What a gate refused by itself went no further, and adds no load elsewhere.
-const fn reached_upstream(kind: ErrorKind) -> bool {
+pub(super) const fn reached_upstream(kind: ErrorKind) -> bool {
     matches!(
         kind,
         ErrorKind::UpstreamRefused
--- a/lib/src/transport/outgoing_call.rs
+++ b/lib/src/transport/outgoing_call.rs
@@ -17,7 +17,7 @@
 use crate::protocol::headers;
 use crate::transport::call_body::BodyWatch;
 use crate::transport::call_body::CallBody;
-use crate::transport::ingress::Call;
+use crate::transport::ingress_call::Call;
 
 /// How one attempt differs from the others of its call.
 #[derive(Clone, Copy, Debug)]
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -30,11 +30,11 @@
 use crate::transport::call_attempts::Answered;
 use crate::transport::gate::RETRY_HINT;
 use crate::transport::http_server::Handler;
-use crate::transport::ingress::Call;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressBody;
 use crate::transport::ingress::Result;
 use crate::transport::ingress::no_upstream;
+use crate::transport::ingress_call::Call;
 use crate::transport::interface::Interface;
 use crate::transport::upstream_fields::strip_own_fields;
 
--- a/lib/src/transport/ticketed_call.rs
+++ b/lib/src/transport/ticketed_call.rs
@@ -22,13 +22,13 @@
 use crate::state::directory::DirectoryEntry;
 use crate::transport::call_attempts::Answered;
 use crate::transport::call_attempts::Wanted;
-use crate::transport::ingress::Call;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressBody;
 use crate::transport::ingress::Result;
 use crate::transport::ingress::no_upstream;
 use crate::transport::ingress::refusal;
 use crate::transport::ingress::unproved;
+use crate::transport::ingress_call::Call;
 use crate::transport::outgoing_call::Outgoing;
 
 impl<P> Ingress<P>
