soak: a process that does not stop leaves in its log where its threads stand

Before such a process is killed, the state and the wait channel of each thread now go into its log. Nothing of the node changes.

--- a/lib/testutils/src/daemon_process.rs
+++ b/lib/testutils/src/daemon_process.rs
@@ -102,6 +102,21 @@
         std::fs::write(self.settings.path(), text).expect("the settings can be written");
     }
 
+    /// What each thread of the process does at present: its name, state, processor time and where it waits.
+    #[must_use]
+    pub fn threads(&self) -> Vec<String> {
+        let folder = format!("/proc/{}/task", self.child.id());
+        let threads = std::fs::read_dir(folder).into_iter().flatten().flatten();
+        // A thread that ends meanwhile has nothing to tell.
+        let read = |thread: &Path, file: &str| std::fs::read_to_string(thread.join(file)).unwrap_or_default();
+        threads
+            .map(|thread| {
+                let path = thread.path();
+                format!("{} waits in {:?}", read(&path, "stat").trim(), read(&path, "wchan").trim())
+            })
+            .collect()
+    }
+
     /// How the process ended, if it has.
     ///
     /// # Panics
--- a/soak/src/place.rs
+++ b/soak/src/place.rs
@@ -1,5 +1,7 @@
 //! A node as a process, the upstream beside it, and the relays around both.
 
+use std::fs::OpenOptions;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -175,6 +177,9 @@
             }
         });
         let ended = ended.await.is_ok();
+        if !ended {
+            self.note_threads();
+        }
         let killed = u64::from(!ended);
         self.reach.kills.fetch_add(killed, Ordering::SeqCst);
         self.start_again().await;
@@ -230,6 +235,18 @@
         self.process.lock().ended().is_some()
     }
 
+    /// Adds to the node's log where its threads stand, for a process that is stuck.
+    fn note_threads(&self) {
+        let threads = self.process.lock().threads().join("\n");
+        let noted = OpenOptions::new()
+            .append(true)
+            .open(&self.start.log)
+            .and_then(|mut log| writeln!(log, "stuck, its threads:\n{threads}"));
+        if let Err(error) = noted {
+            eprintln!("cannot note the threads of {}: {error}", self.start.name);
+        }
+    }
+
     async fn start_again(&self) {
         let process = launch(&self.start, &self.settings).await;
         self.peer_relay.connect_to(process.peer);
