--- a/lib/src/coordination/anti_entropy.rs
+++ b/lib/src/coordination/anti_entropy.rs
@@ -11,7 +11,6 @@
 use crate::coordination::fleet_view::Action;
 use crate::coordination::fleet_view::FleetView;
 use crate::coordination::membership::bucket;
-use crate::protocol::member::Member;
 use crate::protocol::member::MemberState;
 use crate::protocol::published::Published;
 
@@ -123,7 +122,9 @@
         let sender = self.membership.get(&datagram.name);
         let stranger = sender.is_none();
         let patience = match sender {
-            Some(sender) if self.shares_zone_with_others() && !self.is_of_own_zone(sender) => {
+            Some(sender)
+                if self.shares_zone_with_others() && !sender.shares_zone_with(self.membership.me()) =>
+            {
                 ACROSS_MISMATCH_PATIENCE
             }
             _ => MISMATCH_PATIENCE,
@@ -135,15 +136,11 @@
         self.settle_mismatch(now, actions);
     }
 
-    fn is_of_own_zone(&self, member: &Member) -> bool {
-        let me = self.membership.me();
-        member.zone == me.zone && member.region == me.region
-    }
-
     /// Whether a live member of the own zone is known besides this node.
     fn shares_zone_with_others(&self) -> bool {
+        let me = self.membership.me();
         let mut others = self.membership.others().values().map(|known| &known.member);
-        others.any(|member| member.state != MemberState::Dead && self.is_of_own_zone(member))
+        others.any(|member| member.state != MemberState::Dead && member.shares_zone_with(me))
     }
 
     /// Exchanges with a peer whose digests differed, unless news has made them agree meanwhile.
--- a/lib/src/coordination/fleet_view.rs
+++ b/lib/src/coordination/fleet_view.rs
@@ -415,8 +415,9 @@
             let across = self.rng.random_range(0..NEWS_ACROSS_EVERY) == 0;
             let live = self.membership.others().values().map(|known| &known.member);
             let wanted = live.filter(|member| {
-                let own_zone = member.zone == me.zone && member.region == me.region;
-                member.state != MemberState::Dead && own_zone != across && !targets.contains(*member)
+                member.state != MemberState::Dead
+                    && member.shares_zone_with(&me) != across
+                    && !targets.contains(*member)
             });
             targets.extend(wanted.sample(&mut self.rng, 1).into_iter().map(Arc::clone));
         }
--- a/lib/src/protocol/member.rs
+++ b/lib/src/protocol/member.rs
@@ -86,6 +86,12 @@
 }
 
 impl Member {
+    /// Whether both stand in one availability zone.
+    #[must_use]
+    pub fn shares_zone_with(&self, other: &Self) -> bool {
+        self.zone == other.zone && self.region == other.region
+    }
+
     /// Whether new calls may be sent to its upstream.
     #[must_use]
     pub fn takes_work(&self) -> bool {
