gate: log the conditions under which a late call started

Change: a line at the gate for each answer that begins after its objective; lines of a gate on single calls in a file of their own.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -108,6 +108,12 @@
     pub const fn started(&self) -> Instant {
         self.execution.started
     }
+
+    /// Returns the conditions under which the call started.
+    #[must_use]
+    pub const fn execution(&self) -> Execution {
+        self.execution
+    }
 }
 
 /// Outcome of requesting admission for a new call.
@@ -482,9 +488,13 @@
         typical_time: Option<Duration>,
         now: Instant,
     ) -> SlotGrant {
-        let execution =
-            Execution { started: now, typical_time, slowdown_percent: self.estimate.slowdown_percent(now) };
         self.running += 1;
+        let execution = Execution {
+            started: now,
+            typical_time,
+            slowdown_percent: self.estimate.slowdown_percent(now),
+            slots_in_use: self.running,
+        };
         self.queues[index].start(caller);
         self.estimate.start(execution);
         SlotGrant { queue_index: index, caller, execution }
--- a/lib/src/coordination/execution_progress.rs
+++ b/lib/src/coordination/execution_progress.rs
@@ -22,6 +22,8 @@
     ///
     /// 100 is normal, and 200 means that calls take twice as long.
     pub slowdown_percent: u64,
+    /// Slots in use when the call started, its own included.
+    pub slots_in_use: u32,
 }
 
 impl Execution {
--- a/lib/src/transport/call_guard.rs
+++ b/lib/src/transport/call_guard.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Returns the slot that the call holds, if it still holds one.
+    #[must_use]
+    pub fn slot_grant(&self) -> Option<SlotGrant> {
+        self.slot.as_ref().and_then(|slot| slot.grant)
+    }
+
     /// Records a success with its service time, or a failure, according to the status of the response.
     pub fn record_status(&mut self, status: StatusCode) {
         if let Some(slot) = &mut self.slot {
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -51,6 +51,8 @@
 use crate::transport::call_body::buffer_if_small;
 use crate::transport::call_guard::CallGuard;
 use crate::transport::call_guard::SlotGuard;
+use crate::transport::gate_log::log_if_late;
+use crate::transport::gate_log::log_rejection;
 use crate::transport::gate_queue::GateQueue;
 use crate::transport::request_reception::fingerprint;
 use crate::transport::request_reception::receive_small_body;
@@ -419,6 +421,9 @@
             Ok(Ok(response)) => {
                 let response = self.verify_origin(call, response, request_id.as_ref(), guard)?;
                 guard.record_status(response.status());
+                if let Some(grant) = guard.slot_grant() {
+                    log_if_late(call, grant, queued, self.load().limit);
+                }
                 let mut response = self.prepare_response(response);
                 set_queued_time(response.headers_mut(), queued);
                 Ok(response)
@@ -611,19 +616,7 @@
             let queue = self.queue.lock();
             (queue.admission.load(Instant::now()), queue.admission.retry_hint())
         };
-        log_event_limited!(
-            Info,
-            "gate rejected a call",
-            call = &call.id,
-            reason = reason,
-            priority = call.priority,
-            running = load.running,
-            queued = load.queued,
-            limit = load.limit,
-            service_time_us = load.service_time_us,
-            usual_ms = call.typical_time.unwrap_or_default().as_millis(),
-            left_ms = call.deadline.saturating_duration_since(Instant::now()).as_millis(),
-        );
+        log_rejection(call, reason, load);
         ErrorAnswer::new(kind, message).retry_after(hint).with_load(load)
     }
 
--- /dev/null
+++ b/lib/src/transport/gate_log.rs
@@ -0,0 +1,53 @@
+//! Log lines of a gate on the calls that it rejects or answers late.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::coordination::admission::SlotGrant;
+use crate::log_event_limited;
+use crate::protocol::load_report::LoadReport;
+use crate::transport::gate::GateCall;
+
+/// Logs a call that the gate rejected, and the load on which it decided.
+pub(super) fn log_rejection(call: &GateCall, reason: &'static str, load: LoadReport) {
+    log_event_limited!(
+        Info,
+        "gate rejected a call",
+        call = &call.id,
+        reason = reason,
+        priority = call.priority,
+        running = load.running,
+        queued = load.queued,
+        limit = load.limit,
+        service_time_us = load.service_time_us,
+        usual_ms = call.typical_time.unwrap_or_default().as_millis(),
+        left_ms = call.deadline.saturating_duration_since(Instant::now()).as_millis(),
+    );
+}
+
+/// Logs a call whose answer began after its objective, and the conditions under which it started.
+///
+/// They tell a long wait from a slow VM, a nearly full upstream and a call that takes long by itself.
+pub(super) fn log_if_late(call: &GateCall, grant: SlotGrant, queued: Duration, limit: u32) {
+    let now = Instant::now();
+    let Some(late_by) = call.objective_at.and_then(|at| now.checked_duration_since(at)) else {
+        return;
+    };
+    let execution = grant.execution();
+    log_event_limited!(
+        Info,
+        "answer missed its objective at the gate",
+        call = &call.id,
+        priority = call.priority,
+        late_ms = late_by.as_millis(),
+        queued_ms = queued.as_millis(),
+        service_ms = now.saturating_duration_since(execution.started).as_millis(),
+        usual_ms = call.typical_time.unwrap_or_default().as_millis(),
+        start_slowdown_percent = execution.slowdown_percent,
+        start_slots_in_use = execution.slots_in_use,
+        limit = limit,
+        may_reroute = call.max_gate_latency.is_some(),
+        max_gate_latency_ms = call.max_gate_latency.unwrap_or_default().as_millis(),
+    );
+}
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -14,6 +14,7 @@
 pub mod external_dialect;
 pub mod fleet_link;
 pub mod gate;
+mod gate_log;
 mod gate_queue;
 pub mod gossip;
 mod hedging;
--- a/lib/tests/routing.rs
+++ b/lib/tests/routing.rs
@@ -149,7 +149,7 @@
 }
 
 fn execution(started: Instant) -> Execution {
-    Execution { started, typical_time: None, slowdown_percent: 100 }
+    Execution { started, typical_time: None, slowdown_percent: 100, slots_in_use: 1 }
 }
 
 fn estimate_after_100_calls(now: Instant) -> ServiceEstimate {
@@ -367,7 +367,12 @@
 }
 
 fn execution_of_kind(started: Instant, typical_ms: u64, slowdown_percent: u64) -> Execution {
-    Execution { started, typical_time: Some(Duration::from_millis(typical_ms)), slowdown_percent }
+    Execution {
+        started,
+        typical_time: Some(Duration::from_millis(typical_ms)),
+        slowdown_percent,
+        slots_in_use: 1,
+    }
 }
 
 /// Slowness is the service time of calls relative to the typical time of their kind. Slowdown is the factor
