routing: keep rerouting calls while rerouted ones find a gate

Cause: the budget for rerouting closed when more gates rejected than admitted a call. Change: only a call that was rerouted already tells whether rerouting pays. A second rejection costs one credit and an admission after a reroute earns four, so the budget is open while one in five finds a gate. A call may be rerouted three times. Checked: tests of routing.

--- a/lib/src/coordination/reroute_budget.rs
+++ b/lib/src/coordination/reroute_budget.rs
@@ -6,14 +6,19 @@
 
 /// Maximum credit, in calls.
 const MAX_CREDIT: i32 = 32;
+/// Credit that a rerouted call adds when a gate admits it.
+///
+/// Rerouting pays as long as one rerouted call in five finds a gate: a hop is much shorter than the time
+/// that a call loses at a slow or full upstream.
+const ADMITTED_REROUTE_CREDIT: i32 = 4;
 /// One call in this many may be rerouted while there is no credit.
 const CALLS_PER_PROBE: u32 = 16;
 
-/// Budget for rerouting calls, which is open while most gates accept calls and closed while most are full.
+/// Budget for rerouting calls, which is open while rerouted calls find a gate that admits them.
 ///
-/// When every gate is full, rerouting costs hops and finds no better gate. Each call that a gate accepts adds
-/// one credit and each rerouted call takes one. Without credit, only one call in 16 may be rerouted, until
-/// gates accept calls again.
+/// When every gate is full, rerouting costs hops and finds no better gate. Only calls that were rerouted
+/// already tell that: a rejection by the first gate says nothing about the others, which may be idle while
+/// most VMs are slow. Without credit, only one call in 16 may be rerouted, until gates accept calls again.
 #[derive(Debug)]
 pub struct RerouteBudget {
     credit: AtomicI32,
@@ -33,19 +38,21 @@
             || self.calls_without_credit.fetch_add(1, Ordering::Relaxed).is_multiple_of(CALLS_PER_PROBE)
     }
 
-    /// Returns whether most gates have recently accepted calls.
+    /// Returns whether rerouted calls have recently found a gate that admits them.
     pub fn has_credit(&self) -> bool {
         self.credit.load(Ordering::Relaxed) > 0
     }
 
-    /// Records that a gate admitted a call that was allowed to be rerouted.
-    pub fn record_admitted(&self) {
-        self.add_credit(1);
+    /// Records that a gate admitted a call that it could have rejected; `reroutes` earlier gates did so.
+    pub fn record_admitted(&self, reroutes: usize) {
+        self.add_credit(if reroutes > 0 { ADMITTED_REROUTE_CREDIT } else { 1 });
     }
 
-    /// Records that a gate rejected a call so that it is rerouted.
-    pub fn record_reroute(&self) {
-        self.add_credit(-1);
+    /// Records that a gate rejected a call so that it is rerouted; `reroutes` earlier gates did so before.
+    pub fn record_reroute(&self, reroutes: usize) {
+        if reroutes > 0 {
+            self.add_credit(-1);
+        }
     }
 
     /// Changes the credit within its bounds.
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -41,7 +41,7 @@
 use crate::transport::outgoing_request::OutgoingRequest;
 
 /// Maximum number of gates that may reroute a call; the next gate has to admit, queue or reject it.
-const MAX_REROUTES: usize = 2;
+const MAX_REROUTES: usize = 3;
 
 /// Number of gates that may reject or fail a call before the call fails.
 const MAX_UNSUCCESSFUL_GATES: usize = 4;
@@ -289,6 +289,7 @@
     ) -> Result<CallResponse> {
         let (call, entry) = (context.call, &plan.entry);
         let reroute_budget = context.budgets.reroute_budget(call.head.priority);
+        let reroutes = context.attempted_gates.rerouted.len();
         let in_flight = InFlightCall::new(&entry.stats);
         let sent_at = Instant::now();
         self.trace(call, TraceStep::Sent { to: Arc::clone(&entry.member.id.name) });
@@ -311,7 +312,7 @@
         match result {
             Ok(response) => {
                 if plan.options.max_gate_latency.is_some() {
-                    reroute_budget.record_admitted();
+                    reroute_budget.record_admitted(reroutes);
                 }
                 if response.status().is_server_error() {
                     entry.stats.record_failure();
@@ -326,7 +327,7 @@
             Err(answer) => {
                 self.trace(call, TraceStep::AttemptFailed { kind: answer.kind });
                 if plan.options.max_gate_latency.is_some() && answer.kind == ErrorKind::Overloaded {
-                    reroute_budget.record_reroute();
+                    reroute_budget.record_reroute(reroutes);
                 }
                 if let Some(load) = answer.load {
                     entry.stats.record_load_report(load, Instant::now());
--- a/lib/tests/overload_recovery.rs
+++ b/lib/tests/overload_recovery.rs
@@ -37,7 +37,7 @@
 const GATES: usize = 24;
 const INGRESSES: usize = 48;
 const SLOTS: u32 = 12;
-const MAX_REROUTES: usize = 2;
+const MAX_REROUTES: usize = 3;
 const MEAN_SERVICE: Duration = Duration::from_millis(230);
 const OBJECTIVE: Duration = Duration::from_millis(500);
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -78,6 +78,8 @@
     ingress: usize,
     arrived: Instant,
     gate: usize,
+    /// Gates that rerouted the call before the present one.
+    reroutes: usize,
     sent_with_limit: bool,
 }
 
@@ -207,7 +209,7 @@
     fn arrive(&mut self) {
         let ingress = self.rng.random_range(0..INGRESSES);
         let call = self.calls.len();
-        self.calls.push(Call { ingress, arrived: self.now, gate: 0, sent_with_limit: false });
+        self.calls.push(Call { ingress, arrived: self.now, gate: 0, reroutes: 0, sent_with_limit: false });
         if let Some(tally) = self.tally_of(call) {
             tally.asked += 1;
         }
@@ -234,6 +236,7 @@
             let (gate, max_gate_latency) = self.choose(ingress, skipped);
             let max_gate_latency = max_gate_latency.filter(|_| may_reroute);
             self.calls[call].gate = gate;
+            self.calls[call].reroutes = rerouted.len();
             self.calls[call].sent_with_limit = max_gate_latency.is_some();
             let reason = match self.request_admission(call, gate, max_gate_latency) {
                 AdmissionOutcome::Admitted(grant) => return self.start_execution(call, gate, grant),
@@ -251,7 +254,7 @@
             if reason != RejectReason::GateTooSlow {
                 return;
             }
-            sender.budget.record_reroute();
+            sender.budget.record_reroute(rerouted.len());
             rerouted.push(gate);
         }
     }
@@ -318,7 +321,7 @@
         let Some(grant) = self.grants.swap_remove(&call) else {
             return;
         };
-        let Call { ingress, arrived, sent_with_limit, .. } = self.calls[call];
+        let Call { ingress, arrived, sent_with_limit, reroutes, .. } = self.calls[call];
         self.report_slowdown(gate);
         let service_time = self.now - grant.started();
         let outcome = ExecutionOutcome::Succeeded(service_time);
@@ -330,7 +333,7 @@
         sender.stats[gate].record_success(self.now - arrived);
         sender.typical_time.record(service_time);
         if sent_with_limit {
-            sender.budget.record_admitted();
+            sender.budget.record_admitted(reroutes);
         }
         if self.now <= arrived + OBJECTIVE
             && let Some(tally) = self.tally_of(call)
--- a/lib/tests/routing.rs
+++ b/lib/tests/routing.rs
@@ -220,14 +220,39 @@
 fn reroute_budget_falls_to_one_in_sixteen_when_no_gate_admits() {
     let budget = RerouteBudget::default();
     for _ in 0..100 {
-        budget.record_reroute();
+        budget.record_reroute(0);
+        budget.record_reroute(1);
     }
     let permitted = (0..160).filter(|_| budget.permits_reroute()).count();
     assert_eq!(permitted, 10, "without credit, one attempt in sixteen may be rerouted");
-    budget.record_admitted();
+    budget.record_admitted(0);
     assert!(budget.has_credit(), "an admitted call restores credit");
 }
 
+#[test]
+fn reroute_budget_stays_open_while_rerouted_calls_find_a_gate() {
+    let budget = RerouteBudget::default();
+    for _ in 0..1_000 {
+        budget.record_reroute(0);
+        budget.record_reroute(1);
+        budget.record_admitted(2);
+    }
+    assert!(budget.has_credit(), "two gates reject each call and the third admits it");
+}
+
+#[test]
+fn reroute_budget_closes_when_few_rerouted_calls_find_a_gate() {
+    let budget = RerouteBudget::default();
+    for _ in 0..100 {
+        budget.record_admitted(1);
+        for _ in 0..7 {
+            budget.record_reroute(0);
+            budget.record_reroute(1);
+        }
+    }
+    assert!(!budget.has_credit(), "seven in eight rerouted calls are rejected again");
+}
+
 #[test]
 fn retry_budget_limits_retries_to_share_of_calls() {
     let budget = RetryBudget::default();
