ingress: learn typical service times without the slowdown of the VM

Callers saw: late answers, though gates with free slots on fast VMs were there. Cause: the typical service time of a route is a running median of what its calls took, slow VMs included. From there on every call counted as late on arrival, and no gate as too slow. The estimate that should show an overload was moved by it. Change: a gate tells the slowdown of its VM at the start of the call, and the ingress divides it out. The field is left out at normal speed, so nodes of before see it from slowed VMs only.

--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -39,6 +39,10 @@
 pub const LOAD: HeaderName = HeaderName::from_static("yuccatray-load");
 /// Time that the call was queued at the gate, in microseconds; only for the ingress.
 pub const QUEUED_US: HeaderName = HeaderName::from_static("yuccatray-queued-us");
+/// Slowdown of the upstream's VM when the call started, in percent of normal; only for the ingress.
+///
+/// Absent if the VM was not slowed down.
+pub const START_SLOWDOWN_PERCENT: HeaderName = HeaderName::from_static("yuccatray-start-slowdown-percent");
 /// Name of the error kind, on an answer that a node produced in place of an upstream.
 pub const ERROR: HeaderName = HeaderName::from_static("yuccatray-error");
 /// What the answer proves about execution: `not_executed` or `outcome_unknown`.
--- a/lib/src/state/typical_time.rs
+++ b/lib/src/state/typical_time.rs
@@ -9,9 +9,11 @@
 /// Lower bound of the step limit, in microseconds.
 const MIN_STEP_LIMIT_US: u64 = 20;
 
-/// A lock-free running median of service times.
+/// A lock-free running median of service times on VMs at normal speed.
 ///
-/// A mean would be far above the typical time, since upstreams are occasionally slower by a multiple.
+/// A mean would be far above the typical time, since upstreams are occasionally slower by a multiple. The
+/// slowdown of a VM is divided out of its samples, so that the estimate says what a call takes and not how
+/// busy the fleet is.
 #[derive(Debug, Default)]
 pub struct TypicalTime {
     /// Estimate in microseconds; 0 before the first sample.
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -18,7 +18,6 @@
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::error_kind::Execution;
-use crate::protocol::headers;
 use crate::protocol::published::PublishedConfig;
 use crate::protocol::trace::TraceStep;
 use crate::state::directory::DirectoryEntry;
@@ -33,12 +32,13 @@
 use crate::transport::ingress::Result;
 use crate::transport::ingress::mark_possibly_executed;
 use crate::transport::ingress::no_upstream_error;
-use crate::transport::ingress::queued_time;
 use crate::transport::ingress_call::IngressCall;
 use crate::transport::ingress_guard::AnswerBodyGuard;
 use crate::transport::ingress_guard::InFlightCall;
 use crate::transport::outgoing_request::AttemptOptions;
 use crate::transport::outgoing_request::OutgoingRequest;
+use crate::transport::upstream_fields::queued_time;
+use crate::transport::upstream_fields::service_time_at_normal_speed;
 
 /// Maximum number of gates that may reroute a call; the next gate has to admit, queue or reject it.
 const MAX_REROUTES: usize = 3;
@@ -319,8 +319,9 @@
                 } else {
                     let latency = sent_at.elapsed();
                     entry.stats.record_success(latency);
-                    let queued = queued_time(response.headers().get(headers::QUEUED_US));
-                    call.record_service_time(latency.saturating_sub(queued));
+                    let service_time = latency.saturating_sub(queued_time(response.headers()));
+                    let service_time = service_time_at_normal_speed(response.headers(), service_time);
+                    call.record_service_time(service_time);
                 }
                 Ok(self.wrap_response(call, response, in_flight))
             }
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -58,8 +58,8 @@
 use crate::transport::request_reception::receive_small_body;
 use crate::transport::request_reception::request_truncated;
 use crate::transport::upstream_fields::into_upstream_request;
+use crate::transport::upstream_fields::set_execution_fields;
 use crate::transport::upstream_fields::set_external_fields;
-use crate::transport::upstream_fields::set_queued_time;
 use crate::transport::upstream_fields::strip_node_fields;
 use crate::transport::upstream_pool::IncompleteResponseSnafu;
 use crate::transport::upstream_pool::UpstreamError;
@@ -421,11 +421,11 @@
             Ok(Ok(response)) => {
                 let response = self.verify_origin(call, response, request_id.as_ref(), guard)?;
                 guard.record_status(response.status());
+                let mut response = self.prepare_response(response);
                 if let Some(grant) = guard.slot_grant() {
                     log_if_late(call, grant, queued, self.load().limit);
+                    set_execution_fields(response.headers_mut(), queued, grant.execution().slowdown_percent);
                 }
-                let mut response = self.prepare_response(response);
-                set_queued_time(response.headers_mut(), queued);
                 Ok(response)
             }
             Ok(Err(error)) => {
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -64,6 +64,7 @@
 use crate::transport::outgoing_request::OutgoingRequest;
 use crate::transport::outgoing_request::OutgoingRequestBody;
 use crate::transport::peer_channel::CallChannels;
+use crate::transport::upstream_fields::queued_time;
 
 /// Result of handling a call or one attempt of it; the error is the answer to the caller.
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
@@ -350,8 +351,9 @@
         let (mut head, body) = response.into_parts();
         headers::strip_hop_by_hop(&mut head.headers);
         in_flight.record_load_report(head.headers.remove(headers::LOAD).as_ref());
-        let queued = head.headers.remove(headers::QUEUED_US);
-        let queued = queued_time(queued.as_ref());
+        let queued = queued_time(&head.headers);
+        head.headers.remove(headers::QUEUED_US);
+        head.headers.remove(headers::START_SLOWDOWN_PERCENT);
         call.measurement.record_response_head(head.status, queued);
         let queued_us = u64::try_from(queued.as_micros()).unwrap_or(u64::MAX);
         self.trace(call, TraceStep::Answered { status: head.status.as_u16(), queued_us });
@@ -407,12 +409,6 @@
     }
 }
 
-/// Parses the time that the call spent in the gate's queue; zero if absent or malformed.
-pub(super) fn queued_time(field: Option<&HeaderValue>) -> Duration {
-    let micros = field.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
-    Duration::from_micros(micros.unwrap_or(0))
-}
-
 /// Sets the HTTP/1.1 host field of an HTTP/2 request from its authority.
 fn set_host_header(parts: &mut Parts) {
     let host = parts.uri.authority().and_then(|name| HeaderValue::from_str(name.as_str()).ok());
--- a/lib/src/transport/ingress_call.rs
+++ b/lib/src/transport/ingress_call.rs
@@ -181,7 +181,7 @@
             .filter(|typical_time| !typical_time.is_zero())
     }
 
-    /// Records the service time of this call at its upstream, queueing excluded.
+    /// Records the service time of this call on a VM at normal speed, queueing excluded.
     pub(super) fn record_service_time(&self, service_time: Duration) {
         if let Some(typical_time) = &self.typical_time {
             typical_time.record(service_time);
--- a/lib/src/transport/upstream_fields.rs
+++ b/lib/src/transport/upstream_fields.rs
@@ -19,6 +19,8 @@
 
 /// Prefix of the header fields that only nodes may set.
 const NODE_FIELD_PREFIX: &str = "yuccatray-";
+/// Slowdown of a VM at normal speed, in percent.
+const NORMAL_SPEED_PERCENT: u64 = 100;
 
 /// Converts a call's request to the HTTP/1.1 request for the upstream at `addr`.
 #[must_use]
@@ -57,10 +59,35 @@
     }
 }
 
-/// Sets the response field from which the ingress reads how long the gate queued the call.
-pub fn set_queued_time(fields: &mut HeaderMap, queued: Duration) {
+/// Sets the response fields from which the ingress learns the service time of the call at normal speed.
+///
+/// They are the time that the gate queued the call, and the slowdown of the VM when the call started.
+pub fn set_execution_fields(fields: &mut HeaderMap, queued: Duration, slowdown_percent: u64) {
     let queued_us = u64::try_from(queued.as_micros()).unwrap_or(u64::MAX);
     fields.insert(headers::QUEUED_US, HeaderValue::from(queued_us));
+    if slowdown_percent != NORMAL_SPEED_PERCENT {
+        fields.insert(headers::START_SLOWDOWN_PERCENT, HeaderValue::from(slowdown_percent));
+    }
+}
+
+/// Parses the time that the call spent in the gate's queue; zero if absent or malformed.
+#[must_use]
+pub fn queued_time(fields: &HeaderMap) -> Duration {
+    Duration::from_micros(number(fields, &headers::QUEUED_US).unwrap_or(0))
+}
+
+/// Returns what the service time of a response would have been on a VM at normal speed.
+///
+/// A response without a readable slowdown is taken as that of a VM at normal speed.
+#[must_use]
+pub fn service_time_at_normal_speed(fields: &HeaderMap, service_time: Duration) -> Duration {
+    let slowdown_percent = number(fields, &headers::START_SLOWDOWN_PERCENT).unwrap_or(NORMAL_SPEED_PERCENT);
+    let micros = u64::try_from(service_time.as_micros()).unwrap_or(u64::MAX);
+    Duration::from_micros(micros.saturating_mul(NORMAL_SPEED_PERCENT) / slowdown_percent.max(1))
+}
+
+fn number(fields: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    fields.get(name).and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok())
 }
 
 /// Removes the fields that only nodes may set.
--- a/lib/tests/overload_recovery.rs
+++ b/lib/tests/overload_recovery.rs
@@ -331,7 +331,8 @@
         sender.stats[gate].record_end();
         sender.stats[gate].record_load_report(load, self.now);
         sender.stats[gate].record_success(self.now - arrived);
-        sender.typical_time.record(service_time);
+        let slowdown = u32::try_from(grant.execution().slowdown_percent).expect("a slowdown is small");
+        sender.typical_time.record(service_time * 100 / slowdown);
         if sent_with_limit {
             sender.budget.record_admitted(reroutes);
         }
