admission: leave slots near capacity free where they cost throughput

Callers saw: late answers from upstreams whose VMs were at normal speed. Cause: upstreams slow down when nearly full, and the most urgent rank may fill all slots. Under load each freed slot is refilled at once, so every call starts near capacity. Change: a gate compares the calls that start near capacity with the others, VM slowdown divided out. Where upstreams don't slow down nothing changes. Checked: tests of admission, routing, near capacity. A slowdown field of 0 counts as malformed now.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -6,6 +6,9 @@
 
 use crate::coordination::concurrency_limit::ConcurrencyLimit;
 use crate::coordination::execution_progress::Execution;
+use crate::coordination::near_capacity::NEAR_CAPACITY_PERCENT;
+use crate::coordination::near_capacity::NEAR_CAPACITY_SLOWDOWN_PERCENT;
+use crate::coordination::near_capacity::is_near_capacity;
 use crate::coordination::priority_queue::CallerKey;
 use crate::coordination::priority_queue::PriorityQueue;
 use crate::coordination::priority_queue::PriorityRule;
@@ -27,10 +30,6 @@
 /// The remainder covers service times above the mean. Without it, a call admitted just in time
 /// would often occupy a slot and still miss its objective.
 const MAX_WAIT_DIVISOR: u32 = 3;
-/// Share of the slots in use above which upstreams tend to slow down, in percent.
-pub(super) const NEAR_CAPACITY_PERCENT: u32 = 80;
-/// Expected service time above that share of slots in use, in percent of the typical one.
-pub(super) const NEAR_CAPACITY_SLOWDOWN_PERCENT: u64 = 150;
 /// Maximum age of a slowdown report from the upstream that admission relies on.
 const MAX_SLOWDOWN_REPORT_AGE: Duration = Duration::from_millis(80);
 /// Time after the last call during which slowdown probes keep the slowdown report recent for the next call.
@@ -227,7 +226,7 @@
         let Some(index) = self.queue_index_of(request.priority) else {
             return AdmissionOutcome::Rejected(RejectReason::QueueFull);
         };
-        let free = self.is_slot_free_for(index);
+        let free = self.is_slot_free_for(index, now);
         let wait = if free { Duration::ZERO } else { self.expected_wait(index, request.caller, now) };
         if let Some(max_gate_latency) = request.max_gate_latency
             && wait + self.expected_service_time(request.typical_time, now) > max_gate_latency
@@ -248,7 +247,8 @@
             return Duration::from_micros(self.estimate.current_service_us(now));
         };
         let typical_us = u64::try_from(typical_time.as_micros()).unwrap_or(u64::MAX);
-        let near_capacity = (self.running + 1) * FULL_PERCENT > self.slots() * NEAR_CAPACITY_PERCENT;
+        let near_capacity =
+            is_near_capacity(self.running + 1, self.slots()) && self.running < self.usable_slots(now);
         let time_percent = if near_capacity { NEAR_CAPACITY_SLOWDOWN_PERCENT } else { PERCENT };
         let slowness = slowness_permille.saturating_mul(time_percent);
         Duration::from_micros(typical_us.saturating_mul(slowness) / (PERMILLE * PERCENT))
@@ -321,7 +321,7 @@
         let recently_called =
             self.last_request_at.is_some_and(|at| now.saturating_duration_since(at) < SLOWDOWN_PROBE_WINDOW);
         recently_called
-            && self.running < self.slots()
+            && self.running < self.usable_slots(now)
             && self.estimate.slowdown_report_is_older_than(MAX_SLOWDOWN_REPORT_AGE, now)
     }
 
@@ -384,18 +384,28 @@
         Some(usize::from(priority).min(last))
     }
 
+    /// Returns the slots, less those near capacity if using them costs throughput.
+    fn usable_slots(&self, now: Instant) -> u32 {
+        let slots = self.slots();
+        if !self.estimate.near_capacity_costs_throughput(now) {
+            return slots;
+        }
+        (slots * NEAR_CAPACITY_PERCENT / FULL_PERCENT).max(slots.min(1))
+    }
+
     /// Returns the number of slots in use, by any priority, at which calls of this priority have to wait.
-    fn slots_for(&self, index: usize) -> u32 {
+    fn slots_for(&self, index: usize, now: Instant) -> u32 {
         let slots = self.slots();
-        (slots * self.queues[index].rule().usable_slots_percent / FULL_PERCENT).clamp(slots.min(1), slots)
+        let usable = self.usable_slots(now);
+        (slots * self.queues[index].rule().usable_slots_percent / FULL_PERCENT).clamp(usable.min(1), usable)
     }
 
     /// Returns whether a new call of the priority gets a slot immediately.
-    fn is_slot_free_for(&self, index: usize) -> bool {
+    fn is_slot_free_for(&self, index: usize, now: Instant) -> bool {
         let blocks =
             |queue: &PriorityQueue| queue.has_queued() && queue.rule().usable_slots_percent == FULL_PERCENT;
         let (same_or_more_urgent, less_urgent) = self.queues.split_at(index + 1);
-        self.running < self.slots_for(index)
+        self.running < self.slots_for(index, now)
             && !same_or_more_urgent.iter().any(PriorityQueue::has_queued)
             && !less_urgent.iter().any(blocks)
     }
@@ -407,7 +417,7 @@
     /// Returns the expected wait for a slot of a call that joins the queue now.
     fn expected_wait(&self, index: usize, caller: CallerKey, now: Instant) -> Duration {
         let calls_ahead = u64::from(self.queues[index].calls_ahead_of(caller)) + 1;
-        let available_hundredths = self.available_slot_hundredths(index);
+        let available_hundredths = self.available_slot_hundredths(index, now);
         Duration::from_micros(
             self.estimate.current_service_us(now).saturating_mul(calls_ahead * PERCENT)
                 / available_hundredths,
@@ -415,8 +425,8 @@
     }
 
     /// Returns the slots available to the queue while other queues use theirs, in hundredths of a slot.
-    fn available_slot_hundredths(&self, index: usize) -> u64 {
-        let limit = u64::from(self.slots());
+    fn available_slot_hundredths(&self, index: usize, now: Instant) -> u64 {
+        let limit = u64::from(self.usable_slots(now));
         let guaranteed = |queue: &PriorityQueue| u64::from(queue.rule().min_share_percent) * limit;
         let own_guaranteed = guaranteed(&self.queues[index]).max(MIN_ASSUMED_SHARE_PERCENT * limit).max(1);
         let (more_urgent, same_or_less_urgent) = self.queues.split_at(index);
@@ -445,7 +455,7 @@
     fn fill_slots(&mut self, now: Instant) -> Vec<QueueDecision> {
         let service_time = self.service_time();
         let mut decisions = Vec::new();
-        while self.running < self.slots() {
+        while self.running < self.usable_slots(now) {
             let Some(index) = self.next_queue(service_time, now) else {
                 break;
             };
@@ -465,7 +475,7 @@
     /// Queues with a call that can still meet its objective precede queues with only late calls.
     fn next_queue(&self, service_time: Duration, now: Instant) -> Option<usize> {
         let is_eligible =
-            |index: &usize| self.queues[*index].has_queued() && self.running < self.slots_for(*index);
+            |index: &usize| self.queues[*index].has_queued() && self.running < self.slots_for(*index, now);
         let has_call_on_time = |index: &usize| {
             let queue = &self.queues[*index];
             !queue.rule().serve_late || queue.has_call_on_time(service_time, now)
@@ -494,6 +504,7 @@
             typical_time,
             slowdown_percent: self.estimate.slowdown_percent(now),
             slots_in_use: self.running,
+            near_capacity: is_near_capacity(self.running, self.slots()),
         };
         self.queues[index].start(caller);
         self.estimate.start(execution);
--- a/lib/src/coordination/execution_progress.rs
+++ b/lib/src/coordination/execution_progress.rs
@@ -24,6 +24,8 @@
     pub slowdown_percent: u64,
     /// Slots in use when the call started, its own included.
     pub slots_in_use: u32,
+    /// Whether these slots were near the capacity of the upstream.
+    pub near_capacity: bool,
 }
 
 impl Execution {
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 pub mod load_probe_budget;
 pub mod manifest;
 pub mod membership;
+pub mod near_capacity;
 pub mod outlier_ejection;
 pub mod platform_role;
 pub mod priority_queue;
--- a/lib/src/coordination/routing.rs
+++ b/lib/src/coordination/routing.rs
@@ -6,8 +6,8 @@
 use rand::Rng;
 use rand::RngExt;
 
-use crate::coordination::admission::NEAR_CAPACITY_PERCENT;
-use crate::coordination::admission::NEAR_CAPACITY_SLOWDOWN_PERCENT;
+use crate::coordination::near_capacity::NEAR_CAPACITY_PERCENT;
+use crate::coordination::near_capacity::NEAR_CAPACITY_SLOWDOWN_PERCENT;
 use crate::coordination::outlier_ejection::ejection_flags;
 use crate::coordination::outlier_ejection::median_service_time_us;
 use crate::state::upstream_stats::UpstreamLoad;
--- a/lib/src/coordination/service_estimate.rs
+++ b/lib/src/coordination/service_estimate.rs
@@ -7,6 +7,7 @@
 use crate::coordination::execution_progress::Execution;
 use crate::coordination::execution_progress::ExecutionProgress;
 use crate::coordination::execution_progress::micros;
+use crate::coordination::near_capacity::NearCapacityComparison;
 
 /// Smoothing of service times: the weight of a sample is one over this number.
 const SMOOTHING: u64 = 16;
@@ -75,6 +76,7 @@
     /// Maximum latency with which the trial under way succeeds.
     trial_max_latency: Option<Duration>,
     slowdown: Option<SlowdownReport>,
+    near_capacity: NearCapacityComparison,
 }
 
 /// Last report of the upstream on the slowdown of its VM, and the mean of its reports.
@@ -118,6 +120,7 @@
             next_trial: now,
             trial_max_latency: None,
             slowdown: None,
+            near_capacity: NearCapacityComparison::new(),
         }
     }
 
@@ -185,6 +188,7 @@
         match outcome {
             ExecutionOutcome::Succeeded(duration) => {
                 self.record_success(micros(duration), execution, trial.is_some());
+                self.compare_near_capacity(micros(duration), execution, now);
             }
             ExecutionOutcome::Failed => self.record_failure(),
             ExecutionOutcome::Abandoned => {
@@ -257,6 +261,20 @@
         self.failing_permille -= self.failing_permille.div_ceil(failure_smoothing);
     }
 
+    /// Records how slow the call was, by whether it started near the capacity of the upstream.
+    fn compare_near_capacity(&mut self, service_us: u64, execution: Execution, now: Instant) {
+        if let Some(typical_us) = execution.typical_us() {
+            let slowness_permille = execution.slowness_permille(service_us, typical_us);
+            self.near_capacity.record(execution.near_capacity, slowness_permille, now);
+        }
+    }
+
+    /// Returns whether slots near the capacity of the upstream cost more throughput than they add.
+    #[must_use]
+    pub fn near_capacity_costs_throughput(&self, now: Instant) -> bool {
+        self.near_capacity.costs_throughput(now)
+    }
+
     /// Records an abandoned call if it already took longer than the mean.
     fn record_abandoned(&mut self, age_us: u64, execution: Execution) {
         match execution.typical_us() {
--- a/lib/src/transport/upstream_fields.rs
+++ b/lib/src/transport/upstream_fields.rs
@@ -81,9 +81,10 @@
 /// A response without a readable slowdown is taken as that of a VM at normal speed.
 #[must_use]
 pub fn service_time_at_normal_speed(fields: &HeaderMap, service_time: Duration) -> Duration {
-    let slowdown_percent = number(fields, &headers::START_SLOWDOWN_PERCENT).unwrap_or(NORMAL_SPEED_PERCENT);
+    let slowdown_percent = number(fields, &headers::START_SLOWDOWN_PERCENT).filter(|percent| *percent > 0);
+    let slowdown_percent = slowdown_percent.unwrap_or(NORMAL_SPEED_PERCENT);
     let micros = u64::try_from(service_time.as_micros()).unwrap_or(u64::MAX);
-    Duration::from_micros(micros.saturating_mul(NORMAL_SPEED_PERCENT) / slowdown_percent.max(1))
+    Duration::from_micros(micros.saturating_mul(NORMAL_SPEED_PERCENT) / slowdown_percent)
 }
 
 fn number(fields: &HeaderMap, name: &HeaderName) -> Option<u64> {
--- a/lib/tests/execution_fields.rs
+++ b/lib/tests/execution_fields.rs
@@ -30,12 +30,9 @@
 
 #[test]
 fn service_time_with_malformed_slowdown_is_unchanged() {
-    for malformed in ["", "fast", "-4", "4e2"] {
+    for malformed in ["", "fast", "-4", "4e2", "0"] {
         let mut fields = HeaderMap::new();
         fields.insert(headers::START_SLOWDOWN_PERCENT, HeaderValue::from_static(malformed));
         assert_eq!(service_time_at_normal_speed(&fields, SERVICE_TIME), SERVICE_TIME, "{malformed:?}");
     }
-    let mut zero = HeaderMap::new();
-    zero.insert(headers::START_SLOWDOWN_PERCENT, HeaderValue::from_static("0"));
-    service_time_at_normal_speed(&zero, SERVICE_TIME);
 }
--- a/lib/tests/routing.rs
+++ b/lib/tests/routing.rs
@@ -149,7 +149,7 @@
 }
 
 fn execution(started: Instant) -> Execution {
-    Execution { started, typical_time: None, slowdown_percent: 100, slots_in_use: 1 }
+    Execution { started, typical_time: None, slowdown_percent: 100, slots_in_use: 1, near_capacity: false }
 }
 
 fn estimate_after_100_calls(now: Instant) -> ServiceEstimate {
@@ -397,6 +397,7 @@
         typical_time: Some(Duration::from_millis(typical_ms)),
         slowdown_percent,
         slots_in_use: 1,
+        near_capacity: false,
     }
 }
 
