admission: hold calls while the VM is briefly slow

Callers saw: late answers, though their VM was at normal speed a moment after their call had started. Cause: a call keeps the slowdown at which it starts, and a gate filled its slots whatever the VM was like. Calls started in a slow phase hold their slots four times as long and so through the next fast phase: under load the VM's fast phases went unused. Change: while the VM reports a slowdown well above its mean, a gate that may not reroute a call holds it rather than start it, until the reports fall or the slowdown has lasted twice as long as what it adds to the call. Shorter calls start earlier. Reports older than 250 ms hold nothing; a tick of the probe task starts what was held, also when the upstream stops answering probes, so a probe no longer blocks it. Checked: tests of admission, routing, held calls, near capacity, recovery.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -13,6 +13,8 @@
 use crate::coordination::priority_queue::PriorityQueue;
 use crate::coordination::priority_queue::PriorityRule;
 use crate::coordination::priority_queue::QueuedCall;
+use crate::coordination::priority_queue::StartLimits;
+use crate::coordination::priority_queue::is_worth_starting;
 use crate::coordination::service_estimate::ExecutionOutcome;
 use crate::coordination::service_estimate::ServiceEstimate;
 use crate::coordination::slot_balances::PrioritySlotUsage;
@@ -228,6 +230,7 @@
         };
         let free = self.is_slot_free_for(index, now);
         let wait = if free { Duration::ZERO } else { self.expected_wait(index, request.caller, now) };
+        let free = free && is_worth_starting(request.typical_time, self.estimate.longest_call_to_start(now));
         if let Some(max_gate_latency) = request.max_gate_latency
             && wait + self.expected_service_time(request.typical_time, now) > max_gate_latency
             && !(free && self.claim_trial(max_gate_latency, request.idempotent, now))
@@ -311,16 +314,25 @@
     }
 
     /// Records a slowdown report: service times on the VM in percent of the typical ones, so 400 is slow.
-    pub fn record_slowdown(&mut self, percent: u32, now: Instant) {
+    ///
+    /// Returns decisions on queued calls, which may have been held while the VM was slow.
+    pub fn record_slowdown(&mut self, percent: u32, now: Instant) -> Vec<QueueDecision> {
         self.estimate.record_slowdown(percent, now);
+        self.start_held_calls(now)
+    }
+
+    /// Returns decisions on queued calls that were held while the VM was slow and may start now.
+    pub fn start_held_calls(&mut self, now: Instant) -> Vec<QueueDecision> {
+        self.account_slot_time(now);
+        self.fill_slots(now)
     }
 
-    /// Returns whether there were recent calls, a slot is free and no slowdown report is recent.
+    /// Returns whether calls are queued or recent, a slot is free and no slowdown report is recent.
     #[must_use]
     pub fn needs_slowdown_probe(&self, now: Instant) -> bool {
         let recently_called =
             self.last_request_at.is_some_and(|at| now.saturating_duration_since(at) < SLOWDOWN_PROBE_WINDOW);
-        recently_called
+        (recently_called || self.queues.iter().any(PriorityQueue::has_queued))
             && self.running < self.usable_slots(now)
             && self.estimate.slowdown_report_is_older_than(MAX_SLOWDOWN_REPORT_AGE, now)
     }
@@ -401,12 +413,16 @@
     }
 
     /// Returns whether a new call of the priority gets a slot immediately.
+    ///
+    /// Calls that are held while the VM is slow do not keep others waiting.
     fn is_slot_free_for(&self, index: usize, now: Instant) -> bool {
+        let longest_call = self.estimate.longest_call_to_start(now);
+        let waits = |queue: &PriorityQueue| queue.has_call_to_start(longest_call);
         let blocks =
-            |queue: &PriorityQueue| queue.has_queued() && queue.rule().usable_slots_percent == FULL_PERCENT;
+            |queue: &PriorityQueue| waits(queue) && queue.rule().usable_slots_percent == FULL_PERCENT;
         let (same_or_more_urgent, less_urgent) = self.queues.split_at(index + 1);
         self.running < self.slots_for(index, now)
-            && !same_or_more_urgent.iter().any(PriorityQueue::has_queued)
+            && !same_or_more_urgent.iter().any(waits)
             && !less_urgent.iter().any(blocks)
     }
 
@@ -454,13 +470,14 @@
     /// Grants free slots to queued calls, and returns the decisions.
     fn fill_slots(&mut self, now: Instant) -> Vec<QueueDecision> {
         let service_time = self.service_time();
+        let longest_call = self.estimate.longest_call_to_start(now);
         let mut decisions = Vec::new();
         while self.running < self.usable_slots(now) {
-            let Some(index) = self.next_queue(service_time, now) else {
+            let Some(index) = self.next_queue(service_time, longest_call, now) else {
                 break;
             };
-            let max_late = self.slots() as usize;
-            let next = self.queues[index].next(service_time, max_late, now, &mut decisions);
+            let limits = StartLimits { service_time, longest_call, max_late: self.slots() as usize };
+            let next = self.queues[index].next(limits, now, &mut decisions);
             let Some((key, call)) = next else {
                 continue;
             };
@@ -473,9 +490,15 @@
     /// Returns the most urgent waiting queue with a positive balance, otherwise the most urgent one.
     ///
     /// Queues with a call that can still meet its objective precede queues with only late calls.
-    fn next_queue(&self, service_time: Duration, now: Instant) -> Option<usize> {
-        let is_eligible =
-            |index: &usize| self.queues[*index].has_queued() && self.running < self.slots_for(*index, now);
+    fn next_queue(
+        &self,
+        service_time: Duration,
+        longest_call: Option<Duration>,
+        now: Instant,
+    ) -> Option<usize> {
+        let is_eligible = |index: &usize| {
+            self.queues[*index].has_call_to_start(longest_call) && self.running < self.slots_for(*index, now)
+        };
         let has_call_on_time = |index: &usize| {
             let queue = &self.queues[*index];
             !queue.rule().serve_late || queue.has_call_on_time(service_time, now)
--- a/lib/src/coordination/priority_queue.rs
+++ b/lib/src/coordination/priority_queue.rs
@@ -56,6 +56,28 @@
     }
 }
 
+/// Conditions on the queued calls that may start.
+#[derive(Clone, Copy, Debug)]
+pub struct StartLimits {
+    /// Mean service time, for calls whose typical time is not known.
+    pub service_time: Duration,
+    /// Longest typical time of a call that is worth starting; `None` if any call is.
+    pub longest_call: Option<Duration>,
+    /// Maximum number of late calls that stay queued.
+    pub max_late: usize,
+}
+
+/// Returns whether a call may start although longer ones than `longest_call` are held.
+///
+/// A call whose typical time is not known is never held.
+#[must_use]
+pub fn is_worth_starting(typical_time: Option<Duration>, longest_call: Option<Duration>) -> bool {
+    match (typical_time, longest_call) {
+        (Some(typical_time), Some(longest_call)) => typical_time <= longest_call,
+        _ => true,
+    }
+}
+
 /// Numbers of calls of one caller.
 #[derive(Clone, Copy, Debug, Default)]
 struct CallerCounts {
@@ -112,6 +134,12 @@
         !self.waiting.is_empty()
     }
 
+    /// Returns whether any queued call may start while calls longer than `longest_call` are held.
+    #[must_use]
+    pub fn has_call_to_start(&self, longest_call: Option<Duration>) -> bool {
+        self.waiting.values().any(|call| is_worth_starting(call.typical_time, longest_call))
+    }
+
     /// Estimates how many queued calls get a slot before a new call of this caller.
     ///
     /// The caller's own queued calls count too. The estimate assumes that callers start calls in turn.
@@ -157,16 +185,15 @@
     /// Unless the rule serves late calls, calls that can no longer meet their objective are rejected too.
     /// Rejections are appended to `rejections`. If the rule serves late calls, calls that can still meet
     /// their objective start first, then the late call that has the most time left to start. At most
-    /// `max_late` late calls stay queued, since further ones would hardly get a slot in time.
+    /// `limits.max_late` late calls stay queued, since further ones would hardly get a slot in time.
     pub fn next(
         &mut self,
-        service_time: Duration,
-        max_late: usize,
+        limits: StartLimits,
         now: Instant,
         rejections: &mut Vec<QueueDecision>,
     ) -> Option<(QueueKey, QueuedCall)> {
         if self.rule.serve_late {
-            return self.next_including_late(service_time, max_late, now, rejections);
+            return self.next_including_late(limits, now, rejections);
         }
         loop {
             let (key, call) = self.first_by_fair_share()?;
@@ -174,7 +201,7 @@
             let reason = if key.start_by() <= now {
                 RejectReason::TooLate
             // Looser than `can_meet_objective`: the mean service time applies to every call, without margin.
-            } else if call.objective_at < now + service_time {
+            } else if call.objective_at < now + limits.service_time {
                 RejectReason::ObjectiveMissed
             } else {
                 return Some((key, call));
@@ -186,11 +213,11 @@
     /// Implements [`Self::next`] for a rule that serves late calls.
     fn next_including_late(
         &mut self,
-        service_time: Duration,
-        max_late: usize,
+        limits: StartLimits,
         now: Instant,
         rejections: &mut Vec<QueueDecision>,
     ) -> Option<(QueueKey, QueuedCall)> {
+        let StartLimits { service_time, longest_call, max_late } = limits;
         let expired: Vec<QueueKey> =
             self.waiting.keys().take_while(|key| key.start_by() <= now).copied().collect();
         let late: Vec<QueueKey> = self
@@ -207,8 +234,11 @@
             self.remove(*key);
             rejections.push(QueueDecision::Reject(*key, reason));
         }
-        let first_on_time = self.waiting.iter().find(|(_, call)| call.can_meet_objective(service_time, now));
-        let next = first_on_time.or_else(|| self.waiting.last_key_value());
+        let may_start = |call: &QueuedCall| is_worth_starting(call.typical_time, longest_call);
+        let mut startable = self.waiting.iter().filter(|(_, call)| may_start(call));
+        let last = startable.clone().next_back();
+        let first_on_time = startable.find(|(_, call)| call.can_meet_objective(service_time, now));
+        let next = first_on_time.or(last);
         let (key, call) = next.map(|(key, call)| (*key, *call))?;
         self.remove(key);
         Some((key, call))
--- a/lib/src/coordination/service_estimate.rs
+++ b/lib/src/coordination/service_estimate.rs
@@ -30,10 +30,17 @@
 const SLOWDOWN_HALF_LIFE: Duration = Duration::from_millis(150);
 /// Smoothing of the mean of slowdown reports.
 const SLOWDOWN_SMOOTHING: u64 = 32;
+/// Share of the mean slowdown above which a slowdown is expected to be brief, in percent.
+const ABOVE_MEAN_PERCENT: u64 = 150;
+/// Time that a call is held for the end of a slowdown, in multiples of what the slowdown adds to it.
+const MAX_HOLD_FACTOR: u32 = 2;
+/// Age up to which a slowdown report may hold calls back.
+const MAX_HOLD_REPORT_AGE: Duration = Duration::from_millis(250);
 /// Lower bound of a slowdown report, in percent.
 const MIN_SLOWDOWN_PERCENT: u64 = 10;
 const PERMILLE: u64 = 1_000;
 const PERCENT: u64 = 100;
+const FULL_PERCENT: u32 = 100;
 /// Smoothing of the mean typical time of calls, which changes only with the mix of calls.
 const MIX_SMOOTHING: u64 = 64;
 
@@ -86,9 +93,33 @@
     percent: u64,
     mean_percent: u64,
     reported_at: Instant,
+    /// Time of the first of the latest reports that are all well above the mean.
+    above_mean_since: Option<Instant>,
 }
 
 impl SlowdownReport {
+    /// Returns the first report, or the next one after `previous`.
+    fn new(percent: u64, previous: Option<Self>, now: Instant) -> Self {
+        let mean_percent = previous.map_or(percent, |previous| {
+            (previous.mean_percent * (SLOWDOWN_SMOOTHING - 1) + percent) / SLOWDOWN_SMOOTHING
+        });
+        let is_above_mean = percent * PERCENT > mean_percent * ABOVE_MEAN_PERCENT;
+        let above_mean_since = previous.and_then(|previous| previous.above_mean_since);
+        let above_mean_since = is_above_mean.then(|| above_mean_since.unwrap_or(now));
+        Self { percent, mean_percent, reported_at: now, above_mean_since }
+    }
+
+    /// Returns the longest typical time of a call that is worth starting now, or `None` if any call is.
+    ///
+    /// By starting now a call loses what the slowdown adds to its service time. It is held until the slowdown
+    /// has lasted [`MAX_HOLD_FACTOR`] times as long as that, since the slowdown may not be brief after all.
+    fn longest_call_to_start(&self, now: Instant) -> Option<Duration> {
+        let slow_for = now.saturating_duration_since(self.above_mean_since?);
+        let is_recent = now.saturating_duration_since(self.reported_at) <= MAX_HOLD_REPORT_AGE;
+        let added_percent = u32::try_from(self.percent - self.mean_percent).unwrap_or(u32::MAX);
+        is_recent.then(|| slow_for * FULL_PERCENT / (added_percent * MAX_HOLD_FACTOR).max(1))
+    }
+
     /// Returns the slowdown expected at `now`: the last report, which decays towards the mean with age.
     fn percent(&self, now: Instant) -> u64 {
         let age = now.saturating_duration_since(self.reported_at);
@@ -129,10 +160,15 @@
     /// 100 is normal, and 200 means that calls take twice as long.
     pub fn record_slowdown(&mut self, percent: u32, now: Instant) {
         let percent = u64::from(percent).max(MIN_SLOWDOWN_PERCENT);
-        let mean_percent = self.slowdown.map_or(percent, |slowdown| {
-            (slowdown.mean_percent * (SLOWDOWN_SMOOTHING - 1) + percent) / SLOWDOWN_SMOOTHING
-        });
-        self.slowdown = Some(SlowdownReport { percent, mean_percent, reported_at: now });
+        self.slowdown = Some(SlowdownReport::new(percent, self.slowdown, now));
+    }
+
+    /// Returns the longest typical time of a call that is worth starting now, or `None` if any call is.
+    ///
+    /// Longer calls gain by waiting for the end of a brief slowdown of the VM.
+    #[must_use]
+    pub fn longest_call_to_start(&self, now: Instant) -> Option<Duration> {
+        self.slowdown.and_then(|slowdown| slowdown.longest_call_to_start(now))
     }
 
     /// Returns the expected execution time on the upstream's VM relative to normal, in percent.
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -231,10 +231,27 @@
         let Some(report) = response.and_then(|response| fields.upstream_load(response.headers())) else {
             return false;
         };
-        self.queue.lock().admission.record_slowdown(report.slowdown_percent, Instant::now());
+        self.record_slowdown(report.slowdown_percent);
         true
     }
 
+    /// Records the slowdown of the upstream's VM and starts queued calls that it held back.
+    fn record_slowdown(&self, percent: u32) {
+        let mut queue = self.queue.lock();
+        let outcomes = queue.admission.record_slowdown(percent, Instant::now());
+        queue.deliver(outcomes);
+    }
+
+    /// Starts queued calls that were held back by a slowdown of the VM which has lasted long enough.
+    pub fn start_held_calls(&self) {
+        let mut queue = self.queue.lock();
+        if queue.waiters.is_empty() {
+            return;
+        }
+        let outcomes = queue.admission.start_held_calls(Instant::now());
+        queue.deliver(outcomes);
+    }
+
     /// Returns the service of the upstream, or `None` before an upstream has announced itself.
     #[must_use]
     pub fn service(&self) -> Option<Arc<str>> {
@@ -454,7 +471,7 @@
         };
         let report = fields.upstream_load(response.headers());
         if let Some(report) = report {
-            self.queue.lock().admission.record_slowdown(report.slowdown_percent, Instant::now());
+            self.record_slowdown(report.slowdown_percent);
         }
         let origin = fields.origin(response.status(), response.headers(), request_id);
         response.headers_mut().remove(&fields.load);
--- a/lib/src/transport/slowdown_probe.rs
+++ b/lib/src/transport/slowdown_probe.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -16,7 +17,8 @@
 
 /// Background task that keeps the slowdown report of the upstream recent while its gate receives calls.
 ///
-/// Answers to calls carry slowdown reports too, so a busy upstream is rarely probed.
+/// Answers to calls carry slowdown reports too, so a busy upstream is rarely probed. The task also starts
+/// calls that the gate held while the VM was slow, since no other event may tell that they may start.
 #[derive(Debug)]
 pub struct SlowdownProbe {
     /// The gate of this node.
@@ -30,16 +32,19 @@
 impl SlowdownProbe {
     /// Probes whenever the slowdown report is too old, until `stop` is cancelled.
     pub async fn run(self, stop: CancellationToken) {
+        let mut probe = JoinSet::new();
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = tokio::time::sleep(CHECK_INTERVAL) => {}
             }
-            if self.gate.needs_slowdown_probe(Instant::now())
+            self.gate.start_held_calls();
+            while probe.try_join_next().is_some() {}
+            if probe.is_empty()
+                && self.gate.needs_slowdown_probe(Instant::now())
                 && let Some(path) = self.path()
             {
-                let answered = self.gate.probe_slowdown(&path).await;
-                Metrics::count(&self.metrics.probes, if answered { "answered" } else { "failed" });
+                probe.spawn(probe_once(Arc::clone(&self.gate), self.metrics.clone(), path));
             }
         }
     }
@@ -50,3 +55,9 @@
         published.config.as_ref()?.service.measuring.load_path.clone()
     }
 }
+
+/// Probes the upstream once and counts the outcome.
+async fn probe_once(gate: Arc<Gate>, metrics: SharedMetrics, path: Arc<str>) {
+    let answered = gate.probe_slowdown(&path).await;
+    Metrics::count(&metrics.probes, if answered { "answered" } else { "failed" });
+}
--- a/lib/tests/overload_recovery.rs
+++ b/lib/tests/overload_recovery.rs
@@ -203,7 +203,8 @@
 
     fn report_slowdown(&mut self, gate: usize) {
         let percent = if self.gates[gate].slowed_down { 100 * VM_SLOWDOWN } else { 100 };
-        self.gates[gate].admission.record_slowdown(percent, self.now);
+        let decisions = self.gates[gate].admission.record_slowdown(percent, self.now);
+        self.deliver(gate, &decisions);
     }
 
     fn arrive(&mut self) {
