transport: bound the bytes of an upstream or store that sends without end

Callers saw: nothing at first; an upstream whose answers do not end took one slot for good with each call, until its gate rejected everything. Cause: after a call is given up its slot stays taken until the upstream closes the connection, and the gate discarded input for as long as any came. The header section was bounded by the library's 400 KB a connection only, a store's body by time only, and the deadline of a streamed body was looked at only when no data was ready. Evidence: endless_answers.rs against the code before: in all six forms of endless answers (no HTTP, a head, one field, interim responses, a body without length, chunks) four connections, which is every slot, were still open 20 s after the last call. Change: a closing connection is reset after 1 MiB or 2 s of input; one that is silent may still be executing and is waited for as before. Heads end at 64 KiB, a store's body at 8 MiB, and of a body of unknown size 64 KiB that are there are delivered after its deadline.

--- a/lib/src/transport/call_body.rs
+++ b/lib/src/transport/call_body.rs
@@ -23,6 +23,10 @@
 
 /// Largest body of known size that is received completely before it is forwarded, in bytes.
 pub const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
+/// Largest part of a body of unknown size that is delivered after its deadline, in bytes.
+///
+/// What has arrived by then is delivered, but such a body may never end.
+const MAX_BYTES_AFTER_DEADLINE: u64 = 64 * 1024;
 
 /// Error type that hyper accepts from a body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -152,11 +156,13 @@
                 Poll::Ready(frame.map(Ok))
             }
             Self::Stream { incoming, remaining_bytes, limit_bytes, deadline, limit_flag } => {
+                let is_overdue =
+                    deadline.as_mut().is_some_and(|deadline| deadline.as_mut().poll(cx).is_ready());
+                if is_overdue && incoming.size_hint().exact().is_none() {
+                    *remaining_bytes = (*remaining_bytes).min(MAX_BYTES_AFTER_DEADLINE);
+                }
                 let polled = Pin::new(incoming).poll_frame(cx);
-                if polled.is_pending()
-                    && let Some(deadline) = deadline
-                {
-                    ready!(deadline.as_mut().poll(cx));
+                if is_overdue && polled.is_pending() {
                     return Poll::Ready(Some(DeadlineExceededSnafu.fail()));
                 }
                 let polled =
--- a/lib/src/transport/store_client.rs
+++ b/lib/src/transport/store_client.rs
@@ -11,6 +11,7 @@
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -25,6 +26,10 @@
 
 /// Maximum number of idle connections kept for reuse.
 const MAX_IDLE_CONNECTIONS: usize = 4;
+/// Largest body of a response, in bytes: several times the largest page of a list.
+const MAX_RESPONSE_BYTES: usize = 8 * 1_048_576;
+/// Largest header section of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 65_536;
 /// Idle time after which a connection is not reused.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(5);
 
@@ -105,7 +110,8 @@
     ) -> Result<Response<Bytes>, String> {
         let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
         let (head, body) = response.into_parts();
-        let bytes = body.collect().await.map_err(|error| error.to_string())?.to_bytes();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let bytes = body.map_err(|error| error.to_string())?.to_bytes();
         let mut idle = self.idle.lock();
         if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(IdleConnection { sender, idle_since: Instant::now() });
@@ -130,8 +136,11 @@
     let stream = TcpStream::connect(addr).await.map_err(|error| error.to_string())?;
     stream.set_nodelay(true).map_err(|error| error.to_string())?;
     enable_keepalive(&stream).map_err(|error| error.to_string())?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| error.to_string())?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             log_event!(Debug, "platform connection failed", platform = addr, error = error);
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -23,6 +23,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
+use crate::log_event_limited;
 use crate::transport::call_body::BodyError;
 use crate::transport::call_body::CallBody;
 use crate::transport::silence_watch::enable_keepalive;
@@ -39,6 +40,15 @@
 /// Size of the buffer for input that is discarded while a connection closes.
 const DISCARD_BUFFER_BYTES: usize = 8_192;
 
+/// Input that is discarded while a connection closes before it is reset, in bytes.
+const MAX_DISCARDED_BYTES: usize = 1_048_576;
+
+/// Time for which input is discarded while a connection closes before it is reset, from the first byte on.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(2);
+
+/// Largest header section of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 65_536;
+
 /// Error of a call that got no complete response from the upstream.
 #[derive(Debug, Snafu)]
 pub enum UpstreamError {
@@ -221,7 +231,11 @@
     // A slot stays occupied until the upstream closes the connection; on a dead connection only
     // keepalive ends that wait.
     enable_keepalive(&stream).context(ConnectSnafu)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .context(HandshakeSnafu)?;
     let closed_by_upstream = CancellationToken::new();
     tokio::spawn(drive(connection, permit, closed_by_upstream.clone().drop_guard()));
     let now = Instant::now();
@@ -244,10 +258,30 @@
 }
 
 /// Closes the sending side and discards input until the upstream closes its side.
+///
+/// An upstream that sends nothing may be executing the call still, so the wait has no end of its own. One
+/// that sends on is answered by a reset after [`MAX_DISCARDED_BYTES`] or [`MAX_DISCARD_TIME`].
 async fn wait_closed(mut stream: TcpStream) {
     if stream.shutdown().await.is_err() {
         return;
     }
-    let mut discarded = [0; DISCARD_BUFFER_BYTES];
-    while stream.read(&mut discarded).await.is_ok_and(|read| read > 0) {}
+    let mut buffer = [0; DISCARD_BUFFER_BYTES];
+    let Ok(first_bytes @ 1..) = stream.read(&mut buffer).await else {
+        return;
+    };
+    let discarding = discard_input(&mut stream, &mut buffer, first_bytes);
+    if tokio::time::timeout(MAX_DISCARD_TIME, discarding).await != Ok(true) {
+        log_event_limited!(Info, "upstream connection reset, since it sends without end");
+    }
+}
+
+/// Discards input until the connection ends, and returns whether it did within [`MAX_DISCARDED_BYTES`].
+async fn discard_input(stream: &mut TcpStream, buffer: &mut [u8], mut discarded_bytes: usize) -> bool {
+    while discarded_bytes < MAX_DISCARDED_BYTES {
+        match stream.read(buffer).await {
+            Ok(read @ 1..) => discarded_bytes += read,
+            _ => return true,
+        }
+    }
+    false
 }
--- a/lib/testutils/src/raw_http.rs
+++ b/lib/testutils/src/raw_http.rs
@@ -142,3 +142,69 @@
     let body = request.split_once("\r\n\r\n").map_or("", |(_, body)| body);
     (body.starts_with("0\r\n") || body.contains("\r\n0\r\n")) && body.ends_with("\r\n\r\n")
 }
+
+/// An upstream that answers every request with bytes that never end.
+#[derive(Debug)]
+pub struct EndlessUpstream {
+    /// Address that the upstream listens on.
+    pub addr: SocketAddr,
+    sent_bytes: Arc<AtomicUsize>,
+    sending: Arc<AtomicUsize>,
+    task: AbortHandle,
+}
+
+impl Drop for EndlessUpstream {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl EndlessUpstream {
+    /// Starts an upstream that sends `start` and then `repeated` until the connection fails.
+    ///
+    /// # Panics
+    ///
+    /// When no loopback port is free.
+    pub async fn start(start: &str, repeated: &str) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("loopback has a free port");
+        let addr = listener.local_addr().expect("a listener has an address");
+        let (start, repeated): (Arc<str>, Arc<str>) = (Arc::from(start), Arc::from(repeated));
+        let (sent_bytes, sending) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let (byte_counter, sender_counter) = (Arc::clone(&sent_bytes), Arc::clone(&sending));
+        let accept_loop = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (start, repeated) = (Arc::clone(&start), Arc::clone(&repeated));
+                let (byte_counter, sender_counter) = (Arc::clone(&byte_counter), Arc::clone(&sender_counter));
+                tokio::spawn(async move {
+                    sender_counter.fetch_add(1, Ordering::AcqRel);
+                    send_without_end(stream, &start, &repeated, &byte_counter).await;
+                    sender_counter.fetch_sub(1, Ordering::AcqRel);
+                });
+            }
+        };
+        Self { addr, sent_bytes, sending, task: tokio::spawn(accept_loop).abort_handle() }
+    }
+
+    /// Returns the number of bytes sent so far, over all connections.
+    #[must_use]
+    pub fn sent_bytes(&self) -> usize {
+        self.sent_bytes.load(Ordering::Acquire)
+    }
+
+    /// Returns the number of connections that have not failed yet.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.sending.load(Ordering::Acquire)
+    }
+}
+
+/// Reads the head of one request and sends until the connection fails.
+async fn send_without_end(mut stream: TcpStream, start: &str, repeated: &str, sent_bytes: &AtomicUsize) {
+    read_head(&mut stream).await;
+    if stream.write_all(start.as_bytes()).await.is_err() {
+        return;
+    }
+    while stream.write_all(repeated.as_bytes()).await.is_ok() {
+        sent_bytes.fetch_add(repeated.len(), Ordering::AcqRel);
+    }
+}
