admission: give trials to a gate that is slow by its own calls

Callers saw: calls rerouted or refused, though the gate that refused them was idle and fast. Cause: a gate whose calls took long rejects what could go elsewhere, so it gets no calls that would show that it is fast again; trials are there for that. They were refused while the VM's slowdown reports were recent, and those are probed for as long as calls come. So a gate that was slow for a while by itself, or learned its first calls against a wrong typical time, stayed out for good. Change: only a gate that is slow by nothing but its VM's report waits for the next report. Checked: tests of admission, held calls, routing, recovery.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -233,7 +233,7 @@
         let free = free && is_worth_starting(request.typical_time, self.estimate.longest_call_to_start(now));
         if let Some(max_gate_latency) = request.max_gate_latency
             && wait + self.expected_service_time(request.typical_time, now) > max_gate_latency
-            && !(free && self.claim_trial(max_gate_latency, request.idempotent, now))
+            && !(free && self.claim_trial(&request, max_gate_latency, now))
         {
             return AdmissionOutcome::Rejected(RejectReason::GateTooSlow);
         }
@@ -257,10 +257,16 @@
         Duration::from_micros(typical_us.saturating_mul(slowness) / (PERMILLE * PERCENT))
     }
 
-    /// Claims a trial call of an upstream that appears slower than others and sent no recent slowdown report.
-    fn claim_trial(&mut self, max_gate_latency: Duration, idempotent: bool, now: Instant) -> bool {
-        self.estimate.slowdown_report_is_older_than(SLOWDOWN_PROBE_WINDOW, now)
-            && self.estimate.claim_trial(max_gate_latency, idempotent, now)
+    /// Claims a trial call of an upstream that appears slower than others.
+    ///
+    /// None is needed if only the reported slowdown of its VM makes it slow: the next report tells when that
+    /// is over. Slow calls of its own are forgotten only with faster ones.
+    fn claim_trial(&mut self, request: &AdmissionRequest, max_gate_latency: Duration, now: Instant) -> bool {
+        let typical_time = request.typical_time.unwrap_or_default();
+        let is_slow_by_itself = self.estimate.service_time_at_normal_speed(typical_time) > max_gate_latency;
+        let is_report_old = self.estimate.slowdown_report_is_older_than(SLOWDOWN_PROBE_WINDOW, now);
+        (is_slow_by_itself || is_report_old)
+            && self.estimate.claim_trial(max_gate_latency, request.idempotent, now)
     }
 
     fn enqueue(
--- a/lib/src/coordination/service_estimate.rs
+++ b/lib/src/coordination/service_estimate.rs
@@ -192,6 +192,13 @@
         self.per_good_answer(by_report.max(by_answers + self.overdue_permille(now) / SMOOTHING))
     }
 
+    /// Returns the expected service time of a call if the upstream's VM were at normal speed.
+    #[must_use]
+    pub fn service_time_at_normal_speed(&self, typical_time: Duration) -> Duration {
+        let slowness_permille = self.per_good_answer(self.slowness_permille.max(PERMILLE));
+        Duration::from_micros(micros(typical_time).saturating_mul(slowness_permille) / PERMILLE)
+    }
+
     /// Returns whether the last slowdown report is older than `age`, or there was none.
     #[must_use]
     pub fn slowdown_report_is_older_than(&self, age: Duration, now: Instant) -> bool {
--- a/lib/tests/held_calls.rs
+++ b/lib/tests/held_calls.rs
@@ -1,4 +1,4 @@
-//! Calls that a gate holds while the VM of its upstream is briefly slow.
+//! Calls that a gate holds or tries while the VM of its upstream reports its slowdown.
 
 use std::time::Duration;
 
@@ -9,6 +9,7 @@
 use yuccatray::coordination::admission::QueueDecision;
 use yuccatray::coordination::priority_queue::CallerKey;
 use yuccatray::coordination::priority_queue::PriorityRule;
+use yuccatray::coordination::service_estimate::ExecutionOutcome;
 
 const SLOTS: u32 = 4;
 const LONG_CALL: Duration = Duration::from_millis(200);
@@ -44,6 +45,17 @@
     }
 }
 
+/// Requests admission of a call that another gate may take instead, and executes it if it is admitted.
+fn is_admitted_and_ends(admission: &mut Admission, service_time: Duration, now: Instant) -> bool {
+    let max_gate_latency = Some(SHORT_CALL * 2);
+    let request = AdmissionRequest { max_gate_latency, ..request(Some(SHORT_CALL), now) };
+    let AdmissionOutcome::Admitted(grant) = admission.request_admission(request, now) else {
+        return false;
+    };
+    admission.release(grant, ExecutionOutcome::Succeeded(service_time), now + service_time);
+    true
+}
+
 fn admitted(decisions: &[QueueDecision]) -> usize {
     decisions.iter().filter(|decision| matches!(decision, QueueDecision::Admit(..))).count()
 }
@@ -112,3 +124,35 @@
     assert!(admission.needs_slowdown_probe(now + Duration::from_secs(1)), "a held call needs reports");
     assert_eq!(admitted(&admission.start_held_calls(now + Duration::from_secs(1))), 1);
 }
+
+#[test]
+fn upstream_that_was_slow_by_itself_gets_calls_again() {
+    let start = Instant::now();
+    let mut admission = gate_on_slow_vm(start);
+    let mut at = start;
+    for _ in 0..20 {
+        at += REPORT_INTERVAL;
+        admission.record_slowdown(100, at);
+    }
+    assert!(is_admitted_and_ends(&mut admission, LONG_CALL * 2, at), "nothing is known yet");
+    at += LONG_CALL * 2;
+    let mut admitted_calls = 0;
+    for _ in 0..100 {
+        at += REPORT_INTERVAL;
+        admission.record_slowdown(100, at);
+        admitted_calls += u32::from(is_admitted_and_ends(&mut admission, SHORT_CALL, at));
+    }
+    assert!(admitted_calls >= 90, "the upstream is fast again, and {admitted_calls} of 100 calls reach it");
+}
+
+#[test]
+fn slow_vm_gets_no_trial_while_it_reports() {
+    let start = Instant::now();
+    let mut admission = gate_on_slow_vm(start);
+    let mut at = start;
+    for _ in 0..10 {
+        at += REPORT_INTERVAL;
+        admission.record_slowdown(400, at);
+        assert!(!is_admitted_and_ends(&mut admission, SHORT_CALL * 4, at));
+    }
+}
