admission: reject the expired call and not a late one in its place

Callers saw: a call that could still run refused, while a slot went to one whose caller could no longer wait. Cause: where late calls are served, expired calls were only counted, and as many were rejected from the head of the late ones. A call whose deadline comes before its objective can be expired without being late. Evidence: expired_call_rejected_and_late_call_started_in_its_place, red on the code before: the late call was rejected and the expired one got the slot. Change: expired calls are rejected by themselves; then late ones beyond the maximum. Checked: tests of admission, held calls, recovery.

--- a/lib/src/coordination/priority_queue.rs
+++ b/lib/src/coordination/priority_queue.rs
@@ -218,22 +218,14 @@
         rejections: &mut Vec<QueueDecision>,
     ) -> Option<(QueueKey, QueuedCall)> {
         let StartLimits { service_time, longest_call, max_late } = limits;
-        let expired: Vec<QueueKey> =
-            self.waiting.keys().take_while(|key| key.start_by() <= now).copied().collect();
-        let late: Vec<QueueKey> = self
-            .waiting
-            .iter()
-            .filter(|(_, call)| !call.can_meet_objective(service_time, now))
-            .map(|(key, _)| *key)
-            .collect();
-        // Both lists are in the order of the latest start, so expired calls come first in `late`.
-        let reject_count = late.len().saturating_sub(max_late).max(expired.len());
-        for key in &late[..reject_count.min(late.len())] {
-            let reason =
-                if key.start_by() <= now { RejectReason::TooLate } else { RejectReason::ObjectiveMissed };
-            self.remove(*key);
-            rejections.push(QueueDecision::Reject(*key, reason));
-        }
+        let expired = self.waiting.keys().take_while(|key| key.start_by() <= now);
+        let expired: Vec<QueueKey> = expired.copied().collect();
+        self.reject(&expired, RejectReason::TooLate, rejections);
+        let is_late = |call: &QueuedCall| !call.can_meet_objective(service_time, now);
+        let late = self.waiting.iter().filter(|(_, call)| is_late(call)).map(|(key, _)| *key);
+        let late: Vec<QueueKey> = late.collect();
+        let excess = late.len().saturating_sub(max_late);
+        self.reject(&late[..excess], RejectReason::ObjectiveMissed, rejections);
         let may_start = |call: &QueuedCall| is_worth_starting(call.typical_time, longest_call);
         let mut startable = self.waiting.iter().filter(|(_, call)| may_start(call));
         let last = startable.clone().next_back();
@@ -244,6 +236,14 @@
         Some((key, call))
     }
 
+    /// Removes calls from the queue and appends their rejections.
+    fn reject(&mut self, keys: &[QueueKey], reason: RejectReason, rejections: &mut Vec<QueueDecision>) {
+        for key in keys {
+            self.remove(*key);
+            rejections.push(QueueDecision::Reject(*key, reason));
+        }
+    }
+
     /// Records that a call of the caller took a slot.
     pub fn start(&mut self, caller: CallerKey) {
         self.running += 1;
@@ -259,10 +259,9 @@
     /// Rejects all queued calls.
     pub fn reject_all(&mut self, reason: RejectReason) -> Vec<QueueDecision> {
         let keys: Vec<QueueKey> = self.waiting.keys().copied().collect();
-        for key in &keys {
-            self.remove(*key);
-        }
-        keys.into_iter().map(|key| QueueDecision::Reject(key, reason)).collect()
+        let mut rejections = Vec::with_capacity(keys.len());
+        self.reject(&keys, reason, &mut rejections);
+        rejections
     }
 
     /// Returns the queued call that must start first, among those of callers with the fewest running calls.
--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -602,3 +602,26 @@
         "no call was received for two seconds"
     );
 }
+
+#[test]
+fn expired_call_rejected_and_late_call_started_in_its_place() {
+    let now = Instant::now();
+    let mut admission = Admission::new(1, &serve_late_rules(), now);
+    let grant =
+        admitted_slot(&mut admission, call_with_objective(0, 500, 9_000, now), now).expect("a free slot");
+    let expiring = admission.request_admission(call_with_objective(0, 8_000, 500, now), now);
+    let late = admission.request_admission(call_with_objective(0, 100, 9_000, now), now);
+    let (AdmissionOutcome::Queued(expiring), AdmissionOutcome::Queued(late)) = (expiring, late) else {
+        panic!("both calls are queued: {expiring:?} {late:?}");
+    };
+    let end = now + Duration::from_secs(1);
+    let decisions = admission.release(grant, ExecutionOutcome::Succeeded(Duration::from_secs(1)), end);
+    assert!(
+        matches!(
+            decisions.as_slice(),
+            [QueueDecision::Reject(rejected, RejectReason::TooLate), QueueDecision::Admit(admitted, _)]
+                if *rejected == expiring && *admitted == late
+        ),
+        "{decisions:?}"
+    );
+}
