node: bound the time that background tasks have at a stop

Cause: suspected, not shown. After the shutdown timeout a stop still waited for each background task without a limit; the probe of the upstream could hold one for a second, which is more than the 400 ms between the shutdown timeout and the end of the grace time. Change: 200 ms for all background tasks together, then they are aborted, with a line in the log.

--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -77,6 +77,9 @@
 /// Time before the end of a shutdown at which calls without a slot fail as not executed.
 const SHUTDOWN_ANSWER_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time that background tasks have to end after the servers have stopped.
+const BACKGROUND_STOP_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Error on starting a node.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -347,10 +350,7 @@
         self.stop_rest.cancel();
         let peers_finished = gate_idle && finished_in_time(&mut self.peer_server, stop_by).await;
         let in_flight = self.in_flight_counter.in_flight();
-        for task in self.background_tasks {
-            // The panic of a task has already been printed to standard error.
-            let _ended = task.await;
-        }
+        end_background_tasks(self.background_tasks).await;
         Shutdown { callers_finished, peers_finished, in_flight }
     }
 }
@@ -501,6 +501,18 @@
     }
 }
 
+/// Waits for tasks that have been told to stop, and aborts those that do not end in time.
+async fn end_background_tasks(tasks: Vec<JoinHandle<()>>) {
+    let end_by = Instant::now() + BACKGROUND_STOP_TIMEOUT;
+    for mut task in tasks {
+        // The panic of a task has already been printed to standard error.
+        if tokio::time::timeout_at(end_by, &mut task).await.is_err() {
+            log_event!(Warn, "aborting a background task that did not stop in time");
+            task.abort();
+        }
+    }
+}
+
 fn log_started(local_member: &Member, addrs: NodeAddrs) {
     log_event!(
         Info,
--- a/lib/src/transport/slowdown_probe.rs
+++ b/lib/src/transport/slowdown_probe.rs
@@ -44,7 +44,7 @@
                 && self.gate.needs_slowdown_probe(Instant::now())
                 && let Some(path) = self.path()
             {
-                probe.spawn(probe_once(Arc::clone(&self.gate), self.metrics.clone(), path));
+                probe.spawn(probe_once(Arc::clone(&self.gate), Arc::clone(&self.metrics), path));
             }
         }
     }
--- a/lib/tests/endless_answers.rs
+++ b/lib/tests/endless_answers.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
+use yuccatray::transport::platform::PlatformError;
 use yuccatray::transport::store_client::StoreClient;
 use yuccatray_testutils::raw_http::EndlessUpstream;
 use yuccatray_testutils::two_nodes::SERVICE;
@@ -113,7 +114,9 @@
         let request = client.request(Method::GET, "/objects/x");
         let response =
             tokio::time::timeout(END_WITHIN, client.send(request, Bytes::new(), END_WITHIN * 2)).await;
-        assert!(response.expect("the size ends the response, not its timeout").is_err());
+        let response = response.expect("the size ends the response, not its timeout");
+        let error = response.expect_err("an endless answer is no response");
+        assert!(matches!(error, PlatformError::NoResponse { .. }), "{error}");
         let sent_bytes = store.sent_bytes();
         assert!(sent_bytes <= MAX_BYTES_PER_CALL, "the store could send {sent_bytes} bytes");
     }
