gate: admission, forwarding, execution and own requests in modules of their own

Log targets name the new modules. Checked: clippy, layout and decision log tests; the whole suite runs before the landing.

--- /dev/null
+++ b/lib/src/transport/gate_admission.rs
@@ -0,0 +1,135 @@
+//! Admission of calls at a gate: the wait for a slot, and the answers to rejected calls.
+
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::coordination::admission::AdmissionOutcome;
+use crate::coordination::admission::AdmissionRequest;
+use crate::coordination::admission::QueueKey;
+use crate::coordination::admission::RejectReason;
+use crate::coordination::admission::SlotGrant;
+use crate::coordination::service_estimate::ExecutionOutcome;
+use crate::protocol::answer::ErrorAnswer;
+use crate::protocol::error_kind::ErrorKind;
+use crate::transport::call_guard::SlotGuard;
+use crate::transport::gate::Gate;
+use crate::transport::gate::GateCall;
+use crate::transport::gate::Result;
+use crate::transport::gate_log::log_rejection;
+
+impl Gate {
+    /// Waits for a slot and stores it in `slot`; returns an error if the call is rejected.
+    pub(super) async fn admit(self: &Arc<Self>, call: &GateCall, slot: &mut SlotGuard) -> Result<()> {
+        let (key, receiver) = match self.request_admission(call)? {
+            AdmissionState::Granted(grant) => {
+                slot.grant(grant);
+                self.count("admitted");
+                return Ok(());
+            }
+            AdmissionState::Queued(key, receiver) => (key, receiver),
+        };
+        let mut queued = QueuedCall { gate: self, key, receiver, resolved: false };
+        let outcome = tokio::time::timeout_at(key.start_by(), queued.outcome()).await;
+        match outcome {
+            Ok(Ok(grant)) => {
+                slot.grant(grant);
+                self.count("admitted_after_wait");
+                Ok(())
+            }
+            Ok(Err(reason)) => Err(self.rejection(call, reason)),
+            Err(_) => Err(self.rejection(call, RejectReason::TooLate)),
+        }
+    }
+
+    fn request_admission(&self, call: &GateCall) -> Result<AdmissionState> {
+        let request = AdmissionRequest {
+            priority: call.priority,
+            caller: call.caller,
+            deadline: call.deadline,
+            start_by: call.start_by,
+            objective_at: call.objective_at,
+            typical_time: call.typical_time,
+            max_gate_latency: call.max_gate_latency,
+            idempotent: call.idempotent,
+        };
+        let mut queue = self.queue.lock();
+        match queue.admission.request_admission(request, Instant::now()) {
+            AdmissionOutcome::Admitted(grant) => Ok(AdmissionState::Granted(grant)),
+            AdmissionOutcome::Queued(key) => {
+                let (sender, receiver) = oneshot::channel();
+                queue.waiters.insert(key, sender);
+                Ok(AdmissionState::Queued(key, receiver))
+            }
+            AdmissionOutcome::Rejected(reason) => {
+                drop(queue);
+                Err(self.rejection(call, reason))
+            }
+        }
+    }
+
+    /// Counts and logs a rejected call, and returns the error for it.
+    fn rejection(&self, call: &GateCall, reject_reason: RejectReason) -> ErrorAnswer {
+        let (kind, reason, message) = match reject_reason {
+            RejectReason::QueueFull => {
+                (ErrorKind::Overloaded, "queue_full", "the queue of this priority is full")
+            }
+            RejectReason::TooLate => (ErrorKind::DeadlineBeforeStart, "too_late", "no slot was free in time"),
+            RejectReason::ObjectiveMissed => {
+                (ErrorKind::ObjectiveMissed, "objective_missed", "the objective could not be met any more")
+            }
+            RejectReason::GateTooSlow => (ErrorKind::Overloaded, "impatient", "another gate may be faster"),
+            RejectReason::CallerLimited => {
+                (ErrorKind::CallerLimited, "caller_limited", "this caller has its share of the queue already")
+            }
+            RejectReason::Draining => (ErrorKind::Draining, "draining", "the upstream takes no new work"),
+        };
+        self.count(reason);
+        let (load, hint) = {
+            let queue = self.queue.lock();
+            (queue.admission.load(Instant::now()), queue.admission.retry_hint())
+        };
+        log_rejection(call, reason, load);
+        ErrorAnswer::new(kind, message).retry_after(hint).with_load(load)
+    }
+}
+
+/// State of a call after it has requested admission.
+enum AdmissionState {
+    Granted(SlotGrant),
+    Queued(QueueKey, oneshot::Receiver<Result<SlotGrant, RejectReason>>),
+}
+
+/// Queued call, removed from the queue if dropped before its outcome was received.
+#[derive(Debug)]
+struct QueuedCall<'a> {
+    gate: &'a Gate,
+    key: QueueKey,
+    receiver: oneshot::Receiver<Result<SlotGrant, RejectReason>>,
+    resolved: bool,
+}
+
+impl QueuedCall<'_> {
+    async fn outcome(&mut self) -> Result<SlotGrant, RejectReason> {
+        let outcome = (&mut self.receiver).await.unwrap_or(Err(RejectReason::Draining));
+        self.resolved = true;
+        outcome
+    }
+}
+
+impl Drop for QueuedCall<'_> {
+    fn drop(&mut self) {
+        if self.resolved {
+            return;
+        }
+        let was_queued = {
+            let mut queue = self.gate.queue.lock();
+            queue.waiters.swap_remove(&self.key);
+            queue.admission.cancel(self.key)
+        };
+        if !was_queued && let Ok(Ok(grant)) = self.receiver.try_recv() {
+            self.gate.release(grant, ExecutionOutcome::Abandoned);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/transport/gate_forwarding.rs
@@ -0,0 +1,165 @@
+//! Forwarding of admitted calls to the upstream, and checks of its responses.
+
+use std::sync::Arc;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use snafu::ResultExt;
+use tokio::time::Instant;
+
+use crate::log_event_limited;
+use crate::protocol::answer::ErrorAnswer;
+use crate::protocol::error_kind::ErrorKind;
+use crate::protocol::external_fields::AnswerOrigin;
+use crate::protocol::headers;
+use crate::transport::call_body::CallBody;
+use crate::transport::call_body::buffer_if_small;
+use crate::transport::call_guard::CallGuard;
+use crate::transport::call_guard::SlotGuard;
+use crate::transport::gate::GATE_RETRY_AFTER;
+use crate::transport::gate::Gate;
+use crate::transport::gate::GateCall;
+use crate::transport::gate::Result;
+use crate::transport::gate_log::log_if_late;
+use crate::transport::upstream_fields::into_upstream_request;
+use crate::transport::upstream_fields::set_execution_fields;
+use crate::transport::upstream_fields::set_external_fields;
+use crate::transport::upstream_fields::strip_node_fields;
+use crate::transport::upstream_pool::IncompleteResponseSnafu;
+use crate::transport::upstream_pool::UpstreamError;
+
+impl Gate {
+    /// Requests admission for a call, sends it to the upstream and waits for the head of its response.
+    pub(super) async fn forward(
+        self: &Arc<Self>,
+        call: &GateCall,
+        request: Request<CallBody>,
+        guard: &mut CallGuard,
+    ) -> Result<Response<CallBody>> {
+        let mut slot = SlotGuard::without_slot(Arc::clone(self), call.id.clone());
+        let admission_requested_at = Instant::now();
+        self.admit(call, &mut slot).await?;
+        let queued = admission_requested_at.elapsed();
+        self.parents.insert(call.id.clone(), call.as_parent());
+        let pool = self.pool.load_full().ok_or_else(no_upstream_error)?;
+        if *pool.service() != call.service {
+            self.count("other_service");
+            return Err(other_service(&call.service, pool.service()));
+        }
+        guard.set_slot(slot, Arc::clone(&pool));
+        let mut request = into_upstream_request(request, pool.addr());
+        let request_id = self.external_fields.as_ref().and_then(|fields| {
+            set_external_fields(request.headers_mut(), fields, pool.instance(), call.deadline);
+            request.headers().get(&fields.request_id).cloned()
+        });
+        let exchange = async {
+            let response = pool.send(request, guard.connection_mut()).await?;
+            buffer_if_small(response, call.deadline).await.context(IncompleteResponseSnafu)
+        };
+        let result = tokio::time::timeout_at(call.deadline, exchange).await;
+        match result {
+            Ok(Ok(response)) => {
+                let response = self.verify_origin(call, response, request_id.as_ref(), guard)?;
+                guard.record_status(response.status());
+                let mut response = self.prepare_response(response);
+                if let Some(grant) = guard.slot_grant() {
+                    log_if_late(call, grant, queued, self.load().limit);
+                    set_execution_fields(response.headers_mut(), queued, grant.execution().slowdown_percent);
+                }
+                Ok(response)
+            }
+            Ok(Err(error)) => {
+                guard.record_failure();
+                Err(self.upstream_error_answer(call, &error))
+            }
+            Err(_) => {
+                guard.record_failure();
+                self.count("deadline_while_running");
+                guard.discard_suspect_connections();
+                Err(ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "the upstream did not answer in time"))
+            }
+        }
+    }
+
+    /// Returns the response unless its head shows that it is not the upstream's response to this request.
+    fn verify_origin(
+        &self,
+        call: &GateCall,
+        mut response: Response<CallBody>,
+        request_id: Option<&HeaderValue>,
+        guard: &mut CallGuard,
+    ) -> Result<Response<CallBody>> {
+        let Some(fields) = &self.external_fields else {
+            return Ok(response);
+        };
+        let report = fields.upstream_load(response.headers());
+        if let Some(report) = report {
+            self.record_slowdown(report.slowdown_percent);
+        }
+        let origin = fields.origin(response.status(), response.headers(), request_id);
+        response.headers_mut().remove(&fields.load);
+        let answer = match origin {
+            AnswerOrigin::Genuine => return Ok(response),
+            AnswerOrigin::NotExecuted => {
+                guard.record_not_executed(response.body());
+                self.count("upstream_refused");
+                let load = self.load();
+                ErrorAnswer::new(ErrorKind::UpstreamRefused, "the upstream refused the call before it ran")
+                    .retry_after(GATE_RETRY_AFTER)
+                    .with_load(load)
+            }
+            AnswerOrigin::OtherInstance => {
+                guard.record_failure();
+                self.count("other_instance");
+                ErrorAnswer::new(ErrorKind::NoUpstream, "another instance has the upstream's address")
+                    .retry_after(GATE_RETRY_AFTER)
+            }
+            AnswerOrigin::Foreign => {
+                guard.record_failure();
+                self.count("foreign_answer");
+                ErrorAnswer::new(ErrorKind::OutcomeUnknown, "an answer that the upstream did not make for it")
+            }
+        };
+        log_event_limited!(
+            Info,
+            "upstream response discarded",
+            call = &call.id,
+            origin = format_args!("{origin:?}"),
+            upstream_load = format_args!("{report:?}"),
+        );
+        Err(answer)
+    }
+
+    /// Removes header fields that must not leave the gate and adds the load of the gate.
+    fn prepare_response(&self, response: Response<CallBody>) -> Response<CallBody> {
+        let (mut head, body) = response.into_parts();
+        headers::strip_hop_by_hop(&mut head.headers);
+        strip_node_fields(&mut head.headers);
+        if let Ok(load) = HeaderValue::from_str(&self.load().to_string()) {
+            head.headers.insert(headers::LOAD, load);
+        }
+        Response::from_parts(head, body)
+    }
+
+    /// Returns the error for a call whose exchange with the upstream failed.
+    fn upstream_error_answer(&self, call: &GateCall, error: &UpstreamError) -> ErrorAnswer {
+        log::debug!("exchange with the upstream failed; call={} error={error}", call.id);
+        if error.proves_not_executed() {
+            self.count("upstream_unreachable");
+            return ErrorAnswer::new(ErrorKind::NoUpstream, error.to_string()).retry_after(GATE_RETRY_AFTER);
+        }
+        self.count("upstream_lost");
+        ErrorAnswer::new(ErrorKind::OutcomeUnknown, error.to_string())
+    }
+}
+
+fn other_service(requested: &str, served: &str) -> ErrorAnswer {
+    let message = format!("the upstream here serves {served}, not {requested}");
+    ErrorAnswer::new(ErrorKind::NoUpstream, message).retry_after(GATE_RETRY_AFTER)
+}
+
+fn no_upstream_error() -> ErrorAnswer {
+    ErrorAnswer::new(ErrorKind::NoUpstream, "no upstream has announced itself here")
+        .retry_after(GATE_RETRY_AFTER)
+}
--- /dev/null
+++ b/lib/src/transport/gate_query.rs
@@ -0,0 +1,54 @@
+//! Requests that a gate itself makes to its upstream, for its load or its slowdown.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+
+use crate::transport::call_body::CallBody;
+use crate::transport::gate::Gate;
+
+/// Time limit of a request that the gate itself makes to the upstream.
+const UPSTREAM_QUERY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest response body accepted for a request that the gate itself makes, in bytes.
+const MAX_QUERY_BODY_BYTES: usize = 16_384;
+
+impl Gate {
+    /// Probes an upstream of an external dialect for its slowdown and returns whether it reported one.
+    pub async fn probe_slowdown(&self, path: &str) -> bool {
+        let Some(fields) = &self.external_fields else {
+            return false;
+        };
+        let response = self.query_upstream(path).await;
+        let Some(report) = response.and_then(|response| fields.upstream_load(response.headers())) else {
+            return false;
+        };
+        self.record_slowdown(report.slowdown_percent);
+        true
+    }
+
+    /// Fetches a small document from the upstream.
+    ///
+    /// Returns `None` if there is no upstream, the request fails or times out, or the body is too large.
+    pub async fn query_upstream(&self, path: &str) -> Option<Response<Bytes>> {
+        let pool = self.pool.load_full()?;
+        let request = Request::get(path).header(HOST, pool.addr().to_string());
+        let request = request.body(CallBody::from(Bytes::new())).ok()?;
+        let query = async {
+            let mut connection = None;
+            let response = pool.send(request, &mut connection).await.ok()?;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, MAX_QUERY_BODY_BYTES).collect().await.ok()?;
+            if let Some(connection) = connection {
+                pool.return_connection(connection);
+            }
+            Some(Response::from_parts(head, body.to_bytes()))
+        };
+        tokio::time::timeout(UPSTREAM_QUERY_TIMEOUT, query).await.ok()?
+    }
+}
