--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -1,84 +1,63 @@
 //! Assembly of a node: starts its servers and background tasks and shuts them down gracefully.
 
+mod core_parts;
+mod in_flight;
+mod tasks;
+
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
-use rand::SeedableRng;
-use rand_pcg::Pcg64Mcg;
 use snafu::Snafu;
-use tokio::net::TcpListener;
-use tokio::net::UdpSocket;
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::coordination::fleet_view::FleetView;
 use crate::coordination::routing::PowerOfTwoChoices;
 use crate::coordination::routing::RoutingPolicy;
 use crate::log_event;
-use crate::protocol::call_id::CallIdGenerator;
-use crate::protocol::member::Member;
+use crate::node::core_parts::Core;
+use crate::node::core_parts::SharedParts;
+use crate::node::core_parts::log_started;
+use crate::node::tasks::end_background_tasks;
+use crate::node::tasks::server_limits;
+use crate::node::tasks::spawn_external_platform_tasks;
+use crate::node::tasks::spawn_platform_tasks;
+use crate::node::tasks::spawn_server;
 use crate::protocol::member::MemberId;
-use crate::protocol::member::MemberState;
 use crate::protocol::settings::Settings;
-use crate::state::burn_counts::BurnCounts;
-use crate::state::config_table::ConfigTable;
-use crate::state::decision_log::DecisionLog;
-use crate::state::directory::Directory;
-use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
-use crate::transport::admin_server::AdminHandler;
 use crate::transport::announce_server::AnnounceHandler;
 use crate::transport::announce_server::UpstreamRegistration;
 use crate::transport::check_in_server::CheckInHandler;
-use crate::transport::config_watcher::ConfigWatcher;
 use crate::transport::external_dialect::ExternalDialect;
-use crate::transport::fleet_link::GossipLink;
 use crate::transport::gate::Gate;
 use crate::transport::gossip::Gossip;
-use crate::transport::gossip::GossipDependencies;
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::ServerLimits;
-use crate::transport::http_server::serve;
 use crate::transport::http_server::serve_peers;
 use crate::transport::ingress::Ingress;
-use crate::transport::ingress::IngressDependencies;
 use crate::transport::ingress::IngressHandler;
 use crate::transport::listeners::ListenError;
 use crate::transport::listeners::Listeners;
 use crate::transport::listeners::NodeAddrs;
-use crate::transport::load_probe::LoadProbe;
-use crate::transport::peer_channel::CallChannels;
-use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_security::PeerSecurity;
 use crate::transport::peer_security::SecurityError;
-use crate::transport::peer_server::PeerHandler;
-use crate::transport::platform_http::HttpPlatform;
-use crate::transport::publisher::Publisher;
 use crate::transport::routed_ingress::RoutedHandler;
-use crate::transport::routes_watcher::RoutesWatcher;
-use crate::transport::seed_registry::SeedRegistry;
-use crate::transport::slowdown_probe::SlowdownProbe;
+
+pub use crate::node::in_flight::InFlightCounter;
+pub use crate::node::in_flight::InFlightCounts;
 
 /// Result of starting a node.
 pub type Result<T, E = NodeError> = std::result::Result<T, E>;
 
-/// Interval at which a stopping node checks whether its gate is idle.
-const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(10);
-
 /// Time for the announcement that the node is leaving to spread before the server for callers stops.
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
 
 /// Time before the end of a shutdown at which calls without a slot fail as not executed.
-const SHUTDOWN_ANSWER_MARGIN: Duration = Duration::from_millis(500);
-
-/// Time that background tasks have to end after the servers have stopped.
-const BACKGROUND_STOP_TIMEOUT: Duration = Duration::from_millis(200);
+pub(crate) const SHUTDOWN_ANSWER_MARGIN: Duration = Duration::from_millis(500);
 
 /// Error on starting a node.
 #[derive(Debug, Snafu)]
@@ -131,43 +110,6 @@
     pub in_flight: InFlightCounts,
 }
 
-/// Numbers of calls in flight at a node.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct InFlightCounts {
-    /// Calls that the node's callers wait for.
-    pub of_callers: u32,
-    /// Calls that the node's upstream is executing.
-    pub running: u32,
-    /// Calls queued at the node's gate.
-    pub queued: u32,
-}
-
-/// Counter of the calls in flight at a node, usable while the node stops.
-#[derive(Clone, Debug)]
-pub struct InFlightCounter {
-    gate: Arc<Gate>,
-    directory: Arc<Directory>,
-}
-
-impl InFlightCounter {
-    /// Returns the numbers of calls in flight now.
-    #[must_use]
-    pub fn in_flight(&self) -> InFlightCounts {
-        let load = self.gate.load();
-        let now = Instant::now();
-        let snapshot = self.directory.snapshot();
-        let of_callers = snapshot.entries().map(|entry| entry.stats.load(now).in_flight).sum();
-        InFlightCounts { of_callers, running: load.running, queued: load.queued }
-    }
-
-    /// Waits until the node's upstream has finished every call.
-    async fn wait_gate_idle(&self) {
-        while self.gate.load().running > 0 {
-            tokio::time::sleep(IDLE_POLL_INTERVAL).await;
-        }
-    }
-}
-
 impl Node {
     /// Starts a node with the given settings and the default routing policy.
     ///
@@ -375,282 +317,3 @@
     callers: C,
     upstream: U,
 }
-
-/// State and services shared by the servers and tasks of one node.
-#[derive(Debug)]
-struct Core {
-    local_member: Member,
-    addrs: NodeAddrs,
-    stopping: Arc<AtomicBool>,
-    shared: SharedParts,
-    burn: Arc<BurnCounts>,
-    decisions: Arc<DecisionLog>,
-    gate: Arc<Gate>,
-    gossip: Arc<Gossip>,
-    registration: Arc<UpstreamRegistration>,
-}
-
-impl Core {
-    fn new<G>(
-        settings: &Settings,
-        listeners: &Listeners,
-        security: Arc<PeerSecurity>,
-        new_gate: G,
-    ) -> Result<Self>
-    where
-        G: FnOnce(SharedMetrics) -> Gate,
-    {
-        let addrs = listeners.addrs()?;
-        let socket = Arc::clone(&listeners.gossip);
-        let local_member = new_local_member(settings, addrs);
-        let shared = SharedParts {
-            config: Arc::new(ConfigTable::new()),
-            directory: Arc::new(Directory::default()),
-            metrics: SharedMetrics::new(Metrics::default()),
-            security,
-        };
-        let gate = Arc::new(new_gate(Arc::clone(&shared.metrics)));
-        let gossip = Arc::new(new_gossip(settings, &local_member, socket, &shared));
-        let registration =
-            UpstreamRegistration::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&shared.config));
-        Ok(Self {
-            local_member,
-            addrs,
-            stopping: Arc::default(),
-            shared,
-            burn: Arc::new(BurnCounts::new(Instant::now())),
-            decisions: Arc::new(DecisionLog::new(Instant::now())),
-            gate,
-            gossip,
-            registration: Arc::new(registration),
-        })
-    }
-
-    fn ingress<P>(&self, settings: &Settings, policy: P) -> Ingress<P>
-    where
-        P: RoutingPolicy + Send + Sync + 'static,
-    {
-        Ingress::new(IngressDependencies {
-            local_member: Arc::new(self.local_member.clone()),
-            ids: CallIdGenerator::new(
-                Arc::clone(&self.local_member.id.name),
-                self.local_member.id.incarnation,
-            ),
-            directory: Arc::clone(&self.shared.directory),
-            config: Arc::clone(&self.shared.config),
-            gate: Arc::clone(&self.gate),
-            channels: Arc::new(CallChannels::new(Arc::clone(&self.shared.security))),
-            metrics: Arc::clone(&self.shared.metrics),
-            burn: Arc::clone(&self.burn),
-            decisions: Arc::clone(&self.decisions),
-            policy,
-            max_replay_bytes: settings.limits.max_replay_bytes,
-            max_header_bytes: settings.limits.max_header_bytes,
-            max_slot_wait: Duration::from_millis(settings.limits.shutdown_timeout_ms)
-                .saturating_sub(SHUTDOWN_ANSWER_MARGIN),
-        })
-    }
-
-    fn peer_handler(&self) -> PeerHandler {
-        PeerHandler::new(
-            Arc::clone(&self.gate),
-            Arc::clone(&self.shared.config),
-            Arc::clone(&self.gossip),
-            Arc::clone(&self.decisions),
-        )
-    }
-
-    fn admin_handler(&self) -> AdminHandler {
-        AdminHandler {
-            local_member: self.local_member.clone(),
-            directory: Arc::clone(&self.shared.directory),
-            config: Arc::clone(&self.shared.config),
-            gate: Arc::clone(&self.gate),
-            registration: Arc::clone(&self.registration),
-            stopping: Arc::clone(&self.stopping),
-            metrics: Arc::clone(&self.shared.metrics),
-            burn: Arc::clone(&self.burn),
-            decisions: Arc::clone(&self.decisions),
-        }
-    }
-
-    fn load_probe(&self) -> LoadProbe {
-        LoadProbe {
-            local_member: Arc::new(self.local_member.clone()),
-            gate: Arc::clone(&self.gate),
-            directory: Arc::clone(&self.shared.directory),
-            config: Arc::clone(&self.shared.config),
-            metrics: Arc::clone(&self.shared.metrics),
-        }
-    }
-
-    fn slowdown_probe(&self) -> SlowdownProbe {
-        SlowdownProbe {
-            gate: Arc::clone(&self.gate),
-            config: Arc::clone(&self.shared.config),
-            metrics: Arc::clone(&self.shared.metrics),
-        }
-    }
-
-    fn spawn_tasks(&self, stop: &CancellationToken) -> Vec<JoinHandle<()>> {
-        vec![
-            tokio::spawn(Arc::clone(&self.gossip).run(stop.clone())),
-            tokio::spawn(Arc::clone(&self.registration).run(stop.clone())),
-            tokio::spawn(Arc::clone(&self.shared.security).run(stop.clone())),
-        ]
-    }
-}
-
-/// Waits for tasks that have been told to stop, and aborts those that do not end in time.
-async fn end_background_tasks(tasks: Vec<JoinHandle<()>>) {
-    let end_by = Instant::now() + BACKGROUND_STOP_TIMEOUT;
-    for mut task in tasks {
-        // The panic of a task has already been printed to standard error.
-        if tokio::time::timeout_at(end_by, &mut task).await.is_err() {
-            log_event!(Warn, "aborting a background task that did not stop in time");
-            task.abort();
-        }
-    }
-}
-
-fn log_started(local_member: &Member, addrs: NodeAddrs) {
-    log_event!(
-        Info,
-        "node started",
-        node = &local_member.id.name,
-        incarnation = format_args!("{:x}", local_member.id.incarnation),
-        ingress = addrs.ingress,
-        peer = addrs.peer,
-        announce = addrs.announce,
-        admin = addrs.admin,
-    );
-}
-
-/// Returns the initial member record of this node.
-fn new_local_member(settings: &Settings, addrs: NodeAddrs) -> Member {
-    Member {
-        id: MemberId { name: Arc::clone(&settings.node.name), incarnation: new_incarnation() },
-        version: 1,
-        state: MemberState::Alive,
-        region: Arc::clone(&settings.node.region),
-        zone: Arc::clone(&settings.node.zone),
-        peer_addr: settings.listen.advertised_peer_addr.unwrap_or(addrs.peer),
-        ingress_addr: addrs.ingress,
-        admin_addr: addrs.admin,
-        upstream: None,
-    }
-}
-
-/// Returns the Unix time in microseconds, so that a later process of a node has a larger incarnation.
-fn new_incarnation() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
-}
-
-/// Components that the gossip shares with the rest of the node.
-#[derive(Debug)]
-struct SharedParts {
-    config: Arc<ConfigTable>,
-    directory: Arc<Directory>,
-    metrics: SharedMetrics,
-    security: Arc<PeerSecurity>,
-}
-
-fn new_gossip(
-    settings: &Settings,
-    local_member: &Member,
-    socket: Arc<UdpSocket>,
-    shared: &SharedParts,
-) -> Gossip {
-    let view = FleetView::new(
-        local_member.clone(),
-        settings.gossip.clone(),
-        settings.seeds.clone(),
-        Arc::clone(&shared.config),
-        Pcg64Mcg::from_rng(&mut rand::rng()),
-        tokio::time::Instant::now(),
-    );
-    Gossip::new(GossipDependencies {
-        view,
-        config: Arc::clone(&shared.config),
-        directory: Arc::clone(&shared.directory),
-        socket,
-        channels: Arc::new(ControlChannels::new(Arc::clone(&shared.security))),
-        security: Arc::clone(&shared.security),
-        metrics: Arc::clone(&shared.metrics),
-    })
-}
-
-/// Spawns the tasks that communicate with the platform as the current role of the node requires.
-fn spawn_platform_tasks(
-    settings: &Settings,
-    gossip: &Arc<Gossip>,
-    shared: &SharedParts,
-    stop: &CancellationToken,
-) -> Vec<JoinHandle<()>> {
-    let timeout = Duration::from_millis(settings.platform.timeout_ms);
-    let platform = HttpPlatform::new(settings.platform.addr, timeout);
-    let metrics = &shared.metrics;
-    let link = GossipLink::new(Arc::clone(gossip), Arc::clone(&shared.config), Arc::clone(&shared.directory));
-    let publisher = Publisher::new(platform.clone(), link, Arc::clone(metrics), &gossip.local_member().id);
-    let watcher = ConfigWatcher {
-        platform: platform.clone(),
-        gossip: Arc::clone(gossip),
-        metrics: Arc::clone(metrics),
-    };
-    let seed_registry = SeedRegistry {
-        platform,
-        gossip: Arc::clone(gossip),
-        has_seeds: !settings.seeds.is_empty(),
-        metrics: Arc::clone(metrics),
-    };
-    vec![
-        tokio::spawn(publisher.run(stop.clone())),
-        tokio::spawn(watcher.run(stop.clone())),
-        tokio::spawn(seed_registry.run(stop.clone())),
-    ]
-}
-
-/// Spawns the tasks that communicate with a platform that speaks the external dialect `I`.
-fn spawn_external_platform_tasks<I>(
-    settings: &Settings,
-    gossip: &Arc<Gossip>,
-    shared: &SharedParts,
-    stop: &CancellationToken,
-) -> Vec<JoinHandle<()>>
-where
-    I: ExternalDialect,
-{
-    let platform = I::new_store(&settings.platform);
-    let metrics = &shared.metrics;
-    let watcher = RoutesWatcher::<I>::new(&settings.platform, Arc::clone(gossip), Arc::clone(metrics));
-    let seed_registry = SeedRegistry {
-        platform,
-        gossip: Arc::clone(gossip),
-        has_seeds: !settings.seeds.is_empty(),
-        metrics: Arc::clone(metrics),
-    };
-    vec![tokio::spawn(watcher.run(stop.clone())), tokio::spawn(seed_registry.run(stop.clone()))]
-}
-
-fn server_limits(settings: &Settings) -> ServerLimits {
-    ServerLimits {
-        max_connections: settings.limits.max_caller_connections as usize,
-        max_header_bytes: settings.limits.max_header_bytes,
-        header_timeout: Duration::from_millis(settings.limits.header_timeout_ms),
-        shutdown_timeout: Duration::from_millis(settings.limits.shutdown_timeout_ms),
-    }
-}
-
-fn spawn_server<H>(
-    runtime: &Handle,
-    listener: TcpListener,
-    limits: ServerLimits,
-    handler: H,
-    stop: &CancellationToken,
-) -> JoinHandle<bool>
-where
-    H: Handler,
-{
-    runtime.spawn(serve(listener, limits, handler, stop.clone()))
-}
