transport: serve what was connected when a server stops

Callers saw: a connection closed or reset without an answer, for a request sent just as its node stopped. Cause: three things on the same path. The runtime's readiness, not the system's queue, decided which connections were still accepted, so on a busy machine some were reset with the listener. Those that were accepted had not read anything when the graceful shutdown reached them, and the library closes such a connection unread; the same befell connections accepted shortly before the stop. Change: the listener is emptied through the system before it closes. A caller's connection gets its HTTP version from its first bytes, which may come up to 300 ms after the stop, and reads its request before it is told to shut down. The wait for open connections is a channel of our own; hyper-util's, which notifies first and reads afterwards, is gone. Connections of peers keep the version detection of the library.

--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -1,11 +1,12 @@
 //! HTTP server with connection limits, optional peer authentication and graceful shutdown.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::FutureExt;
 use http::Request;
 use http::Response;
 use http_body::Body;
@@ -15,16 +16,17 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::server::graceful::Watcher;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use crate::log_event;
 use crate::log_event_limited;
 use crate::transport::call_body::BoxError;
+use crate::transport::http_version::HttpVersion;
+use crate::transport::http_version::client_version;
 use crate::transport::peer_handshake::accept_handshake;
 use crate::transport::peer_security::PeerSecurity;
 use crate::transport::peer_security::PeerStream;
@@ -32,6 +34,9 @@
 /// Time limit of the TLS and peer handshakes of a new connection.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time after a stop in which a connection may still send its first request.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(300);
+
 /// Delay before the next `accept` after one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -131,9 +136,10 @@
 where
     H: Handler,
 {
-    let graceful = GracefulShutdown::new();
+    // Connections hold a sender each; the receiver ends once all have been dropped.
+    let (open_connection, mut open_connections) = mpsc::channel::<Infallible>(1);
     let permits = Arc::new(Semaphore::new(limits.max_connections));
-    let builder = connection_builder(limits);
+    let acceptor = Acceptor { builder: connection_builder(limits), limits, policy, stop: stop.clone() };
     loop {
         let accepted = tokio::select! {
             biased;
@@ -151,26 +157,48 @@
             log_event_limited!(Warn, "connection closed: connection limit reached", remote = remote);
             continue;
         };
-        let connection =
-            authenticate_and_serve(&builder, &policy, stream, remote, handler.clone(), graceful.watcher());
+        let connection = acceptor.clone().authenticate_and_serve(stream, remote, handler.clone());
+        let open_connection = open_connection.clone();
         tokio::spawn(async move {
             connection.await;
-            drop(permit);
+            drop((permit, open_connection));
         });
     }
-    // Connections that the operating system has already established are served as well.
-    while let Some(Ok((stream, remote))) = listener.accept().now_or_never() {
-        tokio::spawn(authenticate_and_serve(
-            &builder,
-            &policy,
-            stream,
-            remote,
-            handler.clone(),
-            graceful.watcher(),
-        ));
+    for (stream, remote) in close_listener(listener) {
+        let connection = acceptor.clone().authenticate_and_serve(stream, remote, handler.clone());
+        let open_connection = open_connection.clone();
+        tokio::spawn(async move {
+            connection.await;
+            drop(open_connection);
+        });
     }
-    drop(listener);
-    tokio::time::timeout(limits.shutdown_timeout, graceful.shutdown()).await.is_ok()
+    drop(open_connection);
+    tokio::time::timeout(limits.shutdown_timeout, open_connections.recv()).await.is_ok()
+}
+
+/// Closes the listener and returns the connections that the operating system has established by then.
+///
+/// The system is asked directly: on a busy machine the runtime may not know of all of them yet, and closing
+/// the listener resets those that were not accepted.
+fn close_listener(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let mut established = Vec::new();
+    match listener.into_std() {
+        Ok(listener) => {
+            while let Ok(connection) = listener.accept() {
+                established.push(connection);
+            }
+        }
+        Err(error) => log_event!(Warn, "cannot accept the last connections of a listener", error = error),
+    }
+    let into_async = |(stream, remote): (std::net::TcpStream, SocketAddr)| {
+        stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)).map(|stream| (stream, remote))
+    };
+    let streams = established.into_iter().map(into_async);
+    streams.filter_map(|stream| stream.inspect_err(log_lost_connection).ok()).collect()
+}
+
+fn log_lost_connection(error: &std::io::Error) {
+    log_event!(Warn, "cannot serve a connection accepted at a stop", error = error);
 }
 
 fn connection_builder(limits: ServerLimits) -> auto::Builder<TokioExecutor> {
@@ -190,27 +218,53 @@
     builder
 }
 
-/// Authenticates the client as the policy requires, then serves the connection.
-fn authenticate_and_serve<H>(
-    builder: &auto::Builder<TokioExecutor>,
-    policy: &ClientPolicy,
-    stream: TcpStream,
-    remote: SocketAddr,
-    handler: H,
-    watcher: Watcher,
-) -> impl Future<Output = ()> + Send + 'static
-where
-    H: Handler,
-{
-    let builder = builder.clone();
-    let policy = policy.clone();
-    async move {
-        match tokio::time::timeout(HANDSHAKE_TIMEOUT, policy.authenticate(stream)).await {
-            Ok(Ok(stream)) => serve_connection(&builder, stream, remote, handler, watcher).await,
+/// How a server treats each new connection.
+#[derive(Clone)]
+struct Acceptor {
+    builder: auto::Builder<TokioExecutor>,
+    limits: ServerLimits,
+    policy: ClientPolicy,
+    stop: CancellationToken,
+}
+
+impl Acceptor {
+    /// Authenticates the client as the policy requires, then serves the connection.
+    async fn authenticate_and_serve<H>(self, stream: TcpStream, remote: SocketAddr, handler: H)
+    where
+        H: Handler,
+    {
+        let Some(builder) = self.builder_for(&stream).await else {
+            return;
+        };
+        match tokio::time::timeout(HANDSHAKE_TIMEOUT, self.policy.authenticate(stream)).await {
+            Ok(Ok(stream)) => serve_connection(&builder, stream, remote, handler, &self.stop).await,
             Ok(Err(error)) => log_event_limited!(Warn, "handshake failed", remote = remote, error = error),
             Err(_) => log_event_limited!(Warn, "handshake timed out", remote = remote),
         }
     }
+
+    /// Returns the builder for the connection, or `None` if its client sends no request before a stop.
+    ///
+    /// A stop closes a connection of unknown version although its first request may be on the way. The
+    /// version of a caller's connection is therefore known before the connection takes part in a stop.
+    async fn builder_for(&self, stream: &TcpStream) -> Option<auto::Builder<TokioExecutor>> {
+        let builder = self.builder.clone();
+        if matches!(self.policy, ClientPolicy::Nodes(_)) {
+            return Some(builder);
+        }
+        let no_request_before_stop = async {
+            self.stop.cancelled().await;
+            tokio::time::sleep(FIRST_REQUEST_GRACE).await;
+        };
+        let version = tokio::select! {
+            version = client_version(stream, self.limits.header_timeout) => version.ok()?,
+            () = no_request_before_stop => return None,
+        };
+        Some(match version {
+            HttpVersion::Http1 => builder.http1_only(),
+            HttpVersion::Http2 => builder.http2_only(),
+        })
+    }
 }
 
 impl ClientPolicy {
@@ -224,21 +278,32 @@
     }
 }
 
+/// Serves a connection until it ends; after a stop, until its requests in flight are answered.
 async fn serve_connection<H>(
     builder: &auto::Builder<TokioExecutor>,
     stream: PeerStream,
     remote: SocketAddr,
     handler: H,
-    watcher: Watcher,
+    stop: &CancellationToken,
 ) where
     H: Handler,
 {
     let service = service_fn(move |request| {
         let handler = handler.clone();
-        async move { Ok::<_, std::convert::Infallible>(handler.handle(request, remote).await) }
+        async move { Ok::<_, Infallible>(handler.handle(request, remote).await) }
     });
-    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-    if let Err(error) = watcher.watch(connection).await {
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    // The connection goes first, since a request that has arrived must be read before the shutdown: hyper
+    // closes a connection that has read nothing.
+    let ended = tokio::select! {
+        biased;
+        ended = connection.as_mut() => ended,
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         log_event!(Debug, "connection ended", remote = remote, error = error);
     }
 }
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -23,6 +23,7 @@
 pub mod gossip;
 mod hedging;
 pub mod http_server;
+mod http_version;
 pub mod ingress;
 pub mod ingress_call;
 pub mod ingress_guard;
