admission: compare slots near capacity by what the usable ones complete

Cause: found in the read of the diff. The comparison took four fifths for the share of slots that stays, but an upstream of 2 slots keeps 1: it would have been halved for a slowdown of 1.25. And a slowdown report of some billions of percent would have overflowed a multiplication. Change: the comparison returns the usable slots and weighs whole slots; the multiplication saturates.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -6,7 +6,6 @@
 
 use crate::coordination::concurrency_limit::ConcurrencyLimit;
 use crate::coordination::execution_progress::Execution;
-use crate::coordination::near_capacity::NEAR_CAPACITY_PERCENT;
 use crate::coordination::near_capacity::NEAR_CAPACITY_SLOWDOWN_PERCENT;
 use crate::coordination::near_capacity::is_near_capacity;
 use crate::coordination::priority_queue::CallerKey;
@@ -228,16 +227,18 @@
         let Some(index) = self.queue_index_of(request.priority) else {
             return AdmissionOutcome::Rejected(RejectReason::QueueFull);
         };
-        let free = self.is_slot_free_for(index, now);
-        let wait = if free { Duration::ZERO } else { self.expected_wait(index, request.caller, now) };
-        let free = free && is_worth_starting(request.typical_time, self.estimate.longest_call_to_start(now));
+        let is_slot_free = self.is_slot_free_for(index, now);
+        let wait = if is_slot_free { Duration::ZERO } else { self.expected_wait(index, request.caller, now) };
+        // A call may be held although a slot is free, see `ServiceEstimate::longest_call_to_start`.
+        let longest_call = self.estimate.longest_call_to_start(now);
+        let may_start = is_slot_free && is_worth_starting(request.typical_time, longest_call);
         if let Some(max_gate_latency) = request.max_gate_latency
             && wait + self.expected_service_time(request.typical_time, now) > max_gate_latency
-            && !(free && self.claim_trial(&request, max_gate_latency, now))
+            && !(may_start && self.claim_trial(&request, max_gate_latency, now))
         {
             return AdmissionOutcome::Rejected(RejectReason::GateTooSlow);
         }
-        if free {
+        if may_start {
             return AdmissionOutcome::Admitted(self.start(index, request.caller, request.typical_time, now));
         }
         self.enqueue(request, index, wait, now)
@@ -404,11 +405,7 @@
 
     /// Returns the slots, less those near capacity if using them costs throughput.
     fn usable_slots(&self, now: Instant) -> u32 {
-        let slots = self.slots();
-        if !self.estimate.near_capacity_costs_throughput(now) {
-            return slots;
-        }
-        (slots * NEAR_CAPACITY_PERCENT / FULL_PERCENT).max(slots.min(1))
+        self.estimate.usable_slots(self.slots(), now)
     }
 
     /// Returns the number of slots in use, by any priority, at which calls of this priority have to wait.
--- a/lib/src/coordination/near_capacity.rs
+++ b/lib/src/coordination/near_capacity.rs
@@ -8,7 +8,6 @@
 pub const NEAR_CAPACITY_PERCENT: u32 = 80;
 /// Expected service time above that share of slots in use, in percent of the typical one.
 pub const NEAR_CAPACITY_SLOWDOWN_PERCENT: u64 = 150;
-const PERCENT: u64 = 100;
 /// All slots, in percent.
 const FULL_PERCENT: u32 = 100;
 /// Calls needed on each side before the sides are compared.
@@ -87,17 +86,18 @@
         self.near_ended_at = Some(now);
     }
 
-    /// Returns whether slots near capacity cost more throughput than they add.
+    /// Returns how many of `slots` to use: those below capacity, if all of them complete fewer calls.
     ///
-    /// It also returns `true` while too few calls started below capacity to tell, so that some do.
+    /// It also returns those below capacity while too few calls started there to tell, so that some do.
     #[must_use]
-    pub fn costs_throughput(&self, now: Instant) -> bool {
+    pub fn usable_slots(&self, slots: u32, now: Instant) -> u32 {
         if !self.is_valid(now) || self.near.calls < MIN_CALLS {
-            return false;
+            return slots;
         }
-        self.below.calls < MIN_CALLS
-            || self.near.mean_permille() * u64::from(NEAR_CAPACITY_PERCENT)
-                > self.below.mean_permille() * PERCENT
+        let below = (slots * NEAR_CAPACITY_PERCENT / FULL_PERCENT).max(slots.min(1));
+        let below_complete_more =
+            self.near.mean_permille() * u64::from(below) > self.below.mean_permille() * u64::from(slots);
+        if self.below.calls < MIN_CALLS || below_complete_more { below } else { slots }
     }
 
     fn is_valid(&self, now: Instant) -> bool {
--- a/lib/src/coordination/service_estimate.rs
+++ b/lib/src/coordination/service_estimate.rs
@@ -117,7 +117,7 @@
         let slow_for = now.saturating_duration_since(self.above_mean_since?);
         let is_recent = now.saturating_duration_since(self.reported_at) <= MAX_HOLD_REPORT_AGE;
         let added_percent = u32::try_from(self.percent - self.mean_percent).unwrap_or(u32::MAX);
-        is_recent.then(|| slow_for * FULL_PERCENT / (added_percent * MAX_HOLD_FACTOR).max(1))
+        is_recent.then(|| slow_for * FULL_PERCENT / added_percent.saturating_mul(MAX_HOLD_FACTOR).max(1))
     }
 
     /// Returns the slowdown expected at `now`: the last report, which decays towards the mean with age.
@@ -312,10 +312,10 @@
         }
     }
 
-    /// Returns whether slots near the capacity of the upstream cost more throughput than they add.
+    /// Returns how many of `slots` to use, without those near capacity if they cost throughput.
     #[must_use]
-    pub fn near_capacity_costs_throughput(&self, now: Instant) -> bool {
-        self.near_capacity.costs_throughput(now)
+    pub fn usable_slots(&self, slots: u32, now: Instant) -> u32 {
+        self.near_capacity.usable_slots(slots, now)
     }
 
     /// Records an abandoned call if it already took longer than the mean.
--- a/lib/tests/held_calls.rs
+++ b/lib/tests/held_calls.rs
@@ -156,3 +156,14 @@
         assert!(!is_admitted_and_ends(&mut admission, SHORT_CALL * 4, at));
     }
 }
+
+#[test]
+fn absurd_slowdown_report_holds_call_without_panic() {
+    let now = Instant::now();
+    let mut admission = gate_on_slow_vm(now);
+    let at = now + REPORT_INTERVAL;
+    assert_eq!(admission.record_slowdown(u32::MAX, at), []);
+    let outcome = admission.request_admission(request(Some(LONG_CALL), at), at);
+    assert!(matches!(outcome, AdmissionOutcome::Queued(_)), "{outcome:?}");
+    assert_eq!(admitted(&admission.record_slowdown(100, at + REPORT_INTERVAL)), 1);
+}
--- a/lib/tests/near_capacity.rs
+++ b/lib/tests/near_capacity.rs
@@ -6,6 +6,9 @@
 use yuccatray::coordination::near_capacity::NearCapacityComparison;
 use yuccatray::coordination::near_capacity::is_near_capacity;
 
+/// Slots of the upstream, and how many of them are below its capacity.
+const SLOTS: u32 = 12;
+const BELOW: u32 = 9;
 /// Calls after which the comparison knows a side.
 const ENOUGH_CALLS: u32 = 16;
 
@@ -27,54 +30,67 @@
 }
 
 #[test]
-fn costs_throughput_when_slowdown_exceeds_slots_gained() {
+fn usable_slots_below_capacity_when_slowdown_exceeds_slots_gained() {
     let now = Instant::now();
-    assert!(comparison(1_000, 1_700, now).costs_throughput(now));
-    assert!(!comparison(1_000, 1_200, now).costs_throughput(now));
-    assert!(!comparison(1_000, 1_000, now).costs_throughput(now));
+    assert_eq!(comparison(1_000, 1_700, now).usable_slots(SLOTS, now), BELOW);
+    assert_eq!(comparison(1_000, 1_200, now).usable_slots(SLOTS, now), SLOTS);
+    assert_eq!(comparison(1_000, 1_000, now).usable_slots(SLOTS, now), SLOTS);
 }
 
 #[test]
-fn costs_throughput_unknown_before_enough_calls() {
+fn usable_slots_of_small_upstream_all_unless_half_complete_more() {
+    let now = Instant::now();
+    assert_eq!(comparison(1_000, 1_700, now).usable_slots(2, now), 2, "one slot would complete fewer calls");
+    assert_eq!(comparison(1_000, 2_100, now).usable_slots(2, now), 1);
+    assert_eq!(comparison(1_000, 3_000, now).usable_slots(1, now), 1);
+    assert_eq!(comparison(1_000, 3_000, now).usable_slots(0, now), 0);
+}
+
+#[test]
+fn usable_slots_all_before_enough_calls() {
     let now = Instant::now();
     let mut comparison = NearCapacityComparison::new();
-    assert!(!comparison.costs_throughput(now));
+    assert_eq!(comparison.usable_slots(SLOTS, now), SLOTS);
     for _ in 1..ENOUGH_CALLS {
         comparison.record(true, 3_000, now);
     }
-    assert!(!comparison.costs_throughput(now));
+    assert_eq!(comparison.usable_slots(SLOTS, now), SLOTS);
 }
 
 #[test]
-fn costs_throughput_until_calls_below_capacity_are_known() {
+fn usable_slots_below_capacity_until_calls_there_are_known() {
     let now = Instant::now();
     let mut comparison = NearCapacityComparison::new();
     for _ in 0..ENOUGH_CALLS {
         comparison.record(true, 1_000, now);
     }
-    assert!(comparison.costs_throughput(now), "no call started below capacity yet");
+    assert_eq!(comparison.usable_slots(SLOTS, now), BELOW, "no call started below capacity yet");
     for _ in 0..ENOUGH_CALLS {
         comparison.record(false, 1_000, now);
     }
-    assert!(!comparison.costs_throughput(now), "both sides are equally fast");
+    assert_eq!(comparison.usable_slots(SLOTS, now), SLOTS, "both sides are equally fast");
 }
 
 #[test]
-fn costs_throughput_compared_anew_after_its_validity() {
+fn usable_slots_compared_anew_after_validity() {
     let now = Instant::now();
     let mut comparison = comparison(1_000, 1_700, now);
     let later = now + Duration::from_secs(31);
-    assert!(!comparison.costs_throughput(later), "the upstream may have changed");
+    assert_eq!(comparison.usable_slots(SLOTS, later), SLOTS, "the upstream may have changed");
     for _ in 0..ENOUGH_CALLS {
         comparison.record(true, 1_000, later);
     }
-    assert!(!comparison.costs_throughput(later), "earlier calls near capacity do not count any more");
+    assert_eq!(
+        comparison.usable_slots(SLOTS, later),
+        SLOTS,
+        "earlier calls near capacity do not count any more"
+    );
 }
 
 #[test]
-fn costs_throughput_despite_single_very_slow_call() {
+fn usable_slots_all_despite_single_very_slow_call() {
     let now = Instant::now();
     let mut comparison = comparison(1_000, 1_000, now);
     comparison.record(true, 1_000_000, now);
-    assert!(!comparison.costs_throughput(now));
+    assert_eq!(comparison.usable_slots(SLOTS, now), SLOTS);
 }
