standin: a stop of the platform that waits for its connections

Since a server reads a request that has arrived before it shuts a connection down, which is right for callers; the test took it for granted that a dropped server answers nothing, and only ever had it by chance of the order. Change: the stand-in has a stop that waits until its connections are closed, and the test uses it. What it checks is the same: the pooled connection is dead, and no request fails.

--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -23,6 +23,7 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use yuccatray::protocol::object::ObjectKind;
@@ -34,6 +35,8 @@
 use crate::platform_store::PlatformStore;
 use crate::platform_store::PreconditionFailed;
 
+/// Time in which the requests in flight have to end when the stand-in stops.
+const STOP_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest accepted value of an object, in bytes.
 const MAX_VALUE_BYTES: usize = 1_048_576;
 /// Time that a watch without `wait_ms` waits for changes, in milliseconds.
@@ -110,6 +113,16 @@
     /// Handle to inject faults and to read the request counts.
     pub standin: PlatformStandin,
     stop: CancellationToken,
+    server: JoinHandle<bool>,
+}
+
+impl RunningPlatform {
+    /// Stops the stand-in and waits until it has closed its connections.
+    pub async fn stop(mut self) {
+        self.stop.cancel();
+        // The panic of the server has already been printed to standard error.
+        let _finished = (&mut self.server).await;
+    }
 }
 
 impl Drop for RunningPlatform {
@@ -144,9 +157,9 @@
         let addr = listener.local_addr()?;
         let standin = Self::default();
         let stop = CancellationToken::new();
-        let limits = ServerLimits { shutdown_timeout: Duration::ZERO, ..ServerLimits::default() };
-        tokio::spawn(serve(listener, limits, standin.clone(), stop.clone()));
-        Ok(RunningPlatform { addr, standin, stop })
+        let limits = ServerLimits { shutdown_timeout: STOP_TIMEOUT, ..ServerLimits::default() };
+        let server = tokio::spawn(serve(listener, limits, standin.clone(), stop.clone()));
+        Ok(RunningPlatform { addr, standin, stop, server })
     }
 
     /// Replaces the injected faults; the default injects none.
--- a/standin/tests/platform_faults.rs
+++ b/standin/tests/platform_faults.rs
@@ -153,7 +153,7 @@
     let addr = platform.addr;
     let api = client(&platform, LONG_TIMEOUT);
     api.put(KIND, "a", &json!(1), ABSENT).await.expect("the object is new");
-    drop(platform);
+    platform.stop().await;
     let mut restarted = PlatformStandin::start(addr).await;
     while restarted.is_err() {
         tokio::time::sleep(Duration::from_millis(10)).await;
