gate: log what the upstream announces with its answers

What callers saw: upstreams that named a rate limit got several times as many requests. No log line told whether any node had noticed the limit.

--- a/lib/src/protocol/external_fields.rs
+++ b/lib/src/protocol/external_fields.rs
@@ -5,6 +5,9 @@
 use http::HeaderMap;
 use http::HeaderName;
 
+use crate::protocol::rate_limit::RateLimit;
+use crate::protocol::rate_limit::Result;
+
 /// Names of the header fields that callers of an external dialect send.
 #[derive(Clone, Debug)]
 pub struct CallerFields {
@@ -35,6 +38,19 @@
     pub load: HeaderName,
     /// Parser of the value of `load`; `None` if the value is unreadable.
     pub parse_load: fn(&str) -> Option<UpstreamLoadReport>,
+    /// Rate limit of the upstream, present on its answers while it has one.
+    pub rate_limit: HeaderName,
+    /// Marker, present on all answers of an upstream that is draining.
+    pub draining: HeaderName,
+}
+
+/// State that an upstream announces with each of its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamNotice {
+    /// Requests that the upstream accepts from all nodes together, or `None` without a limit.
+    pub rate_limit: Option<RateLimit>,
+    /// Whether the upstream accepts no new work.
+    pub draining: bool,
 }
 
 /// Load of an upstream as it reports it.
@@ -110,4 +126,15 @@
     pub fn upstream_load(&self, fields: &HeaderMap) -> Option<UpstreamLoadReport> {
         fields.get(&self.load).and_then(|value| value.to_str().ok()).and_then(self.parse_load)
     }
+
+    /// Returns the state that the upstream announces with an answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer names a rate limit that is not readable.
+    pub fn notice(&self, fields: &HeaderMap) -> Result<UpstreamNotice> {
+        let rate_limit = fields.get(&self.rate_limit);
+        let rate_limit = rate_limit.map(|value| value.to_str().unwrap_or_default().parse()).transpose()?;
+        Ok(UpstreamNotice { rate_limit, draining: fields.contains_key(&self.draining) })
+    }
 }
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -17,6 +17,7 @@
 pub mod member;
 pub mod object;
 pub mod published;
+pub mod rate_limit;
 pub mod resolve_request;
 pub mod route;
 pub mod service_spec;
--- a/lib/src/transport/gate_forwarding.rs
+++ b/lib/src/transport/gate_forwarding.rs
@@ -22,12 +22,14 @@
 use crate::transport::gate::GateCall;
 use crate::transport::gate::Result;
 use crate::transport::gate_log::log_if_late;
+use crate::transport::gate_notice::NoticeSource;
 use crate::transport::upstream_fields::into_upstream_request;
 use crate::transport::upstream_fields::set_execution_fields;
 use crate::transport::upstream_fields::set_external_fields;
 use crate::transport::upstream_fields::strip_node_fields;
 use crate::transport::upstream_pool::IncompleteResponseSnafu;
 use crate::transport::upstream_pool::UpstreamError;
+use crate::transport::upstream_pool::UpstreamPool;
 
 impl Gate {
     /// Requests admission for a call, sends it to the upstream and waits for the head of its response.
@@ -60,7 +62,7 @@
         let result = tokio::time::timeout_at(call.deadline, exchange).await;
         match result {
             Ok(Ok(response)) => {
-                let response = self.verify_origin(call, response, request_id.as_ref(), guard)?;
+                let response = self.verify_origin(call, response, request_id.as_ref(), &pool, guard)?;
                 guard.record_status(response.status());
                 let mut response = self.prepare_response(response);
                 if let Some(grant) = guard.slot_grant() {
@@ -88,6 +90,7 @@
         call: &GateCall,
         mut response: Response<CallBody>,
         request_id: Option<&HeaderValue>,
+        pool: &UpstreamPool,
         guard: &mut CallGuard,
     ) -> Result<Response<CallBody>> {
         let Some(fields) = &self.external_fields else {
@@ -98,6 +101,9 @@
             self.record_slowdown(report.slowdown_percent);
         }
         let origin = fields.origin(response.status(), response.headers(), request_id);
+        if matches!(origin, AnswerOrigin::Genuine | AnswerOrigin::NotExecuted) {
+            self.observe_notice(pool, fields.notice(response.headers()), NoticeSource::Call);
+        }
         response.headers_mut().remove(&fields.load);
         let answer = match origin {
             AnswerOrigin::Genuine => return Ok(response),
--- a/lib/src/transport/gate_query.rs
+++ b/lib/src/transport/gate_query.rs
@@ -11,6 +11,8 @@
 
 use crate::transport::call_body::CallBody;
 use crate::transport::gate::Gate;
+use crate::transport::gate_notice::NoticeSource;
+use crate::transport::upstream_pool::UpstreamPool;
 
 /// Time limit of a request that the gate itself makes to the upstream.
 const UPSTREAM_QUERY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -24,8 +26,14 @@
         let Some(fields) = &self.external_fields else {
             return false;
         };
-        let response = self.query_upstream(path).await;
-        let Some(report) = response.and_then(|response| fields.upstream_load(response.headers())) else {
+        let Some(pool) = self.pool.load_full() else {
+            return false;
+        };
+        let Some(response) = query(&pool, path).await else {
+            return false;
+        };
+        self.observe_notice(&pool, fields.notice(response.headers()), NoticeSource::Probe);
+        let Some(report) = fields.upstream_load(response.headers()) else {
             return false;
         };
         self.record_slowdown(report.slowdown_percent);
@@ -36,19 +44,23 @@
     ///
     /// Returns `None` if there is no upstream, the request fails or times out, or the body is too large.
     pub async fn query_upstream(&self, path: &str) -> Option<Response<Bytes>> {
-        let pool = self.pool.load_full()?;
-        let request = Request::get(path).header(HOST, pool.addr().to_string());
-        let request = request.body(CallBody::from(Bytes::new())).ok()?;
-        let query = async {
-            let mut connection = None;
-            let response = pool.send(request, &mut connection).await.ok()?;
-            let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_QUERY_BODY_BYTES).collect().await.ok()?;
-            if let Some(connection) = connection {
-                pool.return_connection(connection);
-            }
-            Some(Response::from_parts(head, body.to_bytes()))
-        };
-        tokio::time::timeout(UPSTREAM_QUERY_TIMEOUT, query).await.ok()?
+        query(&*self.pool.load_full()?, path).await
     }
 }
+
+/// Fetches a small document from the upstream of a pool within [`UPSTREAM_QUERY_TIMEOUT`].
+async fn query(pool: &UpstreamPool, path: &str) -> Option<Response<Bytes>> {
+    let request = Request::get(path).header(HOST, pool.addr().to_string());
+    let request = request.body(CallBody::from(Bytes::new())).ok()?;
+    let query = async {
+        let mut connection = None;
+        let response = pool.send(request, &mut connection).await.ok()?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_QUERY_BODY_BYTES).collect().await.ok()?;
+        if let Some(connection) = connection {
+            pool.return_connection(connection);
+        }
+        Some(Response::from_parts(head, body.to_bytes()))
+    };
+    tokio::time::timeout(UPSTREAM_QUERY_TIMEOUT, query).await.ok()?
+}
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -18,6 +18,7 @@
 mod gate_execution;
 mod gate_forwarding;
 mod gate_log;
+mod gate_notice;
 mod gate_query;
 mod gate_queue;
 pub mod gossip;
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::Request;
@@ -24,6 +26,7 @@
 use tokio_util::sync::DropGuard;
 
 use crate::log_event_limited;
+use crate::protocol::external_fields::UpstreamNotice;
 use crate::transport::call_body::BodyError;
 use crate::transport::call_body::CallBody;
 use crate::transport::silence_watch::enable_keepalive;
@@ -123,6 +126,9 @@
     instance: Option<Arc<str>>,
     idle: Mutex<Vec<PooledConnection>>,
     permits: Arc<Semaphore>,
+    /// State that the upstream announced with its latest answer.
+    notice: Mutex<UpstreamNotice>,
+    sent_requests: AtomicU64,
 }
 
 impl UpstreamPool {
@@ -137,7 +143,15 @@
         max_connections: u32,
     ) -> Self {
         let permits = Arc::new(Semaphore::new(max_connections as usize));
-        Self { addr, service, instance, idle: Mutex::new(Vec::new()), permits }
+        Self {
+            addr,
+            service,
+            instance,
+            idle: Mutex::new(Vec::new()),
+            permits,
+            notice: Mutex::default(),
+            sent_requests: AtomicU64::new(0),
+        }
     }
 
     /// Returns the service that the upstream serves.
@@ -158,6 +172,23 @@
         self.addr
     }
 
+    /// Returns the state that the upstream announced with its latest answer.
+    #[must_use]
+    pub fn notice(&self) -> UpstreamNotice {
+        *self.notice.lock()
+    }
+
+    /// Records the state that the upstream announced, and returns the one before.
+    pub fn record_notice(&self, notice: UpstreamNotice) -> UpstreamNotice {
+        std::mem::replace(&mut *self.notice.lock(), notice)
+    }
+
+    /// Returns the number of requests sent to the upstream, those of the gate itself included.
+    #[must_use]
+    pub fn sent_requests(&self) -> u64 {
+        self.sent_requests.load(Ordering::Relaxed)
+    }
+
     /// Sends a call and returns the response once its header section has arrived.
     ///
     /// The connection is stored in `in_use` before the first byte is written, so that code that
@@ -172,6 +203,7 @@
         mut request: Request<CallBody>,
         in_use: &mut Option<PooledConnection>,
     ) -> Result<Response<Incoming>> {
+        self.sent_requests.fetch_add(1, Ordering::Relaxed);
         loop {
             let (connection, reused) = self.checkout().await?;
             let sent = in_use.insert(connection).sender.try_send_request(request);
