admission: start calls no faster than the rate limit that the upstream names

Cause: nothing read the limit. A gate started a call whenever a slot was free. Change: a gate spaces the starts of its calls by the limit of the latest answer of its upstream, with a burst of a quarter of a second. All requests to an upstream pass its gate, whichever VM they began on, so hedges, retries and reroutes are in the sum. Queued calls start by rank as the rate permits; a call that can't start in time is rejected at once, with the time until the rate has room as Retry-After; where another gate is faster it is rerouted. Load reports carry the time until the next start, by which ingresses route elsewhere. A gate that doesn't know yet what its upstream names (after a restart or a change of the upstream) starts 10 a second and asks by one probe. Answers of another instance to a probe are not followed.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -6,6 +6,7 @@
 
 use crate::coordination::concurrency_limit::ConcurrencyLimit;
 use crate::coordination::execution_progress::Execution;
+use crate::coordination::execution_progress::micros;
 use crate::coordination::near_capacity::NEAR_CAPACITY_SLOWDOWN_PERCENT;
 use crate::coordination::near_capacity::is_near_capacity;
 use crate::coordination::priority_queue::CallerKey;
@@ -18,7 +19,9 @@
 use crate::coordination::service_estimate::ServiceEstimate;
 use crate::coordination::slot_balances::PrioritySlotUsage;
 use crate::coordination::slot_balances::SlotBalances;
+use crate::coordination::start_rate::StartRate;
 use crate::protocol::load_report::LoadReport;
+use crate::protocol::rate_limit::RateLimit;
 
 const PERCENT: u64 = 100;
 /// All slots, in percent.
@@ -148,6 +151,7 @@
     queues: Vec<PriorityQueue>,
     balances: SlotBalances,
     estimate: ServiceEstimate,
+    start_rate: StartRate,
     last_request_at: Option<Instant>,
 }
 
@@ -165,6 +169,7 @@
             queues: rules.iter().map(|rule| PriorityQueue::new(*rule)).collect(),
             balances: SlotBalances::new(now),
             estimate: ServiceEstimate::new(now),
+            start_rate: StartRate::new(now),
             last_request_at: None,
         }
     }
@@ -191,6 +196,20 @@
         self.fill_slots(now)
     }
 
+    /// Sets or removes the rate limit of the upstream, and returns decisions on queued calls.
+    pub fn set_rate_limit(&mut self, limit: Option<RateLimit>, now: Instant) -> Vec<QueueDecision> {
+        self.account_slot_time(now);
+        self.start_rate.set_limit(limit, now);
+        self.fill_slots(now)
+    }
+
+    /// Returns the time at which the rate limit lets a queued call start, if only that keeps it waiting.
+    #[must_use]
+    pub fn next_start_at(&self, now: Instant) -> Option<Instant> {
+        let delay = self.start_rate.delay(0, now);
+        (!delay.is_zero() && self.queued() > 0 && self.running < self.usable_slots(now)).then(|| now + delay)
+    }
+
     /// Sets whether the concurrency limit adapts to the upstream's latency.
     pub const fn set_adaptive(&mut self, adaptive: bool) {
         self.adaptive = adaptive;
@@ -228,10 +247,14 @@
             return AdmissionOutcome::Rejected(RejectReason::QueueFull);
         };
         let is_slot_free = self.is_slot_free_for(index, now);
-        let wait = if is_slot_free { Duration::ZERO } else { self.expected_wait(index, request.caller, now) };
+        let slot_wait =
+            if is_slot_free { Duration::ZERO } else { self.expected_wait(index, request.caller, now) };
+        let rate_delay = self.start_rate.delay(self.queued_before(index), now);
+        let wait = slot_wait.max(rate_delay);
         // A call may be held although a slot is free, see `ServiceEstimate::longest_call_to_start`.
         let longest_call = self.estimate.longest_call_to_start(now);
-        let may_start = is_slot_free && is_worth_starting(request.typical_time, longest_call);
+        let may_start =
+            is_slot_free && rate_delay.is_zero() && is_worth_starting(request.typical_time, longest_call);
         if let Some(max_gate_latency) = request.max_gate_latency
             && wait + self.expected_service_time(request.typical_time, now) > max_gate_latency
             && !(may_start && self.claim_trial(&request, max_gate_latency, now))
@@ -373,23 +396,34 @@
     /// Returns the load report that is sent with answers.
     #[must_use]
     pub fn load(&self, now: Instant) -> LoadReport {
-        let queued: usize = self.queues.iter().map(PriorityQueue::queued).sum();
         LoadReport {
             running: self.running,
-            queued: u32::try_from(queued).unwrap_or(u32::MAX),
+            queued: self.queued(),
             limit: self.slots(),
             service_time_us: self.estimate.current_service_us(now),
             slowness_permille: self.estimate.slowness_permille(now),
+            start_delay_us: micros(self.start_rate.delay(self.queued(), now)),
         }
     }
 
-    /// Returns the time after which a rejected call may find a free slot, from the drain rate of the queues.
+    /// Returns the time after which a rejected call may start.
+    ///
+    /// It follows from the drain rate of the queues, and from the rate limit if that is slower.
     #[must_use]
-    pub fn retry_hint(&self) -> Duration {
-        let queued: usize = self.queues.iter().map(PriorityQueue::queued).sum();
-        let queued = u32::try_from(queued).unwrap_or(u32::MAX);
+    pub fn retry_hint(&self, now: Instant) -> Duration {
+        let queued = self.queued();
         let drain_time = self.service_time() * queued.saturating_add(1) / self.slots().max(1);
-        drain_time.clamp(MIN_RETRY_HINT, MAX_RETRY_HINT)
+        drain_time.max(self.start_rate.delay(queued, now)).clamp(MIN_RETRY_HINT, MAX_RETRY_HINT)
+    }
+
+    /// Returns the number of queued calls of all priorities.
+    fn queued(&self) -> u32 {
+        queued_calls(&self.queues)
+    }
+
+    /// Returns the number of queued calls that start before a call of the queue that joins now.
+    fn queued_before(&self, index: usize) -> u32 {
+        queued_calls(&self.queues[..=index])
     }
 
     /// Returns the limit less the reserved slots, but at least 1 unless the limit is 0.
@@ -475,7 +509,7 @@
         let service_time = self.service_time();
         let longest_call = self.estimate.longest_call_to_start(now);
         let mut decisions = Vec::new();
-        while self.running < self.usable_slots(now) {
+        while self.running < self.usable_slots(now) && self.start_rate.permits_start(now) {
             let Some(index) = self.next_queue(service_time, longest_call, now) else {
                 break;
             };
@@ -525,6 +559,7 @@
         now: Instant,
     ) -> SlotGrant {
         self.running += 1;
+        self.start_rate.record_start(now);
         let execution = Execution {
             started: now,
             typical_time,
@@ -537,3 +572,9 @@
         SlotGrant { queue_index: index, caller, execution }
     }
 }
+
+/// Returns the number of calls in the queues, saturating.
+fn queued_calls(queues: &[PriorityQueue]) -> u32 {
+    let count: usize = queues.iter().map(PriorityQueue::queued).sum();
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -30,3 +30,4 @@
 pub mod service_budgets;
 pub mod service_estimate;
 pub mod slot_balances;
+pub mod start_rate;
--- a/lib/src/coordination/routing.rs
+++ b/lib/src/coordination/routing.rs
@@ -152,7 +152,8 @@
 
     /// Returns the expected latency of this call at the candidate.
     ///
-    /// It is the typical service time of the call, scaled by the candidate's slowness, load and failures.
+    /// It is the typical service time of the call, scaled by the candidate's slowness, load and failures, after
+    /// the time until its rate limit lets a call start.
     fn call_latency_us(&self, candidate: &Candidate) -> u64 {
         let slowness_permille = match candidate.load.slowness_permille {
             0 => service_time_us(candidate).saturating_mul(PERMILLE) / self.median_service_us,
@@ -166,7 +167,9 @@
         } else {
             latency_us
         };
-        load_adjusted_us << candidate.load.consecutive_failures.min(FAILURE_PENALTY_SHIFT_MAX)
+        let executed_us =
+            load_adjusted_us << candidate.load.consecutive_failures.min(FAILURE_PENALTY_SHIFT_MAX);
+        executed_us.saturating_add(candidate.load.start_delay_us)
     }
 
     /// Returns the chance of an answer in time, in thousandths.
@@ -300,7 +303,7 @@
     let slots = u64::from(candidate.slots.max(1));
     let latency_us = service_time_us + service_time_us * calls_present(candidate) / slots;
     let hop_us = if candidate.same_zone { 0 } else { REMOTE_ZONE_COST_US };
-    (latency_us << load.consecutive_failures.min(FAILURE_PENALTY_SHIFT_MAX)) + hop_us
+    (latency_us << load.consecutive_failures.min(FAILURE_PENALTY_SHIFT_MAX)) + load.start_delay_us + hop_us
 }
 
 /// Returns the reported calls of other ingresses, halved for each half-life of the report's age.
--- a/lib/src/protocol/external_fields.rs
+++ b/lib/src/protocol/external_fields.rs
@@ -30,6 +30,8 @@
     pub timeout_ms: HeaderName,
     /// Name of the only upstream instance that may execute the request.
     pub expected_instance: HeaderName,
+    /// Name of the upstream instance, present on answers to health checks.
+    pub health_instance: HeaderName,
     /// Signature, present on answers that the upstream itself produced.
     pub signature: HeaderName,
     /// Marker, present on answers to requests that were not executed.
@@ -127,6 +129,15 @@
         fields.get(&self.load).and_then(|value| value.to_str().ok()).and_then(self.parse_load)
     }
 
+    /// Returns whether an answer to a health check may be that of the given instance.
+    #[must_use]
+    pub fn is_health_of(&self, instance: Option<&str>, fields: &HeaderMap) -> bool {
+        match (instance, fields.get(&self.health_instance)) {
+            (Some(instance), Some(answering)) => answering.as_bytes() == instance.as_bytes(),
+            _ => true,
+        }
+    }
+
     /// Returns the state that the upstream announces with an answer.
     ///
     /// # Errors
--- a/lib/src/state/upstream_stats.rs
+++ b/lib/src/state/upstream_stats.rs
@@ -23,6 +23,7 @@
     in_flight: AtomicU32,
     reported_calls: AtomicU32,
     reported_slots: AtomicU32,
+    reported_start_delay_us: AtomicU64,
     /// Time of the latest report, in microseconds since `first_seen_at`.
     reported_at_us: AtomicU64,
     reported_service_time_us: AtomicU64,
@@ -43,6 +44,8 @@
     pub reported_calls: u32,
     /// Slots, from the gate's latest load report; 0 before the first one.
     pub reported_slots: u32,
+    /// Time until the upstream's rate limit lets a call start, by the gate's latest load report, in microseconds.
+    pub start_delay_us: u64,
     /// Age of the gate's latest load report, in microseconds.
     pub report_age_us: u64,
     /// Estimated time until a successful answer, in microseconds; 0 if unknown.
@@ -62,6 +65,7 @@
             in_flight: AtomicU32::new(0),
             reported_calls: AtomicU32::new(0),
             reported_slots: AtomicU32::new(0),
+            reported_start_delay_us: AtomicU64::new(0),
             reported_at_us: AtomicU64::new(0),
             reported_service_time_us: AtomicU64::new(0),
             service_time_us: AtomicU64::new(0),
@@ -91,6 +95,7 @@
     pub fn record_load_report(&self, load: LoadReport, now: Instant) {
         self.reported_calls.store(load.running + load.queued, Ordering::Relaxed);
         self.reported_slots.store(load.limit, Ordering::Relaxed);
+        self.reported_start_delay_us.store(load.start_delay_us, Ordering::Relaxed);
         self.reported_service_time_us.store(load.service_time_us, Ordering::Relaxed);
         if load.slowness_permille > 0 {
             self.reported_slowness_permille.store(load.slowness_permille, Ordering::Relaxed);
@@ -114,11 +119,14 @@
     #[must_use]
     pub fn load(&self, now: Instant) -> UpstreamLoad {
         let first_seen_age_us = micros(now - self.first_seen_at);
+        let report_age_us = first_seen_age_us.saturating_sub(self.reported_at_us.load(Ordering::Relaxed));
+        let start_delay_us = self.reported_start_delay_us.load(Ordering::Relaxed);
         UpstreamLoad {
             in_flight: self.in_flight.load(Ordering::Relaxed),
             reported_calls: self.reported_calls.load(Ordering::Relaxed),
             reported_slots: self.reported_slots.load(Ordering::Relaxed),
-            report_age_us: first_seen_age_us.saturating_sub(self.reported_at_us.load(Ordering::Relaxed)),
+            start_delay_us: start_delay_us.saturating_sub(report_age_us),
+            report_age_us,
             service_time_us: self.service_time_us(first_seen_age_us),
             slowness_permille: self.slowness_permille(first_seen_age_us),
             consecutive_failures: self.consecutive_failures.load(Ordering::Relaxed),
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -12,6 +12,7 @@
 use http::Response;
 use http_body_util::Either;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -25,6 +26,7 @@
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::external_fields::UpstreamFields;
 use crate::protocol::load_report::LoadReport;
+use crate::protocol::rate_limit::RateLimit;
 use crate::protocol::service_spec::UpstreamRuleSpec;
 use crate::state::call_records::CallRecordState;
 use crate::state::call_records::CallRecords;
@@ -47,6 +49,9 @@
 /// Retry delay suggested in errors for which the queue gives no estimate.
 pub(super) const GATE_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Rate limit of an external upstream that has not answered yet and so has named none.
+const INITIAL_RATE_LIMIT: RateLimit = RateLimit { millirequests_per_s: 10_000 };
+
 /// Properties of a call that its admission and forwarding depend on.
 #[derive(Clone, Debug)]
 pub struct GateCall {
@@ -113,6 +118,8 @@
     /// Header fields of an upstream that speaks an external dialect.
     pub(super) external_fields: Option<UpstreamFields>,
     pub(super) metrics: SharedMetrics,
+    /// Notified when a queued call may have to start earlier than the one awaited so far.
+    pub(super) next_start_changed: Notify,
 }
 
 impl Gate {
@@ -127,6 +134,7 @@
             pool: ArcSwapOption::empty(),
             external_fields: None,
             metrics,
+            next_start_changed: Notify::new(),
         }
     }
 
@@ -152,6 +160,7 @@
         if !is_same {
             let pool = UpstreamPool::new(addr, Arc::clone(service), instance.cloned(), rule.max_connections);
             self.pool.store(Some(Arc::new(pool)));
+            self.set_rate_limit(self.external_fields.is_some().then_some(INITIAL_RATE_LIMIT));
         }
         let mut queue = self.queue.lock();
         queue.admission.resume();
@@ -183,13 +192,16 @@
 
     /// Returns whether the upstream should be probed for its slowdown.
     ///
-    /// This is so while calls have recently requested admission, a slot is free, and the last slowdown
-    /// report is too old for admission to rely on. Only upstreams of an external dialect report their
-    /// slowdown.
+    /// This is so before its first answer, which also tells its rate limit, and while calls have recently
+    /// requested admission, a slot is free, and the last slowdown report is too old for admission to rely on.
+    /// Only upstreams of an external dialect report their slowdown.
     #[must_use]
     pub fn needs_slowdown_probe(&self, now: Instant) -> bool {
-        let queue = self.queue.lock();
-        self.external_fields.is_some() && queue.admission.needs_slowdown_probe(now)
+        if self.external_fields.is_none() {
+            return false;
+        }
+        let is_unknown = self.pool.load().as_ref().is_some_and(|pool| pool.notice().is_none());
+        is_unknown || self.queue.lock().admission.needs_slowdown_probe(now)
     }
 
     /// Records the slowdown of the upstream's VM and starts queued calls that it held back.
--- a/lib/src/transport/gate_admission.rs
+++ b/lib/src/transport/gate_admission.rs
@@ -54,12 +54,16 @@
             max_gate_latency: call.max_gate_latency,
             idempotent: call.idempotent,
         };
+        let now = Instant::now();
         let mut queue = self.queue.lock();
-        match queue.admission.request_admission(request, Instant::now()) {
+        match queue.admission.request_admission(request, now) {
             AdmissionOutcome::Admitted(grant) => Ok(AdmissionState::Granted(grant)),
             AdmissionOutcome::Queued(key) => {
                 let (sender, receiver) = oneshot::channel();
                 queue.waiters.insert(key, sender);
+                if queue.admission.next_start_at(now).is_some() {
+                    self.next_start_changed.notify_one();
+                }
                 Ok(AdmissionState::Queued(key, receiver))
             }
             AdmissionOutcome::Rejected(reason) => {
@@ -88,7 +92,8 @@
         self.count(reason);
         let (load, hint) = {
             let queue = self.queue.lock();
-            (queue.admission.load(Instant::now()), queue.admission.retry_hint())
+            let now = Instant::now();
+            (queue.admission.load(now), queue.admission.retry_hint(now))
         };
         log_rejection(call, reason, load);
         ErrorAnswer::new(kind, message).retry_after(hint).with_load(load)
--- a/lib/src/transport/gate_notice.rs
+++ b/lib/src/transport/gate_notice.rs
@@ -1,9 +1,15 @@
 //! Follows what the upstream of a gate announces about itself with its answers.
 
+use std::sync::Arc;
+
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
 use crate::log_event;
 use crate::log_event_limited;
 use crate::protocol::external_fields::UpstreamNotice;
 use crate::protocol::rate_limit;
+use crate::protocol::rate_limit::RateLimit;
 use crate::transport::gate::Gate;
 use crate::transport::upstream_pool::UpstreamPool;
 
@@ -43,18 +49,19 @@
             }
         };
         let previous = pool.record_notice(notice);
-        if previous == notice {
+        if previous == Some(notice) {
             return;
         }
+        if self.is_current(pool) {
+            self.set_rate_limit(notice.rate_limit);
+        }
         let load = self.load();
-        let rate_text =
-            |notice: UpstreamNotice| notice.rate_limit.map_or("none".to_owned(), |limit| limit.to_string());
         log_event!(
             Info,
             "upstream notice changed",
             service = pool.service(),
             instance = pool.instance().map_or("none", AsRef::as_ref),
-            rate_limit_per_s = rate_text(notice),
+            rate_limit_per_s = rate_text(Some(notice)),
             previous_limit_per_s = rate_text(previous),
             draining = notice.draining,
             source = source.name(),
@@ -63,4 +70,42 @@
             queued = load.queued,
         );
     }
+    /// Returns whether calls are sent to the upstream behind `pool`, and not to a later one.
+    fn is_current(&self, pool: &UpstreamPool) -> bool {
+        self.pool.load().as_ref().is_some_and(|current| std::ptr::eq(Arc::as_ptr(current), pool))
+    }
+
+    /// Sets or removes the rate limit at which calls start, and starts queued calls that it permits.
+    pub(super) fn set_rate_limit(&self, limit: Option<RateLimit>) {
+        let mut queue = self.queue.lock();
+        let outcomes = queue.admission.set_rate_limit(limit, Instant::now());
+        queue.deliver(outcomes);
+        drop(queue);
+        self.next_start_changed.notify_one();
+    }
+
+    /// Starts queued calls as the rate limit of the upstream permits them, until `stop` is cancelled.
+    pub async fn start_rate_limited_calls(self: Arc<Self>, stop: CancellationToken) {
+        loop {
+            let next_start_at = self.queue.lock().admission.next_start_at(Instant::now());
+            let next_start = async {
+                match next_start_at {
+                    Some(at) => tokio::time::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = self.next_start_changed.notified() => {}
+                () = next_start => self.start_held_calls(),
+            }
+        }
+    }
+}
+
+fn rate_text(notice: Option<UpstreamNotice>) -> String {
+    match notice {
+        None => "unknown".to_owned(),
+        Some(notice) => notice.rate_limit.map_or("none".to_owned(), |limit| limit.to_string()),
+    }
 }
--- a/lib/src/transport/gate_query.rs
+++ b/lib/src/transport/gate_query.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 
+use crate::log_event_limited;
 use crate::transport::call_body::CallBody;
 use crate::transport::gate::Gate;
 use crate::transport::gate_notice::NoticeSource;
@@ -32,6 +33,10 @@
         let Some(response) = query(&pool, path).await else {
             return false;
         };
+        if !fields.is_health_of(pool.instance().map(AsRef::as_ref), response.headers()) {
+            log_event_limited!(Info, "probe answered by another instance", addr = pool.addr());
+            return false;
+        }
         self.observe_notice(&pool, fields.notice(response.headers()), NoticeSource::Probe);
         let Some(report) = fields.upstream_load(response.headers()) else {
             return false;
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -126,8 +126,8 @@
     instance: Option<Arc<str>>,
     idle: Mutex<Vec<PooledConnection>>,
     permits: Arc<Semaphore>,
-    /// State that the upstream announced with its latest answer.
-    notice: Mutex<UpstreamNotice>,
+    /// State that the upstream announced with its latest answer; `None` before the first one.
+    notice: Mutex<Option<UpstreamNotice>>,
     sent_requests: AtomicU64,
 }
 
@@ -172,15 +172,15 @@
         self.addr
     }
 
-    /// Returns the state that the upstream announced with its latest answer.
+    /// Returns the state that the upstream announced with its latest answer, or `None` before the first one.
     #[must_use]
-    pub fn notice(&self) -> UpstreamNotice {
+    pub fn notice(&self) -> Option<UpstreamNotice> {
         *self.notice.lock()
     }
 
     /// Records the state that the upstream announced, and returns the one before.
-    pub fn record_notice(&self, notice: UpstreamNotice) -> UpstreamNotice {
-        std::mem::replace(&mut *self.notice.lock(), notice)
+    pub fn record_notice(&self, notice: UpstreamNotice) -> Option<UpstreamNotice> {
+        self.notice.lock().replace(notice)
     }
 
     /// Returns the number of requests sent to the upstream, those of the gate itself included.
