gate: send nothing to an upstream whose answers say that it drains

An upstream may say in its answers that it leaves before its heartbeats do; the gate went on for as long as the heartbeats said ready. Cause: the mark of a draining upstream was not read, and each heartbeat resumed admission. Change: the first answer with the mark drains the gate for that incarnation; queued calls are rejected and go elsewhere, and gossip tells the other nodes. Later heartbeats and answers made before the mark don't bring it back; a new incarnation, also under the old id, does. A gate with a new upstream (after its own restart, say) now holds calls until the upstream has answered one probe, 100 ms at most from the probe on, since only answers tell that it drains. Test: worker_that_leaves_by_its_answers_gets_no_new_requests failed before (80 requests reached it), gate_that_starts_beside_a_leaving_worker_sends_it_nothing too (28).

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -203,6 +203,11 @@
         self.fill_slots(now)
     }
 
+    /// Holds calls back until `start_at`, and then lets them start at the given rate.
+    pub const fn hold_starts(&mut self, limit: RateLimit, start_at: Instant) {
+        self.start_rate.hold(limit, start_at);
+    }
+
     /// Returns the time at which the rate limit lets a queued call start, if only that keeps it waiting.
     #[must_use]
     pub fn next_start_at(&self, now: Instant) -> Option<Instant> {
--- a/lib/src/coordination/start_rate.rs
+++ b/lib/src/coordination/start_rate.rs
@@ -19,26 +19,38 @@
     limit: Option<RateLimit>,
     /// Time from which the next call may start; a time in the past permits several calls at once.
     next_start_at: Instant,
+    /// Whether `next_start_at` is the end of a hold.
+    held: bool,
 }
 
 impl StartRate {
     /// Creates the state of an upstream without a rate limit.
     #[must_use]
     pub const fn new(now: Instant) -> Self {
-        Self { limit: None, next_start_at: now }
+        Self { limit: None, next_start_at: now, held: false }
     }
 
     /// Sets or removes the limit.
     pub fn set_limit(&mut self, limit: Option<RateLimit>, now: Instant) {
-        if limit == self.limit {
+        if limit == self.limit && !self.held {
             return;
         }
-        let was_unlimited = self.limit.is_none();
+        let has_no_starts = self.limit.is_none() || self.held;
         self.limit = limit;
-        let latest = if was_unlimited { now } else { now + self.interval().unwrap_or_default() };
+        self.held = false;
+        let latest = if has_no_starts { now } else { now + self.interval().unwrap_or_default() };
         self.next_start_at = self.next_start_at.min(latest);
     }
 
+    /// Lets no call start before `start_at`, and then sets the given limit.
+    ///
+    /// Any other limit that is set before ends the hold.
+    pub const fn hold(&mut self, limit: RateLimit, start_at: Instant) {
+        self.limit = Some(limit);
+        self.next_start_at = start_at;
+        self.held = true;
+    }
+
     /// Records that a call starts now.
     pub fn record_start(&mut self, now: Instant) {
         if let Some(interval) = self.interval() {
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -68,6 +68,15 @@
     version: Option<HeartbeatVersion>,
     renewed_at: Instant,
     revision: Option<u64>,
+    /// Whether the answers of the upstream said that it drains when it was last applied.
+    drains_by_answers: bool,
+}
+
+impl RegisteredUpstream {
+    /// Creates a registration renewed now, which has not been applied yet.
+    fn new(announcement: Announcement, version: Option<HeartbeatVersion>) -> Self {
+        Self { announcement, version, renewed_at: Instant::now(), revision: None, drains_by_answers: false }
+    }
 }
 
 /// Incarnation of an upstream that sent a heartbeat, and the heartbeat's sequence number in it.
@@ -165,8 +174,7 @@
 
     fn announce(&self, announcement: Announcement) {
         let mut registered = self.registered.lock();
-        let mut upstream =
-            RegisteredUpstream { announcement, version: None, renewed_at: Instant::now(), revision: None };
+        let mut upstream = RegisteredUpstream::new(announcement, None);
         self.apply(&mut upstream);
         *registered = Some(upstream);
     }
@@ -212,12 +220,7 @@
             slots: heartbeat.slots,
             draining: heartbeat.draining,
         };
-        let mut upstream = RegisteredUpstream {
-            announcement,
-            version: Some(version),
-            renewed_at: Instant::now(),
-            revision: None,
-        };
+        let mut upstream = RegisteredUpstream::new(announcement, Some(version));
         self.apply(&mut upstream);
         *registered = Some(upstream);
         CheckInOutcome::Followed
@@ -261,7 +264,9 @@
             self.unregister();
             return;
         }
-        if upstream.revision != published.map(|published| published.revision) {
+        let is_outdated = upstream.revision != published.map(|published| published.revision)
+            || upstream.drains_by_answers != self.gate.is_upstream_draining();
+        if is_outdated {
             self.apply(upstream);
         }
     }
@@ -272,20 +277,22 @@
         let published = self.config.get(&announcement.service);
         upstream.revision = published.as_ref().map(|published| published.revision);
         self.gate.set_priority_rules(&priority_rules(published.as_deref()));
-        let draining = announcement.draining || self.is_draining();
-        if draining {
+        let is_drained = announcement.draining || self.is_draining();
+        if is_drained {
             self.gate.drain();
         } else {
             let rule = upstream_rule(published.as_deref());
-            let instance = upstream.version.as_ref().map(|version| &version.incarnation.instance);
+            let incarnation = upstream.version.as_ref().map(|version| &version.incarnation);
             self.gate.set_upstream(
                 announcement.addr,
                 &announcement.service,
-                instance,
+                incarnation,
                 announcement.slots,
                 &rule,
             );
         }
+        upstream.drains_by_answers = self.gate.is_upstream_draining();
+        let draining = is_drained || upstream.drains_by_answers;
         // The upstream is gossiped only once the gate has the configuration to admit its calls.
         let ready = published.is_some_and(|published| published.config.is_some());
         self.gossip.set_own_upstream(ready.then(|| UpstreamInfo {
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -23,10 +23,10 @@
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_head::ParentCall;
 use crate::protocol::call_id::CallId;
+use crate::protocol::check_in::UpstreamIncarnation;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::external_fields::UpstreamFields;
 use crate::protocol::load_report::LoadReport;
-use crate::protocol::rate_limit::RateLimit;
 use crate::protocol::service_spec::UpstreamRuleSpec;
 use crate::state::call_records::CallRecordState;
 use crate::state::call_records::CallRecords;
@@ -49,9 +49,6 @@
 /// Retry delay suggested in errors for which the queue gives no estimate.
 pub(super) const GATE_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Rate limit of an external upstream that has not answered yet and so has named none.
-const INITIAL_RATE_LIMIT: RateLimit = RateLimit { millirequests_per_s: 10_000 };
-
 /// Properties of a call that its admission and forwarding depend on.
 #[derive(Clone, Debug)]
 pub struct GateCall {
@@ -120,6 +117,8 @@
     pub(super) metrics: SharedMetrics,
     /// Notified when a queued call may have to start earlier than the one awaited so far.
     pub(super) next_start_changed: Notify,
+    /// Notified when the gate has a new upstream, which has to be probed.
+    pub(super) upstream_replaced: Notify,
 }
 
 impl Gate {
@@ -135,6 +134,7 @@
             external_fields: None,
             metrics,
             next_start_changed: Notify::new(),
+            upstream_replaced: Notify::new(),
         }
     }
 
@@ -144,26 +144,32 @@
         Self { external_fields: Some(fields), ..self }
     }
 
-    /// Sets or updates the upstream as announced, and resumes admission after a drain.
+    /// Sets or updates the upstream as announced, and resumes admission unless its answers say that it drains.
+    ///
+    /// A new external upstream gets no calls until it has answered a probe or has had time to do so: only its
+    /// answers tell its rate limit, and whether it drains.
     pub fn set_upstream(
         &self,
         addr: SocketAddr,
         service: &Arc<str>,
-        instance: Option<&Arc<str>>,
+        incarnation: Option<&UpstreamIncarnation>,
         slots: u32,
         rule: &UpstreamRuleSpec,
     ) {
         let current = self.pool.load();
         let is_same = current.as_ref().is_some_and(|pool| {
-            pool.addr() == addr && pool.service() == service && pool.instance() == instance
+            pool.addr() == addr && pool.service() == service && pool.incarnation() == incarnation
         });
         if !is_same {
-            let pool = UpstreamPool::new(addr, Arc::clone(service), instance.cloned(), rule.max_connections);
+            let service = Arc::clone(service);
+            let pool = UpstreamPool::new(addr, service, incarnation.cloned(), rule.max_connections);
             self.pool.store(Some(Arc::new(pool)));
-            self.set_rate_limit(self.external_fields.is_some().then_some(INITIAL_RATE_LIMIT));
+            self.await_first_answer();
         }
         let mut queue = self.queue.lock();
-        queue.admission.resume();
+        if !self.is_upstream_draining() {
+            queue.admission.resume();
+        }
         queue.admission.set_adaptive(rule.adaptive_limit);
         let outcomes = queue.admission.set_limit(slots, Instant::now());
         queue.deliver(outcomes);
--- a/lib/src/transport/gate_notice.rs
+++ b/lib/src/transport/gate_notice.rs
@@ -1,6 +1,7 @@
 //! Follows what the upstream of a gate announces about itself with its answers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -13,6 +14,13 @@
 use crate::transport::gate::Gate;
 use crate::transport::upstream_pool::UpstreamPool;
 
+/// Time that a new external upstream has for its first answer before calls are sent to it all the same.
+const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time for which calls wait for the probe of a new external upstream to be sent.
+const FIRST_PROBE_TIMEOUT: Duration = Duration::from_mins(1);
+/// Rate limit of an external upstream that has given no answer yet.
+const INITIAL_RATE_LIMIT: RateLimit = RateLimit { millirequests_per_s: 10_000 };
+
 /// Request whose answer carried a notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum NoticeSource {
@@ -48,11 +56,15 @@
                 return;
             }
         };
-        let previous = pool.record_notice(notice);
+        let (notice, previous) = pool.record_notice(notice);
         if previous == Some(notice) {
             return;
         }
         if self.is_current(pool) {
+            // A draining upstream must not get the calls that a changed rate limit would start.
+            if notice.draining {
+                self.drain();
+            }
             self.set_rate_limit(notice.rate_limit);
         }
         let load = self.load();
@@ -75,6 +87,37 @@
         self.pool.load().as_ref().is_some_and(|current| std::ptr::eq(Arc::as_ptr(current), pool))
     }
 
+    /// Returns whether the upstream has announced with an answer that it drains.
+    #[must_use]
+    pub fn is_upstream_draining(&self) -> bool {
+        self.pool.load().as_ref().is_some_and(|pool| pool.is_draining())
+    }
+
+    /// Holds calls to a new external upstream back until its first answer, and asks for a probe of it.
+    pub(super) fn await_first_answer(&self) {
+        if self.external_fields.is_none() {
+            return self.set_rate_limit(None);
+        }
+        self.hold_starts(FIRST_PROBE_TIMEOUT);
+        self.upstream_replaced.notify_one();
+    }
+
+    /// Bounds the wait for the first answer of a new upstream, now that it is probed or can't be probed.
+    pub fn limit_wait_for_first_answer(&self) {
+        let pool = self.pool.load();
+        let is_first_probe =
+            pool.as_ref().is_some_and(|pool| pool.notice().is_none() && pool.record_first_probe());
+        if is_first_probe {
+            self.hold_starts(FIRST_ANSWER_TIMEOUT);
+        }
+    }
+
+    fn hold_starts(&self, duration: Duration) {
+        let start_at = Instant::now() + duration;
+        self.queue.lock().admission.hold_starts(INITIAL_RATE_LIMIT, start_at);
+        self.next_start_changed.notify_one();
+    }
+
     /// Sets or removes the rate limit at which calls start, and starts queued calls that it permits.
     pub(super) fn set_rate_limit(&self, limit: Option<RateLimit>) {
         let mut queue = self.queue.lock();
@@ -84,6 +127,11 @@
         self.next_start_changed.notify_one();
     }
 
+    /// Waits until the gate has a new upstream, which has to be probed.
+    pub async fn upstream_replaced(&self) {
+        self.upstream_replaced.notified().await;
+    }
+
     /// Starts queued calls as the rate limit of the upstream permits them, until `stop` is cancelled.
     pub async fn start_rate_limited_calls(self: Arc<Self>, stop: CancellationToken) {
         loop {
--- a/lib/src/transport/slowdown_probe.rs
+++ b/lib/src/transport/slowdown_probe.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::protocol::service_spec::MeasuringSpec;
 use crate::state::config_table::ConfigTable;
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
@@ -37,22 +38,26 @@
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = tokio::time::sleep(CHECK_INTERVAL) => {}
+                () = self.gate.upstream_replaced() => {}
             }
             self.gate.start_held_calls();
             while probe.try_join_next().is_some() {}
             if probe.is_empty()
                 && self.gate.needs_slowdown_probe(Instant::now())
-                && let Some(path) = self.path()
+                && let Some(measuring) = self.measuring()
             {
-                probe.spawn(probe_once(Arc::clone(&self.gate), Arc::clone(&self.metrics), path));
+                self.gate.limit_wait_for_first_answer();
+                if let Some(path) = measuring.load_path {
+                    probe.spawn(probe_once(Arc::clone(&self.gate), Arc::clone(&self.metrics), path));
+                }
             }
         }
     }
 
-    /// Returns the path of the upstream's load endpoint, if its service configures one.
-    fn path(&self) -> Option<Arc<str>> {
+    /// Returns how the service of the upstream is measured, once its configuration is known.
+    fn measuring(&self) -> Option<MeasuringSpec> {
         let published = self.config.get(&self.gate.service()?)?;
-        published.config.as_ref()?.service.measuring.load_path.clone()
+        Some(published.config.as_ref()?.service.measuring.clone())
     }
 }
 
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use tokio_util::sync::DropGuard;
 
 use crate::log_event_limited;
+use crate::protocol::check_in::UpstreamIncarnation;
 use crate::protocol::external_fields::UpstreamNotice;
 use crate::transport::call_body::BodyError;
 use crate::transport::call_body::CallBody;
@@ -123,34 +125,36 @@
 pub struct UpstreamPool {
     addr: SocketAddr,
     service: Arc<str>,
-    instance: Option<Arc<str>>,
+    incarnation: Option<UpstreamIncarnation>,
     idle: Mutex<Vec<PooledConnection>>,
     permits: Arc<Semaphore>,
     /// State that the upstream announced with its latest answer; `None` before the first one.
     notice: Mutex<Option<UpstreamNotice>>,
     sent_requests: AtomicU64,
+    probed: AtomicBool,
 }
 
 impl UpstreamPool {
     /// Creates a pool of at most `max_connections` connections to `addr`.
     ///
-    /// `instance` names the upstream instance that listens at `addr`, if it has a name.
+    /// `incarnation` is that of the upstream that listens at `addr`, if it is known.
     #[must_use]
     pub fn new(
         addr: SocketAddr,
         service: Arc<str>,
-        instance: Option<Arc<str>>,
+        incarnation: Option<UpstreamIncarnation>,
         max_connections: u32,
     ) -> Self {
         let permits = Arc::new(Semaphore::new(max_connections as usize));
         Self {
             addr,
             service,
-            instance,
+            incarnation,
             idle: Mutex::new(Vec::new()),
             permits,
             notice: Mutex::default(),
             sent_requests: AtomicU64::new(0),
+            probed: AtomicBool::new(false),
         }
     }
 
@@ -162,8 +166,14 @@
 
     /// Returns the name of the upstream instance, if it has one.
     #[must_use]
-    pub const fn instance(&self) -> Option<&Arc<str>> {
-        self.instance.as_ref()
+    pub fn instance(&self) -> Option<&Arc<str>> {
+        self.incarnation.as_ref().map(|incarnation| &incarnation.instance)
+    }
+
+    /// Returns the incarnation of the upstream, if it is known.
+    #[must_use]
+    pub const fn incarnation(&self) -> Option<&UpstreamIncarnation> {
+        self.incarnation.as_ref()
     }
 
     /// Returns the address on which the upstream listens.
@@ -178,9 +188,25 @@
         *self.notice.lock()
     }
 
-    /// Records the state that the upstream announced, and returns the one before.
-    pub fn record_notice(&self, notice: UpstreamNotice) -> Option<UpstreamNotice> {
-        self.notice.lock().replace(notice)
+    /// Records the state that the upstream announced, and returns the new state and the one before.
+    ///
+    /// An upstream that drains never returns to work: an answer that says otherwise was made before.
+    pub fn record_notice(&self, notice: UpstreamNotice) -> (UpstreamNotice, Option<UpstreamNotice>) {
+        let mut current = self.notice.lock();
+        let was_draining = current.is_some_and(|current| current.draining);
+        let notice = UpstreamNotice { draining: notice.draining || was_draining, ..notice };
+        (notice, current.replace(notice))
+    }
+
+    /// Returns whether the upstream has announced that it drains.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.notice().is_some_and(|notice| notice.draining)
+    }
+
+    /// Records that the upstream is probed, and returns whether that is the first time.
+    pub fn record_first_probe(&self) -> bool {
+        !self.probed.swap(true, Ordering::Relaxed)
     }
 
     /// Returns the number of requests sent to the upstream, those of the gate itself included.
