--- a/lib/src/transport/object_watch.rs
+++ b/lib/src/transport/object_watch.rs
@@ -43,12 +43,14 @@
 {
     let mut backoff = platform_backoff();
     let mut last_version: Option<u64> = None;
+    let mut epoch: Option<u64> = None;
     let mut reachable = true;
     loop {
         let result = match last_version {
             None => {
                 Metrics::count(&metrics.platform_calls, "list");
                 platform.list(kind).await.map(|listing| {
+                    record_epoch(&mut epoch, listing.epoch, kind, listing.version);
                     on_event(ObjectEvent::Listed(listing.objects));
                     Some(listing.version)
                 })
@@ -56,6 +58,7 @@
             Some(after) => {
                 Metrics::count(&metrics.platform_calls, "watch");
                 platform.watch(kind, after).await.map(|changes| {
+                    record_epoch(&mut epoch, changes.epoch, kind, after);
                     if changes.expired {
                         return None;
                     }
@@ -94,3 +97,18 @@
         }
     }
 }
+
+/// Records the epoch that the store names, and logs a change of it; `version` is the position of the watch.
+fn record_epoch(epoch: &mut Option<u64>, named: u64, kind: ObjectKind, version: u64) {
+    let previous = epoch.replace(named);
+    if previous.is_some_and(|previous| previous != named) {
+        log_event!(
+            Warn,
+            "platform store was restored",
+            kind = kind,
+            epoch = named,
+            previous = previous.unwrap_or(0),
+            version = version,
+        );
+    }
+}
--- a/lib/src/transport/platform.rs
+++ b/lib/src/transport/platform.rs
@@ -46,6 +46,9 @@
 pub struct Listing {
     /// Store version from which to start a watch.
     pub version: u64,
+    /// Store epoch to which the version belongs.
+    #[serde(default)]
+    pub epoch: u64,
     /// Objects of the kind.
     pub objects: Vec<Object>,
 }
@@ -64,6 +67,9 @@
 pub struct Changes {
     /// Store version from which to continue the watch.
     pub version: u64,
+    /// Store epoch to which the version belongs.
+    #[serde(default)]
+    pub epoch: u64,
     /// Changes, oldest first; empty if the watch timed out.
     pub changes: Vec<Change>,
     /// Whether changes after the given version are missing, so that the kind has to be listed again.
@@ -72,6 +78,9 @@
 }
 
 /// Client of the platform's object API.
+///
+/// A store that is restored from a copy starts a new epoch: it has lost the latest writes, and gives their
+/// versions out again. Versions are comparable only within an epoch.
 pub trait Platform: Clone + Send + Sync + 'static {
     /// Returns an object, or `None` if it does not exist.
     fn get(&self, kind: ObjectKind, name: &str) -> impl Future<Output = Result<Option<Object>>> + Send;
--- a/lib/src/transport/routes_watcher.rs
+++ b/lib/src/transport/routes_watcher.rs
@@ -128,6 +128,13 @@
                         revision = object.version,
                         routes = routes,
                     );
+                } else {
+                    log_event!(
+                        Info,
+                        "routes read are not newer",
+                        version = version,
+                        revision = object.version,
+                    );
                 }
             }
             Err(reason) => {
--- a/lib/tests/object_watch.rs
+++ b/lib/tests/object_watch.rs
@@ -49,7 +49,7 @@
 
     async fn list(&self, _kind: ObjectKind) -> Result<Listing> {
         self.calls.lock().push(Call::List);
-        Ok(Listing { version: LISTED_VERSION, objects: Vec::new() })
+        Ok(Listing { version: LISTED_VERSION, epoch: 1, objects: Vec::new() })
     }
 
     async fn watch(&self, _kind: ObjectKind, after: u64) -> Result<Changes> {
@@ -58,9 +58,11 @@
         match outcome {
             None => std::future::pending().await,
             // The store has advanced to version 99; resuming there would skip changes not returned yet.
-            Some(WatchOutcome::NoChanges) => Ok(Changes { version: 99, changes: Vec::new(), expired: false }),
+            Some(WatchOutcome::NoChanges) => {
+                Ok(Changes { version: 99, epoch: 1, changes: Vec::new(), expired: false })
+            }
             Some(WatchOutcome::HistoryExpired) => {
-                Ok(Changes { version: 99, changes: Vec::new(), expired: true })
+                Ok(Changes { version: 99, epoch: 1, changes: Vec::new(), expired: true })
             }
             Some(WatchOutcome::Failed) => Err(PlatformError::NoResponse { reason: "no answer".to_owned() }),
         }
--- a/standin/src/platform_store.rs
+++ b/standin/src/platform_store.rs
@@ -40,7 +40,7 @@
     #[must_use]
     pub fn list(&self, kind: ObjectKind) -> Listing {
         let objects = self.objects.values().filter(|object| object.kind == kind).cloned().collect();
-        Listing { version: self.version, objects }
+        Listing { version: self.version, epoch: 0, objects }
     }
 
     /// Creates or replaces an object if the precondition holds.
@@ -91,7 +91,7 @@
     pub fn changes_after(&self, kind: ObjectKind, after: u64) -> Changes {
         let newer = self.changes.iter().filter(|change| change.object.version > after);
         let changes = newer.filter(|change| change.object.kind == kind).cloned().collect();
-        Changes { version: self.version, changes, expired: after < self.last_dropped_version }
+        Changes { version: self.version, epoch: 0, changes, expired: after < self.last_dropped_version }
     }
 
     fn record(&mut self, change: Change) {
