routes: order versions by the operators' number, not by revisions of the store

Cause: a node replaced its routes only by ones of a later store revision. The restored store gives revisions out again: version 9 was held under revision 13, and version 11 came under a revision no later. An older version that a restored store holds, also under a later revision, is not newer. The routes have a new name in gossip, since the two orders can't be compared: nodes of both builds take them from the store.

--- a/lib/src/protocol/published.rs
+++ b/lib/src/protocol/published.rs
@@ -17,6 +17,8 @@
     /// Name of the service.
     pub service: Arc<str>,
     /// Revision number; increases with each publication, also after the service is deleted and re-created.
+    ///
+    /// It is not a version of the store, which a restore of the store sets back.
     pub revision: u64,
     /// Lease epoch of the node that published it.
     pub epoch: u64,
--- a/lib/src/protocol/route.rs
+++ b/lib/src/protocol/route.rs
@@ -6,7 +6,9 @@
 use serde::Serialize;
 
 /// Name under which the routes of the fleet are published, next to the names of services.
-pub const ROUTES_NAME: &str = "routes";
+///
+/// Nodes that order routes by revisions of the store publish them as `routes`.
+pub const ROUTES_NAME: &str = "route-versions";
 
 /// Service to which a route sends requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -69,6 +71,10 @@
 pub struct RouteSet {
     /// Name that the operators gave this version.
     pub version: Arc<str>,
+    /// Number of the version, which operators increase with each change.
+    ///
+    /// Unlike a revision of the store it does not go back when the store is restored from a copy.
+    pub revision: u64,
     /// Routes of the fleet.
     pub routes: Vec<RouteSpec>,
     /// Services that routes may name as destinations.
--- a/lib/src/state/config_table.rs
+++ b/lib/src/state/config_table.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::protocol::published::Published;
+use crate::protocol::route::ROUTES_NAME;
 use crate::state::route_table::RouteTable;
 
 /// An immutable view of the published configurations by service name.
@@ -71,7 +72,10 @@
             updated.insert(Arc::clone(&published.service), Arc::clone(&published));
             Arc::new(updated)
         });
-        if applied && let Some(route_set) = &published.routes {
+        if applied
+            && *published.service == *ROUTES_NAME
+            && let Some(route_set) = &published.routes
+        {
             self.replace_routes(&Arc::new(RouteTable::new(
                 route_set,
                 published.revision,
--- a/lib/src/transport/routes_watcher.rs
+++ b/lib/src/transport/routes_watcher.rs
@@ -115,7 +115,7 @@
                 let (version, routes) = (Arc::clone(&set.version), set.routes.len());
                 let published = Published {
                     service: Arc::from(ROUTES_NAME),
-                    revision: object.version,
+                    revision: set.revision,
                     epoch: 0,
                     config: None,
                     routes: Some(set),
--- a/lib/tests/routes.rs
+++ b/lib/tests/routes.rs
@@ -39,7 +39,7 @@
 fn route_set(routes: Vec<RouteSpec>) -> RouteSet {
     let service =
         RoutedService { name: Arc::from("a"), health_path: Arc::from("/health"), max_connections: 10 };
-    RouteSet { version: Arc::from("1"), routes, services: vec![service], limits: LIMITS }
+    RouteSet { version: Arc::from("1"), revision: 1, routes, services: vec![service], limits: LIMITS }
 }
 
 fn published(revision: u64, routes: Vec<RouteSpec>) -> Published {
