object watch: list again when the store was restored from a copy

A watch that goes on over a restore, as when the store is back before the watch asks again, would miss changes for as long as nothing later came. Cause: a watch is repeated from the version of its last answer. A restored store gives versions out again, so a change may lie behind that version; only a version that the store doesn't have yet gets 410. Change: the position of a watch holds the store epoch too, and an answer of another epoch makes the node list again. A listing of several pages starts its watch from the first page, and fails if the store was restored between pages (both read, not tested). The line "platform followed again" names the version that is watched, instead of always 0.

--- a/lib/src/transport/object_watch.rs
+++ b/lib/src/transport/object_watch.rs
@@ -9,6 +9,7 @@
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
 use crate::transport::platform::Change;
+use crate::transport::platform::Listing;
 use crate::transport::platform::Platform;
 
 /// Upper bound of the pause after the first failed request to the platform.
@@ -31,42 +32,55 @@
     Backoff::new(INITIAL_BACKOFF, MAX_BACKOFF)
 }
 
+/// Position of a watch: a version of the store, which is comparable only within one epoch of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct WatchPosition {
+    epoch: u64,
+    version: u64,
+}
+
 /// Lists a kind, then watches it until the future is dropped.
 ///
 /// A watch that ends without changes is repeated from the same version, so that a change that the platform
-/// failed to report is reported by the next watch. After a failure or an expired version the kind is listed
-/// again.
+/// failed to report is reported by the next watch. The kind is listed again after a failure, an expired
+/// version, or a restore of the store: a restored store gives versions out again, so that changes may lie
+/// behind the version watched from.
 pub async fn watch_objects<P, F>(platform: P, kind: ObjectKind, metrics: SharedMetrics, mut on_event: F)
 where
     P: Platform,
     F: FnMut(ObjectEvent) + Send,
 {
     let mut backoff = platform_backoff();
-    let mut last_version: Option<u64> = None;
-    let mut epoch: Option<u64> = None;
+    let mut position: Option<WatchPosition> = None;
+    let mut last_epoch: Option<u64> = None;
     let mut reachable = true;
     loop {
-        let result = match last_version {
+        let result = match position {
             None => {
                 Metrics::count(&metrics.platform_calls, "list");
                 platform.list(kind).await.map(|listing| {
-                    record_epoch(&mut epoch, listing.epoch, kind, listing.version);
+                    if let Some(previous) = last_epoch.replace(listing.epoch)
+                        && previous != listing.epoch
+                    {
+                        log_restore(kind, previous, &listing);
+                    }
+                    let position = WatchPosition { epoch: listing.epoch, version: listing.version };
                     on_event(ObjectEvent::Listed(listing.objects));
-                    Some(listing.version)
+                    Some(position)
                 })
             }
-            Some(after) => {
+            Some(position) => {
                 Metrics::count(&metrics.platform_calls, "watch");
-                platform.watch(kind, after).await.map(|changes| {
-                    record_epoch(&mut epoch, changes.epoch, kind, after);
-                    if changes.expired {
+                let changes = platform.watch(kind, position.version).await;
+                changes.map(|changes| {
+                    if changes.expired || changes.epoch != position.epoch {
                         return None;
                     }
                     if changes.changes.is_empty() {
-                        return Some(after);
+                        return Some(position);
                     }
                     on_event(ObjectEvent::Changed(changes.changes));
-                    Some(changes.version)
+                    Some(WatchPosition { version: changes.version, ..position })
                 })
             }
         };
@@ -77,11 +91,11 @@
                         Info,
                         "platform followed again",
                         kind = kind,
-                        watched = last_version.unwrap_or(0)
+                        watched = next.map_or(0, |position| position.version),
                     );
                 }
                 reachable = true;
-                last_version = next;
+                position = next;
                 backoff.reset();
             }
             Err(error) => {
@@ -90,7 +104,7 @@
                     log_event!(Warn, "platform not followed", kind = kind, error = &error);
                 }
                 reachable = false;
-                last_version = None;
+                position = None;
                 let pause = backoff.next_delay(&mut rand::rng());
                 tokio::time::sleep(pause).await;
             }
@@ -98,17 +112,14 @@
     }
 }
 
-/// Records the epoch that the store names, and logs a change of it; `version` is the position of the watch.
-fn record_epoch(epoch: &mut Option<u64>, named: u64, kind: ObjectKind, version: u64) {
-    let previous = epoch.replace(named);
-    if previous.is_some_and(|previous| previous != named) {
-        log_event!(
-            Warn,
-            "platform store was restored",
-            kind = kind,
-            epoch = named,
-            previous = previous.unwrap_or(0),
-            version = version,
-        );
-    }
+/// Logs that the store was restored from a copy since the previous listing.
+fn log_restore(kind: ObjectKind, previous: u64, listing: &Listing) {
+    log_event!(
+        Warn,
+        "platform store was restored",
+        kind = kind,
+        epoch = listing.epoch,
+        previous = previous,
+        version = listing.version,
+    );
 }
--- a/lib/tests/object_watch.rs
+++ b/lib/tests/object_watch.rs
@@ -27,6 +27,7 @@
     NoChanges,
     Failed,
     HistoryExpired,
+    StoreRestored,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,6 +65,9 @@
             Some(WatchOutcome::HistoryExpired) => {
                 Ok(Changes { version: 99, epoch: 1, changes: Vec::new(), expired: true })
             }
+            Some(WatchOutcome::StoreRestored) => {
+                Ok(Changes { version: 99, epoch: 2, changes: Vec::new(), expired: false })
+            }
             Some(WatchOutcome::Failed) => Err(PlatformError::NoResponse { reason: "no answer".to_owned() }),
         }
     }
@@ -103,3 +107,9 @@
     assert_eq!(platform_calls(&[WatchOutcome::Failed]).await, expected);
     assert_eq!(platform_calls(&[WatchOutcome::HistoryExpired]).await, expected);
 }
+
+#[tokio::test(start_paused = true)]
+async fn watch_of_restored_store_lists_again() {
+    let watch = Call::Watch(LISTED_VERSION);
+    assert_eq!(platform_calls(&[WatchOutcome::StoreRestored]).await, [Call::List, watch, Call::List, watch]);
+}
