cli: bound the report that is read from a node

Cause: a body without end was collected until the time limit, and kept. Change: heads up to 64 KiB and reports up to 8 MiB are read. Test: endless_report_of_a_node_is_not_read_to_its_end failed before (the client read all that was sent and gave up after 5 s) and passes.

--- a/cli/src/node_client.rs
+++ b/cli/src/node_client.rs
@@ -9,6 +9,7 @@
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
+use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -17,6 +18,11 @@
 use crate::cli_error::CliError;
 use crate::cli_error::Result;
 
+/// Largest accepted head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 65_536;
+/// Largest accepted report of a node, in bytes.
+const MAX_REPORT_BYTES: usize = 8_388_608;
+
 /// Sends a request to the admin address of a node and returns the report from its response.
 ///
 /// Fails with [`CliError::Node`] if the node does not return a valid report within `timeout`.
@@ -40,10 +46,11 @@
     let request = Request::builder().method(method).uri(path).header(HOST, node.to_string());
     let request = request.body(Empty::<Bytes>::new()).map_err(|error| error.to_string())?;
     let stream = TcpStream::connect(node).await.map_err(|error| error.to_string())?;
-    let (mut sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.map_err(|error| error.to_string())?;
     tokio::spawn(connection);
     let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
-    let body = response.into_body().collect().await.map_err(|error| error.to_string())?;
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await;
+    let body = body.map_err(|error| error.to_string())?;
     serde_json::from_slice(&body.to_bytes()).map_err(|error| error.to_string())
 }
