--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -233,7 +233,7 @@
     where
         H: Handler,
     {
-        let Some(builder) = self.builder_for(&stream).await else {
+        let Some(builder) = self.builder_for(&stream, remote).await else {
             return;
         };
         match tokio::time::timeout(HANDSHAKE_TIMEOUT, self.policy.authenticate(stream)).await {
@@ -243,11 +243,15 @@
         }
     }
 
-    /// Returns the builder for the connection, or `None` if its client sends no request before a stop.
+    /// Returns the builder for the connection, or `None` if it fails or its client sends no request before a stop.
     ///
     /// A stop closes a connection of unknown version although its first request may be on the way. The
     /// version of a caller's connection is therefore known before the connection takes part in a stop.
-    async fn builder_for(&self, stream: &TcpStream) -> Option<auto::Builder<TokioExecutor>> {
+    async fn builder_for(
+        &self,
+        stream: &TcpStream,
+        remote: SocketAddr,
+    ) -> Option<auto::Builder<TokioExecutor>> {
         let builder = self.builder.clone();
         if matches!(self.policy, ClientPolicy::Nodes(_)) {
             return Some(builder);
@@ -257,13 +261,22 @@
             tokio::time::sleep(FIRST_REQUEST_GRACE).await;
         };
         let version = tokio::select! {
-            version = client_version(stream, self.limits.header_timeout) => version.ok()?,
+            version = client_version(stream, self.limits.header_timeout) => version,
             () = no_request_before_stop => return None,
         };
-        Some(match version {
-            HttpVersion::Http1 => builder.http1_only(),
-            HttpVersion::Http2 => builder.http2_only(),
-        })
+        match version {
+            Ok(HttpVersion::Http1) => Some(builder.http1_only()),
+            Ok(HttpVersion::Http2) => Some(builder.http2_only()),
+            Err(error) => {
+                log_event_limited!(
+                    Info,
+                    "connection ended before its first request",
+                    remote = remote,
+                    error = error,
+                );
+                None
+            }
+        }
     }
 }
 
