--- a/lib/src/transport/hedging.rs
+++ b/lib/src/transport/hedging.rs
@@ -92,16 +92,17 @@
         plan: &PlannedAttempt,
         outgoing: &mut OutgoingRequest,
     ) -> Option<(PlannedAttempt, Request<CallBody>)> {
-        let first_gate = &plan.entry.member.id.name;
         let may_find_free_slot = context.budgets.reroute_budget(context.call.head.priority).has_credit();
+        if !may_find_free_slot || !outgoing.is_replayable() {
+            return None;
+        }
+        let first_gate = &plan.entry.member.id.name;
         // Gates that rejected an earlier attempt are not skipped, since they may have a free slot by now.
         let skip = |name: &Arc<str>| name == first_gate || context.attempted_gates.failed.contains(name);
         let mut hedge = self.choose_gate(context.call.requirements(), context.config, true, skip)?;
         let routed_limit = hedge.options.max_gate_latency;
-        hedge.options.max_gate_latency = max_hedge_latency(routed_limit, context.call.typical_time());
-        if !may_find_free_slot || hedge.options.max_gate_latency.is_none() || !outgoing.is_replayable() {
-            return None;
-        }
+        let max_gate_latency = max_hedge_latency(routed_limit, context.call.typical_time())?;
+        hedge.options.max_gate_latency = Some(max_gate_latency);
         let within_budget = context.budgets.hedge_budget(context.call.has_route()).spend();
         let request =
             within_budget.then(|| outgoing.next_attempt_request(context.call, hedge.options)).flatten()?;
