lease: never take an epoch that a restored store gives out again

What callers saw: nothing; the users' platform has no lease of ours. Change: a node remembers the latest epoch that it read or took, and takes a later one; an own lease of an earlier epoch is acquired anew. Tests: lease_epoch_not_given_out_again_after_a_restore (4 after 7) and own_lease_restored_from_a_copy_acquired_anew (renewed under 1) failed before. Not covered: a node that has seen none of the later epochs.

--- a/lib/src/coordination/lease.rs
+++ b/lib/src/coordination/lease.rs
@@ -46,29 +46,32 @@
     holder: Arc<str>,
     ttl: Duration,
     last_read: Option<(LeaseValue, Instant)>,
+    /// Latest epoch read or acquired; a store that was restored from a copy may hold an earlier one.
+    latest_epoch: u64,
 }
 
 impl LeaseWatch {
     /// Creates a watch for `holder`, which acquires the lease with a duration of `ttl`.
     #[must_use]
     pub const fn new(holder: Arc<str>, ttl: Duration) -> Self {
-        Self { holder, ttl, last_read: None }
+        Self { holder, ttl, last_read: None, latest_epoch: 0 }
     }
 
     /// Decides on the lease value read at `now`; `None` means that the lease does not exist yet.
     pub fn decide(&mut self, current: Option<LeaseValue>, now: Instant) -> LeaseDecision {
         let Some(value) = current else {
-            return LeaseDecision::Write(self.acquired_after(0));
+            return LeaseDecision::Write(self.acquired());
         };
+        let is_restored = value.epoch < self.latest_epoch;
+        self.latest_epoch = self.latest_epoch.max(value.epoch);
+        if value.holder == self.holder && is_restored {
+            return LeaseDecision::Write(self.acquired());
+        }
         if value.holder == self.holder {
             let renewed = LeaseValue { renewal: value.renewal + 1, ttl_ms: self.ttl_ms(), ..value };
             return LeaseDecision::Write(renewed);
         }
-        if self.is_expired(&value, now) {
-            LeaseDecision::Write(self.acquired_after(value.epoch))
-        } else {
-            LeaseDecision::Wait
-        }
+        if self.is_expired(&value, now) { LeaseDecision::Write(self.acquired()) } else { LeaseDecision::Wait }
     }
 
     /// Returns the value that releases the lease, so that other nodes can acquire it without waiting.
@@ -88,8 +91,15 @@
         now - unchanged_since >= Duration::from_millis(value.ttl_ms)
     }
 
-    fn acquired_after(&self, epoch: u64) -> LeaseValue {
-        LeaseValue { holder: Arc::clone(&self.holder), epoch: epoch + 1, renewal: 0, ttl_ms: self.ttl_ms() }
+    /// Returns the value of a new acquisition, with an epoch later than any that this node knows.
+    fn acquired(&mut self) -> LeaseValue {
+        self.latest_epoch += 1;
+        LeaseValue {
+            holder: Arc::clone(&self.holder),
+            epoch: self.latest_epoch,
+            renewal: 0,
+            ttl_ms: self.ttl_ms(),
+        }
     }
 
     fn ttl_ms(&self) -> u64 {
