cli: list again in a watch when the store was restored

The same cause as in the nodes' watches: a position of an earlier store epoch may lie past changes. The stand-in of our own store can't be restored yet, so this is read and compiled, not tested.

--- a/cli/src/commands/watch.rs
+++ b/cli/src/commands/watch.rs
@@ -62,13 +62,13 @@
 async fn watch(context: &CommandContext, args: &WatchArgs, kind: ObjectKind) -> Result<()> {
     let mut printer = ChangePrinter { context, args, versions: IndexMap::new(), lines: 0 };
     let listing = context.platform.list(kind).await?;
-    let mut last_version = listing.version;
+    let (mut last_version, mut epoch) = (listing.version, listing.epoch);
     printer.print_differences(&listing.objects);
     while !printer.is_done() {
         match context.platform.watch(kind, last_version).await {
-            Ok(changes) if changes.expired => {
+            Ok(changes) if changes.expired || changes.epoch != epoch => {
                 let listing = context.platform.list(kind).await?;
-                last_version = listing.version;
+                (last_version, epoch) = (listing.version, listing.epoch);
                 printer.print_differences(&listing.objects);
             }
             Ok(changes) => {
