gate: report a short delay while a new upstream has not answered its first probe

What callers saw: nothing yet; found by reading the change. Cause: the wait for the probe was a hold with the time limit of a minute, and the end of the hold is what load reports and rejections tell. Change: a hold is 200 ms and is renewed while the upstream can't be probed yet. A new upstream is probed once, not each 80 ms until it answers.

--- a/lib/src/protocol/rate_limit.rs
+++ b/lib/src/protocol/rate_limit.rs
@@ -11,7 +11,8 @@
 pub type Result<T, E = RateLimitError> = std::result::Result<T, E>;
 
 const MILLIREQUESTS: f64 = 1_000.0;
-const MICROS_PER_MILLIREQUEST_PER_S: u64 = 1_000_000_000;
+/// Microseconds in the time in which `millirequests_per_s` requests are allowed.
+const MICROS_PER_1000_S: u64 = 1_000_000_000;
 
 /// The text of a rate limit is not a decimal number of at least 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -29,7 +30,7 @@
     /// Returns the mean time between two requests at this rate; `None` if no request is allowed.
     #[must_use]
     pub const fn interval(self) -> Option<Duration> {
-        match MICROS_PER_MILLIREQUEST_PER_S.checked_div(self.millirequests_per_s) {
+        match MICROS_PER_1000_S.checked_div(self.millirequests_per_s) {
             Some(micros) => Some(Duration::from_micros(micros)),
             None => None,
         }
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -198,7 +198,7 @@
 
     /// Returns whether the upstream should be probed for its slowdown.
     ///
-    /// This is so before its first answer, which also tells its rate limit, and while calls have recently
+    /// This is so for a new upstream, whose first answer also tells its rate limit, and while calls have recently
     /// requested admission, a slot is free, and the last slowdown report is too old for admission to rely on.
     /// Only upstreams of an external dialect report their slowdown.
     #[must_use]
@@ -206,8 +206,9 @@
         if self.external_fields.is_none() {
             return false;
         }
-        let is_unknown = self.pool.load().as_ref().is_some_and(|pool| pool.notice().is_none());
-        is_unknown || self.queue.lock().admission.needs_slowdown_probe(now)
+        let is_new =
+            self.pool.load().as_ref().is_some_and(|pool| pool.notice().is_none() && !pool.is_probed());
+        is_new || self.queue.lock().admission.needs_slowdown_probe(now)
     }
 
     /// Records the slowdown of the upstream's VM and starts queued calls that it held back.
--- a/lib/src/transport/gate_notice.rs
+++ b/lib/src/transport/gate_notice.rs
@@ -15,9 +15,7 @@
 use crate::transport::upstream_pool::UpstreamPool;
 
 /// Time that a new external upstream has for its first answer before calls are sent to it all the same.
-const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
-/// Longest time for which calls wait for the probe of a new external upstream to be sent.
-const FIRST_PROBE_TIMEOUT: Duration = Duration::from_mins(1);
+const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Rate limit of an external upstream that has given no answer yet.
 const INITIAL_RATE_LIMIT: RateLimit = RateLimit { millirequests_per_s: 10_000 };
 
@@ -98,22 +96,28 @@
         if self.external_fields.is_none() {
             return self.set_rate_limit(None);
         }
-        self.hold_starts(FIRST_PROBE_TIMEOUT);
+        self.hold_starts();
         self.upstream_replaced.notify_one();
     }
 
-    /// Bounds the wait for the first answer of a new upstream, now that it is probed or can't be probed.
-    pub fn limit_wait_for_first_answer(&self) {
+    /// Holds calls to a new upstream back for longer, unless it was already probed.
+    pub fn extend_wait_for_first_answer(&self) {
         let pool = self.pool.load();
-        let is_first_probe =
-            pool.as_ref().is_some_and(|pool| pool.notice().is_none() && pool.record_first_probe());
-        if is_first_probe {
-            self.hold_starts(FIRST_ANSWER_TIMEOUT);
+        if pool.as_ref().is_some_and(|pool| pool.notice().is_none() && !pool.is_probed()) {
+            self.hold_starts();
         }
     }
 
-    fn hold_starts(&self, duration: Duration) {
-        let start_at = Instant::now() + duration;
+    /// Records that the upstream is probed, from when on a new one has a limited time for its first answer.
+    pub fn record_probe(&self) {
+        self.extend_wait_for_first_answer();
+        if let Some(pool) = self.pool.load().as_ref() {
+            pool.record_probe();
+        }
+    }
+
+    fn hold_starts(&self) {
+        let start_at = Instant::now() + FIRST_ANSWER_TIMEOUT;
         self.queue.lock().admission.hold_starts(INITIAL_RATE_LIMIT, start_at);
         self.next_start_changed.notify_one();
     }
--- a/lib/src/transport/slowdown_probe.rs
+++ b/lib/src/transport/slowdown_probe.rs
@@ -42,14 +42,16 @@
             }
             self.gate.start_held_calls();
             while probe.try_join_next().is_some() {}
-            if probe.is_empty()
-                && self.gate.needs_slowdown_probe(Instant::now())
-                && let Some(measuring) = self.measuring()
-            {
-                self.gate.limit_wait_for_first_answer();
-                if let Some(path) = measuring.load_path {
-                    probe.spawn(probe_once(Arc::clone(&self.gate), Arc::clone(&self.metrics), path));
-                }
+            if !probe.is_empty() || !self.gate.needs_slowdown_probe(Instant::now()) {
+                continue;
+            }
+            let Some(measuring) = self.measuring() else {
+                self.gate.extend_wait_for_first_answer();
+                continue;
+            };
+            self.gate.record_probe();
+            if let Some(path) = measuring.load_path {
+                probe.spawn(probe_once(Arc::clone(&self.gate), Arc::clone(&self.metrics), path));
             }
         }
     }
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -131,6 +131,7 @@
     /// State that the upstream announced with its latest answer; `None` before the first one.
     notice: Mutex<Option<UpstreamNotice>>,
     sent_requests: AtomicU64,
+    /// Whether the gate has probed the upstream, which may not have answered yet.
     probed: AtomicBool,
 }
 
@@ -204,9 +205,15 @@
         self.notice().is_some_and(|notice| notice.draining)
     }
 
-    /// Records that the upstream is probed, and returns whether that is the first time.
-    pub fn record_first_probe(&self) -> bool {
-        !self.probed.swap(true, Ordering::Relaxed)
+    /// Records that the upstream is probed.
+    pub fn record_probe(&self) {
+        self.probed.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the upstream has been probed.
+    #[must_use]
+    pub fn is_probed(&self) -> bool {
+        self.probed.load(Ordering::Relaxed)
     }
 
     /// Returns the number of requests sent to the upstream, those of the gate itself included.
