gate: hold a new upstream back under the lock of the queue

Read, not seen: between the look at a new upstream's notice and the hold an answer might have arrived, and the gate would have stayed at 10 calls a second until the next change of the notice. The look and the hold are now under one lock, and the hold begins before the new upstream is in use. The line on a changed notice is limited, since an upstream may name another rate in each answer. No test provokes the race; the tests of notices pass.

--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -163,8 +163,7 @@
         if !is_same {
             let service = Arc::clone(service);
             let pool = UpstreamPool::new(addr, service, incarnation.cloned(), rule.max_connections);
-            self.pool.store(Some(Arc::new(pool)));
-            self.await_first_answer();
+            self.replace_upstream(pool);
         }
         let mut queue = self.queue.lock();
         if !self.is_upstream_draining() {
--- a/lib/src/transport/gate_notice.rs
+++ b/lib/src/transport/gate_notice.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::log_event;
+use crate::coordination::admission::Admission;
 use crate::log_event_limited;
 use crate::protocol::external_fields::UpstreamNotice;
 use crate::protocol::rate_limit;
@@ -66,7 +66,7 @@
             self.set_rate_limit(notice.rate_limit);
         }
         let load = self.load();
-        log_event!(
+        log_event_limited!(
             Info,
             "upstream notice changed",
             service = pool.service(),
@@ -80,6 +80,7 @@
             queued = load.queued,
         );
     }
+
     /// Returns whether calls are sent to the upstream behind `pool`, and not to a later one.
     fn is_current(&self, pool: &UpstreamPool) -> bool {
         self.pool.load().as_ref().is_some_and(|current| std::ptr::eq(Arc::as_ptr(current), pool))
@@ -91,20 +92,24 @@
         self.pool.load().as_ref().is_some_and(|pool| pool.is_draining())
     }
 
-    /// Holds calls to a new external upstream back until its first answer, and asks for a probe of it.
-    pub(super) fn await_first_answer(&self) {
-        if self.external_fields.is_none() {
-            return self.set_rate_limit(None);
+    /// Replaces the upstream; calls to a new external one are held back until its first answer.
+    pub(super) fn replace_upstream(&self, pool: UpstreamPool) {
+        if self.external_fields.is_some() {
+            hold_starts(&mut self.queue.lock().admission);
         }
-        self.hold_starts();
+        self.pool.store(Some(Arc::new(pool)));
+        self.next_start_changed.notify_one();
         self.upstream_replaced.notify_one();
     }
 
     /// Holds calls to a new upstream back for longer, unless it was already probed.
     pub fn extend_wait_for_first_answer(&self) {
+        // An answer that arrives now ends the hold, since it takes the lock after its notice is recorded.
+        let mut queue = self.queue.lock();
         let pool = self.pool.load();
         if pool.as_ref().is_some_and(|pool| pool.notice().is_none() && !pool.is_probed()) {
-            self.hold_starts();
+            hold_starts(&mut queue.admission);
+            self.next_start_changed.notify_one();
         }
     }
 
@@ -116,12 +121,6 @@
         }
     }
 
-    fn hold_starts(&self) {
-        let start_at = Instant::now() + FIRST_ANSWER_TIMEOUT;
-        self.queue.lock().admission.hold_starts(INITIAL_RATE_LIMIT, start_at);
-        self.next_start_changed.notify_one();
-    }
-
     /// Sets or removes the rate limit at which calls start, and starts queued calls that it permits.
     pub(super) fn set_rate_limit(&self, limit: Option<RateLimit>) {
         let mut queue = self.queue.lock();
@@ -155,6 +154,10 @@
     }
 }
 
+fn hold_starts(admission: &mut Admission) {
+    admission.hold_starts(INITIAL_RATE_LIMIT, Instant::now() + FIRST_ANSWER_TIMEOUT);
+}
+
 fn rate_text(notice: Option<UpstreamNotice>) -> String {
     match notice {
         None => "unknown".to_owned(),
