--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -1,7 +1,7 @@
 //! Gate of a node: the only way for calls into the upstream beside it.
 //!
 //! This module holds its state and its interface. Admission, forwarding, execution of calls that may run
-//! only once, and requests of the gate itself have modules of their own.
+//! only once, requests of the gate itself, and what the upstream announces have modules of their own.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
