--- a/lib/src/protocol/external_fields.rs
+++ b/lib/src/protocol/external_fields.rs
@@ -97,7 +97,8 @@
 impl UpstreamFields {
     /// Determines the origin of an answer to the request with the given identity.
     ///
-    /// An encoded answer counts as foreign, as does a successful one without a signature.
+    /// An answer that does not echo the identity proves nothing, whatever it says: a faulty upstream may repeat an
+    /// earlier one. An encoded answer counts as foreign, as does a successful one without a signature.
     #[must_use]
     pub fn origin(
         &self,
@@ -105,19 +106,19 @@
         fields: &HeaderMap,
         request_id: Option<&http::HeaderValue>,
     ) -> AnswerOrigin {
-        if status == http::StatusCode::MISDIRECTED_REQUEST {
-            return AnswerOrigin::OtherInstance;
-        }
         let echoed_id = fields.get(&self.request_id);
-        if echoed_id.is_some() && echoed_id != request_id {
+        if echoed_id != request_id {
             return AnswerOrigin::Foreign;
         }
+        if status == http::StatusCode::MISDIRECTED_REQUEST {
+            return AnswerOrigin::OtherInstance;
+        }
         if fields.contains_key(&self.not_executed) {
             return AnswerOrigin::NotExecuted;
         }
         let signed = fields.contains_key(&self.signature);
         let encoded = fields.contains_key(http::header::CONTENT_ENCODING);
-        if encoded || echoed_id != request_id || (status.is_success() && !signed) {
+        if encoded || (status.is_success() && !signed) {
             return AnswerOrigin::Foreign;
         }
         AnswerOrigin::Genuine
