store, check-ins: an odd entry of another writer costs only itself

Cause: a listing or watch was parsed as a whole, so one entry nested too deeply, with a number out of range or without its fields made every node stop following routes and seeds, and list again without end. One odd address spoiled the seeds of a zone. A heartbeat with an unknown service, absurd slots, sequence number or start time displaced the worker, for good if its number was large.

Heartbeats are validated, and one that would replace a configured service by an unknown one is ignored. Each case has a log line.

--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -24,8 +24,10 @@
 
 use crate::coordination::priority_queue::PriorityRule;
 use crate::log_event;
+use crate::log_event_limited;
 use crate::protocol::check_in::CheckIn;
 use crate::protocol::check_in::Heartbeat;
+use crate::protocol::check_in::MAX_SLOTS;
 use crate::protocol::check_in::UpstreamIncarnation;
 use crate::protocol::checked_json::addr_schema;
 use crate::protocol::checked_json::checked_from_value;
@@ -54,7 +56,7 @@
     #[schemars(schema_with = "addr_schema")]
     pub addr: SocketAddr,
     /// Calls that it runs concurrently.
-    #[schemars(range(min = 1, max = 100_000))]
+    #[schemars(range(min = 1, max = MAX_SLOTS))]
     pub slots: u32,
     /// Whether it accepts no new calls.
     #[serde(default)]
@@ -108,7 +110,7 @@
 pub enum CheckInOutcome {
     /// The check-in was applied.
     Followed,
-    /// The check-in is older than the registered state or names another instance.
+    /// The check-in is older than the registered state, or names another instance or an unknown service.
     Outdated,
 }
 
@@ -199,6 +201,15 @@
         {
             return CheckInOutcome::Outdated;
         }
+        if self.names_unknown_service(registered.as_ref(), &heartbeat.service) {
+            log_event_limited!(
+                Warn,
+                "check-in for an unknown service ignored",
+                instance = &version.incarnation.instance,
+                service = &heartbeat.service,
+            );
+            return CheckInOutcome::Outdated;
+        }
         let changed = registered.as_ref().is_none_or(|upstream| {
             upstream.version.as_ref().is_none_or(|known| known.incarnation != version.incarnation)
                 || upstream.announcement.draining != heartbeat.draining
@@ -226,6 +237,12 @@
         CheckInOutcome::Followed
     }
 
+    /// Returns whether a check-in would replace an upstream of a configured service by one of no such service.
+    fn names_unknown_service(&self, registered: Option<&RegisteredUpstream>, service: &str) -> bool {
+        registered.is_some_and(|upstream| self.config.get(&upstream.announcement.service).is_some())
+            && self.config.get(service).is_none()
+    }
+
     fn apply_leave(&self, instance: &Arc<str>) -> CheckInOutcome {
         let mut registered = self.registered.lock();
         let incarnation = registered
--- a/lib/src/transport/check_in_server.rs
+++ b/lib/src/transport/check_in_server.rs
@@ -3,6 +3,8 @@
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use http::Request;
@@ -14,6 +16,7 @@
 use hyper::body::Incoming;
 
 use crate::log_event_limited;
+use crate::protocol::check_in::CheckIn;
 use crate::transport::announce_server::UpstreamRegistration;
 use crate::transport::external_dialect::ExternalDialect;
 use crate::transport::http_server::Handler;
@@ -48,6 +51,9 @@
         let body = Limited::new(body, MAX_CHECK_IN_BYTES).collect().await;
         let body = body.map_err(|error| format!("unreadable body: {error}"))?.to_bytes();
         let check_in = I::parse_check_in(&head, &body)?;
+        if let CheckIn::Heartbeat(heartbeat) = &check_in {
+            heartbeat.validate(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())?;
+        }
         let outcome = self.registration.check_in(check_in);
         log::debug!("check-in; taken={outcome:?}");
         Ok(())
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -41,6 +41,7 @@
 pub mod platform;
 pub mod platform_http;
 pub mod publisher;
+pub mod raw_entries;
 mod request_reception;
 pub mod resolved_write;
 pub mod routed_ingress;
--- a/lib/src/transport/platform_http.rs
+++ b/lib/src/transport/platform_http.rs
@@ -10,6 +10,7 @@
 use http::header::CONTENT_TYPE;
 use http::header::IF_MATCH;
 use http::header::IF_NONE_MATCH;
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -21,6 +22,9 @@
 use crate::transport::platform::Platform;
 use crate::transport::platform::PlatformError;
 use crate::transport::platform::Result;
+use crate::transport::raw_entries::RawEntry;
+use crate::transport::raw_entries::parse_body;
+use crate::transport::raw_entries::readable_entries;
 use crate::transport::store_client::StoreClient;
 
 /// Time after which the platform answers a watch even without changes.
@@ -33,6 +37,26 @@
     timeout: Duration,
 }
 
+/// A [`Listing`] whose entries are not parsed yet.
+#[derive(Debug, Deserialize)]
+struct RawListing {
+    version: u64,
+    #[serde(default)]
+    epoch: u64,
+    objects: Vec<RawEntry>,
+}
+
+/// A [`Changes`] whose entries are not parsed yet.
+#[derive(Debug, Deserialize)]
+struct RawChanges {
+    version: u64,
+    #[serde(default)]
+    epoch: u64,
+    changes: Vec<RawEntry>,
+    #[serde(default)]
+    expired: bool,
+}
+
 impl HttpPlatform {
     /// Creates a client of the object API at `addr`.
     ///
@@ -57,13 +81,17 @@
     }
 
     async fn list(&self, kind: ObjectKind) -> Result<Listing> {
-        parse_response(&self.send_get(&kind_path(kind), self.timeout).await?)
+        let listing: RawListing = parse_response(&self.send_get(&kind_path(kind), self.timeout).await?)?;
+        let objects = readable_entries(kind, &listing.objects);
+        Ok(Listing { version: listing.version, epoch: listing.epoch, objects })
     }
 
     async fn watch(&self, kind: ObjectKind, after: u64) -> Result<Changes> {
         let wait_ms = WATCH_WAIT.as_millis();
         let target = format!("/v1/watch/{kind}?after={after}&wait_ms={wait_ms}");
-        parse_response(&self.send_get(&target, self.timeout + WATCH_WAIT).await?)
+        let raw: RawChanges = parse_response(&self.send_get(&target, self.timeout + WATCH_WAIT).await?)?;
+        let changes = readable_entries(kind, &raw.changes);
+        Ok(Changes { version: raw.version, epoch: raw.epoch, changes, expired: raw.expired })
     }
 
     async fn put(
@@ -105,14 +133,13 @@
     if !response.status().is_success() {
         return Err(error_from_response(response));
     }
-    serde_json::from_slice(response.body())
-        .map_err(|error| PlatformError::InvalidResponse { reason: error.to_string() })
+    parse_body(response)
 }
 
 fn error_from_response(response: &Response<Bytes>) -> PlatformError {
     let status = response.status();
     if status == StatusCode::PRECONDITION_FAILED {
-        return PlatformError::Conflict { current: serde_json::from_slice(response.body()).ok() };
+        return PlatformError::Conflict { current: parse_body(response).ok() };
     }
     PlatformError::Rejected {
         status: status.as_u16(),
--- a/lib/src/transport/seed_registry.rs
+++ b/lib/src/transport/seed_registry.rs
@@ -6,11 +6,13 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::Value;
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::backoff::Backoff;
 use crate::coordination::backoff::jittered;
 use crate::coordination::platform_role::seed_registry_name;
+use crate::log_event_limited;
 use crate::protocol::object::Object;
 use crate::protocol::object::ObjectKind;
 use crate::protocol::object::Precondition;
@@ -40,6 +42,9 @@
 /// Maximum backoff between lookups by a node that knows no other live member.
 const MAX_ALONE_BACKOFF: Duration = Duration::from_secs(10);
 
+/// Largest number of addresses that are read from one entry.
+const MAX_SEEDS_PER_ZONE: usize = 16;
+
 /// Value of a zone's object in the seed registry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneSeeds {
@@ -134,8 +139,30 @@
     }
 }
 
-/// Returns the peer addresses of an entry; an unreadable entry has none.
+/// The addresses of an entry, each unparsed, since another writer may have left odd ones.
+#[derive(Debug, Deserialize)]
+struct StoredSeeds {
+    peer_addrs: Vec<Value>,
+}
+
+/// Returns the readable peer addresses of an entry, at most [`MAX_SEEDS_PER_ZONE`].
 fn seed_addrs(object: &Object) -> Vec<SocketAddr> {
-    let value = serde_json::from_value::<ZoneSeeds>(object.value.clone());
-    value.map(|value| value.peer_addrs).unwrap_or_default()
+    let stored = match StoredSeeds::deserialize(&object.value) {
+        Ok(stored) => stored,
+        Err(error) => {
+            log_event_limited!(Warn, "unreadable seeds ignored", object = &object.name, error = error);
+            return Vec::new();
+        }
+    };
+    let addrs = stored.peer_addrs.iter().take(MAX_SEEDS_PER_ZONE);
+    addrs.filter_map(|addr| seed_addr(object, addr)).collect()
+}
+
+fn seed_addr(object: &Object, addr: &Value) -> Option<SocketAddr> {
+    let parsed = addr.as_str().and_then(|text| text.parse().ok());
+    let usable = parsed.filter(|addr: &SocketAddr| addr.port() != 0 && !addr.ip().is_unspecified());
+    if usable.is_none() {
+        log_event_limited!(Warn, "unreadable seed address ignored", object = &object.name, addr = addr);
+    }
+    usable
 }
