gate: free the slot of a call that its upstream neither answers nor closes

Cause: a slot was kept until the upstream closed the connection of an abandoned call. A worker that goes silent on what it can't queue may never do so, and each such call cost a slot for good.

Change: external upstreams stop at the deadline that a request names, so the gate resets the connection and frees the slot 250 ms after it. Upstreams of the own dialect are not bound to a deadline; for them nothing changes.

--- a/lib/src/transport/call_guard.rs
+++ b/lib/src/transport/call_guard.rs
@@ -1,10 +1,12 @@
 //! Guards of the slot and the connection that a call occupies until the upstream has finished with it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::StatusCode;
 use http_body::Body;
 use tokio::runtime::Handle;
+use tokio::time::Instant;
 
 use crate::coordination::admission::SlotGrant;
 use crate::coordination::service_estimate::ExecutionOutcome;
@@ -15,6 +17,9 @@
 use crate::transport::upstream_pool::PooledConnection;
 use crate::transport::upstream_pool::UpstreamPool;
 
+/// Time after its deadline until which an upstream may still work on a call.
+const UPSTREAM_STOP_MARGIN: Duration = Duration::from_millis(250);
+
 /// Slot of the upstream, released when dropped.
 #[derive(Debug)]
 pub struct SlotGuard {
@@ -62,6 +67,8 @@
     slot: Option<SlotGuard>,
     pool: Option<Arc<UpstreamPool>>,
     connection: Option<PooledConnection>,
+    /// Time at which the upstream has certainly given the call up; `None` if it may never do so.
+    given_up_at: Option<Instant>,
 }
 
 impl CallGuard {
@@ -71,6 +78,13 @@
         self.pool = Some(pool);
     }
 
+    /// Limits how long the slot stays taken after a call that the upstream neither answers nor closes.
+    ///
+    /// The upstream stops working on the call at its `deadline`.
+    pub fn release_after(&mut self, deadline: Instant) {
+        self.given_up_at = Some(deadline + UPSTREAM_STOP_MARGIN);
+    }
+
     /// Returns the place where the pool stores the connection in use.
     pub const fn connection_mut(&mut self) -> &mut Option<PooledConnection> {
         &mut self.connection
@@ -119,9 +133,13 @@
             return;
         };
         let slot = self.slot.take();
+        let given_up_at = self.given_up_at;
         if let Ok(runtime) = Handle::try_current() {
             runtime.spawn(async move {
-                connection.close().await;
+                match given_up_at {
+                    Some(latest_end) => connection.close_until(latest_end).await,
+                    None => connection.close().await,
+                }
                 drop(slot);
             });
         }
--- a/lib/src/transport/gate_forwarding.rs
+++ b/lib/src/transport/gate_forwarding.rs
@@ -50,6 +50,10 @@
             return Err(other_service(&call.service, pool.service()));
         }
         guard.set_slot(slot, Arc::clone(&pool));
+        if self.external_fields.is_some() {
+            // Only external upstreams are bound to stop at the deadline that the request names.
+            guard.release_after(call.deadline);
+        }
         let mut request = into_upstream_request(request, pool.addr());
         let request_id = self.external_fields.as_ref().and_then(|fields| {
             set_external_fields(request.headers_mut(), fields, pool.instance(), call.deadline);
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
+use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
@@ -106,6 +107,8 @@
     sender: SendRequest<CallBody>,
     /// Cancelled when the upstream has closed the connection.
     closed_by_upstream: CancellationToken,
+    /// Task that drives the connection and waits until the upstream has closed it.
+    driver: AbortHandle,
     opened_at: Instant,
     idle_since: Instant,
 }
@@ -118,6 +121,18 @@
         drop(self.sender);
         self.closed_by_upstream.cancelled().await;
     }
+
+    /// Closes the connection like [`Self::close`], but resets it at `latest_end`.
+    ///
+    /// An upstream may neither answer a request nor close its connection. `latest_end` has to be a time at which
+    /// it has certainly given the request up.
+    pub async fn close_until(self, latest_end: Instant) {
+        let driver = self.driver.clone();
+        if tokio::time::timeout_at(latest_end, self.close()).await.is_err() {
+            log_event_limited!(Info, "upstream connection reset, since the upstream did not close it");
+            driver.abort();
+        }
+    }
 }
 
 /// Pool of idle connections to one upstream, with a limit on open connections.
@@ -302,9 +317,10 @@
         .await
         .context(HandshakeSnafu)?;
     let closed_by_upstream = CancellationToken::new();
-    tokio::spawn(drive(connection, permit, closed_by_upstream.clone().drop_guard()));
+    let driving = tokio::spawn(drive(connection, permit, closed_by_upstream.clone().drop_guard()));
+    let driver = driving.abort_handle();
     let now = Instant::now();
-    Ok(PooledConnection { sender, closed_by_upstream, opened_at: now, idle_since: now })
+    Ok(PooledConnection { sender, closed_by_upstream, driver, opened_at: now, idle_since: now })
 }
 
 /// Drives a connection to its end and then waits until the upstream has closed it too.
