--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -31,9 +31,6 @@
 use crate::reload::SettingsFile;
 use crate::reload::level_filter;
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// Interval between checks of the settings file for changes that no SIGHUP reports.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Exit code when the node could not start.
