http server: keep the future of a request off idle connections

Cause: hyper allocates room for the future of a request with each connection, 14 KB for a call, also while the connection is idle. A node with 600 idle connections held 19.8 MB of anonymous memory.

Change: the future is boxed, so that it exists only while a request does.

--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -301,9 +301,10 @@
 ) where
     H: Handler,
 {
+    // Boxed, since hyper keeps room for the future of a request on each connection, also on an idle one.
     let service = service_fn(move |request| {
         let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request, remote).await) }
+        Box::pin(async move { Ok::<_, Infallible>(handler.handle(request, remote).await) })
     });
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     // The connection goes first, since a request that has arrived must be read before the shutdown: hyper
