admission: reject at once what an overloaded gate can't serve on time

Cause: calls that could no longer meet their objective waited behind those that could, until their deadlines. The wait with which a call may join the queue was not bounded either, so those served were served at the last moment, and late if the VM was slow just then.

Change, all while slots are short (an on-time call was rejected for lack of slots within two service times): - a call whose expected wait exceeds a third of its slack is rejected on arrival, with the time until it may start; - queued calls that have become late are rejected while others that can be on time wait; - a call that is late on arrival takes no slot that those need. A caller that comes back sends what is left of its timeout. UsualTimeout infers from it how long the caller has waited, so that the objective counts from its first attempt.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -20,6 +20,7 @@
 use crate::coordination::slot_balances::PrioritySlotUsage;
 use crate::coordination::slot_balances::SlotBalances;
 use crate::coordination::start_rate::StartRate;
+use crate::protocol::call_head::CallOrigin;
 use crate::protocol::load_report::LoadReport;
 use crate::protocol::rate_limit::RateLimit;
 
@@ -38,6 +39,8 @@
 const MAX_SLOWDOWN_REPORT_AGE: Duration = Duration::from_millis(80);
 /// Time after the last call during which slowdown probes keep the slowdown report recent for the next call.
 const SLOWDOWN_PROBE_WINDOW: Duration = Duration::from_millis(500);
+/// Time for which a lack of slots is expected to last, in mean service times.
+const SHORTAGE_SERVICE_TIMES: u32 = 2;
 /// Shortest retry delay suggested for rejected calls.
 const MIN_RETRY_HINT: Duration = Duration::from_millis(10);
 /// Longest retry delay suggested for rejected calls.
@@ -76,6 +79,8 @@
     pub typical_time: Option<Duration>,
     /// Maximum expected latency, queueing included, above which the sender prefers another gate.
     pub max_gate_latency: Option<Duration>,
+    /// Who makes the call.
+    pub origin: CallOrigin,
     /// Whether the call may be executed more than once; such calls try a slow upstream first.
     pub idempotent: bool,
 }
@@ -251,6 +256,9 @@
         let Some(index) = self.queue_index_of(request.priority) else {
             return AdmissionOutcome::Rejected(RejectReason::QueueFull);
         };
+        if self.yields_to_calls_on_time(&request, index, now) {
+            return AdmissionOutcome::Rejected(RejectReason::ObjectiveMissed);
+        }
         let is_slot_free = self.is_slot_free_for(index, now);
         let slot_wait =
             if is_slot_free { Duration::ZERO } else { self.expected_wait(index, request.caller, now) };
@@ -269,7 +277,24 @@
         if may_start {
             return AdmissionOutcome::Admitted(self.start(index, request.caller, request.typical_time, now));
         }
-        self.enqueue(request, index, wait, now)
+        self.enqueue(request, index, slot_wait, rate_delay, now)
+    }
+
+    /// Returns whether a call that is late already would take a slot that calls on time lack.
+    ///
+    /// Under a lasting overload a free slot is needed by the next call on time. Calls that come back after a
+    /// rejection are late more often than others, so without this they would displace them.
+    fn yields_to_calls_on_time(&self, request: &AdmissionRequest, index: usize, now: Instant) -> bool {
+        let service_time = self.service_time();
+        let Some(objective_at) = request.objective_at.filter(|_| self.queues[index].rule().serve_late) else {
+            return false;
+        };
+        let call = QueuedCall { caller: request.caller, objective_at, typical_time: request.typical_time };
+        request.origin == CallOrigin::Caller
+            && !call.can_meet_objective(service_time, now)
+            && self.queues[..=index]
+                .iter()
+                .any(|queue| queue.was_short_of_slots(service_time * SHORTAGE_SERVICE_TIMES, now))
     }
 
     /// Returns the expected service time of a call that starts now.
@@ -302,12 +327,16 @@
         &mut self,
         request: AdmissionRequest,
         index: usize,
-        wait: Duration,
+        slot_wait: Duration,
+        rate_delay: Duration,
         now: Instant,
     ) -> AdmissionOutcome {
+        let wait = slot_wait.max(rate_delay);
         let objective = request.objective_at.map(|at| at.saturating_duration_since(now));
         let objective = objective.unwrap_or(self.queues[index].rule().objective);
         let max_wait = self.max_wait(index, objective, request.caller);
+        let service_time = self.service_time();
+        let superseded = self.queues[..=index].iter().any(|queue| queue.has_call_on_time(service_time, now));
         let queue = &mut self.queues[index];
         let objective_at = now + objective;
         let typical_execution =
@@ -319,7 +348,12 @@
         if now + wait >= start_by {
             return AdmissionOutcome::Rejected(RejectReason::TooLate);
         }
-        if wait > max_wait && !queue.rule().serve_late {
+        if queue.rule().serve_late {
+            if request.origin == CallOrigin::Caller && slot_wait > max_wait && superseded {
+                queue.record_shortage(now);
+                return AdmissionOutcome::Rejected(RejectReason::ObjectiveMissed);
+            }
+        } else if wait > max_wait {
             return AdmissionOutcome::Rejected(RejectReason::ObjectiveMissed);
         }
         if let Some(reason) = queue.rejection_reason(request.caller) {
@@ -514,6 +548,7 @@
         let service_time = self.service_time();
         let longest_call = self.estimate.longest_call_to_start(now);
         let mut decisions = Vec::new();
+        self.reject_superseded_calls(service_time, now, &mut decisions);
         while self.running < self.usable_slots(now) && self.start_rate.permits_start(now) {
             let Some(index) = self.next_queue(service_time, longest_call, now) else {
                 break;
@@ -529,6 +564,26 @@
         decisions
     }
 
+    /// Rejects late calls while calls of the same or a more urgent priority that can be on time lack slots.
+    ///
+    /// Those start first, so under a lasting overload the late ones would wait until their deadlines in vain.
+    /// Rejected now, they leave their callers time to come back.
+    fn reject_superseded_calls(
+        &mut self,
+        service_time: Duration,
+        now: Instant,
+        rejections: &mut Vec<QueueDecision>,
+    ) {
+        let mut short_of_slots = false;
+        for queue in self.queues.iter_mut().filter(|queue| queue.rule().serve_late) {
+            short_of_slots |= queue.was_short_of_slots(service_time * SHORTAGE_SERVICE_TIMES, now)
+                && queue.has_call_on_time(service_time, now);
+            if short_of_slots {
+                queue.reject_late(service_time, now, rejections);
+            }
+        }
+    }
+
     /// Returns the most urgent waiting queue with a positive balance, otherwise the most urgent one.
     ///
     /// Queues with a call that can still meet its objective precede queues with only late calls.
--- a/lib/src/coordination/priority_queue.rs
+++ b/lib/src/coordination/priority_queue.rs
@@ -50,7 +50,8 @@
 
 impl QueuedCall {
     /// Returns whether the call can still meet its objective if it starts now.
-    fn can_meet_objective(&self, service_time: Duration, now: Instant) -> bool {
+    #[must_use]
+    pub fn can_meet_objective(&self, service_time: Duration, now: Instant) -> bool {
         let expected = self.typical_time.unwrap_or(service_time);
         self.objective_at >= now + expected + expected / TYPICAL_TIME_MARGIN_DIVISOR
     }
@@ -96,13 +97,15 @@
     waiting: BTreeMap<QueueKey, QueuedCall>,
     callers: IndexMap<CallerKey, CallerCounts>,
     running: u32,
+    /// Time at which a call that could have been on time was last rejected for lack of slots.
+    short_of_slots_at: Option<Instant>,
 }
 
 impl PriorityQueue {
     /// Creates a queue without calls.
     #[must_use]
     pub fn new(rule: PriorityRule) -> Self {
-        Self { rule, waiting: BTreeMap::new(), callers: IndexMap::new(), running: 0 }
+        Self { rule, waiting: BTreeMap::new(), callers: IndexMap::new(), running: 0, short_of_slots_at: None }
     }
 
     /// Returns the rule in force.
@@ -177,7 +180,34 @@
     /// Returns whether any queued call can still meet its objective.
     #[must_use]
     pub fn has_call_on_time(&self, service_time: Duration, now: Instant) -> bool {
-        self.waiting.values().any(|call| call.can_meet_objective(service_time, now))
+        let mut unexpired = self.waiting.iter().filter(|(key, _)| key.start_by() > now);
+        unexpired.any(|(_, call)| call.can_meet_objective(service_time, now))
+    }
+
+    /// Rejects the queued calls that can no longer meet their objective.
+    pub fn reject_late(&mut self, service_time: Duration, now: Instant, rejections: &mut Vec<QueueDecision>) {
+        let late = self.late_calls(service_time, now);
+        if !late.is_empty() {
+            self.record_shortage(now);
+        }
+        self.reject(&late, RejectReason::ObjectiveMissed, rejections);
+    }
+
+    /// Records that a call which could have been on time is rejected for lack of slots.
+    pub const fn record_shortage(&mut self, now: Instant) {
+        self.short_of_slots_at = Some(now);
+    }
+
+    /// Returns whether such a call was rejected within the given time.
+    #[must_use]
+    pub fn was_short_of_slots(&self, within: Duration, now: Instant) -> bool {
+        self.short_of_slots_at.is_some_and(|at| now.saturating_duration_since(at) < within)
+    }
+
+    /// Returns the queued calls that can no longer meet their objective, the one to start first at the front.
+    fn late_calls(&self, service_time: Duration, now: Instant) -> Vec<QueueKey> {
+        let is_late = |call: &QueuedCall| !call.can_meet_objective(service_time, now);
+        self.waiting.iter().filter(|(_, call)| is_late(call)).map(|(key, _)| *key).collect()
     }
 
     /// Removes and returns the next call to start, and rejects calls that can no longer start in time.
@@ -221,9 +251,7 @@
         let expired = self.waiting.keys().take_while(|key| key.start_by() <= now);
         let expired: Vec<QueueKey> = expired.copied().collect();
         self.reject(&expired, RejectReason::TooLate, rejections);
-        let is_late = |call: &QueuedCall| !call.can_meet_objective(service_time, now);
-        let late = self.waiting.iter().filter(|(_, call)| is_late(call)).map(|(key, _)| *key);
-        let late: Vec<QueueKey> = late.collect();
+        let late = self.late_calls(service_time, now);
         let excess = late.len().saturating_sub(max_late);
         self.reject(&late[..excess], RejectReason::ObjectiveMissed, rejections);
         let may_start = |call: &QueuedCall| is_worth_starting(call.typical_time, longest_call);
--- a/lib/src/protocol/call_head.rs
+++ b/lib/src/protocol/call_head.rs
@@ -19,6 +19,15 @@
 /// Result of reading a header section.
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
+/// Who makes a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallOrigin {
+    /// A caller.
+    Caller,
+    /// An upstream while it executes another call, which fails with this one.
+    Upstream,
+}
+
 /// Parameters of a call, with the service's defaults for those that the request does not set.
 #[derive(Clone, Debug)]
 pub struct CallHead {
--- a/lib/src/protocol/external_fields.rs
+++ b/lib/src/protocol/external_fields.rs
@@ -19,6 +19,8 @@
     ///
     /// Only nodes may set it: an ingress replaces what the caller sent.
     pub caller_service: HeaderName,
+    /// Returns the identity of the request that a request was made for, if its own identity names one.
+    pub parent_request: fn(&str) -> Option<&str>,
 }
 
 /// Names of the header fields between a gate and an upstream of an external dialect.
--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -13,6 +13,8 @@
 pub const TIMEOUT_MS: HeaderName = HeaderName::from_static("yuccatray-timeout-ms");
 /// `true` on a retry or hedged request, and on calls made on behalf of one.
 pub const REPEAT: HeaderName = HeaderName::from_static("yuccatray-repeat");
+/// `true` on a call that an upstream makes while it executes another; between nodes only.
+pub const NESTED: HeaderName = HeaderName::from_static("yuccatray-nested");
 /// Maximum expected latency at the gate, queueing and execution together, in microseconds.
 pub const MAX_GATE_LATENCY_US: HeaderName = HeaderName::from_static("yuccatray-patience-us");
 /// Time within which the call must be granted a slot, in milliseconds; between nodes only.
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -9,6 +9,8 @@
 pub mod metrics;
 pub mod parent_calls;
 pub mod route_table;
+pub mod running_requests;
 pub mod time_ring;
 pub mod typical_time;
 pub mod upstream_stats;
+pub mod usual_timeout;
--- a/lib/src/state/route_table.rs
+++ b/lib/src/state/route_table.rs
@@ -23,6 +23,7 @@
 use crate::protocol::service_spec::ServiceSpec;
 use crate::protocol::service_spec::UpstreamRuleSpec;
 use crate::state::typical_time::TypicalTime;
+use crate::state::usual_timeout::UsualTimeout;
 
 /// Number of priority ranks that a gate distinguishes; less urgent priorities share the last rank.
 pub const RANK_COUNT: u8 = 4;
@@ -65,6 +66,8 @@
     pub spec: RouteSpec,
     /// Typical service time of its calls at upstreams.
     pub typical_time: Arc<TypicalTime>,
+    /// Timeout that its callers usually start with.
+    pub usual_timeout: Arc<UsualTimeout>,
     total_weight: u64,
     /// Number of requests distributed so far, from a random start.
     request_count: AtomicU64,
@@ -81,9 +84,16 @@
 }
 
 impl Route {
-    fn new(spec: RouteSpec, typical_time: Arc<TypicalTime>) -> Self {
+    /// Creates a route, which takes over what its `previous` version has learned from calls.
+    fn new(spec: RouteSpec, previous: Option<&Self>) -> Self {
         let total_weight = spec.destinations.iter().map(|destination| u64::from(destination.weight)).sum();
-        Self { spec, typical_time, total_weight, request_count: AtomicU64::new(rand::random()) }
+        Self {
+            spec,
+            typical_time: previous.map(|route| Arc::clone(&route.typical_time)).unwrap_or_default(),
+            usual_timeout: previous.map(|route| Arc::clone(&route.usual_timeout)).unwrap_or_default(),
+            total_weight,
+            request_count: AtomicU64::new(rand::random()),
+        }
     }
 
     /// Returns the service for the next request, distributing requests in proportion to the weights.
@@ -106,14 +116,15 @@
 }
 
 impl RouteTable {
-    /// Creates the table of a set of routes, taking over the typical times of routes in the `previous` table.
+    /// Creates the table of a set of routes, taking over what routes in the `previous` table have learned.
     #[must_use]
     pub fn new(set: &RouteSet, revision: u64, previous: Option<&Self>) -> Self {
         let mut by_host: IndexMap<Arc<str>, Vec<Route>> = IndexMap::new();
         for spec in &set.routes {
             let host: Arc<str> = Arc::from(spec.host.to_ascii_lowercase());
-            let typical_time = previous.and_then(|table| table.typical_time_of(&host, &spec.path_prefix));
-            by_host.entry(host).or_default().push(Route::new(spec.clone(), typical_time.unwrap_or_default()));
+            let previous_route = previous.and_then(|table| table.declared_route(&host, &spec.path_prefix));
+            let route = Route::new(spec.clone(), previous_route);
+            by_host.entry(host).or_default().push(route);
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.spec.path_prefix.len()));
@@ -162,9 +173,9 @@
         routes.iter().find(|route| path.starts_with(route.spec.path_prefix.as_ref()))
     }
 
-    fn typical_time_of(&self, host: &str, path_prefix: &str) -> Option<Arc<TypicalTime>> {
-        let matching = self.by_host.get(host)?.iter().find(|route| *route.spec.path_prefix == *path_prefix);
-        matching.map(|route| Arc::clone(&route.typical_time))
+    /// Returns the route that is declared for this host and path prefix.
+    fn declared_route(&self, host: &str, path_prefix: &str) -> Option<&Route> {
+        self.by_host.get(host)?.iter().find(|route| *route.spec.path_prefix == *path_prefix)
     }
 
     /// Returns the configuration of a service that the routes declare.
--- a/lib/src/transport/call_guard.rs
+++ b/lib/src/transport/call_guard.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderValue;
 use http::StatusCode;
 use http_body::Body;
 use tokio::runtime::Handle;
@@ -26,6 +27,8 @@
     gate: Arc<Gate>,
     id: CallId,
     grant: Option<SlotGrant>,
+    /// Identity of an external request, recorded as running at the gate.
+    request_id: Option<HeaderValue>,
     /// Outcome that is reported to the gate when the slot is released.
     outcome: ExecutionOutcome,
 }
@@ -34,7 +37,7 @@
     /// Creates a guard for a call to which the gate has not granted a slot yet.
     #[must_use]
     pub const fn without_slot(gate: Arc<Gate>, id: CallId) -> Self {
-        Self { gate, id, grant: None, outcome: ExecutionOutcome::Abandoned }
+        Self { gate, id, grant: None, request_id: None, outcome: ExecutionOutcome::Abandoned }
     }
 
     /// Stores the slot that the gate granted.
@@ -42,6 +45,12 @@
         self.grant = Some(grant);
     }
 
+    /// Records the external request as running until the slot is released.
+    pub fn record_running(&mut self, request_id: HeaderValue) {
+        self.gate.running_requests.insert(request_id.clone());
+        self.request_id = Some(request_id);
+    }
+
     /// Records a success with its service time, or a failure, according to the status of the response.
     fn record_status(&mut self, status: StatusCode) {
         self.outcome = match &self.grant {
@@ -55,6 +64,9 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
+        if let Some(request_id) = &self.request_id {
+            self.gate.running_requests.remove(request_id);
+        }
         if let Some(grant) = self.grant {
             self.gate.finish_call(&self.id, grant, self.outcome);
         }
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -21,6 +21,7 @@
 use crate::coordination::priority_queue::PriorityRule;
 use crate::coordination::service_estimate::ExecutionOutcome;
 use crate::protocol::answer::ErrorAnswer;
+use crate::protocol::call_head::CallOrigin;
 use crate::protocol::call_head::ParentCall;
 use crate::protocol::call_id::CallId;
 use crate::protocol::check_in::UpstreamIncarnation;
@@ -33,6 +34,7 @@
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
 use crate::state::parent_calls::ParentCalls;
+use crate::state::running_requests::RunningRequests;
 use crate::transport::answer_relay::AnswerRelay;
 use crate::transport::answer_relay::AnswerRelayBody;
 use crate::transport::call_body::CallBody;
@@ -72,6 +74,8 @@
     pub objective_at: Option<Instant>,
     /// Typical service time of such calls, if known.
     pub typical_time: Option<Duration>,
+    /// Who makes the call.
+    pub origin: CallOrigin,
     /// Whether the call may be executed more than once.
     pub idempotent: bool,
     /// Whether the call carries an issued idempotency key: a repeated request then gets the same answer.
@@ -111,6 +115,8 @@
     pub(super) records: CallRecords<Arc<AnswerRelay>>,
     /// Running calls, which limit the priority and the deadline of the nested calls that the upstream makes.
     pub(super) parents: ParentCalls,
+    /// Identities of the external requests that the upstream is executing.
+    pub(super) running_requests: RunningRequests,
     pub(super) pool: ArcSwapOption<UpstreamPool>,
     /// Header fields of an upstream that speaks an external dialect.
     pub(super) external_fields: Option<UpstreamFields>,
@@ -130,6 +136,7 @@
             queue: Mutex::new(queue),
             records: CallRecords::default(),
             parents: ParentCalls::default(),
+            running_requests: RunningRequests::default(),
             pool: ArcSwapOption::empty(),
             external_fields: None,
             metrics,
@@ -245,6 +252,12 @@
         self.parents.get(id)
     }
 
+    /// Returns whether the upstream is executing the external request with the given identity.
+    #[must_use]
+    pub fn is_running_request(&self, id: &str) -> bool {
+        self.running_requests.contains(id)
+    }
+
     /// Requests admission for a call and forwards it to the upstream.
     ///
     /// An idempotent call is cancelled when the returned future or body is dropped. Any other call
--- a/lib/src/transport/gate_admission.rs
+++ b/lib/src/transport/gate_admission.rs
@@ -52,6 +52,7 @@
             objective_at: call.objective_at,
             typical_time: call.typical_time,
             max_gate_latency: call.max_gate_latency,
+            origin: call.origin,
             idempotent: call.idempotent,
         };
         let now = Instant::now();
--- a/lib/src/transport/gate_forwarding.rs
+++ b/lib/src/transport/gate_forwarding.rs
@@ -49,16 +49,22 @@
             self.count("other_service");
             return Err(other_service(&call.service, pool.service()));
         }
+        let request_id = self
+            .external_fields
+            .as_ref()
+            .and_then(|fields| request.headers().get(&fields.request_id).cloned());
+        if let Some(request_id) = &request_id {
+            slot.record_running(request_id.clone());
+        }
         guard.set_slot(slot, Arc::clone(&pool));
         if self.external_fields.is_some() {
             // Only external upstreams are bound to stop at the deadline that the request names.
             guard.release_after(call.deadline);
         }
         let mut request = into_upstream_request(request, pool.addr());
-        let request_id = self.external_fields.as_ref().and_then(|fields| {
+        if let Some(fields) = &self.external_fields {
             set_external_fields(request.headers_mut(), fields, pool.instance(), call.deadline);
-            request.headers().get(&fields.request_id).cloned()
-        });
+        }
         let exchange = async {
             let response = pool.send(request, guard.connection_mut()).await?;
             buffer_if_small(response, call.deadline).await.context(IncompleteResponseSnafu)
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -330,6 +330,7 @@
             start_by: call.start_by(),
             objective_at: call.objective_at,
             typical_time: call.typical_time(),
+            origin: call.origin,
             idempotent: call.head.idempotent,
             has_issued_key: call.issued_key.is_some(),
             max_gate_latency: options.max_gate_latency,
--- a/lib/src/transport/ingress_call.rs
+++ b/lib/src/transport/ingress_call.rs
@@ -12,6 +12,7 @@
 use crate::coordination::call_measurement::CallMeasurement;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_head::CallHead;
+use crate::protocol::call_head::CallOrigin;
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::error_kind::Execution;
@@ -56,6 +57,8 @@
     pub(super) objective_at: Option<Instant>,
     /// Maximum number of attempts that may reach an upstream.
     pub(super) max_attempts: u32,
+    /// Who makes the call.
+    pub(super) origin: CallOrigin,
     pub(super) measurement: Arc<CallMeasurement>,
 }
 
@@ -88,6 +91,7 @@
             last_gate: None,
             objective,
             objective_at: None,
+            origin: CallOrigin::Caller,
             max_attempts: config.service.retry.max_attempts,
             measurement: Arc::new(CallMeasurement::new(Arc::clone(burn), key, objective, started)),
             head,
@@ -110,7 +114,7 @@
         }
     }
 
-    /// Applies the objective, counted from `started`, and the typical service time of the call's route.
+    /// Applies the time left to the objective, counted from `started`, and the typical service time of the call's route.
     pub(super) fn apply_route(&mut self, objective: Duration, typical_time: &Arc<TypicalTime>) {
         self.objective = objective;
         self.objective_at = Some(self.started + objective);
--- a/lib/src/transport/outgoing_request.rs
+++ b/lib/src/transport/outgoing_request.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::protocol::answer::ErrorAnswer;
+use crate::protocol::call_head::CallOrigin;
 use crate::protocol::call_head::origin_form;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::error_kind::Execution;
@@ -72,6 +73,10 @@
         if options.repeated || call.head.repeated {
             fields.insert(headers::REPEAT, HeaderValue::from_static("true"));
         }
+        fields.remove(headers::NESTED);
+        if call.origin == CallOrigin::Upstream {
+            fields.insert(headers::NESTED, HeaderValue::from_static("true"));
+        }
         fields.remove(headers::RESOLVE);
         fields.remove(headers::START_WITHIN_MS);
         fields.remove(headers::OBJECTIVE_MS);
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -21,6 +21,7 @@
 use yuccatray_proto::peer_v1::peer_server::PeerServer;
 
 use crate::protocol::answer::ErrorAnswer;
+use crate::protocol::call_head::CallOrigin;
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::headers;
@@ -133,6 +134,7 @@
             objective_at: parse_optional(fields, &headers::OBJECTIVE_MS)
                 .map(|remaining_ms| Instant::now() + Duration::from_millis(remaining_ms)),
             typical_time: parse_optional(fields, &headers::TYPICAL_TIME_MS).map(Duration::from_millis),
+            origin: call_origin(fields),
             idempotent: parse_required(fields, &headers::IDEMPOTENT)?,
             has_issued_key: IssuedKey::is_present_in(fields),
             max_gate_latency: parse_optional(fields, &headers::MAX_GATE_LATENCY_US)
@@ -228,3 +230,9 @@
         ErrorAnswer::new(ErrorKind::MalformedRequest, format!("a peer sent no readable field {name}"))
     })
 }
+
+/// Returns who makes a call according to its fields.
+fn call_origin(fields: &HeaderMap) -> CallOrigin {
+    let is_nested = field_text(fields, &headers::NESTED) == Some("true");
+    if is_nested { CallOrigin::Upstream } else { CallOrigin::Caller }
+}
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -22,6 +22,7 @@
 use crate::log_event_limited;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_head::CallHead;
+use crate::protocol::call_head::CallOrigin;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::external_fields::CallerFields;
 use crate::state::route_table::Route;
@@ -122,10 +123,11 @@
         let service = route.next_service().ok_or_else(no_upstream_error)?;
         let published = self.ingress.dependencies.config.get(service).ok_or_else(no_upstream_error)?;
         let config = published.config.as_ref().ok_or_else(no_upstream_error)?;
+        let caller_timeout = caller_timeout(request.headers(), &self.caller_fields.timeout_ms)?;
         let head = CallHead {
             service: Arc::clone(service),
             priority: gate_rank(route.spec.priority),
-            timeout: request_timeout(request.headers(), &self.caller_fields.timeout_ms, route)?,
+            timeout: request_timeout(caller_timeout, route)?,
             idempotent: route.spec.idempotent,
             caller: None,
             repeated: false,
@@ -136,7 +138,12 @@
         let id_header = id_header.unwrap_or_else(|_| HeaderValue::from_static(""));
         let mut call = IngressCall::new(id, id_header, head, config, &self.ingress.dependencies.burn, remote);
         call.max_attempts = route.spec.max_attempts.max(1);
-        call.apply_route(Duration::from_millis(route.spec.objective_ms), &route.typical_time);
+        call.origin = self.origin(request_id);
+        // The timeout of a nested call says what is left to the call that waits for it, not how long it waited.
+        let waited = caller_timeout.filter(|_| call.origin == CallOrigin::Caller);
+        let waited = waited.map(|timeout| route.usual_timeout.record(timeout)).unwrap_or_default();
+        let objective = Duration::from_millis(route.spec.objective_ms);
+        call.apply_route(objective.saturating_sub(waited), &route.typical_time);
         let result = self.ingress.complete_call(&mut call, config, request).await;
         let request_log =
             RequestLog { request_id, route, version: table.version(), elapsed: received_at.elapsed() };
@@ -150,6 +157,15 @@
         result
     }
 
+    /// Returns who makes the request: a caller, or the upstream beside this node while it executes another one.
+    fn origin(&self, request_id: Option<&HeaderValue>) -> CallOrigin {
+        let parent = request_id.and_then(|id| id.to_str().ok()).and_then(self.caller_fields.parent_request);
+        match parent {
+            Some(parent) if self.ingress.dependencies.gate.is_running_request(parent) => CallOrigin::Upstream,
+            _ => CallOrigin::Caller,
+        }
+    }
+
     /// Removes the fields that only nodes may send, and sets the caller's service, which only a node may set.
     fn set_node_fields(&self, fields: &mut HeaderMap) {
         strip_node_fields(fields);
@@ -228,20 +244,23 @@
     })
 }
 
-/// Returns the timeout of a request: that of its caller, limited by that of its route.
-fn request_timeout(fields: &HeaderMap, name: &HeaderName, route: &Route) -> Result<Duration> {
-    let requested = match fields.get(name) {
-        None => None,
-        Some(value) => {
-            let millis = value.to_str().ok().and_then(|text| text.parse().ok());
-            Some(Duration::from_millis(millis.ok_or_else(|| {
-                let message = format!("the field {name} is no whole number of milliseconds");
-                ErrorAnswer::new(ErrorKind::MalformedRequest, message)
-            })?))
-        }
+/// Returns the time until the caller gives up, if the request names it.
+fn caller_timeout(fields: &HeaderMap, name: &HeaderName) -> Result<Option<Duration>> {
+    let Some(value) = fields.get(name) else {
+        return Ok(None);
     };
+    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+    let millis = millis.ok_or_else(|| {
+        let message = format!("the field {name} is no whole number of milliseconds");
+        ErrorAnswer::new(ErrorKind::MalformedRequest, message)
+    })?;
+    Ok(Some(Duration::from_millis(millis)))
+}
+
+/// Returns the timeout of a request: that of its caller, limited by that of its route.
+fn request_timeout(caller_timeout: Option<Duration>, route: &Route) -> Result<Duration> {
     let route_limit = route.spec.timeout_ms.map(Duration::from_millis);
-    let timeout = requested.into_iter().chain(route_limit).min().unwrap_or(DEFAULT_TIMEOUT);
+    let timeout = caller_timeout.into_iter().chain(route_limit).min().unwrap_or(DEFAULT_TIMEOUT);
     if timeout.is_zero() {
         return Err(ErrorAnswer::new(ErrorKind::DeadlineBeforeStart, "the request came with no time left"));
     }
--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -26,6 +26,7 @@
 use yuccatray::coordination::priority_queue::CallerKey;
 use yuccatray::coordination::priority_queue::PriorityRule;
 use yuccatray::coordination::service_estimate::ExecutionOutcome;
+use yuccatray::protocol::call_head::CallOrigin;
 
 /// Minimum share of the slots of each priority, in percent.
 const SHARES: [u32; 4] = [30, 20, 10, 10];
@@ -140,6 +141,7 @@
             objective_at: None,
             typical_time: None,
             max_gate_latency,
+            origin: CallOrigin::Caller,
             idempotent: timeout_ms.is_multiple_of(2),
         };
         let load = self.admission.load(self.now);
@@ -287,6 +289,7 @@
             objective_at: None,
             typical_time: None,
             max_gate_latency: None,
+            origin: CallOrigin::Caller,
             idempotent: false,
         };
         match self.admission.request_admission(request, now) {
@@ -412,6 +415,7 @@
         objective_at: None,
         typical_time: None,
         max_gate_latency: None,
+        origin: CallOrigin::Caller,
         idempotent: false,
     }
 }
@@ -476,6 +480,7 @@
         objective_at: Some(now + Duration::from_millis(objective_ms)),
         typical_time: Some(Duration::from_millis(50)),
         max_gate_latency: None,
+        origin: CallOrigin::Caller,
         idempotent: true,
     }
 }
--- a/lib/tests/gate_identity.rs
+++ b/lib/tests/gate_identity.rs
@@ -10,6 +10,7 @@
 use http::Uri;
 use tokio::time::Instant;
 use yuccatray::coordination::priority_queue::PriorityRule;
+use yuccatray::protocol::call_head::CallOrigin;
 use yuccatray::protocol::call_id::CallId;
 use yuccatray::protocol::error_kind::ErrorKind;
 use yuccatray::protocol::error_kind::Execution;
@@ -90,6 +91,7 @@
         start_by: None,
         objective_at: None,
         typical_time: None,
+        origin: CallOrigin::Caller,
         idempotent: false,
         has_issued_key: false,
         max_gate_latency: None,
--- a/lib/tests/held_calls.rs
+++ b/lib/tests/held_calls.rs
@@ -10,6 +10,7 @@
 use yuccatray::coordination::priority_queue::CallerKey;
 use yuccatray::coordination::priority_queue::PriorityRule;
 use yuccatray::coordination::service_estimate::ExecutionOutcome;
+use yuccatray::protocol::call_head::CallOrigin;
 
 const SLOTS: u32 = 4;
 const LONG_CALL: Duration = Duration::from_millis(200);
@@ -41,6 +42,7 @@
         objective_at: Some(now + Duration::from_millis(500)),
         typical_time,
         max_gate_latency: None,
+        origin: CallOrigin::Caller,
         idempotent: true,
     }
 }
--- a/lib/tests/overload_recovery.rs
+++ b/lib/tests/overload_recovery.rs
@@ -30,6 +30,7 @@
 use yuccatray::coordination::routing::RoutingPolicy;
 use yuccatray::coordination::routing::ZoneFirst;
 use yuccatray::coordination::service_estimate::ExecutionOutcome;
+use yuccatray::protocol::call_head::CallOrigin;
 use yuccatray::state::typical_time::TypicalTime;
 use yuccatray::state::upstream_stats::UpstreamStats;
 
@@ -300,6 +301,7 @@
             objective_at: Some(arrived + OBJECTIVE),
             typical_time: Some(typical_time).filter(|time| !time.is_zero()),
             max_gate_latency,
+            origin: CallOrigin::Caller,
             idempotent: true,
         };
         self.gates[gate].admission.request_admission(request, self.now)
--- a/lib/tests/rate_limited_admission.rs
+++ b/lib/tests/rate_limited_admission.rs
@@ -13,6 +13,7 @@
 use yuccatray::coordination::priority_queue::CallerKey;
 use yuccatray::coordination::priority_queue::PriorityRule;
 use yuccatray::coordination::service_estimate::ExecutionOutcome;
+use yuccatray::protocol::call_head::CallOrigin;
 use yuccatray::protocol::load_report::LoadReport;
 use yuccatray::protocol::rate_limit::RateLimit;
 
@@ -46,6 +47,7 @@
         objective_at: None,
         typical_time: Some(SERVICE_TIME),
         max_gate_latency: None,
+        origin: CallOrigin::Caller,
         idempotent: true,
     }
 }
