gossip: ordinary updates leave a zone through its relays only

Cause: every node sent records of members to random nodes of all zones: on each probe and answer, and on all gossip while an urgent update or a revision was queued. Most bytes between zones of a large fleet were copies of records that the other zone had already.

Change: the two nodes of a zone that watch the platform are its relays. Other nodes send only urgent updates and revisions to other zones. Three of four probes stay in the zone. A digest that differs from that of a node in another zone is left to the relays for 20 s. A node joins through the seeds of its own zone first.

--- a/lib/src/coordination/anti_entropy.rs
+++ b/lib/src/coordination/anti_entropy.rs
@@ -17,8 +17,8 @@
 /// Time in which gossip may resolve a digest mismatch before an exchange starts.
 const MISMATCH_GRACE: Duration = Duration::from_secs(2);
 
-/// The same for a peer in another zone, if a cheaper exchange within this zone may resolve the mismatch.
-const CROSS_ZONE_MISMATCH_GRACE: Duration = Duration::from_secs(6);
+/// The same for a peer in another zone, if a relay of this zone may resolve the mismatch at a lower cost.
+const CROSS_ZONE_MISMATCH_GRACE: Duration = Duration::from_secs(20);
 
 /// Mean time between two exchanges that a digest mismatch starts; jitter applies.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(5);
@@ -127,7 +127,8 @@
         let is_unknown_sender = sender.is_none();
         let grace = match sender {
             Some(sender)
-                if self.has_live_member_in_zone()
+                if !self.is_relay()
+                    && self.has_live_member_in_zone()
                     && !sender.shares_zone_with(self.membership.local_member()) =>
             {
                 CROSS_ZONE_MISMATCH_GRACE
--- a/lib/src/coordination/fleet_view.rs
+++ b/lib/src/coordination/fleet_view.rs
@@ -15,10 +15,12 @@
 
 use crate::coordination::anti_entropy::Mismatch;
 use crate::coordination::gossip_queue::GossipQueue;
+use crate::coordination::gossip_queue::GossipScope;
 use crate::coordination::gossip_queue::GossipSpace;
 use crate::coordination::membership::MemberTimeouts;
 use crate::coordination::membership::Membership;
 use crate::coordination::membership::MergeOutcome;
+use crate::coordination::platform_role::role_of;
 use crate::coordination::probe::ProbeSchedule;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberState;
@@ -31,9 +33,12 @@
 /// Nodes to which gossip is sent in one round.
 const GOSSIP_FANOUT: usize = 3;
 
-/// One in this many gossip targets, on average, is in another zone.
+/// One in this many gossip targets of a relay, on average, is in another zone.
 const CROSS_ZONE_GOSSIP_ONE_IN: u32 = 4;
 
+/// The same for any node while an update must reach every node soon.
+const FAST_CROSS_ZONE_GOSSIP_ONE_IN: u32 = 2;
+
 /// Nodes to which a leaving node sends its state immediately.
 const LEAVE_FANOUT: usize = 10;
 
@@ -86,6 +91,8 @@
     pub(super) settings: GossipSettings,
     pub(super) rng: R,
     pub(super) contacts: Vec<SocketAddr>,
+    /// The contacts in the own zone that were not tried yet; joining through them costs no traffic between zones.
+    pub(super) zone_contacts: Vec<SocketAddr>,
     pub(super) probes: ProbeSchedule,
     pending_requests: IndexMap<Arc<str>, (u64, Instant)>,
     pub(super) timers: Timers,
@@ -143,6 +150,7 @@
             probes: ProbeSchedule::new(rng.random()),
             rng,
             contacts,
+            zone_contacts: Vec::new(),
             pending_requests: IndexMap::new(),
             timers,
             gossip_allowance_bytes,
@@ -178,6 +186,12 @@
         }
     }
 
+    /// Replaces the contacts in the own zone, as found in the platform.
+    pub fn set_zone_contacts(&mut self, addrs: Vec<SocketAddr>) {
+        self.add_contacts(addrs.iter().copied());
+        self.zone_contacts = addrs;
+    }
+
     /// Sets or removes the node's upstream; returns whether it changed.
     pub fn set_own_upstream(&mut self, upstream: Option<UpstreamInfo>) -> bool {
         let changed = self.membership.set_own_upstream(upstream);
@@ -315,7 +329,8 @@
         {
             ack.members.push(wire::Member::from(sender.as_ref()));
         }
-        self.add_gossip(&mut ack);
+        let receiver = self.membership.get(&ping.name).map(Arc::clone);
+        self.add_gossip(&mut ack, receiver.as_ref());
         actions.push(send(from, ack));
     }
 
@@ -409,9 +424,9 @@
         self.timers.next_gossip = now + Duration::from_millis(self.settings.interval_ms);
         for member in self.gossip_targets() {
             let mut gossip = self.datagram(wire::DatagramKind::Gossip, 0);
-            self.add_gossip(&mut gossip);
+            self.add_gossip(&mut gossip, Some(&member));
             if gossip.members.is_empty() && gossip.revisions.is_empty() {
-                return;
+                continue;
             }
             actions.push(send(member.peer_addr, gossip));
         }
@@ -419,15 +434,18 @@
 
     /// Selects gossip targets: any live nodes for urgent updates, otherwise mostly nodes in the own zone.
     ///
-    /// Traffic between zones is expensive, and each record is sent many times.
+    /// Traffic between zones is expensive, and each record is sent many times. Ordinary updates therefore leave a
+    /// zone only through its relays.
     fn gossip_targets(&mut self) -> Vec<Arc<Member>> {
-        if self.gossip_queue.needs_fast_spread() {
-            return self.random_live(GOSSIP_FANOUT, None);
-        }
+        let one_cross_zone_in = match (self.gossip_queue.needs_fast_spread(), self.is_relay()) {
+            (true, _) => Some(FAST_CROSS_ZONE_GOSSIP_ONE_IN),
+            (false, true) => Some(CROSS_ZONE_GOSSIP_ONE_IN),
+            (false, false) => None,
+        };
         let local_member = Arc::clone(self.membership.local_member());
         let mut targets = Vec::with_capacity(GOSSIP_FANOUT);
         for _ in 0..GOSSIP_FANOUT {
-            let cross_zone = self.rng.random_range(0..CROSS_ZONE_GOSSIP_ONE_IN) == 0;
+            let cross_zone = one_cross_zone_in.is_some_and(|one_in| self.rng.random_range(0..one_in) == 0);
             let live = self.membership.other_members().values().map(|known| &known.member);
             let candidates = live.filter(|member| {
                 member.state != MemberState::Dead
@@ -439,6 +457,20 @@
         if targets.is_empty() { self.random_live(GOSSIP_FANOUT, None) } else { targets }
     }
 
+    /// Returns whether this node passes ordinary updates on to other zones.
+    ///
+    /// The nodes of a zone that watch the platform do so.
+    pub(super) fn is_relay(&self) -> bool {
+        role_of(self.membership.local_member(), self.membership.members()).watches_platform
+    }
+
+    /// Returns the updates that this node may send to a node with the given record, if it is known.
+    fn gossip_scope(&self, receiver: Option<&Arc<Member>>) -> GossipScope {
+        let is_in_zone =
+            receiver.is_some_and(|receiver| receiver.shares_zone_with(self.membership.local_member()));
+        if is_in_zone || self.is_relay() { GossipScope::All } else { GossipScope::FastSpreading }
+    }
+
     /// Returns a ping; unless the target counts as alive, it carries the target's record for it to refute.
     pub(super) fn ping(&mut self, target: &Member, sequence: u32) -> wire::Datagram {
         let mut ping = self.datagram(wire::DatagramKind::Ping, sequence);
@@ -446,7 +478,8 @@
         if target.state != MemberState::Alive {
             ping.members.push(wire::Member::from(target));
         }
-        self.add_gossip(&mut ping);
+        let receiver = self.membership.get(&target.id.name).map(Arc::clone);
+        self.add_gossip(&mut ping, receiver.as_ref());
         ping
     }
 
@@ -470,12 +503,13 @@
         clippy::cast_sign_loss,
         reason = "sizes of datagrams are small and not negative"
     )]
-    fn add_gossip(&mut self, datagram: &mut wire::Datagram) {
+    fn add_gossip(&mut self, datagram: &mut wire::Datagram, receiver: Option<&Arc<Member>>) {
         let space = GossipSpace {
             total_bytes: MAX_GOSSIP_BYTES,
             ordinary_bytes: self.gossip_allowance_bytes.max(0.0) as usize,
         };
-        let batch = self.gossip_queue.take(space, self.membership.live_count());
+        let scope = self.gossip_scope(receiver);
+        let batch = self.gossip_queue.take(scope, space, self.membership.live_count());
         self.gossip_allowance_bytes -= batch.ordinary_bytes as f64;
         datagram.members.extend(batch.members.iter().map(|member| wire::Member::from(member.as_ref())));
         let revisions = batch.revisions.iter();
--- a/lib/src/coordination/gossip_queue.rs
+++ b/lib/src/coordination/gossip_queue.rs
@@ -37,6 +37,11 @@
         !is_suspicion && !self.is_urgent()
     }
 
+    /// Returns whether the update must reach every node soon.
+    fn spreads_fast(&self) -> bool {
+        self.is_urgent() || matches!(self, Self::ConfigRevision(_))
+    }
+
     /// Returns whether the update says that a node is leaving or draining.
     ///
     /// Such an update stops traffic to the node, and so is exempt from the bandwidth allowance.
@@ -69,6 +74,15 @@
     pub urgent_bytes: usize,
 }
 
+/// Updates that a datagram may carry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GossipScope {
+    /// All updates.
+    All,
+    /// Updates that must reach every node soon: urgent ones and revisions of configurations.
+    FastSpreading,
+}
+
 /// Space for updates in one datagram.
 #[derive(Clone, Copy, Debug)]
 pub struct GossipSpace {
@@ -96,10 +110,7 @@
     /// These are urgent updates and revisions of configurations.
     #[must_use]
     pub fn needs_fast_spread(&self) -> bool {
-        let spreads_fast = |entry: &QueuedUpdate| {
-            entry.content.is_urgent() || matches!(entry.content, Content::ConfigRevision(_))
-        };
-        self.entries.values().any(spreads_fast)
+        self.entries.values().any(|entry| entry.content.spreads_fast())
     }
 
     /// Queues a member's record and replaces any older update about the member.
@@ -128,7 +139,7 @@
     }
 
     /// Returns the updates for the next datagram as space allows, and drops those sent often enough.
-    pub fn take(&mut self, space: GossipSpace, fleet_size: usize) -> GossipBatch {
+    pub fn take(&mut self, scope: GossipScope, space: GossipSpace, fleet_size: usize) -> GossipBatch {
         if self.entries.is_empty() {
             return GossipBatch::default();
         }
@@ -136,6 +147,9 @@
         let limit = transmission_limit(fleet_size);
         let mut batch = GossipBatch::default();
         for (subject, entry) in &mut self.entries {
+            if scope == GossipScope::FastSpreading && !entry.content.spreads_fast() {
+                continue;
+            }
             if batch.add(subject, &entry.content, space) {
                 entry.transmissions += 1;
             }
--- a/lib/src/coordination/probe.rs
+++ b/lib/src/coordination/probe.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 use rand::Rng;
+use rand::RngExt;
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
@@ -14,6 +15,9 @@
 use crate::protocol::member::MemberId;
 use crate::protocol::member::MemberState;
 
+/// One in this many probes, on average, is of a member in another zone.
+const CROSS_ZONE_PROBE_ONE_IN: u32 = 4;
+
 /// Time for which a relayed probe waits for its answer.
 const RELAYED_PROBE_TTL: Duration = Duration::from_secs(2);
 
@@ -43,7 +47,9 @@
 /// Schedule of one node's probes.
 #[derive(Debug, Default)]
 pub struct ProbeSchedule {
-    round: Vec<Arc<str>>,
+    /// Members still to be probed in this round, in the own zone and in all others.
+    own_zone_round: Vec<Arc<str>>,
+    other_zones_round: Vec<Arc<str>>,
     sequence: u32,
     current: Option<Probe>,
     relayed: IndexMap<u32, RelayedProbe>,
@@ -80,12 +86,18 @@
         self.sequence
     }
 
-    /// Starts a probe of the next member, in shuffled rounds over all members, and returns its target.
+    /// Starts a probe of the next member and returns it.
+    ///
+    /// Members are probed in shuffled rounds: those of the own zone, and less often those of all other zones,
+    /// since traffic between zones is expensive.
     pub fn begin<R>(&mut self, membership: &Membership, rng: &mut R, now: Instant) -> Option<Arc<Member>>
     where
         R: Rng,
     {
-        let target = self.next_target(membership, rng)?;
+        let cross_zone = rng.random_range(0..CROSS_ZONE_PROBE_ONE_IN) == 0;
+        let target = self
+            .next_target(cross_zone, membership, rng)
+            .or_else(|| self.next_target(!cross_zone, membership, rng))?;
         let sequence = self.next_sequence();
         self.current = Some(Probe { target: target.id.clone(), sequence, started: now, indirect: false });
         Some(target)
@@ -106,20 +118,30 @@
     }
 
     /// Returns the next live member of the round; starts a new round once when this one is used up.
-    fn next_target<R>(&mut self, membership: &Membership, rng: &mut R) -> Option<Arc<Member>>
+    fn next_target<R>(
+        &mut self,
+        cross_zone: bool,
+        membership: &Membership,
+        rng: &mut R,
+    ) -> Option<Arc<Member>>
     where
         R: Rng,
     {
+        let local_member = membership.local_member();
+        let round = if cross_zone { &mut self.other_zones_round } else { &mut self.own_zone_round };
         for _round in 0..2 {
-            while let Some(name) = self.round.pop() {
+            while let Some(name) = round.pop() {
                 let member = membership.other_members().get(&name).map(|known| &known.member);
                 if let Some(member) = member.filter(|member| is_probe_target(member)) {
                     return Some(Arc::clone(member));
                 }
             }
-            let targets = membership.other_members().values().filter(|known| is_probe_target(&known.member));
-            self.round = targets.map(|known| Arc::clone(&known.member.id.name)).collect();
-            self.round.shuffle(rng);
+            let others = membership.other_members().values().map(|known| &known.member);
+            let targets = others.filter(|member| {
+                is_probe_target(member) && member.shares_zone_with(local_member) != cross_zone
+            });
+            *round = targets.map(|member| Arc::clone(&member.id.name)).collect();
+            round.shuffle(rng);
         }
         None
     }
--- a/lib/src/coordination/rejoin.rs
+++ b/lib/src/coordination/rejoin.rs
@@ -22,7 +22,8 @@
 {
     /// Contacts seed addresses and dead members, so that the parts of a partitioned fleet reconnect.
     ///
-    /// A node without live peers tries seeds with exponential backoff up to the regular interval.
+    /// A node without live peers tries seeds with exponential backoff up to the regular interval, those
+    /// of its own zone first.
     pub(super) fn contact_lost_members(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if now < self.timers.next_rejoin {
             return;
@@ -33,10 +34,11 @@
             self.timers.next_rejoin = now + self.jittered(self.timers.join_delay);
             let max_delay = Duration::from_millis(self.settings.rejoin_interval_ms);
             self.timers.join_delay = (self.timers.join_delay * 2).min(max_delay);
-            let contact =
-                self.contacts.iter().filter(|contact| **contact != local_addr).choose(&mut self.rng);
-            if let Some(contact) = contact {
-                actions.push(Action::Exchange { peer: *contact, compare: true, wanted_services: Vec::new() });
+            self.zone_contacts.retain(|contact| *contact != local_addr);
+            let anywhere = self.contacts.iter().filter(|contact| **contact != local_addr);
+            let contact = self.zone_contacts.pop().or_else(|| anywhere.choose(&mut self.rng).copied());
+            if let Some(peer) = contact {
+                actions.push(Action::Exchange { peer, compare: true, wanted_services: Vec::new() });
             }
         } else {
             self.timers.join_delay = INITIAL_JOIN_DELAY;
--- a/lib/src/transport/gossip.rs
+++ b/lib/src/transport/gossip.rs
@@ -153,6 +153,11 @@
         self.inner.lock().view.add_contacts(addrs);
     }
 
+    /// Replaces the addresses in the own zone through which the node can join the fleet.
+    pub fn set_zone_contacts(&self, addrs: Vec<SocketAddr>) {
+        self.inner.lock().view.set_zone_contacts(addrs);
+    }
+
     /// Records that the node has tried to read the seed registry on the platform, successfully or not.
     pub fn record_seed_lookup(&self) {
         self.first_seed_lookup.lock().get_or_insert_with(Instant::now);
--- a/lib/src/transport/seed_registry.rs
+++ b/lib/src/transport/seed_registry.rs
@@ -110,19 +110,20 @@
     async fn sync_registry(&self) -> Result<()> {
         Metrics::count(&self.metrics.platform_calls, "list");
         let listing = self.platform.list(ObjectKind::Rendezvous).await?;
+        let local_member = self.gossip.local_member();
+        let name = seed_registry_name(&local_member.region, &local_member.zone);
+        let stored = listing.objects.iter().find(|object| *object.name == *name);
+        self.gossip.set_zone_contacts(stored.map(seed_addrs).unwrap_or_default());
         self.gossip.add_contacts(listing.objects.iter().flat_map(seed_addrs).collect());
         self.gossip.record_seed_lookup();
         if !self.gossip.role().leads_zone {
             return Ok(());
         }
-        let local_member = self.gossip.local_member();
-        let name = seed_registry_name(&local_member.region, &local_member.zone);
         let value = ZoneSeeds {
             region: Arc::clone(&local_member.region),
             zone: Arc::clone(&local_member.zone),
             peer_addrs: self.gossip.zone_platform_watcher_addrs(),
         };
-        let stored = listing.objects.iter().find(|object| *object.name == *name);
         let value = serde_json::to_value(value).unwrap_or_default();
         if stored.is_some_and(|stored| stored.value == value) {
             return Ok(());
--- a/lib/testutils/src/simulated_fleet.rs
+++ b/lib/testutils/src/simulated_fleet.rs
@@ -94,6 +94,8 @@
     pub datagram_bytes: usize,
     /// Bytes of anti-entropy exchanges sent since the start, without overhead.
     pub exchange_bytes: usize,
+    /// Share of all these bytes that was sent to another zone.
+    pub cross_zone_bytes: usize,
     settings: GossipSettings,
     /// Registered peer address of each zone's leader, by zone.
     seed_registry: IndexMap<String, SocketAddr>,
@@ -120,6 +122,7 @@
             check_invariants: true,
             datagram_bytes: 0,
             exchange_bytes: 0,
+            cross_zone_bytes: 0,
             settings: GossipSettings::default(),
             seed_registry: IndexMap::new(),
             packets: BTreeMap::new(),
@@ -371,6 +374,9 @@
         } else {
             self.exchange_bytes += bytes;
         }
+        if index_of(to) % self.zones != from % self.zones {
+            self.cross_zone_bytes += bytes;
+        }
         let partitioned =
             self.partition_side.get(index_of(to)).is_none_or(|side| *side != self.partition_side[from]);
         if partitioned || self.rng.random_range(0..100) < self.faults.loss_percent {
@@ -403,6 +409,8 @@
             let role = role_of(&local_member, membership.members());
             let is_alone = membership.live_count() == 1;
             if role.leads_zone || is_alone {
+                let in_zone = self.seed_registry.get(&*local_member.zone).copied();
+                node.view.set_zone_contacts(in_zone.into_iter().collect());
                 node.view.add_contacts(self.seed_registry.values().copied());
                 self.seed_registry.insert(local_member.zone.to_string(), local_member.peer_addr);
             }
