routes: watch at a lower price where other nodes tell of changes

Cause: each node watched the store at the full price: 12 to 13 calls a node in 40 s, the second largest price of a large fleet.

Change: nodes that are no watchers of their zone allow their watches stale data, which costs a tenth and isn't counted against the rate. The zone's watchers read current data and gossip new revisions, which the others fetch from them. A node that may not hear of them watches current data, beginning with a list: while it is alone, while its last probe of another node was not answered, or when a revision that it heard of has not arrived for a second.

--- a/lib/src/coordination/fleet_view.rs
+++ b/lib/src/coordination/fleet_view.rs
@@ -174,6 +174,19 @@
         self.contacts.iter().any(|contact| *contact != local_addr)
     }
 
+    /// Returns whether this node has to read configurations from the platform itself.
+    ///
+    /// Other nodes normally tell it of new ones. They may not do so while it is alone, while its last probe
+    /// was not answered, or if a revision that it has heard of did not arrive in time.
+    pub fn may_miss_configurations(&self, now: Instant) -> bool {
+        let is_overdue = |(service, (revision, until)): (&Arc<str>, &(u64, Instant))| {
+            *until <= now && self.config.get(service).is_none_or(|held| held.revision < *revision)
+        };
+        self.membership.live_count() == 1
+            || self.probes.is_last_unanswered()
+            || self.pending_requests.iter().any(is_overdue)
+    }
+
     /// Adds addresses to join through, as found in the platform.
     pub fn add_contacts<I>(&mut self, addrs: I)
     where
@@ -234,7 +247,7 @@
         // While this process was paused it could not receive answers, so timeouts of other nodes don't count.
         if elapsed >= Duration::from_millis(self.settings.probe_interval_ms) {
             self.membership.extend_deadlines(elapsed);
-            self.probes.finish();
+            self.probes.discard();
         }
         let mut actions = Vec::new();
         self.resolve_mismatch(now, &mut actions);
@@ -344,7 +357,7 @@
             probe.sequence == ack.sequence && !is_stale
         });
         if answered {
-            self.probes.finish();
+            self.probes.record_answer();
         }
     }
 
@@ -381,7 +394,7 @@
             return;
         }
         self.timers.next_probe = now + Duration::from_millis(self.settings.probe_interval_ms);
-        if let Some(failed) = self.probes.finish()
+        if let Some(failed) = self.probes.expire()
             && let Some(suspect) = self.membership.suspect(&failed.target.name, now)
         {
             self.gossip_queue.push_member_update(suspect);
--- a/lib/src/transport/gossip.rs
+++ b/lib/src/transport/gossip.rs
@@ -184,6 +184,12 @@
         role_of(membership.local_member(), membership.members())
     }
 
+    /// Returns whether the node has to read configurations from the platform itself.
+    #[must_use]
+    pub fn may_miss_configurations(&self) -> bool {
+        self.inner.lock().view.may_miss_configurations(Instant::now())
+    }
+
     /// Returns the peer addresses of the nodes of this zone that communicate with the platform.
     #[must_use]
     pub fn zone_platform_watcher_addrs(&self) -> Vec<SocketAddr> {
--- a/lib/src/transport/platform.rs
+++ b/lib/src/transport/platform.rs
@@ -82,6 +82,12 @@
 /// A store that is restored from a copy starts a new epoch: it has lost the latest writes, and gives their
 /// versions out again. Versions are comparable only within an epoch.
 pub trait Platform: Clone + Send + Sync + 'static {
+    /// Returns a client whose watches may report changes seconds late, if the platform offers cheaper ones.
+    #[must_use]
+    fn with_stale_watches(&self) -> Self {
+        self.clone()
+    }
+
     /// Returns an object, or `None` if it does not exist.
     fn get(&self, kind: ObjectKind, name: &str) -> impl Future<Output = Result<Option<Object>>> + Send;
 
--- a/lib/src/transport/routes_watcher.rs
+++ b/lib/src/transport/routes_watcher.rs
@@ -18,20 +18,32 @@
 use crate::transport::gossip::Gossip;
 use crate::transport::object_watch::ObjectEvent;
 use crate::transport::object_watch::watch_objects;
+use crate::transport::platform::Platform;
 
-/// Interval, before jitter, between checks of the node's role.
-const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Consecutive checks that have to find a new role before the node acts on it.
+/// Interval, before jitter, between checks of how the node has to watch.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Consecutive checks that have to find a new role of the node before it acts on it.
 const ROLE_CHECKS: u32 = 4;
-/// Factor by which watches wait longer on nodes that also get new routes from their zone's leader.
+/// Factor by which watches wait longer on nodes that also get new routes from others.
 const FOLLOWER_WAIT_FACTOR: u64 = 6;
 /// Longest wait of a watch that the platform allows, in milliseconds.
 const MAX_WATCH_WAIT_MS: u64 = 30_000;
 
+/// How a node watches the routes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WatchMode {
+    /// With short waits, since a watch may stall without failing.
+    Leader,
+    /// With long waits.
+    Follower,
+    /// With long waits and at a lower price; changes may come seconds late, but other nodes tell of them.
+    StaleFollower,
+}
+
 /// Watches the platform for new routes and applies them.
 ///
-/// Every node watches. A watch may stall without failing, so the zone's leading node uses short
-/// waits. The other nodes also get new routes from the leading node and use longer waits.
+/// Every node watches. The platform's watchers of each zone follow it closely and gossip new revisions, which the
+/// others fetch from them. The watches of those are a cheap fallback, unless they may not hear of revisions.
 #[derive(Debug)]
 pub struct RoutesWatcher<I>
 where
@@ -39,6 +51,7 @@
 {
     leader_store: I::Store,
     follower_store: I::Store,
+    stale_store: I::Store,
     gossip: Arc<Gossip>,
     metrics: SharedMetrics,
     dialect: PhantomData<fn() -> I>,
@@ -53,9 +66,11 @@
     pub fn new(settings: &PlatformSettings, gossip: Arc<Gossip>, metrics: SharedMetrics) -> Self {
         let follower_wait_ms = (settings.watch_wait_ms * FOLLOWER_WAIT_FACTOR).min(MAX_WATCH_WAIT_MS);
         let follower_settings = PlatformSettings { watch_wait_ms: follower_wait_ms, ..settings.clone() };
+        let follower_store = I::new_store(&follower_settings);
         Self {
             leader_store: I::new_store(settings),
-            follower_store: I::new_store(&follower_settings),
+            stale_store: follower_store.with_stale_watches(),
+            follower_store,
             gossip,
             metrics,
             dialect: PhantomData,
@@ -64,36 +79,60 @@
 
     /// Runs until `stop` is cancelled.
     pub async fn run(self, stop: CancellationToken) {
-        let follow_by_role = async {
+        let follow_by_mode = async {
+            let mut mode = self.mode();
             loop {
-                let leads_zone = self.gossip.role().leads_zone;
                 tokio::select! {
-                    () = self.follow(leads_zone) => {}
-                    () = self.wait_for_role(!leads_zone) => {}
+                    () = self.follow(mode) => {}
+                    next = self.next_mode(mode) => mode = next,
                 }
             }
         };
         tokio::select! {
             () = stop.cancelled() => {}
-            () = follow_by_role => {}
+            () = follow_by_mode => {}
         }
     }
 
-    async fn follow(&self, leads_zone: bool) {
-        let store = if leads_zone { &self.leader_store } else { &self.follower_store };
+    /// Lists the routes, then watches them without end.
+    async fn follow(&self, mode: WatchMode) {
+        let store = match mode {
+            WatchMode::Leader => &self.leader_store,
+            WatchMode::Follower => &self.follower_store,
+            WatchMode::StaleFollower => &self.stale_store,
+        };
         let gossip = Arc::clone(&self.gossip);
         let on_event = move |event| apply_event::<I>(&gossip, event);
         watch_objects(store.clone(), ObjectKind::Routes, Arc::clone(&self.metrics), on_event).await;
     }
 
-    /// Waits until several checks in a row find the role: in a mass start each node leads for a moment.
-    async fn wait_for_role(&self, leads_zone: bool) {
+    /// Returns how the node has to watch now.
+    fn mode(&self) -> WatchMode {
+        let role = self.gossip.role();
+        if role.leads_zone {
+            WatchMode::Leader
+        } else if role.watches_platform || self.gossip.may_miss_configurations() {
+            WatchMode::Follower
+        } else {
+            WatchMode::StaleFollower
+        }
+    }
+
+    /// Waits until the node has to watch in another mode than `current`, and returns it.
+    ///
+    /// Several checks in a row have to find a new role, since in a mass start each node leads for a moment. A node
+    /// that may miss configurations acts at once.
+    async fn next_mode(&self, current: WatchMode) -> WatchMode {
         let mut matching_checks = 0;
-        while matching_checks < ROLE_CHECKS {
-            let pause = jittered(ROLE_CHECK_INTERVAL, &mut rand::rng());
+        loop {
+            let pause = jittered(CHECK_INTERVAL, &mut rand::rng());
             tokio::time::sleep(pause).await;
-            matching_checks =
-                if self.gossip.role().leads_zone == leads_zone { matching_checks + 1 } else { 0 };
+            let mode = self.mode();
+            matching_checks = if mode == current { 0 } else { matching_checks + 1 };
+            let is_urgent = current == WatchMode::StaleFollower && self.gossip.may_miss_configurations();
+            if matching_checks >= ROLE_CHECKS || (mode != current && is_urgent) {
+                return mode;
+            }
         }
     }
 }
