routing: charge the crossings of zones that an answer takes

Each rejection had crossed with the whole request. The price of a crossing counted the admitted ones only.

Change: each ingress keeps the share of its attempts in other zones that is admitted, by service, and divides the price of crossing by it, at most by four.

--- a/lib/src/coordination/service_budgets.rs
+++ b/lib/src/coordination/service_budgets.rs
@@ -1,5 +1,6 @@
-//! Budgets of one node for the attempts of a service's calls beyond their first ones.
+//! Budgets of one node for the attempts of a service's calls: those beyond the first one or the own zone.
 
+use crate::coordination::cross_zone_yield::CrossZoneYield;
 use crate::coordination::hedge::Hedging;
 use crate::coordination::reroute_budget::RerouteBudget;
 use crate::coordination::retry_budget::RetryBudget;
@@ -14,6 +15,8 @@
     pub retry: RetryBudget,
     /// Hedged requests of idempotent calls.
     pub hedging: Hedging,
+    /// Yield of attempts in other zones.
+    pub cross_zone_yield: CrossZoneYield,
     reroutes: [RerouteBudget; REROUTE_BUDGETS],
 }
 
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
+use crate::coordination::cross_zone_yield::CrossZoneYield;
 use crate::coordination::routing::Candidate;
 use crate::coordination::routing::FULL_RAMP_UP_PERMILLE;
 use crate::coordination::routing::RoutingContext;
@@ -98,14 +99,14 @@
 }
 
 impl UpstreamRequirements<'_> {
-    fn routing_context(self, config: &PublishedConfig) -> RoutingContext {
+    fn routing_context(self, config: &PublishedConfig, cross_zone_yield: &CrossZoneYield) -> RoutingContext {
         let rank = usize::from(self.priority).min(CROSS_ZONE_COST_PERMILLE.len() - 1);
         let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
         RoutingContext {
             max_ejected_percent: config.upstream_rule.max_ejected_percent,
             objective_us: micros(self.objective),
             typical_us: micros(self.typical_time),
-            cross_zone_cost_permille: CROSS_ZONE_COST_PERMILLE[rank],
+            cross_zone_cost_permille: cross_zone_yield.cost_of_answer(CROSS_ZONE_COST_PERMILLE[rank]),
         }
     }
 }
@@ -221,14 +222,15 @@
         let repeated = attempted.excluded_count() > 0;
         let may_reroute = is_replayable && attempted.rerouted.len() < MAX_REROUTES;
         if may_reroute && budgets.reroute_budget(call.head.priority).permits_reroute() {
-            let planned =
-                self.choose_gate(call.requirements(), config, repeated, |name| attempted.contains(name));
+            let planned = self
+                .choose_gate(call.requirements(), config, budgets, repeated, |name| attempted.contains(name));
             if planned.is_some() {
                 return planned;
             }
         }
-        let plan =
-            self.choose_gate(call.requirements(), config, repeated, |name| attempted.is_excluded(name))?;
+        let plan = self.choose_gate(call.requirements(), config, budgets, repeated, |name| {
+            attempted.is_excluded(name)
+        })?;
         if attempted.rerouted.contains(&plan.entry.member.id.name) {
             // The gate rejects this identity permanently, and the call was never executed under it.
             call.replace_id(self.dependencies.ids.next());
@@ -241,6 +243,7 @@
         &self,
         requirements: UpstreamRequirements<'_>,
         config: &PublishedConfig,
+        budgets: &ServiceBudgets,
         repeated: bool,
         skip: F,
     ) -> Option<PlannedAttempt>
@@ -262,7 +265,7 @@
                 entries.push(entry);
             }
         }
-        let context = requirements.routing_context(config);
+        let context = requirements.routing_context(config, &budgets.cross_zone_yield);
         let index = self.dependencies.policy.choose(&candidates, context, &mut rand::rng())?;
         let entry = DirectoryEntry::clone(entries.get(index)?);
         let max_gate_latency =
@@ -309,6 +312,10 @@
             let response = send_via_peer_gate(&self.dependencies.channels, peer, request).await;
             response.map(|response| response.map(Either::Left))
         };
+        if entry.member.zone != self.dependencies.local_member.zone {
+            let is_rejected = result.as_ref().is_err_and(|answer| is_overload(answer.kind));
+            context.budgets.cross_zone_yield.record(!is_rejected);
+        }
         match result {
             Ok(response) => {
                 if plan.options.max_gate_latency.is_some() {
@@ -367,7 +374,7 @@
     }
 
     /// Returns the budgets of a service, created on first use.
-    fn budgets(&self, service: &Arc<str>) -> Arc<ServiceBudgets> {
+    pub(super) fn budgets(&self, service: &Arc<str>) -> Arc<ServiceBudgets> {
         if let Some(budgets) = self.budgets.load().get(service) {
             return Arc::clone(budgets);
         }
--- a/lib/src/transport/hedging.rs
+++ b/lib/src/transport/hedging.rs
@@ -99,7 +99,8 @@
         let first_gate = &plan.entry.member.id.name;
         // Gates that rejected an earlier attempt are not skipped, since they may have a free slot by now.
         let skip = |name: &Arc<str>| name == first_gate || context.attempted_gates.failed.contains(name);
-        let mut hedge = self.choose_gate(context.call.requirements(), context.config, true, skip)?;
+        let mut hedge =
+            self.choose_gate(context.call.requirements(), context.config, context.budgets, true, skip)?;
         let routed_limit = hedge.options.max_gate_latency;
         let max_gate_latency = max_hedge_latency(routed_limit, context.call.typical_time())?;
         hedge.options.max_gate_latency = Some(max_gate_latency);
--- a/lib/src/transport/issued_key_call.rs
+++ b/lib/src/transport/issued_key_call.rs
@@ -63,7 +63,9 @@
             objective: Duration::ZERO,
             typical_time: Duration::ZERO,
         };
-        let plan = config.and_then(|config| self.choose_gate(requirements, config, false, |_| false));
+        let budgets = self.budgets(&service);
+        let plan =
+            config.and_then(|config| self.choose_gate(requirements, config, &budgets, false, |_| false));
         let gate = plan.ok_or_else(no_upstream_error)?.entry.member.id.clone();
         HeaderValue::from_str(&IssuedKey { gate, call: id }.to_string()).map_err(|error| {
             ErrorAnswer::new(ErrorKind::Internal, format!("a ticket that is no field: {error}"))
