--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -630,3 +630,34 @@
         "{decisions:?}"
     );
 }
+
+#[test]
+fn admission_short_of_slots_rejects_callers_but_queues_nested_calls() {
+    let now = Instant::now();
+    let mut admission = Admission::new(1, &serve_late_rules(), now);
+    let first = admitted_slot(&mut admission, call_with_objective(0, 500, 1_000, now), now);
+    let later = now + Duration::from_millis(400);
+    admission.release(
+        first.expect("a free slot"),
+        ExecutionOutcome::Succeeded(Duration::from_millis(50)),
+        now + Duration::from_millis(50),
+    );
+    let _running = admitted_slot(&mut admission, call_with_objective(0, 500, 1_000, later), later);
+    let mut short_of_slots = false;
+    for _ in 0..20 {
+        let outcome = admission.request_admission(call_with_objective(0, 500, 2_000, later), later);
+        short_of_slots |= outcome == AdmissionOutcome::Rejected(RejectReason::ObjectiveMissed);
+    }
+    assert!(short_of_slots, "more calls came than can be on time");
+    let late_call = call_with_objective(0, 10, 2_000, later);
+    assert_eq!(
+        admission.request_admission(late_call, later),
+        AdmissionOutcome::Rejected(RejectReason::ObjectiveMissed),
+        "a late call of a caller yields"
+    );
+    let nested = AdmissionRequest { origin: CallOrigin::Upstream, ..late_call };
+    assert!(
+        matches!(admission.request_admission(nested, later), AdmissionOutcome::Queued(_)),
+        "a running request waits for the nested call"
+    );
+}
