--- a/lib/tests/usual_timeout.rs
+++ b/lib/tests/usual_timeout.rs
@@ -21,7 +21,7 @@
     for _ in 0..10 {
         timeouts.record(USUAL);
     }
-    assert_eq!(timeouts.record(LEFT), USUAL - LEFT);
+    assert_eq!(timeouts.record(LEFT), USUAL.saturating_sub(LEFT));
     assert_eq!(timeouts.record(USUAL * 2), Duration::ZERO, "a longer timeout tells of no wait");
 }
 
@@ -35,7 +35,7 @@
         timeouts.record(USUAL);
     }
     assert_eq!(timeouts.record(USUAL), Duration::ZERO);
-    assert_eq!(timeouts.record(LEFT), USUAL - LEFT);
+    assert_eq!(timeouts.record(LEFT), USUAL.saturating_sub(LEFT));
 }
 
 #[test]
