review: nodes follow a change too late after the zone's watchers are lost

Cause: the other nodes of a zone read stale data and rely on the two watchers. They notice an unanswered probe only until the next answered one, so that they go on with stale reads until the watchers are declared dead. Breaks the rule CONFIG.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 //! Exit code 0: the rule held; 1: it was broken; 2: the case could not run.
 
 mod client;
+mod config_after_loss;
 mod early_answer_drain;
 mod http;
 mod record;
@@ -30,6 +31,7 @@
     let record = Record::new();
     let result = match name.as_str() {
         "repeated-term" => repeated_term::run(&root, &record, trouble),
+        "config-after-loss" => config_after_loss::run(&root, &record, trouble),
         "early-answer-drain" => early_answer_drain::run(&root, &record, trouble),
         _ => Err(std::io::Error::other("no case has this name")),
     };
