--- a/review/standin/early_answer_drain.rs
+++ b/review/standin/early_answer_drain.rs
@@ -20,19 +20,19 @@
 use crate::site::Site;
 
 /// Time for which every machine is left alone first, so that all are in touch.
-const CALM: Duration = Duration::from_millis(3_500);
+pub const CALM: Duration = Duration::from_millis(3_500);
 const DRAIN: Duration = Duration::from_secs(2);
 /// Time after the acknowledged drain at which the worker exits: `DRAIN` and a little longer.
 const EXITS_AFTER: Duration = Duration::from_millis(3_500);
 /// Time between the uploads, the requests that follow them and the drain.
-const STEP: Duration = Duration::from_millis(200);
+pub const STEP: Duration = Duration::from_millis(200);
 /// Time over which a client sends a long body.
 const UPLOAD: Duration = Duration::from_millis(3_200);
 const UPLOAD_BYTES: usize = 400_000;
 const UPLOAD_STEPS: u32 = 80;
 const UPLOADS: usize = 4;
 const FOLLOWERS: usize = 6;
-const DEADLINE_MS: u64 = 5_000;
+pub const DEADLINE_MS: u64 = 5_000;
 const WORK_MS: u64 = 1_500;
 
 const ROUTES: [Route; 1] =
@@ -44,11 +44,11 @@
     let site = Site::start(root, record, &PLACES, &ROUTES)?;
     std::thread::sleep(CALM);
     let outbound = site.machines[0].outbound;
-    let uploads: Vec<_> = (0..UPLOADS).map(|number| upload(outbound, number, trouble, record)).collect();
+    let uploads: Vec<_> = (0..UPLOADS).map(|number| upload(outbound, number, trouble, UPLOAD, record)).collect();
     std::thread::sleep(STEP);
     let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
     let followers: Vec<_> =
-        (0..FOLLOWERS).map(|number| follow(outbound, number, &outcomes, record)).collect();
+        (0..FOLLOWERS).map(|number| follow(outbound, number, WORK_MS, &outcomes, record)).collect();
     std::thread::sleep(STEP);
     let acked_at = site.worker(0).drain()?;
     std::thread::sleep((acked_at + EXITS_AFTER).saturating_sub(record.now()));
@@ -69,7 +69,13 @@
 }
 
 /// Sends a request with a long body, a part at a time.
-fn upload(outbound: SocketAddr, number: usize, early: bool, record: &Record) -> JoinHandle<()> {
+pub fn upload(
+    outbound: SocketAddr,
+    number: usize,
+    early: bool,
+    duration: Duration,
+    record: &Record,
+) -> JoinHandle<()> {
     let record = record.clone();
     std::thread::spawn(move || {
         let id = format!("upload-{number}");
@@ -83,7 +89,7 @@
             let started = Instant::now();
             for step in 1..=UPLOAD_STEPS {
                 connection.send(&part)?;
-                std::thread::sleep((UPLOAD * step / UPLOAD_STEPS).saturating_sub(started.elapsed()));
+                std::thread::sleep((duration * step / UPLOAD_STEPS).saturating_sub(started.elapsed()));
             }
             record.add(format!("client: {id} sent whole"));
             let answer = read_answer(&mut connection, &id)?;
@@ -97,16 +103,17 @@
 }
 
 /// Sends an ordinary request.
-fn follow(
+pub fn follow(
     outbound: SocketAddr,
     number: usize,
+    work_ms: u64,
     outcomes: &Arc<Mutex<Vec<Outcome>>>,
     record: &Record,
 ) -> JoinHandle<()> {
     let (record, outcomes) = (record.clone(), Arc::clone(outcomes));
     std::thread::spawn(move || {
         let id = format!("follower-{number}");
-        let target = format!("/puka111/{id}?work={WORK_MS}");
+        let target = format!("/puka111/{id}?work={work_ms}");
         let mut request = request_head("POST", &target, &id, DEADLINE_MS, 5).into_bytes();
         request.extend_from_slice(b"order");
         match Connection::open(outbound) {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod config_after_loss;
 mod early_answer_drain;
+mod held_at_stop;
 mod http;
 mod record;
 mod repeated_term;
@@ -33,6 +34,7 @@
         "repeated-term" => repeated_term::run(&root, &record, trouble),
         "config-after-loss" => config_after_loss::run(&root, &record, trouble),
         "early-answer-drain" => early_answer_drain::run(&root, &record, trouble),
+        "held-at-stop" => held_at_stop::run(&root, &record, trouble),
         _ => Err(std::io::Error::other("no case has this name")),
     };
     let (code, verdict) = match result {
