routes, membership: log how routes are watched, and lost members

Change: one line when a node begins to watch in another mode, one when it suspects a member or declares one dead.

Conclusion: nodes rely on watchers without any sign that these still read the platform.

--- a/lib/src/coordination/fleet_view.rs
+++ b/lib/src/coordination/fleet_view.rs
@@ -22,6 +22,7 @@
 use crate::coordination::membership::MergeOutcome;
 use crate::coordination::platform_role::role_of;
 use crate::coordination::probe::ProbeSchedule;
+use crate::log_event_limited;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberState;
 use crate::protocol::member::UpstreamInfo;
@@ -383,6 +384,7 @@
             return;
         }
         for member in dead {
+            log_event_limited!(Info, "member declared dead", member = &member.id.name);
             self.gossip_queue.push_member_update(member);
         }
         actions.push(Action::MembersChanged);
@@ -397,6 +399,7 @@
         if let Some(failed) = self.probes.expire()
             && let Some(suspect) = self.membership.suspect(&failed.target.name, now)
         {
+            log_event_limited!(Info, "member suspected", member = &suspect.id.name);
             self.gossip_queue.push_member_update(suspect);
             actions.push(Action::MembersChanged);
         }
--- a/lib/src/transport/routes_watcher.rs
+++ b/lib/src/transport/routes_watcher.rs
@@ -82,6 +82,7 @@
         let follow_by_mode = async {
             let mut mode = self.mode();
             loop {
+                log_event!(Info, "watching routes", mode = format_args!("{mode:?}"));
                 tokio::select! {
                     () = self.follow(mode) => {}
                     next = self.next_mode(mode) => mode = next,
