routes: rely on other nodes only while one confirms that the routes are the latest

Without any loss, a node that gossip passed by followed after 2.3 s (change_in_force_everywhere_while_stale_watches_lag).

Cause: a node watches with stale reads as long as it believes that others tell it of changes, and nothing showed it that they still could. An unanswered probe moved one node for a moment, a lost watcher kept its place until it was declared dead (4.2 s), and the repair by digests began after 2 s.

Change: the leading node of a zone (one for each 32 nodes) confirms its routes with each answer of a current watch of 0.7 s. The others of the zone ping it each 0.4 s, and the zone's second node if it does not answer; the answer states the age of the confirmation and, if the digests differ, the revisions that the asking node lacks. The age counts from the sending of the ping. A node whose last confirmation is 1.4 s old reads current data itself, at once. The second node of a zone stands in for a silent first one after one unanswered ping. 1.4 s, one tick and one read are in force well within the 2 s of ConfigApplyS, whatever failed and when, since the bound rests on the age of a proof and not on noticing a failure. Nodes keep the position of their watch when they go back to stale reads, which saves a listing. The rule that a single unanswered probe makes a node read current data is gone, as is its state.

Conclusion: what a node may rely on is bounded by time, not by membership.

--- a/lib/src/coordination/fleet_view.rs
+++ b/lib/src/coordination/fleet_view.rs
@@ -14,6 +14,8 @@
 use yuccatray_proto::peer_v1 as wire;
 
 use crate::coordination::anti_entropy::Mismatch;
+use crate::coordination::config_confirmation::ConfigConfirmation;
+use crate::coordination::gossip_queue::CONFIG_REVISION_BASE_BYTES;
 use crate::coordination::gossip_queue::GossipQueue;
 use crate::coordination::gossip_queue::GossipScope;
 use crate::coordination::gossip_queue::GossipSpace;
@@ -47,7 +49,7 @@
 const INDIRECT_PROBE_COUNT: usize = 3;
 
 /// Maximum size of gossip in one datagram, in bytes; header and authentication tag fit in the rest of 1,400.
-const MAX_GOSSIP_BYTES: usize = 1_100;
+pub(super) const MAX_GOSSIP_BYTES: usize = 1_100;
 
 /// Maximum unused gossip allowance that accumulates, in seconds at the permitted rate.
 const GOSSIP_BURST_SECONDS: f64 = 30.0;
@@ -95,7 +97,9 @@
     /// The contacts in the own zone that were not tried yet; joining through them costs no traffic between zones.
     pub(super) zone_contacts: Vec<SocketAddr>,
     pub(super) probes: ProbeSchedule,
-    pending_requests: IndexMap<Arc<str>, (u64, Instant)>,
+    /// Absent in a fleet whose nodes need no confirmation of their configuration.
+    pub(super) confirmation: Option<ConfigConfirmation>,
+    pub(super) pending_requests: IndexMap<Arc<str>, (u64, Instant)>,
     pub(super) timers: Timers,
     gossip_allowance_bytes: f64,
     superseded: bool,
@@ -149,6 +153,7 @@
             gossip_queue,
             settings,
             probes: ProbeSchedule::new(rng.random()),
+            confirmation: None,
             rng,
             contacts,
             zone_contacts: Vec::new(),
@@ -175,19 +180,6 @@
         self.contacts.iter().any(|contact| *contact != local_addr)
     }
 
-    /// Returns whether this node has to read configurations from the platform itself.
-    ///
-    /// Other nodes normally tell it of new ones. They may not do so while it is alone, while its last probe
-    /// was not answered, or if a revision that it has heard of did not arrive in time.
-    pub fn may_miss_configurations(&self, now: Instant) -> bool {
-        let is_overdue = |(service, (revision, until)): (&Arc<str>, &(u64, Instant))| {
-            *until <= now && self.config.get(service).is_none_or(|held| held.revision < *revision)
-        };
-        self.membership.live_count() == 1
-            || self.probes.is_last_unanswered()
-            || self.pending_requests.iter().any(is_overdue)
-    }
-
     /// Adds addresses to join through, as found in the platform.
     pub fn add_contacts<I>(&mut self, addrs: I)
     where
@@ -248,12 +240,13 @@
         // While this process was paused it could not receive answers, so timeouts of other nodes don't count.
         if elapsed >= Duration::from_millis(self.settings.probe_interval_ms) {
             self.membership.extend_deadlines(elapsed);
-            self.probes.discard();
+            self.probes.finish();
         }
         let mut actions = Vec::new();
         self.resolve_mismatch(now, &mut actions);
         self.expire(now, &mut actions);
         self.drive_probes(now, &mut actions);
+        self.request_confirmation(now, &mut actions);
         self.contact_lost_members(now, &mut actions);
         self.send_gossip(now, &mut actions);
         actions
@@ -270,7 +263,7 @@
         self.request_newer_revisions(sender_addr, &datagram.revisions, now, &mut actions);
         match datagram.kind() {
             wire::DatagramKind::Ping if is_for_this_node && !self.superseded => {
-                self.answer_ping(from, datagram, &mut actions);
+                self.answer_ping(from, datagram, now, &mut actions);
             }
             wire::DatagramKind::Ack => self.handle_ack(datagram, &mut actions),
             wire::DatagramKind::PingRequest => self.relay_probe(from, datagram, now, &mut actions),
@@ -337,8 +330,15 @@
         Some(service)
     }
 
-    fn answer_ping(&mut self, from: SocketAddr, ping: &wire::Datagram, actions: &mut Vec<Action>) {
+    fn answer_ping(
+        &mut self,
+        from: SocketAddr,
+        ping: &wire::Datagram,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
         let mut ack = self.datagram(wire::DatagramKind::Ack, ping.sequence);
+        self.add_confirmation(&mut ack, ping, now);
         if let Some(sender) = self.membership.get(&ping.name).filter(|sender| needs_own_record(sender, ping))
         {
             ack.members.push(wire::Member::from(sender.as_ref()));
@@ -358,8 +358,9 @@
             probe.sequence == ack.sequence && !is_stale
         });
         if answered {
-            self.probes.record_answer();
+            self.probes.finish();
         }
+        self.handle_confirmation(ack);
     }
 
     fn relay_probe(
@@ -521,7 +522,7 @@
     )]
     fn add_gossip(&mut self, datagram: &mut wire::Datagram, receiver: Option<&Arc<Member>>) {
         let space = GossipSpace {
-            total_bytes: MAX_GOSSIP_BYTES,
+            total_bytes: MAX_GOSSIP_BYTES - revisions_bytes(&datagram.revisions).min(MAX_GOSSIP_BYTES),
             ordinary_bytes: self.gossip_allowance_bytes.max(0.0) as usize,
         };
         let scope = self.gossip_scope(receiver);
@@ -563,6 +564,11 @@
     has_later_incarnation || is_not_alive
 }
 
+/// Returns the approximate size of revisions on the wire, in bytes.
+pub(super) fn revisions_bytes(revisions: &[wire::Revision]) -> usize {
+    revisions.iter().map(|revision| revision.service.len() + CONFIG_REVISION_BASE_BYTES).sum()
+}
+
 pub(super) fn send(to: SocketAddr, datagram: wire::Datagram) -> Action {
     Action::Send { to, datagram: Box::new(datagram) }
 }
--- a/lib/src/coordination/gossip_queue.rs
+++ b/lib/src/coordination/gossip_queue.rs
@@ -14,7 +14,7 @@
 const MEMBER_BASE_BYTES: usize = 72;
 
 /// Size of the revision of a service's configuration without the name of the service, in bytes.
-const CONFIG_REVISION_BASE_BYTES: usize = 8;
+pub(super) const CONFIG_REVISION_BASE_BYTES: usize = 8;
 
 /// Key of an update: the member or service that it is about.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod backoff;
 pub mod call_measurement;
 pub mod concurrency_limit;
+pub mod config_confirmation;
 pub mod cross_zone_yield;
 pub mod delayed_count;
 pub mod execution_progress;
--- a/lib/src/coordination/probe.rs
+++ b/lib/src/coordination/probe.rs
@@ -52,8 +52,6 @@
     other_zones_round: Vec<Arc<str>>,
     sequence: u32,
     current: Option<Probe>,
-    /// Whether the last probe that ended was not answered.
-    last_unanswered: bool,
     relayed: IndexMap<u32, RelayedProbe>,
 }
 
@@ -79,30 +77,14 @@
 
     /// Ends the pending probe without an answer and returns it.
     pub const fn expire(&mut self) -> Option<Probe> {
-        let expired = self.current.take();
-        if expired.is_some() {
-            self.last_unanswered = true;
-        }
-        expired
-    }
-
-    /// Ends the pending probe, whose answer has arrived.
-    pub fn record_answer(&mut self) {
-        self.current = None;
-        self.last_unanswered = false;
+        self.current.take()
     }
 
-    /// Discards the pending probe, which says nothing about its target.
-    pub fn discard(&mut self) {
+    /// Ends the pending probe, because it was answered or says nothing about its target.
+    pub fn finish(&mut self) {
         self.current = None;
     }
 
-    /// Returns whether a probe has ended without an answer since the last one that was answered.
-    #[must_use]
-    pub const fn is_last_unanswered(&self) -> bool {
-        self.last_unanswered
-    }
-
     /// Returns a new sequence number, unique among this node's probes until it wraps around.
     pub const fn next_sequence(&mut self) -> u32 {
         self.sequence = self.sequence.wrapping_add(1);
--- a/lib/src/node/core_parts.rs
+++ b/lib/src/node/core_parts.rs
@@ -22,6 +22,7 @@
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberId;
 use crate::protocol::member::MemberState;
+use crate::protocol::settings::DialectName;
 use crate::protocol::settings::Settings;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
@@ -43,6 +44,7 @@
 use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_security::PeerSecurity;
 use crate::transport::peer_server::PeerHandler;
+use crate::transport::routes_watcher::max_confirmation_age;
 use crate::transport::slowdown_probe::SlowdownProbe;
 
 /// State and services shared by the servers and tasks of one node.
@@ -219,14 +221,19 @@
     socket: Arc<UdpSocket>,
     shared: &SharedParts,
 ) -> Gossip {
+    let now = Instant::now();
     let view = FleetView::new(
         local_member.clone(),
         settings.gossip.clone(),
         settings.seeds.clone(),
         Arc::clone(&shared.config),
         Pcg64Mcg::from_rng(&mut rand::rng()),
-        tokio::time::Instant::now(),
+        now,
     );
+    let view = match settings.dialect {
+        DialectName::Own => view,
+        DialectName::Platform => view.with_confirmations(max_confirmation_age(&settings.platform), now),
+    };
     Gossip::new(GossipDependencies {
         view,
         config: Arc::clone(&shared.config),
--- a/lib/src/transport/gossip.rs
+++ b/lib/src/transport/gossip.rs
@@ -11,6 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::net::UdpSocket;
 use tokio::sync::Semaphore;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use yuccatray_proto::peer_v1 as wire;
@@ -24,6 +25,7 @@
 use crate::coordination::platform_role::PlatformRole;
 use crate::coordination::platform_role::role_of;
 use crate::coordination::platform_role::zone_platform_watchers;
+use crate::log_event;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberId;
 use crate::protocol::member::MemberState;
@@ -94,6 +96,8 @@
     channels: Arc<ControlChannels>,
     metrics: SharedMetrics,
     exchange_permits: Arc<Semaphore>,
+    /// Whether the node has to read configurations from the platform itself.
+    may_miss_configurations: watch::Sender<bool>,
     /// Time of the first attempt to read the seed registry on the platform, successful or not.
     first_seed_lookup: Mutex<Option<Instant>>,
 }
@@ -117,6 +121,7 @@
             channels: dependencies.channels,
             metrics: dependencies.metrics,
             exchange_permits: Arc::new(Semaphore::new(MAX_EXCHANGES)),
+            may_miss_configurations: watch::Sender::new(true),
             first_seed_lookup: Mutex::new(None),
         };
         gossip.publish_directory();
@@ -184,10 +189,15 @@
         role_of(membership.local_member(), membership.members())
     }
 
-    /// Returns whether the node has to read configurations from the platform itself.
+    /// Records that the node has read the latest configurations from the platform, as of `current_at`.
+    pub fn confirm_configurations(&self, current_at: Instant) {
+        self.inner.lock().view.confirm_configurations(current_at);
+    }
+
+    /// Returns whether the node has to read configurations from the platform itself, as of the last tick.
     #[must_use]
-    pub fn may_miss_configurations(&self) -> bool {
-        self.inner.lock().view.may_miss_configurations(Instant::now())
+    pub fn may_miss_configurations(&self) -> watch::Receiver<bool> {
+        self.may_miss_configurations.subscribe()
     }
 
     /// Returns the peer addresses of the nodes of this zone that communicate with the platform.
@@ -284,11 +294,29 @@
             let mut inner = self.inner.lock();
             let mut actions = inner.view.tick(now);
             actions.extend(self.due_report(&mut inner, now));
+            self.update_may_miss_configurations(&inner.view, now);
             actions
         };
         self.perform(actions).await;
     }
 
+    /// Tells those that wait for it whether the node has to read configurations from the platform itself.
+    fn update_may_miss_configurations(&self, view: &FleetView<Pcg64Mcg>, now: Instant) {
+        let may_miss = view.may_miss_configurations(now);
+        let changed = self
+            .may_miss_configurations
+            .send_if_modified(|current| std::mem::replace(current, may_miss) != may_miss);
+        if changed {
+            let confirmed_ms_ago = view.config_age_ms(now);
+            log_event!(
+                Info,
+                "reliance on others for configurations changed",
+                may_miss = may_miss,
+                confirmed_ms_ago = format_args!("{confirmed_ms_ago:?}"),
+            );
+        }
+    }
+
     /// Returns the datagram with the report to the zone's collector, if one is due.
     fn due_report(&self, inner: &mut Inner, now: Instant) -> Option<Action> {
         let Inner { view, reporter, .. } = inner;
--- a/lib/src/transport/object_watch.rs
+++ b/lib/src/transport/object_watch.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::coordination::backoff::Backoff;
 use crate::log_event;
 use crate::protocol::object::Object;
@@ -34,7 +36,7 @@
 
 /// Position of a watch: a version of the store, which is comparable only within one epoch of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct WatchPosition {
+pub struct WatchPosition {
     epoch: u64,
     version: u64,
 }
@@ -45,42 +47,65 @@
 /// failed to report is reported by the next watch. The kind is listed again after a failure, an expired
 /// version, or a restore of the store: a restored store gives versions out again, so that changes may lie
 /// behind the version watched from.
-pub async fn watch_objects<P, F>(platform: P, kind: ObjectKind, metrics: SharedMetrics, mut on_event: F)
+pub async fn watch_objects<P, F>(platform: P, kind: ObjectKind, metrics: SharedMetrics, on_event: F)
 where
     P: Platform,
     F: FnMut(ObjectEvent) + Send,
+{
+    resume_watch(platform, kind, metrics, &mut None, on_event, |_current_at| {}).await;
+}
+
+/// Watches like [`watch_objects`], from `position` if there is one, and leaves there how far it came.
+///
+/// After each answer, `on_current` gets a time at which the events reported so far were up to date.
+/// An answer to a watch counts as up to date when it arrives, since the platform sends it at once when there is a
+/// change or the wait ends. A listing counts from its request, as it may take several answers.
+pub async fn resume_watch<P, F, C>(
+    platform: P,
+    kind: ObjectKind,
+    metrics: SharedMetrics,
+    position: &mut Option<WatchPosition>,
+    mut on_event: F,
+    mut on_current: C,
+) where
+    P: Platform,
+    F: FnMut(ObjectEvent) + Send,
+    C: FnMut(Instant) + Send,
 {
     let mut backoff = platform_backoff();
-    let mut position: Option<WatchPosition> = None;
-    let mut last_epoch: Option<u64> = None;
+    let mut last_epoch = position.map(|position| position.epoch);
     let mut reachable = true;
     loop {
-        let result = match position {
+        let result = match *position {
             None => {
                 Metrics::count(&metrics.platform_calls, "list");
+                let requested_at = Instant::now();
                 platform.list(kind).await.map(|listing| {
                     if let Some(previous) = last_epoch.replace(listing.epoch)
                         && previous != listing.epoch
                     {
                         log_restore(kind, previous, &listing);
                     }
-                    let position = WatchPosition { epoch: listing.epoch, version: listing.version };
+                    let listed = WatchPosition { epoch: listing.epoch, version: listing.version };
                     on_event(ObjectEvent::Listed(listing.objects));
-                    Some(position)
+                    on_current(requested_at);
+                    Some(listed)
                 })
             }
-            Some(position) => {
+            Some(watched) => {
                 Metrics::count(&metrics.platform_calls, "watch");
-                let changes = platform.watch(kind, position.version).await;
+                let changes = platform.watch(kind, watched.version).await;
                 changes.map(|changes| {
-                    if changes.expired || changes.epoch != position.epoch {
+                    if changes.expired || changes.epoch != watched.epoch {
                         return None;
                     }
                     if changes.changes.is_empty() {
-                        return Some(position);
+                        on_current(Instant::now());
+                        return Some(watched);
                     }
                     on_event(ObjectEvent::Changed(changes.changes));
-                    Some(WatchPosition { version: changes.version, ..position })
+                    on_current(Instant::now());
+                    Some(WatchPosition { version: changes.version, ..watched })
                 })
             }
         };
@@ -95,7 +120,7 @@
                     );
                 }
                 reachable = true;
-                position = next;
+                *position = next;
                 backoff.reset();
             }
             Err(error) => {
@@ -104,7 +129,7 @@
                     log_event!(Warn, "platform not followed", kind = kind, error = &error);
                 }
                 reachable = false;
-                position = None;
+                *position = None;
                 let pause = backoff.next_delay(&mut rand::rng());
                 tokio::time::sleep(pause).await;
             }
--- a/lib/src/transport/routes_watcher.rs
+++ b/lib/src/transport/routes_watcher.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::backoff::jittered;
@@ -17,42 +18,67 @@
 use crate::transport::external_dialect::ExternalDialect;
 use crate::transport::gossip::Gossip;
 use crate::transport::object_watch::ObjectEvent;
-use crate::transport::object_watch::watch_objects;
+use crate::transport::object_watch::WatchPosition;
+use crate::transport::object_watch::resume_watch;
 use crate::transport::platform::Platform;
 
 /// Interval, before jitter, between checks of how the node has to watch.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Consecutive checks that have to find a new role of the node before it acts on it.
 const ROLE_CHECKS: u32 = 4;
+/// Factor by which watches wait longer on a node that gets no confirmation from others.
+const UNCONFIRMED_WAIT_FACTOR: u64 = 3;
 /// Factor by which watches wait longer on nodes that also get new routes from others.
-const FOLLOWER_WAIT_FACTOR: u64 = 6;
+const FOLLOWER_WAIT_FACTOR: u64 = 12;
 /// Longest wait of a watch that the platform allows, in milliseconds.
 const MAX_WATCH_WAIT_MS: u64 = 30_000;
+/// Time that a confirmation may take to reach a node, one lost datagram included, beyond the wait of a watch.
+const CONFIRMATION_SPREAD: Duration = Duration::from_millis(700);
 
 /// How a node watches the routes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WatchMode {
-    /// With short waits, since a watch may stall without failing.
-    Leader,
+    /// With short waits, since a watch may stall without failing and other nodes rely on this one.
+    Confirmer,
+    /// With medium waits, since no other node confirms that the routes are the latest.
+    Unconfirmed,
     /// With long waits.
     Follower,
     /// With long waits and at a lower price; changes may come seconds late, but other nodes tell of them.
     StaleFollower,
 }
 
+impl WatchMode {
+    /// Returns whether the node relies on others to tell it of new routes in time.
+    const fn relies_on_others(self) -> bool {
+        matches!(self, Self::Follower | Self::StaleFollower)
+    }
+}
+
+/// Returns the age at which a confirmation of the routes by another node no longer counts.
+///
+/// A change is in force on a node that other nodes fail after this time and one read of the platform.
+#[must_use]
+pub fn max_confirmation_age(settings: &PlatformSettings) -> Duration {
+    Duration::from_millis(settings.watch_wait_ms) + CONFIRMATION_SPREAD
+}
+
 /// Watches the platform for new routes and applies them.
 ///
-/// Every node watches. The platform's watchers of each zone follow it closely and gossip new revisions, which the
-/// others fetch from them. The watches of those are a cheap fallback, unless they may not hear of revisions.
+/// Every node watches. Some nodes of each zone follow the platform closely and gossip new revisions, which the others
+/// fetch from them. The watches of those are a cheap fallback for as long as a node that follows the platform
+/// confirms that their routes are the latest. Without a recent confirmation a node reads the platform itself.
 #[derive(Debug)]
 pub struct RoutesWatcher<I>
 where
     I: ExternalDialect,
 {
-    leader_store: I::Store,
+    confirmer_store: I::Store,
+    unconfirmed_store: I::Store,
     follower_store: I::Store,
     stale_store: I::Store,
     gossip: Arc<Gossip>,
+    may_miss_configurations: watch::Receiver<bool>,
     metrics: SharedMetrics,
     dialect: PhantomData<fn() -> I>,
 }
@@ -64,13 +90,13 @@
     /// Creates a watcher of the platform named in the settings.
     #[must_use]
     pub fn new(settings: &PlatformSettings, gossip: Arc<Gossip>, metrics: SharedMetrics) -> Self {
-        let follower_wait_ms = (settings.watch_wait_ms * FOLLOWER_WAIT_FACTOR).min(MAX_WATCH_WAIT_MS);
-        let follower_settings = PlatformSettings { watch_wait_ms: follower_wait_ms, ..settings.clone() };
-        let follower_store = I::new_store(&follower_settings);
+        let follower_store = I::new_store(&with_longer_waits(settings, FOLLOWER_WAIT_FACTOR));
         Self {
-            leader_store: I::new_store(settings),
+            confirmer_store: I::new_store(settings),
+            unconfirmed_store: I::new_store(&with_longer_waits(settings, UNCONFIRMED_WAIT_FACTOR)),
             stale_store: follower_store.with_stale_watches(),
             follower_store,
+            may_miss_configurations: gossip.may_miss_configurations(),
             gossip,
             metrics,
             dialect: PhantomData,
@@ -81,10 +107,15 @@
     pub async fn run(self, stop: CancellationToken) {
         let follow_by_mode = async {
             let mut mode = self.mode();
+            let mut position = None;
             loop {
                 log_event!(Info, "watching routes", mode = format_args!("{mode:?}"));
+                if !mode.relies_on_others() {
+                    // A listing is answered at once, and so confirms that the routes are the latest.
+                    position = None;
+                }
                 tokio::select! {
-                    () = self.follow(mode) => {}
+                    () = self.follow(mode, &mut position) => {}
                     next = self.next_mode(mode) => mode = next,
                 }
             }
@@ -95,24 +126,33 @@
         }
     }
 
-    /// Lists the routes, then watches them without end.
-    async fn follow(&self, mode: WatchMode) {
+    /// Watches the routes without end from `position`, or lists them first if there is none.
+    async fn follow(&self, mode: WatchMode, position: &mut Option<WatchPosition>) {
         let store = match mode {
-            WatchMode::Leader => &self.leader_store,
+            WatchMode::Confirmer => &self.confirmer_store,
+            WatchMode::Unconfirmed => &self.unconfirmed_store,
             WatchMode::Follower => &self.follower_store,
             WatchMode::StaleFollower => &self.stale_store,
         };
-        let gossip = Arc::clone(&self.gossip);
-        let on_event = move |event| apply_event::<I>(&gossip, event);
-        watch_objects(store.clone(), ObjectKind::Routes, Arc::clone(&self.metrics), on_event).await;
+        let on_event = |event| apply_event::<I>(&self.gossip, event);
+        let on_current = |current_at| {
+            if mode != WatchMode::StaleFollower {
+                self.gossip.confirm_configurations(current_at);
+            }
+        };
+        let metrics = Arc::clone(&self.metrics);
+        resume_watch(store.clone(), ObjectKind::Routes, metrics, position, on_event, on_current).await;
     }
 
     /// Returns how the node has to watch now.
     fn mode(&self) -> WatchMode {
         let role = self.gossip.role();
-        if role.leads_zone {
-            WatchMode::Leader
-        } else if role.watches_platform || self.gossip.may_miss_configurations() {
+        let may_miss_configurations = *self.may_miss_configurations.borrow();
+        if role.confirms_configurations || (role.watches_platform && may_miss_configurations) {
+            WatchMode::Confirmer
+        } else if may_miss_configurations {
+            WatchMode::Unconfirmed
+        } else if role.watches_platform {
             WatchMode::Follower
         } else {
             WatchMode::StaleFollower
@@ -124,20 +164,30 @@
     /// Several checks in a row have to find a new role, since in a mass start each node leads for a moment. A node
     /// that may miss configurations acts at once.
     async fn next_mode(&self, current: WatchMode) -> WatchMode {
+        let mut may_miss_configurations = self.may_miss_configurations.clone();
         let mut matching_checks = 0;
         loop {
             let pause = jittered(CHECK_INTERVAL, &mut rand::rng());
-            tokio::time::sleep(pause).await;
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                Ok(_) = may_miss_configurations.wait_for(|may_miss| *may_miss), if current.relies_on_others() => {}
+            }
             let mode = self.mode();
             matching_checks = if mode == current { 0 } else { matching_checks + 1 };
-            let is_urgent = current == WatchMode::StaleFollower && self.gossip.may_miss_configurations();
-            if matching_checks >= ROLE_CHECKS || (mode != current && is_urgent) {
+            let is_urgent = current.relies_on_others() && !mode.relies_on_others();
+            if matching_checks >= ROLE_CHECKS || is_urgent {
                 return mode;
             }
         }
     }
 }
 
+/// Returns the settings with waits of watches that are longer by a factor, as far as the platform allows.
+fn with_longer_waits(settings: &PlatformSettings, factor: u64) -> PlatformSettings {
+    let watch_wait_ms = (settings.watch_wait_ms * factor).min(MAX_WATCH_WAIT_MS);
+    PlatformSettings { watch_wait_ms, ..settings.clone() }
+}
+
 /// Applies new routes. A deleted object is ignored: accepted routes stay until newer ones are written.
 fn apply_event<I>(gossip: &Gossip, event: ObjectEvent)
 where
--- a/lib/tests/object_watch.rs
+++ b/lib/tests/object_watch.rs
@@ -6,11 +6,13 @@
 
 use parking_lot::Mutex;
 use serde_json::Value;
+use tokio::time::Instant;
 use yuccatray::protocol::object::Object;
 use yuccatray::protocol::object::ObjectKind;
 use yuccatray::protocol::object::Precondition;
 use yuccatray::state::metrics::Metrics;
 use yuccatray::state::metrics::SharedMetrics;
+use yuccatray::transport::object_watch::resume_watch;
 use yuccatray::transport::object_watch::watch_objects;
 use yuccatray::transport::platform::Changes;
 use yuccatray::transport::platform::Listing;
@@ -113,3 +115,24 @@
     let watch = Call::Watch(LISTED_VERSION);
     assert_eq!(platform_calls(&[WatchOutcome::StoreRestored]).await, [Call::List, watch, Call::List, watch]);
 }
+
+/// Guards against a listing each time that a node changes how it watches.
+#[tokio::test(start_paused = true)]
+async fn watch_resumed_at_position_lists_nothing() {
+    let outcomes = [WatchOutcome::NoChanges, WatchOutcome::StoreRestored];
+    let platform =
+        ScriptedPlatform { outcomes: Arc::new(Mutex::new(VecDeque::from(outcomes))), calls: Arc::default() };
+    let mut position = None;
+    let mut times = Vec::new();
+    let started = Instant::now();
+    for _ in 0..2 {
+        let metrics = SharedMetrics::new(Metrics::default());
+        let on_current = |current_at| times.push(current_at);
+        let watching =
+            resume_watch(platform.clone(), ObjectKind::Routes, metrics, &mut position, |_| {}, on_current);
+        let _still_waiting = tokio::time::timeout(MAX_TEST_TIME, watching).await;
+    }
+    let watch = Call::Watch(LISTED_VERSION);
+    assert_eq!(*platform.calls.lock(), [Call::List, watch, watch, Call::List, watch, watch]);
+    assert_eq!(times, [started; 3], "each answer but that of a restored store confirms what was reported");
+}
--- a/lib/testutils/src/simulated_fleet.rs
+++ b/lib/testutils/src/simulated_fleet.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 use yuccatray::coordination::fleet_view::Action;
 use yuccatray::coordination::fleet_view::FleetView;
+use yuccatray::coordination::platform_role::PlatformRole;
 use yuccatray::coordination::platform_role::role_of;
 use yuccatray::protocol::member::Member;
 use yuccatray::protocol::member::MemberId;
@@ -27,6 +28,9 @@
 /// Virtual time between two ticks of every node.
 pub const STEP: Duration = Duration::from_millis(50);
 
+/// Time after which the watch of a node that confirms configurations ends without changes.
+pub const CONFIRMING_WATCH_WAIT: Duration = Duration::from_millis(700);
+
 /// Faults of the simulated network.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NetFaults {
@@ -60,6 +64,8 @@
     /// Its configuration.
     pub config: Arc<ConfigTable>,
     paused_until: Option<Instant>,
+    /// Time at which the watch of a node that confirms configurations ends without changes.
+    next_confirmation: Instant,
     inbox: Vec<Packet>,
     /// State of each member at the last invariant check.
     observed: IndexMap<Arc<str>, ObservedState>,
@@ -86,6 +92,12 @@
     pub partition_side: Vec<u8>,
     /// Whether the platform answers.
     pub platform_up: bool,
+    /// Nodes, by index, that the platform can't be reached from.
+    pub cut_from_platform: Vec<bool>,
+    /// Age at which a confirmation of a node's configuration by another no longer counts; `None` for none at all.
+    ///
+    /// Applies to nodes that are started later.
+    pub max_confirmation_age: Option<Duration>,
     /// Latest published revision of each service in the platform.
     pub published: IndexMap<Arc<str>, u64>,
     /// Whether the invariants are checked after each step, in time quadratic in the number of nodes.
@@ -118,6 +130,8 @@
             faults: NetFaults::default(),
             partition_side: vec![0; node_count],
             platform_up: true,
+            cut_from_platform: vec![false; node_count],
+            max_confirmation_age: None,
             published: IndexMap::new(),
             check_invariants: true,
             datagram_bytes: 0,
@@ -156,10 +170,15 @@
         let contacts = vec![addr(0), addr(1)];
         let view =
             FleetView::new(local_member, self.settings.clone(), contacts, Arc::clone(&config), rng, self.now);
+        let view = match self.max_confirmation_age {
+            Some(max_age) => view.with_confirmations(max_age, self.now),
+            None => view,
+        };
         self.nodes[index] = Some(SimulatedNode {
             view,
             config,
             paused_until: None,
+            next_confirmation: self.now,
             inbox: Vec::new(),
             observed: IndexMap::new(),
             revisions: IndexMap::new(),
@@ -226,6 +245,26 @@
         condition(self).then(|| self.now - started)
     }
 
+    /// Returns the running nodes, by index, that watch the platform on behalf of their zone.
+    #[must_use]
+    pub fn platform_watchers(&self) -> Vec<usize> {
+        let running = self.nodes.iter().enumerate();
+        let running = running.filter_map(|(index, node)| node.as_ref().map(|node| (index, node)));
+        running.filter(|(_, node)| node_role(node).watches_platform).map(|(index, _)| index).collect()
+    }
+
+    /// Returns whether a node runs and leads its zone, according to its own view.
+    #[must_use]
+    pub fn leads_zone(&self, index: usize) -> bool {
+        self.nodes[index].as_ref().is_some_and(|node| node_role(node).leads_zone)
+    }
+
+    /// Returns whether a node has the platform's latest revision of each service.
+    #[must_use]
+    pub fn is_up_to_date(&self, index: usize) -> bool {
+        self.nodes[index].as_ref().is_some_and(|node| self.has_latest_revisions(node))
+    }
+
     /// Returns whether every node lists exactly the running nodes as alive and has all latest revisions.
     #[must_use]
     pub fn has_converged(&self) -> bool {
@@ -395,15 +434,18 @@
     /// Simulates the accesses of the nodes to the platform.
     ///
     /// The leader of each zone, or a node that knows no other, reads the seed registry and registers its
-    /// address; the platform watchers of each zone read the published configurations.
+    /// address; the platform watchers of each zone read the published configurations, and with confirmations also
+    /// the nodes that may miss some.
     fn read_platform(&mut self) {
         if !self.platform_up {
             return;
         }
-        for node in self.nodes.iter_mut().flatten() {
-            if node.paused_until.is_some() {
+        let now = self.now;
+        let confirms = self.max_confirmation_age.is_some();
+        for (node, is_cut) in self.nodes.iter_mut().zip(&self.cut_from_platform) {
+            let Some(node) = node.as_mut().filter(|node| node.paused_until.is_none() && !is_cut) else {
                 continue;
-            }
+            };
             let membership = node.view.membership();
             let local_member = Arc::clone(membership.local_member());
             let role = role_of(&local_member, membership.members());
@@ -414,11 +456,16 @@
                 node.view.add_contacts(self.seed_registry.values().copied());
                 self.seed_registry.insert(local_member.zone.to_string(), local_member.peer_addr);
             }
-            if role.watches_platform {
+            let may_miss = confirms && node.view.may_miss_configurations(now);
+            if role.watches_platform || may_miss {
                 for (service, revision) in &self.published {
                     node.view.apply(published(service, *revision));
                 }
             }
+            if (role.confirms_configurations || may_miss) && now >= node.next_confirmation {
+                node.view.confirm_configurations(now);
+                node.next_confirmation = now + CONFIRMING_WATCH_WAIT;
+            }
         }
     }
 
@@ -463,6 +510,12 @@
     }
 }
 
+/// Returns the role of a node according to its own view.
+fn node_role(node: &SimulatedNode) -> PlatformRole {
+    let membership = node.view.membership();
+    role_of(membership.local_member(), membership.members())
+}
+
 /// Returns the name of the node with the given index.
 #[must_use]
 pub fn node_name(index: usize) -> Arc<str> {
