shutdown: a draining node takes no call that it may have to cut

What callers may see: a request that a stopping node took after it began to drain, within 0.5 s, was passed on with its whole time budget.

Cause: the ingress limited how long such a call waits for a slot, but not how long it may run.

Change: a draining node rejects a call whose deadline lies after its own end, at once and as not executed. Calls that end before are served as before.

Test: late_request_of_stopping_node_rejected_unless_it_ends_in_time; without the check the request reached the worker and got 504 in place of 503.

--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -56,9 +56,6 @@
 /// Time for the announcement that the node is leaving to spread before the server for callers stops.
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
 
-/// Time before the end of a shutdown at which calls without a slot fail as not executed.
-pub(crate) const SHUTDOWN_ANSWER_MARGIN: Duration = Duration::from_millis(500);
-
 /// Error on starting a node.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -278,7 +275,7 @@
     pub async fn stop(mut self) -> Shutdown {
         let stop_by = Instant::now() + self.shutdown_timeout;
         self.stopping.store(true, Ordering::Relaxed);
-        self.ingress.set_slot_cutoff(stop_by.checked_sub(SHUTDOWN_ANSWER_MARGIN).unwrap_or(stop_by));
+        self.ingress.set_stop_by(stop_by);
         tokio::time::sleep_until(stop_by.min(Instant::now() + self.unready_notice)).await;
         self.registration.drain();
         self.ingress.drain();
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -69,6 +69,9 @@
 /// Result of handling a call or one attempt of it; the error is the answer to the caller.
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
 
+/// Time before the end of a shutdown at which calls without a slot fail as not executed.
+pub(crate) const SHUTDOWN_ANSWER_MARGIN: Duration = Duration::from_millis(500);
+
 /// Retry-after time in answers about an upstream that cannot be reached.
 pub(super) const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -117,8 +120,8 @@
     pub(super) dependencies: IngressDependencies<P>,
     pub(super) budgets: ArcSwap<IndexMap<Arc<str>, Arc<ServiceBudgets>>>,
     draining: AtomicBool,
-    /// Time by which calls must get a slot or are rejected; set when the node starts to stop.
-    slot_cutoff: OnceLock<Instant>,
+    /// Time by which the node ends; set when it starts to stop.
+    stop_by: OnceLock<Instant>,
 }
 
 impl<P> Ingress<P>
@@ -129,15 +132,16 @@
     #[must_use]
     pub fn new(dependencies: IngressDependencies<P>) -> Self {
         let draining = AtomicBool::new(false);
-        Self { dependencies, budgets: ArcSwap::default(), draining, slot_cutoff: OnceLock::new() }
+        Self { dependencies, budgets: ArcSwap::default(), draining, stop_by: OnceLock::new() }
     }
 
-    /// Sets the time by which calls accepted from now on must get a slot, since the node is stopping.
+    /// Sets the time by which the node ends.
     ///
-    /// A call that gets none is rejected as not executed. `max_slot_wait` already limits earlier calls.
-    pub fn set_slot_cutoff(&self, at: Instant) {
+    /// Calls accepted from now on must get a slot [`SHUTDOWN_ANSWER_MARGIN`] earlier or are rejected as not
+    /// executed. `max_slot_wait` already limits earlier calls.
+    pub fn set_stop_by(&self, at: Instant) {
         // A repeated stop request does not change the time.
-        let _result = self.slot_cutoff.set(at);
+        let _result = self.stop_by.set(at);
     }
 
     /// Starts asking callers to close their connections and send further calls to other nodes.
@@ -261,12 +265,14 @@
         config: &PublishedConfig,
         request: Request<Incoming>,
     ) -> Result<CallResponse> {
+        self.check_ends_before_stop(call)
+            .map_err(|answer| mark_possibly_executed(answer, call.issued_key.is_some()))?;
         let outgoing = self.prepare_outgoing(call, config, request).await;
         let mut outgoing =
             outgoing.map_err(|answer| mark_possibly_executed(answer, call.issued_key.is_some()))?;
         call.limit_slot_wait(call.started + self.dependencies.max_slot_wait);
-        if let Some(at) = self.slot_cutoff.get() {
-            call.limit_slot_wait(*at);
+        if let Some(stop_by) = self.stop_by.get() {
+            call.limit_slot_wait(stop_by.checked_sub(SHUTDOWN_ANSWER_MARGIN).unwrap_or(*stop_by));
         }
         if let Some(issued_key) = &call.issued_key {
             return self.attempt_at_issuing_gate(call, config, issued_key, outgoing).await;
@@ -274,6 +280,17 @@
         self.attempts(call, config, &mut outgoing).await
     }
 
+    /// Rejects a call that a draining node may have to cut, since its deadline lies after the end of the node.
+    fn check_ends_before_stop(&self, call: &IngressCall) -> Result<()> {
+        match self.stop_by.get() {
+            Some(stop_by) if self.is_draining() && call.deadline > *stop_by => {
+                let message = "the node ends before the deadline of the call";
+                Err(ErrorAnswer::new(ErrorKind::Draining, message).retry_after(NO_UPSTREAM_RETRY_AFTER))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Buffers a small body so that the request can be retried; a larger one is streamed once.
     async fn prepare_outgoing(
         &self,
