seed registry: look for the fleet as soon as the platform can be reached again

Cause: two backoffs grew during the outage, that of the lookups of a node that is alone (to 10 s) and that of its attempts to join (to 5 s); neither was shortened when the routes could be read again, nor when addresses were found.

Change: a lookup that failed is repeated as soon as the node reads configurations, whose watch tries again within a second. New addresses are tried at the next tick. No call is added while the platform is away.

--- a/lib/src/coordination/fleet_view.rs
+++ b/lib/src/coordination/fleet_view.rs
@@ -180,16 +180,21 @@
         self.contacts.iter().any(|contact| *contact != local_addr)
     }
 
-    /// Adds addresses to join through, as found in the platform.
+    /// Adds addresses to join through, as found in the platform, and tries new ones at the next tick.
     pub fn add_contacts<I>(&mut self, addrs: I)
     where
         I: IntoIterator<Item = SocketAddr>,
     {
+        let known = self.contacts.len();
         for addr in addrs {
             if !self.contacts.contains(&addr) {
                 self.contacts.push(addr);
             }
         }
+        if self.contacts.len() > known {
+            self.timers.join_delay = INITIAL_JOIN_DELAY;
+            self.timers.next_rejoin = self.timers.last_tick;
+        }
     }
 
     /// Replaces the contacts in the own zone, as found in the platform.
--- a/lib/src/transport/config_watcher.rs
+++ b/lib/src/transport/config_watcher.rs
@@ -12,7 +12,7 @@
 use crate::state::metrics::SharedMetrics;
 use crate::transport::gossip::Gossip;
 use crate::transport::object_watch::ObjectEvent;
-use crate::transport::object_watch::watch_objects;
+use crate::transport::object_watch::resume_watch;
 use crate::transport::platform::Platform;
 
 /// Time between two checks of the node's role, before jitter.
@@ -38,12 +38,14 @@
         let work = async {
             loop {
                 self.wait_for_role(true).await;
-                let gossip = Arc::clone(&self.gossip);
-                let watching = watch_objects(
+                let mut position = None;
+                let watching = resume_watch(
                     self.platform.clone(),
                     ObjectKind::Published,
                     Arc::clone(&self.metrics),
-                    move |event| apply_event(&gossip, event),
+                    &mut position,
+                    |event| apply_event(&self.gossip, event),
+                    |current_at| self.gossip.confirm_configurations(current_at),
                 );
                 tokio::select! {
                     () = watching => {}
--- a/lib/src/transport/gossip.rs
+++ b/lib/src/transport/gossip.rs
@@ -10,6 +10,7 @@
 use prost::Message;
 use rand_pcg::Pcg64Mcg;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -98,6 +99,8 @@
     exchange_permits: Arc<Semaphore>,
     /// Whether the node has to read configurations from the platform itself.
     may_miss_configurations: watch::Sender<bool>,
+    /// Notified each time that the node has read the latest configurations from the platform.
+    configurations_read: Notify,
     /// Time of the first attempt to read the seed registry on the platform, successful or not.
     first_seed_lookup: Mutex<Option<Instant>>,
 }
@@ -122,6 +125,7 @@
             metrics: dependencies.metrics,
             exchange_permits: Arc::new(Semaphore::new(MAX_EXCHANGES)),
             may_miss_configurations: watch::Sender::new(true),
+            configurations_read: Notify::new(),
             first_seed_lookup: Mutex::new(None),
         };
         gossip.publish_directory();
@@ -192,6 +196,12 @@
     /// Records that the node has read the latest configurations from the platform, as of `current_at`.
     pub fn confirm_configurations(&self, current_at: Instant) {
         self.inner.lock().view.confirm_configurations(current_at);
+        self.configurations_read.notify_waiters();
+    }
+
+    /// Waits until the node next reads configurations from the platform.
+    pub async fn configurations_read(&self) {
+        self.configurations_read.notified().await;
     }
 
     /// Returns whether the node has to read configurations from the platform itself, as of the last tick.
--- a/lib/src/transport/seed_registry.rs
+++ b/lib/src/transport/seed_registry.rs
@@ -89,12 +89,7 @@
         loop {
             let alone = self.gossip.is_alone();
             let leads_zone = self.gossip.role().leads_zone;
-            if (alone || leads_zone)
-                && let Err(error) = self.sync_registry().await
-            {
-                Metrics::count(&self.metrics.platform_calls, "failed");
-                log::debug!("seed registry lookup failed; error={error}");
-            }
+            let failed = (alone || leads_zone) && !self.look_up().await;
             self.gossip.record_seed_lookup();
             let pause = if alone {
                 alone_backoff.next_delay(&mut rand::rng())
@@ -102,8 +97,22 @@
                 alone_backoff.reset();
                 jittered(if leads_zone { LEADER_INTERVAL } else { IDLE_INTERVAL }, &mut rand::rng())
             };
-            tokio::time::sleep(pause).await;
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                // The platform can be reached again, perhaps long before the next lookup is due.
+                () = self.gossip.configurations_read(), if failed => {}
+            }
+        }
+    }
+
+    /// Synchronizes with the registry, and returns whether the platform could be reached.
+    async fn look_up(&self) -> bool {
+        let synchronized = self.sync_registry().await;
+        if let Err(error) = &synchronized {
+            Metrics::count(&self.metrics.platform_calls, "failed");
+            log_event_limited!(Info, "seed registry lookup failed", error = error);
         }
+        synchronized.is_ok()
     }
 
     /// Reads the entries of all zones, and updates that of this node's zone if the node leads it.
