--- a/lib/tests/source_layout.rs
+++ b/lib/tests/source_layout.rs
@@ -5,7 +5,8 @@
 
 use yuccatray_testutils::workspace::workspace_root;
 
-const CRATES: [&str; 8] = ["burn", "cli", "daemon", "lib", "lib/testutils", "load", "platform", "standin"];
+const CRATES: [&str; 9] =
+    ["burn", "cli", "daemon", "lib", "lib/testutils", "load", "platform", "platform/testutils", "standin"];
 /// Layers of the library, the topmost first.
 const LAYERS: [&str; 4] = ["transport", "coordination", "state", "protocol"];
 
