--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -33,6 +33,8 @@
 
 /// Interval between checks of the settings file for changes that no SIGHUP reports.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Maximum time for which the end of the process waits until the calls that are left have been dropped.
+const CALLS_END_TIMEOUT: Duration = Duration::from_millis(100);
 /// Exit code when the node could not start.
 const EXIT_START_FAILED: u8 = 1;
 /// Exit code when the settings are invalid.
@@ -80,7 +82,8 @@
     match (control_runtime, call_runtime) {
         (Ok(control_runtime), Ok(call_runtime)) => {
             let exit_code = control_runtime.block_on(run(path, settings, call_runtime.handle()));
-            call_runtime.shutdown_background();
+            call_runtime.shutdown_timeout(CALLS_END_TIMEOUT);
+            log::logger().flush();
             exit_code
         }
         (Err(error), _) | (_, Err(error)) => {
--- a/daemon/tests/stopped_nodes.rs
+++ b/daemon/tests/stopped_nodes.rs
@@ -8,6 +8,7 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
+use tempfile::NamedTempFile;
 use tokio::task::JoinHandle;
 use yuccatray::transport::announce_server::Announcement;
 use yuccatray_standin::platform::PlatformStandin;
@@ -41,6 +42,7 @@
 struct TwoProcesses {
     ingress: DaemonProcess,
     gate: DaemonProcess,
+    gate_log: NamedTempFile,
     upstream: LoggingUpstream,
     log: ExecutionLog,
     clock: LogicalClock,
@@ -60,7 +62,8 @@
             settings
         };
         let ingress = DaemonProcess::start(binary, &settings("vm-1", &[]));
-        let gate = DaemonProcess::start(binary, &settings("vm-2", &[ingress.peer]));
+        let gate_log = NamedTempFile::new().expect("a temporary file can be created");
+        let gate = DaemonProcess::start_with_log(binary, &settings("vm-2", &[ingress.peer]), gate_log.path());
         let (log, clock) = (ExecutionLog::default(), LogicalClock::default());
         let upstream = LoggingUpstream::start(log.clone(), clock.clone()).await;
         let announcement =
@@ -69,7 +72,7 @@
         while !node_report(ingress.admin).await.members.iter().any(|member| member.service.is_some()) {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
-        Self { ingress, gate, upstream, log, clock, _platform: platform }
+        Self { ingress, gate, gate_log, upstream, log, clock, _platform: platform }
     }
 
     /// Sends a call and waits until the upstream is executing it.
@@ -82,6 +85,18 @@
         caller
     }
 
+    /// Returns the lines of the gate's log that contain the message.
+    fn gate_lines(&self, message: &str) -> Vec<String> {
+        let log = std::fs::read_to_string(self.gate_log.path()).expect("the log can be read");
+        log.lines().filter(|line| line.contains(message)).map(str::to_owned).collect()
+    }
+
+    /// Returns the steps of the gate's stop in the order of its log.
+    fn gate_steps(&self) -> Vec<String> {
+        let lines = self.gate_lines("stop step reached; ");
+        lines.iter().map(|line| field(line, "step")).collect()
+    }
+
     /// Asserts that the call broke no guarantee and was executed exactly once.
     fn assert_guarantees(&self, record: CallRecord) {
         assert_eq!(find_violations(&[record], &self.log.executions()), Vec::new());
@@ -89,6 +104,12 @@
     }
 }
 
+/// Returns the value of a field of a log line.
+fn field(line: &str, name: &str) -> String {
+    let value = line.split(' ').find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+    value.unwrap_or_else(|| panic!("no field {name} in {line:?}")).to_owned()
+}
+
 /// Returns a call of the priority `payment`.
 fn payment(work_ms: u64, timeout_ms: u64) -> TestCall {
     TestCall { work_ms, timeout_ms, ..TestCall::new("payment") }
@@ -173,3 +194,36 @@
     assert_eq!(nodes.gate.wait().code(), Some(EXIT_CALLS_ABORTED));
     caller.abort();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_logs_each_step_and_call_left() {
+    let mut nodes = TwoProcesses::start(json!({ "shutdown_timeout_ms": 300 })).await;
+    let caller = nodes.start_call(payment(LONG_WORK_MS, LONG_WORK_MS)).await;
+    nodes.gate.signal(Signal::SIGTERM);
+    nodes.gate.wait();
+    let steps = ["not_ready", "draining", "leave_announced", "callers_closing", "callers_finished"];
+    let last_steps = ["gate_busy", "peers_unfinished", "ended"];
+    assert_eq!(nodes.gate_steps(), [&steps[..], &last_steps[..]].concat());
+    for line in nodes.gate_lines("stop step reached; ") {
+        for name in ["since_stop_ms", "left_ms", "of_callers", "running", "queued"] {
+            assert!(field(&line, name).parse::<u64>().is_ok(), "{name} in {line}");
+        }
+    }
+    let left = nodes.gate_lines("call is running as the node ends; ");
+    assert_eq!(left.len(), 1);
+    assert!(field(&left[0], "call").starts_with("vm-1."), "{left:?}");
+    caller.abort();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_given_up_logs_call_left() {
+    let mut nodes = TwoProcesses::start(json!({})).await;
+    let caller = nodes.start_call(payment(LONG_WORK_MS, LONG_WORK_MS)).await;
+    nodes.gate.signal(Signal::SIGTERM);
+    tokio::time::sleep(POLL_INTERVAL * 5).await;
+    nodes.gate.signal(Signal::SIGTERM);
+    nodes.gate.wait();
+    assert_eq!(nodes.gate_steps().last().map(String::as_str), Some("ended"));
+    assert_eq!(nodes.gate_lines("call is running as the node ends; ").len(), 1);
+    caller.abort();
+}
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -2,6 +2,7 @@
 
 mod core_parts;
 mod in_flight;
+mod stop_log;
 mod tasks;
 
 use std::sync::Arc;
@@ -21,6 +22,8 @@
 use crate::node::core_parts::Core;
 use crate::node::core_parts::SharedParts;
 use crate::node::core_parts::log_started;
+use crate::node::stop_log::StopLog;
+use crate::node::stop_log::StopStep;
 use crate::node::tasks::end_background_tasks;
 use crate::node::tasks::server_limits;
 use crate::node::tasks::spawn_external_platform_tasks;
@@ -37,6 +40,7 @@
 use crate::transport::gossip::Gossip;
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::ServerLimits;
+use crate::transport::http_server::ServerStop;
 use crate::transport::http_server::serve_peers;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressHandler;
@@ -56,6 +60,9 @@
 /// Time for the announcement that the node is leaving to spread before the server for callers stops.
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
 
+/// Maximum time for which the end of a stop waits until the connections that it cut are closed.
+const CUT_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Error on starting a node.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -91,6 +98,8 @@
     stop_callers: CancellationToken,
     /// Stops the other servers and the background tasks.
     stop_rest: CancellationToken,
+    /// Closes the connections of callers and peers that are left at the end of a stop.
+    cut: CancellationToken,
     caller_server: JoinHandle<bool>,
     peer_server: JoinHandle<bool>,
     background_tasks: Vec<JoinHandle<()>>,
@@ -196,21 +205,35 @@
         let Parts { listeners, core, ingress, handlers, platform_tasks, stop_rest } = parts;
         let addrs = core.addrs;
         let stop_callers = CancellationToken::new();
+        let cut = CancellationToken::new();
         let limits = server_limits(settings);
+        let callers_stop = ServerStop { graceful: stop_callers.clone(), cut: cut.clone() };
         let caller_server =
-            spawn_server(call_runtime, listeners.ingress, limits, handlers.callers, &stop_callers);
+            spawn_server(call_runtime, listeners.ingress, limits, handlers.callers, callers_stop);
         let peer_limits = ServerLimits { max_connections: usize::from(u16::MAX), ..limits };
         let peer_server = call_runtime.spawn(serve_peers(
             listeners.peer,
             peer_limits,
             core.peer_handler(),
             Arc::clone(&core.shared.security),
-            stop_rest.clone(),
+            ServerStop { graceful: stop_rest.clone(), cut: cut.clone() },
         ));
         let control = Handle::current();
         let control_limits = ServerLimits::default();
-        drop(spawn_server(&control, listeners.announce, control_limits, handlers.upstream, &stop_rest));
-        drop(spawn_server(&control, listeners.admin, control_limits, core.admin_handler(), &stop_rest));
+        drop(spawn_server(
+            &control,
+            listeners.announce,
+            control_limits,
+            handlers.upstream,
+            stop_rest.clone(),
+        ));
+        drop(spawn_server(
+            &control,
+            listeners.admin,
+            control_limits,
+            core.admin_handler(),
+            stop_rest.clone(),
+        ));
         let mut background_tasks = core.spawn_tasks(&stop_rest);
         background_tasks.extend(platform_tasks);
         log_started(&core.local_member, addrs);
@@ -230,6 +253,7 @@
             ingress,
             stop_callers,
             stop_rest,
+            cut,
             caller_server,
             peer_server,
             background_tasks,
@@ -276,22 +300,31 @@
         let stop_by = Instant::now() + self.shutdown_timeout;
         self.stopping.store(true, Ordering::Relaxed);
         self.ingress.set_stop_by(stop_by);
+        let log = StopLog::begin(stop_by, self.in_flight_counter.clone(), self.cut.clone());
         tokio::time::sleep_until(stop_by.min(Instant::now() + self.unready_notice)).await;
         self.registration.drain();
         self.ingress.drain();
+        log.reached(StopStep::Draining);
         // Peers that miss the announcement learn of the drain when the gate rejects their calls.
         let _announced = tokio::time::timeout_at(stop_by, self.gossip.leave()).await;
+        log.reached(StopStep::LeaveAnnounced);
         tokio::time::sleep_until(stop_by.min(Instant::now() + LEAVE_NOTICE)).await;
+        log.reached(StopStep::CallersClosing);
         self.stop_callers.cancel();
         let callers_finished = finished_in_time(&mut self.caller_server, stop_by).await;
+        log.reached(if callers_finished { StopStep::CallersFinished } else { StopStep::CallersUnfinished });
         // An ingress that lost the connection of a call requests the answer over a new one, so the server for
         // peers runs until the gate is idle.
         let gate_idle =
             tokio::time::timeout_at(stop_by, self.in_flight_counter.wait_gate_idle()).await.is_ok();
+        log.reached(if gate_idle { StopStep::GateIdle } else { StopStep::GateBusy });
         self.stop_rest.cancel();
         let peers_finished = gate_idle && finished_in_time(&mut self.peer_server, stop_by).await;
+        log.reached(if peers_finished { StopStep::PeersFinished } else { StopStep::PeersUnfinished });
         let in_flight = self.in_flight_counter.in_flight();
         end_background_tasks(self.background_tasks).await;
+        log.end();
+        wait_until_closed([self.caller_server, self.peer_server]).await;
         Shutdown { callers_finished, peers_finished, in_flight }
     }
 }
@@ -301,6 +334,16 @@
     matches!(tokio::time::timeout_at(stop_by, server).await, Ok(Ok(true)))
 }
 
+/// Waits until the servers have closed the connections that were cut.
+async fn wait_until_closed(servers: [JoinHandle<bool>; 2]) {
+    let close_by = Instant::now() + CUT_TIMEOUT;
+    for server in servers {
+        if !server.is_finished() && tokio::time::timeout_at(close_by, server).await.is_err() {
+            log_event!(Warn, "connections were not closed in time at the end of the node");
+        }
+    }
+}
+
 /// Components from which a node is launched.
 struct Parts<P, C, U> {
     listeners: Listeners,
--- a/lib/src/node/tasks.rs
+++ b/lib/src/node/tasks.rs
@@ -18,6 +18,7 @@
 use crate::transport::gossip::Gossip;
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::ServerLimits;
+use crate::transport::http_server::ServerStop;
 use crate::transport::http_server::serve;
 use crate::transport::platform_http::HttpPlatform;
 use crate::transport::publisher::Publisher;
@@ -93,12 +94,12 @@
     listener: TcpListener,
     limits: ServerLimits,
     handler: H,
-    stop: &CancellationToken,
+    stop: impl Into<ServerStop>,
 ) -> JoinHandle<bool>
 where
     H: Handler,
 {
-    runtime.spawn(serve(listener, limits, handler, stop.clone()))
+    runtime.spawn(serve(listener, limits, handler, stop.into()))
 }
 
 /// Waits for tasks that have been told to stop, and aborts those that do not end in time.
--- a/lib/src/protocol/log_event.rs
+++ b/lib/src/protocol/log_event.rs
@@ -60,6 +60,7 @@
 /// Rate limit for the log lines of one call site, so that a repeated fault cannot flood the log.
 #[derive(Debug)]
 pub struct LogRateLimit {
+    max_lines: u32,
     window: Mutex<Option<Window>>,
 }
 
@@ -81,7 +82,13 @@
     /// Creates a limit with an empty window.
     #[must_use]
     pub const fn new() -> Self {
-        Self { window: Mutex::new(None) }
+        Self::with_max_lines(MAX_LINES_PER_WINDOW)
+    }
+
+    /// Creates a limit of `max_lines` a second with an empty window.
+    #[must_use]
+    pub const fn with_max_lines(max_lines: u32) -> Self {
+        Self { max_lines, window: Mutex::new(None) }
     }
 
     /// Returns the number of lines suppressed since the last one, or `None` if this line is to be suppressed.
@@ -92,7 +99,7 @@
         if now.saturating_duration_since(current.started) >= LIMIT_WINDOW {
             *current = new_window(current.left_out);
         }
-        if current.written >= MAX_LINES_PER_WINDOW {
+        if current.written >= self.max_lines {
             current.left_out += 1;
             return None;
         }
--- a/lib/src/state/parent_calls.rs
+++ b/lib/src/state/parent_calls.rs
@@ -38,6 +38,16 @@
         self.shard(id).lock().get(id).cloned()
     }
 
+    /// Returns the calls that the upstream is executing.
+    #[must_use]
+    pub fn running(&self) -> Vec<(CallId, ParentCall)> {
+        let mut running = Vec::new();
+        for shard in &self.shards {
+            running.extend(shard.lock().iter().map(|(id, call)| (id.clone(), call.clone())));
+        }
+        running
+    }
+
     fn shard(&self, id: &CallId) -> &Mutex<IndexMap<CallId, ParentCall>> {
         let index = usize::try_from(id.sequence % SHARD_COUNT as u64).unwrap_or(0);
         &self.shards[index]
--- a/lib/src/transport/call_body.rs
+++ b/lib/src/transport/call_body.rs
@@ -1,5 +1,6 @@
 //! Request and response bodies of calls, streamed or buffered, without dynamic dispatch.
 
+use std::fmt::Display;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -238,6 +239,11 @@
     /// Called at most once when the body ends, with whether it is complete.
     fn ended(&mut self, complete: bool);
 
+    /// Called in place of [`Self::ended`] when the body breaks off with an error.
+    fn aborted(&mut self, _error: &impl Display) {
+        self.ended(false);
+    }
+
     /// Called in place of [`Self::ended`] when the body is dropped before its end.
     fn dropped(&mut self) {
         self.ended(false);
@@ -269,7 +275,7 @@
     pub fn new(inner: B, guard: G) -> Self {
         let mut body = Self { inner, guard, notified: false, pending_error: None };
         if body.inner.is_end_stream() {
-            body.notify_end(true);
+            body.notify_end();
         }
         body
     }
@@ -280,17 +286,32 @@
     B: Body,
     G: BodyGuard,
 {
-    fn notify_end(&mut self, complete: bool) {
+    /// Returns the guard until it has been notified.
+    pub fn waiting_guard(&mut self) -> Option<&mut G> {
+        (!self.notified).then_some(&mut self.guard)
+    }
+
+    fn notify_end(&mut self) {
+        if !self.notified {
+            self.notified = true;
+            self.guard.ended(true);
+        }
+    }
+
+    fn notify_aborted(&mut self, error: &B::Error)
+    where
+        B::Error: Display,
+    {
         if !self.notified {
             self.notified = true;
-            self.guard.ended(complete);
+            self.guard.aborted(error);
         }
     }
 }
 
 impl<B, G> Body for GuardedBody<B, G>
 where
-    B: Body<Error: Unpin> + Unpin,
+    B: Body<Error: Display + Unpin> + Unpin,
     G: BodyGuard + Unpin,
 {
     type Data = B::Data;
@@ -306,19 +327,19 @@
         }
         match ready!(Pin::new(&mut this.inner).poll_frame(cx)) {
             Some(Err(error)) => {
-                this.notify_end(false);
+                this.notify_aborted(&error);
                 this.pending_error = Some(error);
                 cx.waker().wake_by_ref();
                 Poll::Pending
             }
             Some(Ok(frame)) => {
                 if this.inner.is_end_stream() {
-                    this.notify_end(true);
+                    this.notify_end();
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
             None => {
-                this.notify_end(true);
+                this.notify_end();
                 Poll::Ready(None)
             }
         }
--- a/lib/src/transport/call_guard.rs
+++ b/lib/src/transport/call_guard.rs
@@ -1,5 +1,6 @@
 //! Guards of the slot and the connection that a call occupies until the upstream has finished with it.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,8 @@
 use crate::transport::call_body::BodyGuard;
 use crate::transport::call_body::CallBody;
 use crate::transport::gate::Gate;
+use crate::transport::gate_log::log_answer_aborted;
+use crate::transport::gate_log::log_given_up;
 use crate::transport::upstream_pool::PooledConnection;
 use crate::transport::upstream_pool::UpstreamPool;
 
@@ -139,6 +142,12 @@
         }
     }
 
+    fn log_given_up(&self, progress: &'static str) {
+        if let Some(slot) = &self.slot {
+            log_given_up(&slot.id, progress, slot.gate.stop_state());
+        }
+    }
+
     /// Closes the connection and releases the slot once the upstream has closed it as well.
     fn close_connection(&mut self) {
         let Some(connection) = self.connection.take() else {
@@ -159,6 +168,19 @@
 }
 
 impl BodyGuard for CallGuard {
+    fn aborted(&mut self, error: &impl Display) {
+        if let Some(slot) = &self.slot {
+            let running = slot.grant.map(|grant| grant.started().elapsed()).unwrap_or_default();
+            log_answer_aborted(&slot.id, running, slot.gate.stop_state(), error);
+        }
+        self.close_connection();
+    }
+
+    fn dropped(&mut self) {
+        self.log_given_up("sending_answer");
+        self.close_connection();
+    }
+
     fn ended(&mut self, whole: bool) {
         if !whole {
             return self.close_connection();
@@ -172,6 +194,9 @@
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
+        if self.connection.is_some() {
+            self.log_given_up("running");
+        }
         self.close_connection();
     }
 }
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -41,8 +41,10 @@
 use crate::transport::call_body::GuardedBody;
 use crate::transport::call_guard::CallGuard;
 use crate::transport::gate_execution::RecordGuard;
+use crate::transport::gate_log::log_unfinished;
 use crate::transport::gate_queue::GateQueue;
 use crate::transport::request_reception::fingerprint;
+use crate::transport::stop_state::StopState;
 use crate::transport::upstream_pool::UpstreamPool;
 
 /// Result of forwarding a call through the gate.
@@ -121,6 +123,8 @@
     /// Header fields of an upstream that speaks an external dialect.
     pub(super) external_fields: Option<UpstreamFields>,
     pub(super) metrics: SharedMetrics,
+    /// When the node began to stop.
+    stop_state: Arc<StopState>,
     /// Notified when a queued call may have to start earlier than the one awaited so far.
     pub(super) next_start_changed: Notify,
     /// Notified when the gate has a new upstream, which has to be probed.
@@ -140,6 +144,7 @@
             pool: ArcSwapOption::empty(),
             external_fields: None,
             metrics,
+            stop_state: Arc::default(),
             next_start_changed: Notify::new(),
             upstream_replaced: Notify::new(),
         }
@@ -246,6 +251,18 @@
         self.queue.lock().admission.load(Instant::now())
     }
 
+    /// Returns when and how the node stops.
+    #[must_use]
+    pub const fn stop_state(&self) -> &Arc<StopState> {
+        &self.stop_state
+    }
+
+    /// Logs the calls that the upstream is executing and those that wait, as the node ends.
+    pub fn log_unfinished_calls(&self) {
+        let queued = self.queue.lock().waiters.len();
+        log_unfinished(&self.parents.running(), queued);
+    }
+
     /// Returns the call with the given identity if the upstream is executing it.
     #[must_use]
     pub fn running_call(&self, id: &CallId) -> Option<ParentCall> {
--- a/lib/src/transport/gate_admission.rs
+++ b/lib/src/transport/gate_admission.rs
@@ -12,11 +12,13 @@
 use crate::coordination::admission::SlotGrant;
 use crate::coordination::service_estimate::ExecutionOutcome;
 use crate::protocol::answer::ErrorAnswer;
+use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::transport::call_guard::SlotGuard;
 use crate::transport::gate::Gate;
 use crate::transport::gate::GateCall;
 use crate::transport::gate::Result;
+use crate::transport::gate_log::log_given_up;
 use crate::transport::gate_log::log_rejection;
 
 impl Gate {
@@ -30,7 +32,7 @@
             }
             AdmissionState::Queued(key, receiver) => (key, receiver),
         };
-        let mut queued = QueuedCall { gate: self, key, receiver, resolved: false };
+        let mut queued = QueuedCall { gate: self, id: &call.id, key, receiver, resolved: false };
         let outcome = tokio::time::timeout_at(key.start_by(), queued.outcome()).await;
         match outcome {
             Ok(Ok(grant)) => {
@@ -111,6 +113,7 @@
 #[derive(Debug)]
 struct QueuedCall<'a> {
     gate: &'a Gate,
+    id: &'a CallId,
     key: QueueKey,
     receiver: oneshot::Receiver<Result<SlotGrant, RejectReason>>,
     resolved: bool,
@@ -129,6 +132,7 @@
         if self.resolved {
             return;
         }
+        log_given_up(self.id, "waiting", self.gate.stop_state());
         let was_queued = {
             let mut queue = self.gate.queue.lock();
             queue.waiters.swap_remove(&self.key);
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::log_event;
@@ -30,6 +33,7 @@
 use crate::transport::peer_handshake::accept_handshake;
 use crate::transport::peer_security::PeerSecurity;
 use crate::transport::peer_security::PeerStream;
+use crate::transport::stop_state::StopLogLimit;
 
 /// Time limit of the TLS and peer handshakes of a new connection.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -91,17 +95,33 @@
     }
 }
 
+/// Tokens that stop a server.
+#[derive(Clone, Debug)]
+pub struct ServerStop {
+    /// Closes the listener, and each connection once its requests in flight are answered.
+    pub graceful: CancellationToken,
+    /// Closes every connection at once.
+    pub cut: CancellationToken,
+}
+
+impl From<CancellationToken> for ServerStop {
+    /// Creates a stop that cuts no connection.
+    fn from(graceful: CancellationToken) -> Self {
+        Self { graceful, cut: CancellationToken::new() }
+    }
+}
+
 /// Serves until `stop` is cancelled, then waits for open connections; returns whether all finished in time.
 pub async fn serve<H>(
     listener: TcpListener,
     limits: ServerLimits,
     handler: H,
-    stop: CancellationToken,
+    stop: impl Into<ServerStop>,
 ) -> bool
 where
     H: Handler,
 {
-    serve_clients(listener, limits, handler, ClientPolicy::Anyone, stop).await
+    serve_clients(listener, limits, handler, ClientPolicy::Anyone, stop.into()).await
 }
 
 /// Clients whose connections a server accepts.
@@ -118,7 +138,7 @@
     limits: ServerLimits,
     handler: H,
     security: Arc<PeerSecurity>,
-    stop: CancellationToken,
+    stop: ServerStop,
 ) -> bool
 where
     H: Handler,
@@ -131,7 +151,7 @@
     limits: ServerLimits,
     handler: H,
     policy: ClientPolicy,
-    stop: CancellationToken,
+    stop: ServerStop,
 ) -> bool
 where
     H: Handler,
@@ -143,7 +163,7 @@
     loop {
         let accepted = tokio::select! {
             biased;
-            () = stop.cancelled() => break,
+            () = stop.graceful.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, remote)) = accepted else {
@@ -157,7 +177,7 @@
             log_event_limited!(Warn, "connection closed: connection limit reached", remote = remote);
             continue;
         };
-        let connection = acceptor.clone().authenticate_and_serve(stream, remote, handler.clone());
+        let connection = acceptor.clone().serve(stream, remote, handler.clone());
         let open_connection = open_connection.clone();
         tokio::spawn(async move {
             connection.await;
@@ -165,7 +185,7 @@
         });
     }
     for (stream, remote) in close_listener(listener) {
-        let connection = acceptor.clone().authenticate_and_serve(stream, remote, handler.clone());
+        let connection = acceptor.clone().serve(stream, remote, handler.clone());
         let open_connection = open_connection.clone();
         tokio::spawn(async move {
             connection.await;
@@ -224,10 +244,23 @@
     builder: auto::Builder<TokioExecutor>,
     limits: ServerLimits,
     policy: ClientPolicy,
-    stop: CancellationToken,
+    stop: ServerStop,
 }
 
 impl Acceptor {
+    /// Serves a connection until it ends or is cut.
+    async fn serve<H>(self, stream: TcpStream, remote: SocketAddr, handler: H)
+    where
+        H: Handler,
+    {
+        let cut = self.stop.cut.clone();
+        tokio::select! {
+            biased;
+            () = self.authenticate_and_serve(stream, remote, handler) => {}
+            () = cut.cancelled() => {}
+        }
+    }
+
     /// Authenticates the client as the policy requires, then serves the connection.
     async fn authenticate_and_serve<H>(self, stream: TcpStream, remote: SocketAddr, handler: H)
     where
@@ -237,7 +270,7 @@
             return;
         };
         match tokio::time::timeout(HANDSHAKE_TIMEOUT, self.policy.authenticate(stream)).await {
-            Ok(Ok(stream)) => serve_connection(&builder, stream, remote, handler, &self.stop).await,
+            Ok(Ok(stream)) => self.serve_connection(&builder, stream, remote, handler).await,
             Ok(Err(error)) => log_event_limited!(Warn, "handshake failed", remote = remote, error = error),
             Err(_) => log_event_limited!(Warn, "handshake timed out", remote = remote),
         }
@@ -257,7 +290,7 @@
             return Some(builder);
         }
         let no_request_before_stop = async {
-            self.stop.cancelled().await;
+            self.stop.graceful.cancelled().await;
             tokio::time::sleep(FIRST_REQUEST_GRACE).await;
         };
         let version = tokio::select! {
@@ -278,6 +311,93 @@
             }
         }
     }
+
+    /// Serves a connection until it ends; after a stop, until its requests in flight are answered.
+    async fn serve_connection<H>(
+        &self,
+        builder: &auto::Builder<TokioExecutor>,
+        stream: PeerStream,
+        remote: SocketAddr,
+        handler: H,
+    ) where
+        H: Handler,
+    {
+        let unanswered = Arc::new(UnansweredRequests::default());
+        let unanswered_here = Arc::clone(&unanswered);
+        // Boxed, since hyper keeps room for the future of a request on each connection, also on an idle one.
+        let service = service_fn(move |request| {
+            let handler = handler.clone();
+            let unanswered = Arc::clone(&unanswered_here);
+            unanswered.record_received();
+            Box::pin(async move {
+                let response = handler.handle(request, remote).await;
+                unanswered.record_answered();
+                Ok::<_, Infallible>(response)
+            })
+        });
+        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        // The connection goes first, since a request that has arrived must be read before the shutdown: hyper
+        // closes a connection that has read nothing.
+        let ended = tokio::select! {
+            biased;
+            ended = connection.as_mut() => ended,
+            () = self.stop.graceful.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if matches!(self.policy, ClientPolicy::Anyone) && unanswered.count() > 0 {
+            self.log_unanswered(remote, unanswered.count(), ended.as_ref().err());
+        } else if let Err(error) = ended {
+            log_event!(Debug, "connection ended", remote = remote, error = error);
+        }
+    }
+
+    /// Logs a connection that ended by itself before every request on it had the begin of an answer.
+    fn log_unanswered(&self, remote: SocketAddr, unanswered: u32, error: Option<&BoxError>) {
+        static LIMIT: StopLogLimit = StopLogLimit::new();
+        let closing = self.stop.graceful.is_cancelled();
+        if let Some(left_out) = LIMIT.admit(closing, Instant::now()) {
+            log_event!(
+                Info,
+                "connection ended with requests unanswered",
+                remote = remote,
+                unanswered = unanswered,
+                closing = closing,
+                error = error_text(error),
+                left_out = left_out,
+            );
+        }
+    }
+}
+
+/// Requests of a connection whose answers have not begun, also those that were given up.
+#[derive(Debug, Default)]
+struct UnansweredRequests {
+    count: AtomicU32,
+}
+
+impl UnansweredRequests {
+    fn record_received(&self) {
+        self.count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn record_answered(&self) {
+        self.count.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    fn count(&self) -> u32 {
+        self.count.load(Ordering::Relaxed)
+    }
+}
+
+/// Returns an error with its causes, or "none".
+fn error_text(error: Option<&BoxError>) -> String {
+    let Some(error) = error else {
+        return "none".to_owned();
+    };
+    let causes = std::iter::successors(error.source(), |cause| cause.source());
+    causes.fold(error.to_string(), |text, cause| format!("{text}: {cause}"))
 }
 
 impl ClientPolicy {
@@ -290,34 +410,3 @@
         Ok(stream)
     }
 }
-
-/// Serves a connection until it ends; after a stop, until its requests in flight are answered.
-async fn serve_connection<H>(
-    builder: &auto::Builder<TokioExecutor>,
-    stream: PeerStream,
-    remote: SocketAddr,
-    handler: H,
-    stop: &CancellationToken,
-) where
-    H: Handler,
-{
-    // Boxed, since hyper keeps room for the future of a request on each connection, also on an idle one.
-    let service = service_fn(move |request| {
-        let handler = handler.clone();
-        Box::pin(async move { Ok::<_, Infallible>(handler.handle(request, remote).await) })
-    });
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    // The connection goes first, since a request that has arrived must be read before the shutdown: hyper
-    // closes a connection that has read nothing.
-    let ended = tokio::select! {
-        biased;
-        ended = connection.as_mut() => ended,
-        () = stop.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = ended {
-        log_event!(Debug, "connection ended", remote = remote, error = error);
-    }
-}
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -381,6 +381,7 @@
             priority: call.head.priority,
             started: call.started,
             measurement: Arc::clone(&call.measurement),
+            unfinished_answer: None,
             _in_flight: in_flight,
         };
         Response::from_parts(head, GuardedBody::new(body, guard))
--- a/lib/src/transport/ingress_guard.rs
+++ b/lib/src/transport/ingress_guard.rs
@@ -1,5 +1,6 @@
 //! Guards that live until a call's answer has been passed on, then update in-flight counts and metrics.
 
+use std::fmt::Display;
 use std::sync::Arc;
 
 use http::HeaderValue;
@@ -14,6 +15,7 @@
 use crate::state::metrics::SharedMetrics;
 use crate::state::upstream_stats::UpstreamStats;
 use crate::transport::call_body::BodyGuard;
+use crate::transport::unfinished_request::UnfinishedAnswer;
 
 const ANSWERED: &str = "answered";
 
@@ -52,6 +54,8 @@
     pub(super) priority: u8,
     pub(super) started: Instant,
     pub(super) measurement: Arc<CallMeasurement>,
+    /// Logs an answer that does not reach its end; none for a call without a route.
+    pub(super) unfinished_answer: Option<Box<UnfinishedAnswer>>,
     /// Keeps the call in flight until the body of the answer ends.
     pub(super) _in_flight: InFlightCall,
 }
@@ -65,7 +69,17 @@
         self.count(whole);
     }
 
+    fn aborted(&mut self, error: &impl Display) {
+        if let Some(unfinished_answer) = &self.unfinished_answer {
+            unfinished_answer.log_aborted(error);
+        }
+        self.ended(false);
+    }
+
     fn dropped(&mut self) {
+        if let Some(unfinished_answer) = &self.unfinished_answer {
+            unfinished_answer.log_connection_ended();
+        }
         self.measurement.record_body_end(BodyEnd::CallerDisconnected, Instant::now());
         self.count(false);
     }
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -49,6 +49,8 @@
 pub mod seed_registry;
 pub mod silence_watch;
 pub mod slowdown_probe;
+pub mod stop_state;
 pub mod store_client;
+mod unfinished_request;
 pub mod upstream_fields;
 pub mod upstream_pool;
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -37,6 +37,8 @@
 use crate::transport::ingress::Result;
 use crate::transport::ingress::no_upstream_error;
 use crate::transport::ingress_call::IngressCall;
+use crate::transport::unfinished_request::ReceivedRequest;
+use crate::transport::unfinished_request::UnansweredRequest;
 use crate::transport::upstream_fields::strip_node_fields;
 
 /// Timeout of a request when neither the request nor its route sets one.
@@ -144,14 +146,27 @@
         let waited = waited.map(|timeout| route.usual_timeout.record(timeout)).unwrap_or_default();
         let objective = Duration::from_millis(route.spec.objective_ms);
         call.apply_route(objective.saturating_sub(waited), &route.typical_time);
-        let result = self.ingress.complete_call(&mut call, config, request).await;
+        let received = ReceivedRequest {
+            request_id: request_id.cloned(),
+            route: Arc::clone(&route.spec.name),
+            remote,
+            received_at,
+            stop: Arc::clone(self.ingress.dependencies.gate.stop_state()),
+        };
+        let mut unanswered = UnansweredRequest::new(received, call);
+        let mut result = self.ingress.complete_call(&mut unanswered.call, config, request).await;
+        unanswered.answered();
+        if let Some(guard) = result.as_mut().ok().and_then(|response| response.body_mut().waiting_guard()) {
+            guard.unfinished_answer = Some(Box::new(unanswered.unfinished_answer()));
+        }
+        let call = &unanswered.call;
         let request_log =
             RequestLog { request_id, route, version: table.version(), elapsed: received_at.elapsed() };
         match &result {
-            Ok(response) => request_log.log_response(&call, response.status()),
+            Ok(response) => request_log.log_response(call, response.status()),
             Err(answer) => {
-                self.ingress.record_failure(&call, answer);
-                request_log.log_failure(&call, answer);
+                self.ingress.record_failure(call, answer);
+                request_log.log_failure(call, answer);
             }
         }
         result
--- a/lib/tests/log_event.rs
+++ b/lib/tests/log_event.rs
@@ -31,3 +31,9 @@
     assert_eq!(limit.admit(Instant::now()), Some(91));
     assert_eq!(limit.admit(Instant::now()), Some(0));
 }
+
+#[tokio::test(start_paused = true)]
+async fn line_limit_of_given_size() {
+    let limit = LogRateLimit::with_max_lines(50);
+    assert_eq!((0..100).filter(|_| limit.admit(Instant::now()).is_some()).count(), 50);
+}
--- a/lib/tests/log_writer.rs
+++ b/lib/tests/log_writer.rs
@@ -75,3 +75,19 @@
     let text = wait_for_output(&written, "log lines dropped; lines=");
     assert!(text.starts_with("line 0\n"), "lines written before the stall come first");
 }
+
+#[test]
+fn flush_waits_until_lines_are_written() {
+    let (mut pipe, unblocker, written) = blocked_pipe();
+    writeln!(pipe, "last").expect("the pipe accepts every line");
+    unblocker.send(()).expect("the output keeps the receiver");
+    pipe.flush().expect("the output accepts the line in time");
+    assert_eq!(String::from_utf8_lossy(&written.lock()), "last\n");
+}
+
+#[test]
+fn flush_of_stalled_output_ends() {
+    let (mut pipe, _unblocker, _written) = blocked_pipe();
+    writeln!(pipe, "last").expect("the pipe accepts every line");
+    assert!(pipe.flush().is_err());
+}
