--- /dev/null
+++ b/daemon/tests/planned_stop.rs
@@ -0,0 +1,165 @@
+//! Node processes with the settings of the deploy file that are asked to stop while requests are under way.
+
+use std::path::Path;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::StatusCode;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use yuccatray_platform_testutils::client_connection::ExchangeEnd;
+use yuccatray_platform_testutils::lost_requests::PlannedStop;
+use yuccatray_platform_testutils::lost_requests::SentRequest;
+use yuccatray_platform_testutils::lost_requests::find_loss;
+use yuccatray_platform_testutils::process_site::ClientTarget;
+use yuccatray_platform_testutils::process_site::ProcessSite;
+use yuccatray_platform_testutils::process_site::SitePlan;
+use yuccatray_platform_testutils::timed_request::TimedRequest;
+use yuccatray_platform_testutils::timed_worker::Execution;
+
+const NODES: usize = 4;
+/// Timeout of the routes, later than the end of every process of these tests, in seconds.
+const LONG_TIMEOUT_S: f64 = 60.0;
+/// Time before the last sixth of the grace period at which the workers end their requests.
+const WORK_MARGIN: Duration = Duration::from_millis(300);
+/// Time after the end of the grace period at which a request ends that the process can't wait for.
+const WORK_AFTER_END: Duration = Duration::from_secs(1);
+/// Time before the end of the grace period at which a process has to be gone.
+const END_MARGIN: Duration = Duration::from_millis(50);
+
+/// A grace period, and times after the signal at which requests are sent, in milliseconds.
+struct Row {
+    grace_s: u32,
+    sent_after_ms: &'static [u64],
+}
+
+/// Requests sent while the node is still in use by its clients, which ask for readiness once a second.
+const ROWS: [Row; 4] = [
+    Row { grace_s: 3, sent_after_ms: &[0, 1_000] },
+    Row { grace_s: 6, sent_after_ms: &[0, 1_000, 2_000] },
+    Row { grace_s: 10, sent_after_ms: &[0, 1_000, 2_000] },
+    Row { grace_s: 20, sent_after_ms: &[0, 1_000, 2_000] },
+];
+
+/// Id of the request that is still at work when its node ends.
+const ENDLESS: &str = "endless";
+/// Interval between two looks at the workers while waiting.
+const POLL: Duration = Duration::from_millis(10);
+
+fn binary() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_yuccatrayd"))
+}
+
+fn unsafe_request(id: String, work: Duration, time_limit: Duration) -> TimedRequest {
+    TimedRequest { id, method: Method::POST, work, time_limit, body: Bytes::from_static(b"order") }
+}
+
+/// Guards against requests cut at a fixed time after SIGTERM, whatever the grace period of the deployment is.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_end_within_the_grace_period_answered_by_stopping_node() {
+    let mut rows = JoinSet::new();
+    for row in ROWS {
+        rows.spawn(check_row(row));
+    }
+    let mut violations: Vec<String> = rows.join_all().await.into_iter().flatten().collect();
+    violations.sort();
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
+/// Stops one of four nodes while its requests are under way, and returns what went wrong.
+async fn check_row(row: Row) -> Vec<String> {
+    let plan = SitePlan {
+        nodes: NODES,
+        grace_s: row.grace_s,
+        safe_timeout_s: LONG_TIMEOUT_S,
+        unsafe_timeout_s: LONG_TIMEOUT_S,
+    };
+    let mut site = ProcessSite::start(binary(), &plan).await;
+    let (stopping, neighbour) = (site.members[0].client_target(), site.members[1].client_target());
+    let time_limit = Duration::from_secs(row.grace_s.into()) + WORK_AFTER_END;
+    let endless = unsafe_request(ENDLESS.to_owned(), time_limit, time_limit).send_to(stopping.clone());
+    let endless = tokio::spawn(endless);
+    while executions_of(&site, ENDLESS).is_empty() {
+        tokio::time::sleep(POLL).await;
+    }
+    let stop = site.members[0].begin_stop(&plan);
+    let mut requests = JoinSet::new();
+    for after_ms in row.sent_after_ms {
+        for (number, target) in [&stopping, &stopping, &neighbour].into_iter().enumerate() {
+            let id = format!("{}-{after_ms}-{number}", target.name);
+            requests.spawn(send_after(Duration::from_millis(*after_ms), stop, id, target.clone()));
+        }
+    }
+    let mut violations = Vec::new();
+    match site.members[0].wait_for_end(&stop).await {
+        None => violations.push("the process still runs at the end of the grace period".to_owned()),
+        Some(after) if after + END_MARGIN > stop.grace => {
+            violations.push(format!("the process ends {after:?} after the signal"));
+        }
+        Some(_) => {}
+    }
+    let ended_requests = requests.join_all().await;
+    let endless = endless.await.expect("the request ends").expect("the node accepts the connection");
+    site.wait_until_idle().await;
+    for sent in ended_requests {
+        violations.extend(unanswered(&site, sent.as_ref(), &stop));
+    }
+    let loss = find_loss(&endless, &executions_of(&site, ENDLESS), &stop);
+    violations.extend(loss.map(|loss| format!("{loss}: {}", describe(&site, &endless, &stop))));
+    violations.into_iter().map(|violation| format!("grace of {} s: {violation}", row.grace_s)).collect()
+}
+
+/// Sends a request that its worker ends shortly before the last sixth of the grace period.
+async fn send_after(
+    after: Duration,
+    stop: PlannedStop,
+    id: String,
+    target: ClientTarget,
+) -> Option<SentRequest> {
+    tokio::time::sleep_until(stop.signalled_at + after).await;
+    let time_limit = stop.last_sixth_at() - Instant::now();
+    unsafe_request(id, time_limit.saturating_sub(WORK_MARGIN), time_limit).send_to(target).await
+}
+
+/// Returns a description of the request unless a worker's whole answer was received.
+fn unanswered(site: &ProcessSite, sent: Option<&SentRequest>, stop: &PlannedStop) -> Option<String> {
+    let Some(sent) = sent else {
+        return Some("a connection was not accepted".to_owned());
+    };
+    let answered = matches!(&sent.end, ExchangeEnd::Answered(answer) if answer.status == StatusCode::OK);
+    let loss = find_loss(sent, &executions_of(site, &sent.id), stop);
+    if answered && loss.is_none() {
+        return None;
+    }
+    Some(format!("{}: {}", loss.unwrap_or("no answer of a worker"), describe(site, sent, stop)))
+}
+
+fn executions_of(site: &ProcessSite, id: &str) -> Vec<Execution> {
+    site.executions().into_iter().filter(|execution| execution.request_id == id).collect()
+}
+
+/// Describes a request with its times in milliseconds after the signal.
+fn describe(site: &ProcessSite, sent: &SentRequest, stop: &PlannedStop) -> String {
+    let after_ms = |at: Instant| at.saturating_duration_since(stop.signalled_at).as_millis();
+    let end = match &sent.end {
+        ExchangeEnd::Answered(answer) => answer.status.to_string(),
+        ExchangeEnd::NotSent => "the connection closed before it was sent".to_owned(),
+        ExchangeEnd::Cut { cause } => cause.clone(),
+    };
+    let (sent_ms, ended_ms) = (after_ms(sent.sent_at), after_ms(sent.ended_at));
+    let executions = executions_of(site, &sent.id).into_iter().map(|execution| {
+        let started = execution.started_at.map(after_ms).unwrap_or_default();
+        let ended = execution.end.map(|(end, at)| format!("{end:?} {}", after_ms(at))).unwrap_or_default();
+        format!("at {} from {started} to {ended}", execution.instance_id)
+    });
+    let executions: Vec<String> = executions.collect();
+    let log_lines: Vec<String> =
+        site.members.iter().flat_map(|member| member.log_lines(&[&sent.id])).collect();
+    format!(
+        "{} sent {sent_ms}, ended {ended_ms}: {end}; {}\n{}",
+        sent.id,
+        executions.join(", "),
+        log_lines.join("\n")
+    )
+}
--- a/lib/testutils/src/daemon_process.rs
+++ b/lib/testutils/src/daemon_process.rs
@@ -73,8 +73,18 @@
     /// When the node does not start or is not ready within 20 seconds.
     #[must_use]
     pub fn start_with_log(binary: &Path, settings: &Value, log: &Path) -> Self {
+        Self::start_with_text(binary, &settings.to_string(), log)
+    }
+
+    /// Starts the binary as [`Self::start_with_log`] does, with the text of a settings file.
+    ///
+    /// # Panics
+    ///
+    /// When the node does not start or is not ready within 20 seconds.
+    #[must_use]
+    pub fn start_with_text(binary: &Path, settings: &str, log: &Path) -> Self {
         let file = NamedTempFile::new().expect("a temporary file can be created");
-        std::fs::write(file.path(), settings.to_string()).expect("the settings can be written");
+        std::fs::write(file.path(), settings).expect("the settings can be written");
         let log_file = OpenOptions::new()
             .create(true)
             .append(true)
