--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The yuccatray node daemon: reads its settings, runs one node beside an upstream and stops it on a signal.
 
+mod node_settings;
 mod reload;
 
 use std::path::PathBuf;
@@ -28,6 +29,7 @@
 use yuccatray::transport::log_writer::NonBlockingLogWriter;
 use yuccatray_platform::ExternalPlatform;
 
+use crate::node_settings::log_time_limits;
 use crate::reload::SettingsFile;
 use crate::reload::level_filter;
 
@@ -63,7 +65,7 @@
         print!("{}", include_str!("../../examples/settings.jsonc"));
         return ExitCode::SUCCESS;
     };
-    let settings = match Settings::load(&path) {
+    let settings = match node_settings::load(&path) {
         Ok(settings) => settings,
         Err(error) => {
             print_settings_error(&path, &error);
@@ -75,6 +77,7 @@
         return ExitCode::SUCCESS;
     }
     start_log(settings.log.level);
+    log_time_limits(&settings);
     let worker_threads = settings.process.worker_threads as usize;
     let control_runtime = Builder::new_current_thread().enable_all().build();
     let call_runtime =
@@ -126,7 +129,7 @@
         eprintln!("error: cannot listen for signals");
         return ExitCode::from(EXIT_START_FAILED);
     };
-    let node = match starting.await {
+    let mut node = match starting.await {
         Ok(node) => node,
         Err(error) => {
             eprintln!(
@@ -148,6 +151,7 @@
             _ = hangup.recv() => settings_file.reload_if_changed("signal"),
             () = tokio::time::sleep(SETTINGS_CHECK_INTERVAL) => settings_file.reload_if_changed("file"),
         }
+        node.set_stop_limits(settings_file.stop_limits());
     }
     log_event!(Info, "stopping", second_signal = "cuts calls in flight short");
     let calls_in_flight = node.in_flight_counter();
--- a/daemon/src/reload.rs
+++ b/daemon/src/reload.rs
@@ -1,16 +1,21 @@
 //! Reloads the settings file while the node runs.
 //!
-//! Changes of the `log` section take effect at once; changes of any other section need a restart.
+//! Changes of the `log` section and of the limits of a stop take effect at once; other changes need a restart.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use log::LevelFilter;
 use serde_json::Value;
 use yuccatray::log_event;
 use yuccatray::protocol::checked_json::read_file;
+use yuccatray::protocol::settings::LimitSettings;
 use yuccatray::protocol::settings::LogLevel;
 use yuccatray::protocol::settings::Settings;
 
+use crate::node_settings::log_time_limits;
+use crate::node_settings::parse;
+
 /// The settings file of a running node.
 #[derive(Debug)]
 pub struct SettingsFile {
@@ -50,8 +55,8 @@
             return;
         }
         self.text = text;
-        match Settings::parse(&self.text) {
-            Ok(next) => self.apply(next, cause),
+        match parse(&self.text) {
+            Ok(next) => self.apply(&next, cause),
             Err(error) => log_event!(
                 Warn,
                 "invalid settings rejected, keeping the current ones",
@@ -61,23 +66,46 @@
         }
     }
 
-    /// Applies the new log level and logs which changed sections need a restart.
-    fn apply(&mut self, next: Settings, cause: &'static str) {
-        let restart_sections = changed_sections(&self.settings, &next);
-        log::set_max_level(level_filter(next.log.level));
-        self.settings.log = next.log;
-        log_event!(Info, "settings reloaded", cause = cause, live = "log", after_restart = restart_sections);
+    /// Returns the limits in effect; those of a stop follow the file.
+    #[must_use]
+    pub const fn stop_limits(&self) -> &LimitSettings {
+        &self.settings.limits
+    }
+
+    /// Applies the changes that need no restart and logs which changed sections need one.
+    fn apply(&mut self, next: &Settings, cause: &'static str) {
+        let current = with_live_changes(&self.settings, next);
+        log_event!(
+            Info,
+            "settings reloaded",
+            cause = cause,
+            live = changed_sections(&self.settings, &current),
+            after_restart = changed_sections(&current, next),
+        );
+        log::set_max_level(level_filter(current.log.level));
+        log_time_limits(&current);
+        self.settings = current;
     }
 }
 
-/// Returns the names of the sections other than `log` that differ, joined by commas, or `nothing`.
+/// Returns the current settings with those of `next` that take effect without a restart.
+fn with_live_changes(current: &Settings, next: &Settings) -> Settings {
+    let mut settings = current.clone();
+    settings.log = next.log.clone();
+    settings.limits.unready_notice_ms = next.limits.unready_notice_ms;
+    settings.limits.shutdown_timeout_ms = next.limits.shutdown_timeout_ms;
+    settings.platform.bounds = Arc::clone(&next.platform.bounds);
+    settings
+}
+
+/// Returns the names of the sections that differ, joined by commas, or `nothing`.
 fn changed_sections(current: &Settings, next: &Settings) -> String {
     let sections = |settings: &Settings| match serde_json::to_value(settings) {
         Ok(Value::Object(sections)) => sections,
         _ => serde_json::Map::new(),
     };
     let (current, next) = (sections(current), sections(next));
-    let changed = next.iter().filter(|(name, value)| *name != "log" && current.get(*name) != Some(*value));
+    let changed = next.iter().filter(|(name, value)| current.get(*name) != Some(*value));
     let names: Vec<&str> = changed.map(|(name, _)| name.as_str()).collect();
     if names.is_empty() { "nothing".to_owned() } else { names.join(",") }
 }
--- a/daemon/tests/settings_reload.rs
+++ b/daemon/tests/settings_reload.rs
@@ -110,3 +110,20 @@
     let line = node.wait_for_line("settings reloaded");
     assert!(line.contains("after_restart=nothing"), "{line}");
 }
+
+#[test]
+fn sighup_changes_limits_of_next_stop() {
+    let mut first = settings();
+    first["limits"] = serde_json::json!({ "unready_notice_ms": 600_000, "shutdown_timeout_ms": 600_000 });
+    let mut node = NodeProcess::start(&first);
+    let mut next = first.clone();
+    next["limits"]["shutdown_timeout_ms"] = 100.into();
+    node.write_settings(&next.to_string());
+    node.signal(Signal::SIGHUP);
+    let line = node.wait_for_line("settings reloaded");
+    assert!(line.contains("live=limits after_restart=nothing"), "{line}");
+    node.wait_for_line("shutdown_timeout_ms=100");
+    node.signal(Signal::SIGTERM);
+    // Under the former limits the process runs for ten minutes more.
+    assert!(node.child.wait().expect("the process can be waited for").code().is_some());
+}
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -1,5 +1,6 @@
 //! Assembly of a node: starts its servers and background tasks and shuts them down gracefully.
 
+mod bounded_settings;
 mod core_parts;
 mod in_flight;
 mod stop_log;
@@ -22,6 +23,7 @@
 use crate::node::core_parts::Core;
 use crate::node::core_parts::SharedParts;
 use crate::node::core_parts::log_started;
+use crate::node::core_parts::max_slot_wait;
 use crate::node::stop_log::StopLog;
 use crate::node::stop_log::StopStep;
 use crate::node::tasks::end_background_tasks;
@@ -30,6 +32,7 @@
 use crate::node::tasks::spawn_platform_tasks;
 use crate::node::tasks::spawn_server;
 use crate::protocol::member::MemberId;
+use crate::protocol::settings::LimitSettings;
 use crate::protocol::settings::Settings;
 use crate::state::metrics::SharedMetrics;
 use crate::transport::announce_server::AnnounceHandler;
@@ -51,6 +54,7 @@
 use crate::transport::peer_security::SecurityError;
 use crate::transport::routed_ingress::RoutedHandler;
 
+pub use crate::node::bounded_settings::apply_bounds;
 pub use crate::node::in_flight::InFlightCounter;
 pub use crate::node::in_flight::InFlightCounts;
 
@@ -245,7 +249,7 @@
             in_flight_counter,
             stopping,
             unready_notice: Duration::from_millis(settings.limits.unready_notice_ms),
-            shutdown_timeout: limits.shutdown_timeout,
+            shutdown_timeout: Duration::from_millis(settings.limits.shutdown_timeout_ms),
             gate,
             metrics,
             gossip,
@@ -290,6 +294,13 @@
         self.in_flight_counter.clone()
     }
 
+    /// Replaces the time limits of a later stop by those of `limits`; the other limits stay as they are.
+    pub fn set_stop_limits(&mut self, limits: &LimitSettings) {
+        self.unready_notice = Duration::from_millis(limits.unready_notice_ms);
+        self.shutdown_timeout = Duration::from_millis(limits.shutdown_timeout_ms);
+        self.ingress.set_max_slot_wait(max_slot_wait(limits));
+    }
+
     /// Shuts the node down gracefully.
     ///
     /// The node reports itself as not ready, drains its upstream, announces to its peers that it is leaving,
--- a/lib/src/node/core_parts.rs
+++ b/lib/src/node/core_parts.rs
@@ -22,6 +22,7 @@
 use crate::protocol::member::MemberId;
 use crate::protocol::member::MemberState;
 use crate::protocol::settings::DialectName;
+use crate::protocol::settings::LimitSettings;
 use crate::protocol::settings::Settings;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::config_table::ConfigTable;
@@ -101,7 +102,7 @@
     where
         P: RoutingPolicy + Send + Sync + 'static,
     {
-        Ingress::new(IngressDependencies {
+        let dependencies = IngressDependencies {
             local_member: Arc::new(self.local_member.clone()),
             ids: CallIdGenerator::new(
                 Arc::clone(&self.local_member.id.name),
@@ -117,9 +118,8 @@
             policy,
             max_replay_bytes: settings.limits.max_replay_bytes,
             max_header_bytes: settings.limits.max_header_bytes,
-            max_slot_wait: Duration::from_millis(settings.limits.shutdown_timeout_ms)
-                .saturating_sub(SHUTDOWN_ANSWER_MARGIN),
-        })
+        };
+        Ingress::new(dependencies, max_slot_wait(&settings.limits))
     }
 
     pub(super) fn peer_handler(&self) -> PeerHandler {
@@ -172,6 +172,11 @@
     }
 }
 
+/// Returns how long a call may wait for a slot, so that it is answered also if the node begins to stop meanwhile.
+pub(super) fn max_slot_wait(limits: &LimitSettings) -> Duration {
+    Duration::from_millis(limits.shutdown_timeout_ms).saturating_sub(SHUTDOWN_ANSWER_MARGIN)
+}
+
 pub(super) fn log_started(local_member: &Member, addrs: NodeAddrs) {
     log_event!(
         Info,
--- a/lib/src/node/tasks.rs
+++ b/lib/src/node/tasks.rs
@@ -85,7 +85,8 @@
         max_connections: settings.limits.max_caller_connections as usize,
         max_header_bytes: settings.limits.max_header_bytes,
         header_timeout: Duration::from_millis(settings.limits.header_timeout_ms),
-        shutdown_timeout: Duration::from_millis(settings.limits.shutdown_timeout_ms),
+        // `Node::stop` limits the wait by the settings in effect when it is called.
+        shutdown_timeout: Duration::MAX,
     }
 }
 
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -142,6 +142,10 @@
     #[serde(default = "default_watch_wait_ms")]
     #[schemars(range(min = 100, max = 30_000))]
     pub watch_wait_ms: u64,
+    /// Bounds of the deployment in the notation of the external dialect; the limits that follow from them replace
+    /// those of these settings.
+    #[serde(default)]
+    pub bounds: Arc<str>,
 }
 
 /// Limits on what a node accepts.
@@ -261,6 +265,12 @@
                     .to_owned(),
             });
         }
+        if self.dialect == DialectName::Own && !self.platform.bounds.is_empty() {
+            problems.push(FieldProblem {
+                field: "/platform/bounds".to_owned(),
+                problem: "has no meaning without an external dialect".to_owned(),
+            });
+        }
         if self.gossip.probe_timeout_ms >= self.gossip.probe_interval_ms {
             problems.push(FieldProblem {
                 field: "/gossip/probe_timeout_ms".to_owned(),
--- a/lib/src/transport/external_dialect.rs
+++ b/lib/src/transport/external_dialect.rs
@@ -7,6 +7,7 @@
 
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::check_in::CheckIn;
+use crate::protocol::deployment_bounds::DeploymentBounds;
 use crate::protocol::external_fields::CallerFields;
 use crate::protocol::external_fields::UpstreamFields;
 use crate::protocol::route::RouteSet;
@@ -24,6 +25,13 @@
     /// Creates a client of the store named in the settings.
     fn new_store(settings: &PlatformSettings) -> Self::Store;
 
+    /// Parses the bounds of the deployment; those that the node does not use are ignored.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of the invalid bound.
+    fn parse_bounds(text: &str) -> Result<DeploymentBounds>;
+
     /// Returns the header fields of callers' requests.
     fn caller_fields() -> CallerFields;
 
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -108,10 +109,6 @@
     pub max_replay_bytes: u64,
     /// Maximum size of a caller's header section, request target included, in bytes.
     pub max_header_bytes: u32,
-    /// Maximum time that a call may wait for a slot.
-    ///
-    /// It is shorter than the shutdown timeout, so that a stopping node can still answer waiting calls.
-    pub max_slot_wait: Duration,
 }
 
 /// Accepts calls from callers and completes each one through a gate.
@@ -120,6 +117,10 @@
     pub(super) dependencies: IngressDependencies<P>,
     pub(super) budgets: ArcSwap<IndexMap<Arc<str>, Arc<ServiceBudgets>>>,
     draining: AtomicBool,
+    /// Maximum time that a call may wait for a slot, in milliseconds.
+    ///
+    /// It is shorter than the shutdown timeout, so that a stopping node can still answer waiting calls.
+    max_slot_wait_ms: AtomicU64,
     /// Time by which the node ends; set when it starts to stop.
     stop_by: OnceLock<Instant>,
 }
@@ -128,17 +129,34 @@
 where
     P: RoutingPolicy + Send + Sync + 'static,
 {
-    /// Creates an ingress with the given dependencies.
+    /// Creates an ingress with the given dependencies, at which calls wait for a slot up to `max_slot_wait`.
     #[must_use]
-    pub fn new(dependencies: IngressDependencies<P>) -> Self {
-        let draining = AtomicBool::new(false);
-        Self { dependencies, budgets: ArcSwap::default(), draining, stop_by: OnceLock::new() }
+    pub fn new(dependencies: IngressDependencies<P>, max_slot_wait: Duration) -> Self {
+        let ingress = Self {
+            dependencies,
+            budgets: ArcSwap::default(),
+            draining: AtomicBool::new(false),
+            max_slot_wait_ms: AtomicU64::new(0),
+            stop_by: OnceLock::new(),
+        };
+        ingress.set_max_slot_wait(max_slot_wait);
+        ingress
+    }
+
+    /// Sets the maximum time that calls accepted from now on may wait for a slot.
+    pub fn set_max_slot_wait(&self, max_slot_wait: Duration) {
+        let max_slot_wait_ms = u64::try_from(max_slot_wait.as_millis()).unwrap_or(u64::MAX);
+        self.max_slot_wait_ms.store(max_slot_wait_ms, Ordering::Relaxed);
+    }
+
+    fn max_slot_wait(&self) -> Duration {
+        Duration::from_millis(self.max_slot_wait_ms.load(Ordering::Relaxed))
     }
 
     /// Sets the time by which the node ends.
     ///
     /// Calls accepted from now on must get a slot [`SHUTDOWN_ANSWER_MARGIN`] earlier or are rejected as not
-    /// executed. `max_slot_wait` already limits earlier calls.
+    /// executed. The maximum wait for a slot already limits earlier calls.
     pub fn set_stop_by(&self, at: Instant) {
         // A repeated stop request does not change the time.
         let _result = self.stop_by.set(at);
@@ -270,7 +288,7 @@
         let outgoing = self.prepare_outgoing(call, config, request).await;
         let mut outgoing =
             outgoing.map_err(|answer| mark_possibly_executed(answer, call.issued_key.is_some()))?;
-        call.limit_slot_wait(call.started + self.dependencies.max_slot_wait);
+        call.limit_slot_wait(call.started + self.max_slot_wait());
         if let Some(stop_by) = self.stop_by.get() {
             call.limit_slot_wait(stop_by.checked_sub(SHUTDOWN_ANSWER_MARGIN).unwrap_or(*stop_by));
         }
--- a/lib/src/transport/routes_watcher.rs
+++ b/lib/src/transport/routes_watcher.rs
@@ -37,6 +37,11 @@
 /// Time that a confirmation may take to reach a node, one lost datagram included, beyond the wait of a watch.
 const CONFIRMATION_SPREAD: Duration = Duration::from_millis(600);
 
+/// Time that one read of the platform may take.
+const READ_TIME: Duration = Duration::from_millis(500);
+/// Shortest wait of a watch, in milliseconds.
+const MIN_WATCH_WAIT_MS: u64 = 100;
+
 /// Upper bounds of the pauses between failed reads of a node that gets no confirmation from others.
 ///
 /// Such a node may be one of many: while the platform is away, no node can confirm anything to the others.
@@ -70,6 +75,14 @@
     Duration::from_millis(settings.watch_wait_ms) + CONFIRMATION_SPREAD
 }
 
+/// Returns the longest wait of a watch with which a change is in force within `config_apply_ms`, in milliseconds.
+#[must_use]
+pub fn max_watch_wait_ms(config_apply_ms: u64) -> u64 {
+    let reserve = CONFIRMATION_SPREAD + READ_TIME;
+    let reserve_ms = u64::try_from(reserve.as_millis()).unwrap_or(u64::MAX);
+    config_apply_ms.saturating_sub(reserve_ms).max(MIN_WATCH_WAIT_MS)
+}
+
 /// Watches the platform for new routes and applies them.
 ///
 /// Every node watches. Some nodes of each zone follow the platform closely and gossip new revisions, which the others
--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -260,7 +260,12 @@
             admin_addr: any_port(),
         },
         seeds: fleet.members.first().map(|member| member.node.addrs().peer).into_iter().collect(),
-        platform: PlatformSettings { addr: fleet.platform.addr, timeout_ms: 2_000, watch_wait_ms: 20_000 },
+        platform: PlatformSettings {
+            addr: fleet.platform.addr,
+            timeout_ms: 2_000,
+            watch_wait_ms: 20_000,
+            bounds: Arc::default(),
+        },
         dialect: DialectName::Own,
         upstream: None,
         limits: LimitSettings::default(),
