--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 mod node_settings;
 mod reload;
+mod signals;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -13,8 +14,6 @@
 use simplelog::WriteLogger;
 use tokio::runtime::Builder;
 use tokio::runtime::Handle;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use yuccatray::coordination::routing::PowerOfTwoChoices;
 use yuccatray::coordination::routing::RoutingPolicy;
 use yuccatray::coordination::routing::ZoneFirst;
@@ -32,6 +31,8 @@
 use crate::node_settings::log_time_limits;
 use crate::reload::SettingsFile;
 use crate::reload::level_filter;
+use crate::signals::ReceivedSignal;
+use crate::signals::Signals;
 
 /// Interval between checks of the settings file for changes that no SIGHUP reports.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
@@ -114,8 +115,8 @@
 
 /// Runs a node until SIGTERM or SIGINT, then stops it gracefully.
 ///
-/// SIGHUP reloads the settings file. A second SIGTERM or SIGINT ends the graceful stop and aborts the calls
-/// in flight.
+/// SIGHUP reloads the settings file. While the node stops, the end of its shutdown timeout or a second SIGINT
+/// aborts the calls in flight; other signals and changes of the settings file have no effect.
 async fn serve<P>(
     starting: impl Future<Output = Result<Node<P>, NodeError>>,
     mut settings_file: SettingsFile,
@@ -123,11 +124,12 @@
 where
     P: RoutingPolicy + Send + Sync + 'static,
 {
-    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()), signal(SignalKind::hangup()))
-    else {
-        eprintln!("error: cannot listen for signals");
-        return ExitCode::from(EXIT_START_FAILED);
+    let mut signals = match Signals::listen() {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("error: cannot listen for signals: {error}");
+            return ExitCode::from(EXIT_START_FAILED);
+        }
     };
     let mut node = match starting.await {
         Ok(node) => node,
@@ -144,16 +146,17 @@
         "ready ingress={} peer={} announce={} admin={}",
         addrs.ingress, addrs.peer, addrs.announce, addrs.admin
     );
-    loop {
+    let stop_signal = loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => settings_file.reload_if_changed("signal"),
+            received = signals.recv() => match received {
+                ReceivedSignal::Hangup => settings_file.reload_if_changed("signal"),
+                ReceivedSignal::Terminate | ReceivedSignal::Interrupt => break received,
+            },
             () = tokio::time::sleep(SETTINGS_CHECK_INTERVAL) => settings_file.reload_if_changed("file"),
         }
         node.set_stop_limits(settings_file.stop_limits());
-    }
-    log_event!(Info, "stopping", second_signal = "cuts calls in flight short");
+    };
+    log_event!(Info, "stopping", signal = stop_signal, second_sigint = "cuts calls in flight short");
     let calls_in_flight = node.in_flight_counter();
     tokio::select! {
         shutdown = node.stop() => {
@@ -162,8 +165,7 @@
             }
             log_aborted_calls("the shutdown timeout", shutdown.in_flight);
         }
-        _ = terminate.recv() => log_aborted_calls("a second signal", calls_in_flight.in_flight()),
-        _ = interrupt.recv() => log_aborted_calls("a second signal", calls_in_flight.in_flight()),
+        () = signals.second_interrupt() => log_aborted_calls("a second SIGINT", calls_in_flight.in_flight()),
     }
     ExitCode::from(EXIT_CALLS_ABORTED)
 }
--- a/daemon/tests/stopped_nodes.rs
+++ b/daemon/tests/stopped_nodes.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use nix::sys::signal::Signal;
 use serde_json::Value;
@@ -37,6 +38,16 @@
 const LONG_WORK_MS: u64 = 60_000;
 /// Exit code of a node whose shutdown aborted calls in flight.
 const EXIT_CALLS_ABORTED: i32 = 3;
+/// Signals of one kind that a process gets while a call runs.
+const REPEATED_SIGNALS: u32 = 5;
+/// Time between two signals, long enough that the system doesn't merge them.
+const SIGNAL_GAP: Duration = Duration::from_millis(100);
+/// Signals of one kind that a process gets in quick succession.
+const MANY_SIGNALS: u32 = 100;
+/// Time between two signals in quick succession.
+const MANY_SIGNALS_GAP: Duration = Duration::from_millis(5);
+/// Maximum lines that a stopping node may write about signals in one second.
+const MAX_SIGNAL_LINES_PER_SECOND: usize = 10;
 
 /// An ingress node and a gate node as processes, and the upstream beside the gate.
 struct TwoProcesses {
@@ -102,6 +113,15 @@
         assert_eq!(find_violations(&[record], &self.log.executions()), Vec::new());
         assert_eq!(self.log.len(), 1);
     }
+
+    /// Asserts that the call is answered and that both processes, told to stop, end without having cut a call.
+    async fn assert_stops_without_loss(&mut self, caller: JoinHandle<CallRecord>) {
+        let record = caller.await.expect("the caller task does not panic");
+        assert!(matches!(record.outcome, CallOutcome::Answered(_)), "{record}");
+        self.assert_guarantees(record);
+        assert_eq!(self.ingress.wait().code(), Some(0));
+        assert_eq!(self.gate.wait().code(), Some(0));
+    }
 }
 
 /// Returns the value of a field of a log line.
@@ -184,15 +204,89 @@
     caller.abort();
 }
 
+/// Guards against calls that are cut when the platform repeats SIGTERM while a node stops.
 #[tokio::test(flavor = "multi_thread")]
-async fn stop_aborted_by_second_signal() {
+async fn stop_cuts_nothing_on_repeated_sigterm() {
     let mut nodes = TwoProcesses::start(json!({})).await;
-    let caller = nodes.start_call(payment(LONG_WORK_MS, LONG_WORK_MS)).await;
-    nodes.gate.signal(Signal::SIGTERM);
-    tokio::time::sleep(POLL_INTERVAL * 5).await;
-    nodes.gate.signal(Signal::SIGTERM);
-    assert_eq!(nodes.gate.wait().code(), Some(EXIT_CALLS_ABORTED));
-    caller.abort();
+    let caller = nodes.start_call(payment(WORK_MS, 30_000)).await;
+    for _ in 0..REPEATED_SIGNALS {
+        nodes.gate.signal(Signal::SIGTERM);
+        nodes.ingress.signal(Signal::SIGTERM);
+        tokio::time::sleep(SIGNAL_GAP).await;
+    }
+    nodes.assert_stops_without_loss(caller).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_cuts_nothing_on_overlapping_signals_and_settings_changes() {
+    let mut nodes = TwoProcesses::start(json!({})).await;
+    let caller = nodes.start_call(payment(WORK_MS, 30_000)).await;
+    let next_settings = ["{ \"log\": { \"level\": \"debug\" } }", "{ \"node\": 7 }", ""];
+    for text in next_settings {
+        for node in [&nodes.gate, &nodes.ingress] {
+            node.signal(Signal::SIGTERM);
+            node.write_settings(text);
+            node.signal(Signal::SIGHUP);
+        }
+        tokio::time::sleep(SIGNAL_GAP).await;
+        for node in [&nodes.gate, &nodes.ingress] {
+            node.rewrite_settings();
+            node.signal(Signal::SIGHUP);
+            node.signal(Signal::SIGTERM);
+        }
+        tokio::time::sleep(SIGNAL_GAP).await;
+    }
+    nodes.assert_stops_without_loss(caller).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_cuts_nothing_on_single_sigint_beside_sigterm() {
+    for signals in [
+        [Signal::SIGTERM, Signal::SIGINT, Signal::SIGTERM],
+        [Signal::SIGINT, Signal::SIGTERM, Signal::SIGTERM],
+    ] {
+        let mut nodes = TwoProcesses::start(json!({})).await;
+        let caller = nodes.start_call(payment(WORK_MS, 30_000)).await;
+        for signal in signals {
+            nodes.gate.signal(signal);
+            nodes.ingress.signal(signal);
+            tokio::time::sleep(SIGNAL_GAP).await;
+        }
+        nodes.assert_stops_without_loss(caller).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_aborted_by_second_sigint() {
+    for signals in [&[Signal::SIGINT][..], &[Signal::SIGTERM, Signal::SIGINT, Signal::SIGTERM]] {
+        let mut nodes = TwoProcesses::start(json!({})).await;
+        let caller = nodes.start_call(payment(LONG_WORK_MS, LONG_WORK_MS)).await;
+        for signal in signals {
+            nodes.gate.signal(*signal);
+            tokio::time::sleep(SIGNAL_GAP).await;
+        }
+        assert_eq!(nodes.gate.exit_status(), None);
+        nodes.gate.signal(Signal::SIGINT);
+        assert_eq!(nodes.gate.wait().code(), Some(EXIT_CALLS_ABORTED));
+        caller.abort();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_during_stop_logged_a_bounded_number_of_times() {
+    let mut nodes = TwoProcesses::start(json!({})).await;
+    let caller = nodes.start_call(payment(WORK_MS, 30_000)).await;
+    let stop_began = Instant::now();
+    for _ in 0..MANY_SIGNALS {
+        nodes.gate.signal(Signal::SIGTERM);
+        nodes.gate.signal(Signal::SIGHUP);
+        tokio::time::sleep(MANY_SIGNALS_GAP).await;
+    }
+    nodes.ingress.signal(Signal::SIGTERM);
+    nodes.assert_stops_without_loss(caller).await;
+    let lines = nodes.gate_lines("signal ignored, since the node is stopping").len();
+    let seconds_begun = usize::try_from(stop_began.elapsed().as_secs()).expect("the test is short") + 1;
+    assert!((1..=seconds_begun * MAX_SIGNAL_LINES_PER_SECOND).contains(&lines), "{lines} lines");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -219,9 +313,9 @@
 async fn stop_given_up_logs_call_left() {
     let mut nodes = TwoProcesses::start(json!({})).await;
     let caller = nodes.start_call(payment(LONG_WORK_MS, LONG_WORK_MS)).await;
-    nodes.gate.signal(Signal::SIGTERM);
+    nodes.gate.signal(Signal::SIGINT);
     tokio::time::sleep(POLL_INTERVAL * 5).await;
-    nodes.gate.signal(Signal::SIGTERM);
+    nodes.gate.signal(Signal::SIGINT);
     nodes.gate.wait();
     assert_eq!(nodes.gate_steps().last().map(String::as_str), Some("ended"));
     assert_eq!(nodes.gate_lines("call is running as the node ends; ").len(), 1);
--- a/lib/testutils/src/daemon_process.rs
+++ b/lib/testutils/src/daemon_process.rs
@@ -119,6 +119,15 @@
         std::fs::write(self.settings.path(), text).expect("the settings can be written");
     }
 
+    /// Writes `text` to the settings file.
+    ///
+    /// # Panics
+    ///
+    /// When the file can't be written.
+    pub fn write_settings(&self, text: &str) {
+        std::fs::write(self.settings.path(), text).expect("the settings can be written");
+    }
+
     /// Returns, for each thread of the process, its kernel statistics and the kernel function it waits in.
     ///
     /// The statistics are the line of `/proc/PID/task/TID/stat`, with name, state and processor time.
