--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -4,6 +4,8 @@
 mod reload;
 mod signals;
 
+use std::io;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -14,6 +16,7 @@
 use simplelog::WriteLogger;
 use tokio::runtime::Builder;
 use tokio::runtime::Handle;
+use tokio::runtime::Runtime;
 use yuccatray::coordination::routing::PowerOfTwoChoices;
 use yuccatray::coordination::routing::RoutingPolicy;
 use yuccatray::coordination::routing::ZoneFirst;
@@ -66,6 +69,17 @@
         print!("{}", include_str!("../../examples/settings.jsonc"));
         return ExitCode::SUCCESS;
     };
+    if args.check {
+        return check(&path);
+    }
+    // Signals are handled from here on, since the default action of each would end the process.
+    let (control_runtime, signals) = match control_runtime() {
+        Ok(control) => control,
+        Err(error) => {
+            eprintln!("error: cannot listen for signals: {error}");
+            return ExitCode::from(EXIT_START_FAILED);
+        }
+    };
     let settings = match node_settings::load(&path) {
         Ok(settings) => settings,
         Err(error) => {
@@ -73,64 +87,74 @@
             return ExitCode::from(EXIT_INVALID_SETTINGS);
         }
     };
-    if args.check {
-        println!("{}: settings are valid", path.display());
-        return ExitCode::SUCCESS;
-    }
     start_log(settings.log.level);
     log_time_limits(&settings);
     let worker_threads = settings.process.worker_threads as usize;
-    let control_runtime = Builder::new_current_thread().enable_all().build();
     let call_runtime =
         Builder::new_multi_thread().worker_threads(worker_threads).thread_name("calls").enable_all().build();
-    match (control_runtime, call_runtime) {
-        (Ok(control_runtime), Ok(call_runtime)) => {
-            let exit_code = control_runtime.block_on(run(path, settings, call_runtime.handle()));
+    match call_runtime {
+        Ok(call_runtime) => {
+            let exit_code = control_runtime.block_on(run(path, settings, signals, call_runtime.handle()));
             call_runtime.shutdown_timeout(CALLS_END_TIMEOUT);
             log::logger().flush();
             exit_code
         }
-        (Err(error), _) | (_, Err(error)) => {
+        Err(error) => {
             eprintln!("error: cannot start {worker_threads} worker threads: {error}");
             ExitCode::from(EXIT_START_FAILED)
         }
     }
 }
 
+/// Checks a settings file.
+fn check(path: &Path) -> ExitCode {
+    if let Err(error) = node_settings::load(path) {
+        print_settings_error(path, &error);
+        return ExitCode::from(EXIT_INVALID_SETTINGS);
+    }
+    println!("{}: settings are valid", path.display());
+    ExitCode::SUCCESS
+}
+
+/// Creates the runtime for all tasks but those of calls, and installs the handlers of the signals.
+fn control_runtime() -> io::Result<(Runtime, Signals)> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let signals = {
+        let _context = runtime.enter();
+        Signals::listen()?
+    };
+    Ok((runtime, signals))
+}
+
 /// Runs a node with the dialect of the settings until it stops.
 ///
 /// Calls are served on `call_runtime`, everything else on the current runtime.
-async fn run(path: PathBuf, settings: Settings, call_runtime: &Handle) -> ExitCode {
+async fn run(path: PathBuf, settings: Settings, signals: Signals, call_runtime: &Handle) -> ExitCode {
     let settings_file = SettingsFile::new(path, settings.clone());
     match settings.dialect {
         DialectName::Own => {
-            serve(Node::start_with_runtime(&settings, PowerOfTwoChoices, call_runtime), settings_file).await
+            let starting = Node::start_with_runtime(&settings, PowerOfTwoChoices, call_runtime);
+            serve(starting, settings_file, signals).await
         }
         DialectName::Platform => {
-            serve(Node::start_external::<ExternalPlatform>(&settings, ZoneFirst, call_runtime), settings_file)
-                .await
+            let starting = Node::start_external::<ExternalPlatform>(&settings, ZoneFirst, call_runtime);
+            serve(starting, settings_file, signals).await
         }
     }
 }
 
-/// Runs a node until SIGTERM or SIGINT, then stops it gracefully.
+/// Runs a node until SIGTERM or SIGINT, then stops it gracefully, also if the signal came before the start.
 ///
 /// SIGHUP reloads the settings file. While the node stops, the end of its shutdown timeout or a second SIGINT
 /// aborts the calls in flight; other signals and changes of the settings file have no effect.
 async fn serve<P>(
     starting: impl Future<Output = Result<Node<P>, NodeError>>,
     mut settings_file: SettingsFile,
+    mut signals: Signals,
 ) -> ExitCode
 where
     P: RoutingPolicy + Send + Sync + 'static,
 {
-    let mut signals = match Signals::listen() {
-        Ok(signals) => signals,
-        Err(error) => {
-            eprintln!("error: cannot listen for signals: {error}");
-            return ExitCode::from(EXIT_START_FAILED);
-        }
-    };
     let mut node = match starting.await {
         Ok(node) => node,
         Err(error) => {
@@ -183,7 +207,7 @@
 }
 
 /// Prints every problem of a settings file to standard error.
-fn print_settings_error(path: &std::path::Path, error: &JsonError) {
+fn print_settings_error(path: &Path, error: &JsonError) {
     eprintln!("error: {}: {error}", path.display());
     for problem in error.problems() {
         eprintln!("  {}: {}", problem.field, problem.problem);
--- a/daemon/src/signals.rs
+++ b/daemon/src/signals.rs
@@ -1,4 +1,4 @@
-//! The signals that the daemon handles, from before its first port is open until the process has ended.
+//! The signals that the daemon handles, from before it reads its settings until the process has ended.
 
 use std::fmt;
 use std::fmt::Display;
--- a/daemon/tests/settings_reload.rs
+++ b/daemon/tests/settings_reload.rs
@@ -1,9 +1,12 @@
 //! Reloading of the settings file while the node runs, on SIGHUP and by the periodic check.
 
+use std::fs::File;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::ChildStdout;
 use std::process::Command;
@@ -11,9 +14,12 @@
 
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
+use nix::sys::stat::Mode;
 use nix::unistd::Pid;
+use nix::unistd::mkfifo;
 use serde_json::Value;
 use tempfile::NamedTempFile;
+use tempfile::TempDir;
 use yuccatray_testutils::daemon_process::loopback_settings;
 
 /// A node process whose log the test reads; killed when dropped.
@@ -62,6 +68,51 @@
     }
 }
 
+/// A node process that waits for its settings, which come through a named pipe.
+struct StartingProcess {
+    child: Child,
+    pipe: File,
+    settings_path: PathBuf,
+    _folder: TempDir,
+}
+
+impl StartingProcess {
+    /// Starts a node and waits until it reads its settings.
+    fn start() -> Self {
+        let folder = TempDir::new().expect("a temporary folder can be created");
+        let settings_path = folder.path().join("settings.jsonc");
+        mkfifo(&settings_path, Mode::S_IRWXU).expect("a named pipe can be created");
+        let child = Command::new(Path::new(env!("CARGO_BIN_EXE_yuccatrayd")))
+            .env("YUCCATRAY_SETTINGS", &settings_path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the node starts");
+        // Opening a pipe to write waits until the node has opened it to read.
+        let pipe = File::options().write(true).open(&settings_path).expect("the pipe can be opened");
+        Self { child, pipe, settings_path, _folder: folder }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).expect("a process id fits");
+        kill(Pid::from_raw(pid), signal).expect("the signal can be sent");
+    }
+
+    /// Puts a file with the settings in the place of the pipe and hands them to the node through the pipe.
+    fn hand_over_settings(&mut self, settings: &Value) {
+        let next_path = self.settings_path.with_extension("next");
+        std::fs::write(&next_path, settings.to_string()).expect("the settings file can be written");
+        std::fs::rename(&next_path, &self.settings_path).expect("the settings file can be renamed");
+        self.pipe.write_all(settings.to_string().as_bytes()).expect("the node reads its settings");
+    }
+
+    /// Ends the settings and returns the output of the node and its exit code.
+    fn output(self) -> (String, Option<i32>) {
+        drop(self.pipe);
+        let output = self.child.wait_with_output().expect("the process can be waited for");
+        (String::from_utf8(output.stdout).expect("standard output is UTF-8"), output.status.code())
+    }
+}
+
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         // Fails if the process has already exited.
@@ -127,3 +178,20 @@
     // Under the former limits the process runs for ten minutes more.
     assert!(node.child.wait().expect("the process can be waited for").code().is_some());
 }
+
+/// Guards against a process that a SIGHUP kills, or a SIGTERM kills uncleanly, before it has read its settings.
+#[test]
+fn signals_before_start_handled_after_it() {
+    for signals in
+        [&[Signal::SIGTERM][..], &[Signal::SIGHUP, Signal::SIGINT], &[Signal::SIGTERM, Signal::SIGHUP]]
+    {
+        let mut starting = StartingProcess::start();
+        for signal in signals {
+            starting.signal(*signal);
+        }
+        starting.hand_over_settings(&settings());
+        let (output, exit_code) = starting.output();
+        assert_eq!(exit_code, Some(0), "{signals:?}: {output}");
+        assert!(output.contains("ready "), "{signals:?}: {output}");
+    }
+}
