--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -27,7 +27,6 @@
 use yuccatray::protocol::checked_json::JsonError;
 use yuccatray::protocol::settings::DialectName;
 use yuccatray::protocol::settings::LogLevel;
-use yuccatray::protocol::settings::Settings;
 use yuccatray::transport::log_writer::NonBlockingLogWriter;
 use yuccatray_platform::ExternalPlatform;
 
@@ -80,21 +79,21 @@
             return ExitCode::from(EXIT_START_FAILED);
         }
     };
-    let settings = match node_settings::load(&path) {
-        Ok(settings) => settings,
+    let settings_file = match SettingsFile::load(path.clone()) {
+        Ok(settings_file) => settings_file,
         Err(error) => {
             print_settings_error(&path, &error);
             return ExitCode::from(EXIT_INVALID_SETTINGS);
         }
     };
-    start_log(settings.log.level);
-    log_time_limits(&settings);
-    let worker_threads = settings.process.worker_threads as usize;
+    start_log(settings_file.settings().log.level);
+    log_time_limits(settings_file.settings());
+    let worker_threads = settings_file.settings().process.worker_threads as usize;
     let call_runtime =
         Builder::new_multi_thread().worker_threads(worker_threads).thread_name("calls").enable_all().build();
     match call_runtime {
         Ok(call_runtime) => {
-            let exit_code = control_runtime.block_on(run(path, settings, signals, call_runtime.handle()));
+            let exit_code = control_runtime.block_on(run(settings_file, signals, call_runtime.handle()));
             call_runtime.shutdown_timeout(CALLS_END_TIMEOUT);
             log::logger().flush();
             exit_code
@@ -129,8 +128,8 @@
 /// Runs a node with the dialect of the settings until it stops.
 ///
 /// Calls are served on `call_runtime`, everything else on the current runtime.
-async fn run(path: PathBuf, settings: Settings, signals: Signals, call_runtime: &Handle) -> ExitCode {
-    let settings_file = SettingsFile::new(path, settings.clone());
+async fn run(settings_file: SettingsFile, signals: Signals, call_runtime: &Handle) -> ExitCode {
+    let settings = settings_file.settings().clone();
     match settings.dialect {
         DialectName::Own => {
             let starting = Node::start_with_runtime(&settings, PowerOfTwoChoices, call_runtime);
--- a/daemon/src/reload.rs
+++ b/daemon/src/reload.rs
@@ -8,6 +8,7 @@
 use log::LevelFilter;
 use serde_json::Value;
 use yuccatray::log_event;
+use yuccatray::protocol::checked_json::JsonError;
 use yuccatray::protocol::checked_json::read_file;
 use yuccatray::protocol::settings::LimitSettings;
 use yuccatray::protocol::settings::LogLevel;
@@ -16,6 +17,9 @@
 use crate::node_settings::log_time_limits;
 use crate::node_settings::parse;
 
+/// Result of reading the settings file.
+pub type Result<T, E = JsonError> = std::result::Result<T, E>;
+
 /// The settings file of a running node.
 #[derive(Debug)]
 pub struct SettingsFile {
@@ -27,11 +31,21 @@
 }
 
 impl SettingsFile {
-    /// Creates the state for the file that `settings` were read from.
+    /// Reads and validates the file.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read, is not JSON with comments, or a field is invalid.
+    pub fn load(path: PathBuf) -> Result<Self> {
+        let text = read_file(&path)?;
+        let settings = parse(&text)?;
+        Ok(Self { path, text, settings })
+    }
+
+    /// Returns the settings in effect.
     #[must_use]
-    pub fn new(path: PathBuf, settings: Settings) -> Self {
-        let text = read_file(&path).unwrap_or_default();
-        Self { path, text, settings }
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
     }
 
     /// Reads the file again and, if its text changed, applies the sections that need no restart.
--- a/daemon/tests/settings_reload.rs
+++ b/daemon/tests/settings_reload.rs
@@ -3,6 +3,7 @@
 use std::fs::File;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -68,10 +69,10 @@
     }
 }
 
-/// A node process that waits for its settings, which come through a named pipe.
+/// A node process that waits for its settings, which come through a named pipe; killed when dropped.
 struct StartingProcess {
     child: Child,
-    pipe: File,
+    pipe: Option<File>,
     settings_path: PathBuf,
     _folder: TempDir,
 }
@@ -89,7 +90,7 @@
             .expect("the node starts");
         // Opening a pipe to write waits until the node has opened it to read.
         let pipe = File::options().write(true).open(&settings_path).expect("the pipe can be opened");
-        Self { child, pipe, settings_path, _folder: folder }
+        Self { child, pipe: Some(pipe), settings_path, _folder: folder }
     }
 
     fn signal(&self, signal: Signal) {
@@ -97,19 +98,39 @@
         kill(Pid::from_raw(pid), signal).expect("the signal can be sent");
     }
 
-    /// Puts a file with the settings in the place of the pipe and hands them to the node through the pipe.
-    fn hand_over_settings(&mut self, settings: &Value) {
+    /// Puts a settings file in the place of the pipe and hands the settings to the node through the pipe.
+    ///
+    /// The file holds `next_settings`.
+    fn hand_over_settings(&mut self, settings: &Value, next_settings: &Value) {
         let next_path = self.settings_path.with_extension("next");
-        std::fs::write(&next_path, settings.to_string()).expect("the settings file can be written");
+        std::fs::write(&next_path, next_settings.to_string()).expect("the settings file can be written");
         std::fs::rename(&next_path, &self.settings_path).expect("the settings file can be renamed");
-        self.pipe.write_all(settings.to_string().as_bytes()).expect("the node reads its settings");
+        let mut pipe = self.pipe.take().expect("the settings are handed over once");
+        pipe.write_all(settings.to_string().as_bytes()).expect("the node reads its settings");
     }
 
-    /// Ends the settings and returns the output of the node and its exit code.
-    fn output(self) -> (String, Option<i32>) {
-        drop(self.pipe);
-        let output = self.child.wait_with_output().expect("the process can be waited for");
-        (String::from_utf8(output.stdout).expect("standard output is UTF-8"), output.status.code())
+    /// Returns the output of the node up to its end, and its exit code.
+    fn output(&mut self) -> (String, Option<i32>) {
+        let mut output = String::new();
+        let mut stdout = self.child.stdout.take().expect("standard output is piped");
+        stdout.read_to_string(&mut output).expect("standard output is UTF-8");
+        let status = self.child.wait().expect("the process can be waited for");
+        (output, status.code())
+    }
+
+    /// Returns the first line of the output that contains the text.
+    fn line_with(&mut self, text: &str) -> String {
+        let stdout = self.child.stdout.take().expect("standard output is piped");
+        let mut lines = BufReader::new(stdout).lines().map(|line| line.expect("standard output is UTF-8"));
+        lines.find(|line| line.contains(text)).unwrap_or_else(|| panic!("no line with {text:?}"))
+    }
+}
+
+impl Drop for StartingProcess {
+    fn drop(&mut self) {
+        // Fails if the process has already exited.
+        let _killed = self.child.kill();
+        let _reaped = self.child.wait();
     }
 }
 
@@ -189,9 +210,23 @@
         for signal in signals {
             starting.signal(*signal);
         }
-        starting.hand_over_settings(&settings());
+        starting.hand_over_settings(&settings(), &settings());
         let (output, exit_code) = starting.output();
         assert_eq!(exit_code, Some(0), "{signals:?}: {output}");
         assert!(output.contains("ready "), "{signals:?}: {output}");
     }
 }
+
+#[test]
+fn settings_changed_during_start_reloaded() {
+    let mut starting = StartingProcess::start();
+    let mut current = settings();
+    current["log"] = serde_json::json!({ "level": "debug" });
+    let mut next = current.clone();
+    next["node"]["zone"] = "b".into();
+    starting.hand_over_settings(&current, &next);
+    starting.signal(Signal::SIGHUP);
+    // The line says either that the settings were reloaded or that they are unchanged.
+    let line = starting.line_with("settings ");
+    assert!(line.contains("settings reloaded") && line.contains("after_restart=node"), "{line}");
+}
