--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -313,7 +313,7 @@
         self.ingress.set_stop_by(stop_by);
         let log = StopLog::begin(stop_by, self.in_flight_counter.clone(), self.cut.clone());
         tokio::time::sleep_until(stop_by.min(Instant::now() + self.unready_notice)).await;
-        self.registration.drain();
+        self.registration.drain_for_stop();
         self.ingress.drain();
         log.reached(StopStep::Draining);
         // Peers that miss the announcement learn of the drain when the gate rejects their calls.
--- a/lib/src/transport/admin_server.rs
+++ b/lib/src/transport/admin_server.rs
@@ -48,7 +48,7 @@
     pub queued: u32,
     /// Slots that its gate grants at present.
     pub limit: u32,
-    /// Whether operators have ordered it to drain its upstream.
+    /// Whether it drains its upstream, by order of an operator or since it stops.
     pub draining: bool,
     /// Applied configuration revision, by service.
     pub revisions: IndexMap<Arc<str>, u64>,
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -123,7 +123,10 @@
     registered: Mutex<Option<RegisteredUpstream>>,
     /// Incarnation that announced its end, so that its late heartbeats are ignored; cleared by a later one.
     left_incarnation: Mutex<Option<UpstreamIncarnation>>,
+    /// Whether an operator has ordered to drain the upstream.
     draining: AtomicBool,
+    /// Whether the node stops, which drains the upstream until the end of the node.
+    stopping: AtomicBool,
 }
 
 impl UpstreamRegistration {
@@ -137,6 +140,7 @@
             registered: Mutex::new(None),
             left_incarnation: Mutex::new(None),
             draining: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
         }
     }
 
@@ -152,23 +156,30 @@
 
     /// Drains the upstream, whatever it announces itself.
     pub fn drain(&self) {
-        self.set_draining(true);
+        self.set_flag(&self.draining, true);
     }
 
-    /// Ends the draining; an upstream that announces `draining` remains drained.
+    /// Drains the upstream until the end of the node.
+    pub fn drain_for_stop(&self) {
+        self.set_flag(&self.stopping, true);
+    }
+
+    /// Ends the draining by [`Self::drain`].
+    ///
+    /// An upstream that announces `draining`, or whose node stops, remains drained.
     pub fn end_draining(&self) {
-        self.set_draining(false);
+        self.set_flag(&self.draining, false);
     }
 
-    /// Returns whether [`Self::drain`] is in effect.
+    /// Returns whether [`Self::drain`] or [`Self::drain_for_stop`] is in effect.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.draining.load(Ordering::Relaxed) || self.stopping.load(Ordering::Relaxed)
     }
 
-    fn set_draining(&self, draining: bool) {
+    fn set_flag(&self, flag: &AtomicBool, value: bool) {
         let mut registered = self.registered.lock();
-        self.draining.store(draining, Ordering::Relaxed);
+        flag.store(value, Ordering::Relaxed);
         if let Some(upstream) = registered.as_mut() {
             self.apply(upstream);
         }
