--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -232,6 +232,12 @@
         self.fill_slots(now)
     }
 
+    /// Returns whether calls are rejected because the gate drains.
+    #[must_use]
+    pub const fn is_draining(&self) -> bool {
+        self.draining
+    }
+
     /// Starts draining: new calls are rejected from now on, and the queued calls with the returned decisions.
     pub fn drain(&mut self) -> Vec<QueueDecision> {
         self.draining = true;
--- a/lib/src/transport/call_body.rs
+++ b/lib/src/transport/call_body.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
@@ -74,6 +75,8 @@
         deadline: Option<Pin<Box<Sleep>>>,
         /// Shared record of an exceeded limit, read by the task that forwards the body.
         limit_flag: Option<Arc<BodyLimitFlag>>,
+        /// Shared count of the bytes that were read from the body.
+        streamed_bytes: Option<Arc<StreamedBytes>>,
     },
 }
 
@@ -91,7 +94,30 @@
     }
 }
 
+/// Shared count of the bytes of a streamed body while another task forwards it.
+#[derive(Debug, Default)]
+pub struct StreamedBytes {
+    count: AtomicU64,
+}
+
+impl StreamedBytes {
+    /// Returns the number of bytes read from the body so far.
+    #[must_use]
+    pub fn get(&self) -> u64 {
+        self.count.load(Ordering::Relaxed)
+    }
+}
+
 impl CallBody {
+    /// Starts to count the bytes read from a streamed body; returns `None` for a buffered one.
+    #[must_use]
+    pub fn count_streamed_bytes(&mut self) -> Option<Arc<StreamedBytes>> {
+        match self {
+            Self::Buffered { .. } => None,
+            Self::Stream { streamed_bytes, .. } => Some(Arc::clone(streamed_bytes.get_or_insert_default())),
+        }
+    }
+
     /// Creates a streamed body of any size.
     #[must_use]
     pub const fn unlimited(incoming: Incoming) -> Self {
@@ -101,6 +127,7 @@
             limit_bytes: u64::MAX,
             deadline: None,
             limit_flag: None,
+            streamed_bytes: None,
         }
     }
 
@@ -114,6 +141,7 @@
             limit_bytes: u64::MAX,
             deadline,
             limit_flag: None,
+            streamed_bytes: None,
         }
     }
 
@@ -126,6 +154,7 @@
             limit_bytes,
             deadline: None,
             limit_flag: Some(limit_flag),
+            streamed_bytes: None,
         }
     }
 
@@ -156,7 +185,7 @@
                 let frame = data.or_else(|| trailers.take().map(|trailers| Frame::trailers(*trailers)));
                 Poll::Ready(frame.map(Ok))
             }
-            Self::Stream { incoming, remaining_bytes, limit_bytes, deadline, limit_flag } => {
+            Self::Stream { incoming, remaining_bytes, limit_bytes, deadline, limit_flag, streamed_bytes } => {
                 let is_overdue =
                     deadline.as_mut().is_some_and(|deadline| deadline.as_mut().poll(cx).is_ready());
                 if is_overdue && incoming.size_hint().exact().is_none() {
@@ -166,8 +195,12 @@
                 if is_overdue && polled.is_pending() {
                     return Poll::Ready(Some(DeadlineExceededSnafu.fail()));
                 }
+                let before = *remaining_bytes;
                 let polled =
                     polled.map(|frame| frame.map(|frame| count_bytes(frame, remaining_bytes, *limit_bytes)));
+                if let Some(streamed_bytes) = streamed_bytes {
+                    streamed_bytes.count.fetch_add(before - *remaining_bytes, Ordering::Relaxed);
+                }
                 if let (Poll::Ready(Some(Err(BodyError::TooLarge { .. }))), Some(limit_flag)) =
                     (&polled, limit_flag)
                 {
--- a/lib/src/transport/call_guard.rs
+++ b/lib/src/transport/call_guard.rs
@@ -82,15 +82,18 @@
     slot: Option<SlotGuard>,
     pool: Option<Arc<UpstreamPool>>,
     connection: Option<PooledConnection>,
+    /// Deadline of the call.
+    deadline: Option<Instant>,
     /// Time at which the upstream has certainly given the call up; `None` if it may never do so.
     given_up_at: Option<Instant>,
 }
 
 impl CallGuard {
-    /// Stores the slot of the call and the pool that provides its connection.
-    pub fn set_slot(&mut self, slot: SlotGuard, pool: Arc<UpstreamPool>) {
+    /// Stores the slot of the call, the pool that provides its connection, and the deadline of the call.
+    pub fn set_slot(&mut self, slot: SlotGuard, pool: Arc<UpstreamPool>, deadline: Instant) {
         self.slot = Some(slot);
         self.pool = Some(pool);
+        self.deadline = Some(deadline);
     }
 
     /// Limits how long the slot stays taken after a call that the upstream neither answers nor closes.
@@ -135,6 +138,13 @@
         self.ended(body.is_end_stream() || matches!(body, CallBody::Buffered { .. }));
     }
 
+    /// Records that the call was not sent to the upstream.
+    pub const fn record_not_sent(&mut self) {
+        if let Some(slot) = &mut self.slot {
+            slot.outcome = ExecutionOutcome::Abandoned;
+        }
+    }
+
     /// Records that the call failed at the upstream.
     pub const fn record_failure(&mut self) {
         if let Some(slot) = &mut self.slot {
@@ -186,7 +196,8 @@
             return self.close_connection();
         }
         if let (Some(connection), Some(pool)) = (self.connection.take(), &self.pool) {
-            pool.return_connection(connection);
+            let upload_end = self.deadline.unwrap_or_else(Instant::now) + UPSTREAM_STOP_MARGIN;
+            pool.return_connection(connection, upload_end);
         }
         self.slot = None;
     }
--- a/lib/src/transport/gate_admission.rs
+++ b/lib/src/transport/gate_admission.rs
@@ -20,6 +20,7 @@
 use crate::transport::gate::Result;
 use crate::transport::gate_log::log_given_up;
 use crate::transport::gate_log::log_rejection;
+use crate::transport::upstream_pool::UpstreamPool;
 
 impl Gate {
     /// Waits for a slot and stores it in `slot`; returns an error if the call is rejected.
@@ -76,8 +77,13 @@
         }
     }
 
+    /// Returns whether a call that got its slot earlier may still be sent to the upstream behind `pool`.
+    pub(super) fn may_still_send(&self, pool: &UpstreamPool) -> bool {
+        self.is_current(pool) && !self.queue.lock().admission.is_draining()
+    }
+
     /// Counts and logs a rejected call, and returns the error for it.
-    fn rejection(&self, call: &GateCall, reject_reason: RejectReason) -> ErrorAnswer {
+    pub(super) fn rejection(&self, call: &GateCall, reject_reason: RejectReason) -> ErrorAnswer {
         let (kind, reason, message) = match reject_reason {
             RejectReason::QueueFull => {
                 (ErrorKind::Overloaded, "queue_full", "the queue of this priority is full")
--- a/lib/src/transport/gate_forwarding.rs
+++ b/lib/src/transport/gate_forwarding.rs
@@ -8,6 +8,7 @@
 use snafu::ResultExt;
 use tokio::time::Instant;
 
+use crate::coordination::admission::RejectReason;
 use crate::log_event_limited;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::error_kind::ErrorKind;
@@ -56,7 +57,7 @@
         if let Some(request_id) = &request_id {
             slot.record_running(request_id.clone());
         }
-        guard.set_slot(slot, Arc::clone(&pool));
+        guard.set_slot(slot, Arc::clone(&pool), call.deadline);
         if self.external_fields.is_some() {
             // Only external upstreams are bound to stop at the deadline that the request names.
             guard.release_after(call.deadline);
@@ -65,8 +66,10 @@
         if let Some(fields) = &self.external_fields {
             set_external_fields(request.headers_mut(), fields, pool.instance(), call.deadline);
         }
+        let connect_by = call.start_by.map_or(call.deadline, |start_by| start_by.min(call.deadline));
         let exchange = async {
-            let response = pool.send(request, guard.connection_mut()).await?;
+            let may_still_send = || self.may_still_send(&pool);
+            let response = pool.send(request, connect_by, may_still_send, guard.connection_mut()).await?;
             buffer_if_small(response, call.deadline).await.context(IncompleteResponseSnafu)
         };
         let result = tokio::time::timeout_at(call.deadline, exchange).await;
@@ -81,6 +84,10 @@
                 }
                 Ok(response)
             }
+            Ok(Err(UpstreamError::Draining)) => {
+                guard.record_not_sent();
+                Err(self.rejection(call, RejectReason::Draining))
+            }
             Ok(Err(error)) => {
                 guard.record_failure();
                 Err(self.upstream_error_answer(call, &error))
--- a/lib/src/transport/gate_notice.rs
+++ b/lib/src/transport/gate_notice.rs
@@ -82,7 +82,7 @@
     }
 
     /// Returns whether calls are sent to the upstream behind `pool`, and not to a later one.
-    fn is_current(&self, pool: &UpstreamPool) -> bool {
+    pub(super) fn is_current(&self, pool: &UpstreamPool) -> bool {
         self.pool.load().as_ref().is_some_and(|current| std::ptr::eq(Arc::as_ptr(current), pool))
     }
 
--- a/lib/src/transport/gate_query.rs
+++ b/lib/src/transport/gate_query.rs
@@ -1,5 +1,6 @@
 //! Requests that a gate itself makes to its upstream, for its load or its slowdown.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use tokio::time::Instant;
 
 use crate::log_event_limited;
 use crate::transport::call_body::CallBody;
@@ -49,23 +51,24 @@
     ///
     /// Returns `None` if there is no upstream, the request fails or times out, or the body is too large.
     pub async fn query_upstream(&self, path: &str) -> Option<Response<Bytes>> {
-        query(&*self.pool.load_full()?, path).await
+        query(&self.pool.load_full()?, path).await
     }
 }
 
 /// Fetches a small document from the upstream of a pool within [`UPSTREAM_QUERY_TIMEOUT`].
-async fn query(pool: &UpstreamPool, path: &str) -> Option<Response<Bytes>> {
+async fn query(pool: &Arc<UpstreamPool>, path: &str) -> Option<Response<Bytes>> {
     let request = Request::get(path).header(HOST, pool.addr().to_string());
     let request = request.body(CallBody::from(Bytes::new())).ok()?;
+    let answer_by = Instant::now() + UPSTREAM_QUERY_TIMEOUT;
     let query = async {
         let mut connection = None;
-        let response = pool.send(request, &mut connection).await.ok()?;
+        let response = pool.send(request, answer_by, || true, &mut connection).await.ok()?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_QUERY_BODY_BYTES).collect().await.ok()?;
         if let Some(connection) = connection {
-            pool.return_connection(connection);
+            pool.return_connection(connection, answer_by);
         }
         Some(Response::from_parts(head, body.to_bytes()))
     };
-    tokio::time::timeout(UPSTREAM_QUERY_TIMEOUT, query).await.ok()?
+    tokio::time::timeout_at(answer_by, query).await.ok()?
 }
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -32,6 +32,8 @@
 use crate::protocol::external_fields::UpstreamNotice;
 use crate::transport::call_body::BodyError;
 use crate::transport::call_body::CallBody;
+use crate::transport::call_body::MAX_BUFFERED_BODY_BYTES;
+use crate::transport::call_body::StreamedBytes;
 use crate::transport::silence_watch::enable_keepalive;
 
 /// Result of sending a call to the upstream.
@@ -76,6 +78,9 @@
     /// The maximum number of connections is open and none is idle.
     #[snafu(display("all connections to the upstream are in use"))]
     Exhausted,
+    /// The gate stopped admitting calls while a connection was opened, so no byte of the call was written.
+    #[snafu(display("the gate stopped admitting calls before the call was sent"))]
+    Draining,
     /// The connection failed before a byte of the call was written.
     #[snafu(display("the connection closed before the call was written"))]
     NotWritten,
@@ -111,9 +116,19 @@
     driver: AbortHandle,
     opened_at: Instant,
     idle_since: Instant,
+    /// Bytes of the streamed body that were handed to the connection; `None` if its call had a buffered body.
+    streamed_bytes: Option<Arc<StreamedBytes>>,
 }
 
 impl PooledConnection {
+    /// Returns whether the upstream may still have to read a long body before it reads the next call.
+    ///
+    /// An upstream may answer before it has read the body, and what it has not read may fill the buffers of the
+    /// system, where no one can tell it from what it has read.
+    fn may_have_unread_body(&self) -> bool {
+        self.streamed_bytes.as_ref().is_some_and(|streamed| streamed.get() > MAX_BUFFERED_BODY_BYTES)
+    }
+
     /// Closes the connection and waits until the upstream has closed it as well.
     ///
     /// Gate and upstream run on one VM, so its kernel always reports when either side is gone.
@@ -239,21 +254,38 @@
 
     /// Sends a call and returns the response once its header section has arrived.
     ///
+    /// The call is sent at once over an idle connection, or over a new one that has to be open at `connect_by`.
+    /// `may_still_send` is asked after the wait for a new connection.
+    ///
     /// The connection is stored in `in_use` before the first byte is written, so that code that
     /// abandons the call can wait until the upstream has closed the connection.
     ///
     /// # Errors
     ///
-    /// Returns an error if no connection is available or the one used fails. A request of which
-    /// no byte was written is first retried on the other idle connections and then on a new one.
-    pub async fn send(
+    /// Returns an error if no connection is available, the one used fails or the call may not be sent any more.
+    /// A request of which no byte was written is first retried on the other idle connections and then on a new
+    /// one.
+    pub async fn send<F>(
         &self,
         mut request: Request<CallBody>,
+        connect_by: Instant,
+        may_still_send: F,
         in_use: &mut Option<PooledConnection>,
-    ) -> Result<Response<Incoming>> {
+    ) -> Result<Response<Incoming>>
+    where
+        F: Fn() -> bool,
+    {
         self.sent_requests.fetch_add(1, Ordering::Relaxed);
+        let streamed_bytes = request.body_mut().count_streamed_bytes();
         loop {
-            let (connection, reused) = self.checkout().await?;
+            let (mut connection, reused) = match self.pop_ready() {
+                Some(connection) => (connection, true),
+                None => (self.open(connect_by).await?, false),
+            };
+            if !reused && !may_still_send() {
+                return DrainingSnafu.fail();
+            }
+            connection.streamed_bytes.clone_from(&streamed_bytes);
             let sent = in_use.insert(connection).sender.try_send_request(request);
             match sent.await {
                 Ok(response) => return Ok(response),
@@ -266,29 +298,56 @@
         }
     }
 
-    /// Returns a connection to the pool after its response was read to the end.
-    pub fn return_connection(&self, mut connection: PooledConnection) {
-        if !connection.sender.is_closed() {
-            connection.idle_since = Instant::now();
-            self.idle.lock().push(connection);
+    /// Takes back a connection after its response was read to the end.
+    ///
+    /// It is idle only when it can carry the next call at once. While the request body is still being sent, a
+    /// task waits for its end, and closes the connection if it takes longer than until `upload_end`. A
+    /// connection that carried a long body is closed, since the upstream may not have read the body yet.
+    pub fn return_connection(self: &Arc<Self>, connection: PooledConnection, upload_end: Instant) {
+        if connection.sender.is_ready() {
+            self.keep_or_close(connection);
+        } else if !connection.sender.is_closed() {
+            tokio::spawn(Arc::clone(self).finish_upload(connection, upload_end));
+        }
+    }
+
+    /// Waits until the request body was sent, and then keeps or closes the connection.
+    async fn finish_upload(self: Arc<Self>, mut connection: PooledConnection, upload_end: Instant) {
+        match tokio::time::timeout_at(upload_end, connection.sender.ready()).await {
+            Ok(Ok(())) => self.keep_or_close(connection),
+            Ok(Err(error)) => log::debug!("upload ended with its connection; error={error}"),
+            Err(_) => {
+                log_event_limited!(Info, "upload cut, since it was answered and goes on after its deadline");
+                connection.driver.abort();
+            }
         }
     }
 
+    /// Keeps a ready connection as idle, or closes it if the upstream may still have to read a long body.
+    fn keep_or_close(&self, mut connection: PooledConnection) {
+        if connection.may_have_unread_body() {
+            return;
+        }
+        connection.streamed_bytes = None;
+        connection.idle_since = Instant::now();
+        self.idle.lock().push(connection);
+    }
+
     /// Discards idle connections at least as old as the given silent one, since they may be dead too.
     pub fn discard_older_idle(&self, connection: &PooledConnection) {
         self.idle.lock().retain(|idle| idle.opened_at > connection.opened_at);
     }
 
-    /// Returns a usable connection and whether it was used before.
-    async fn checkout(&self) -> Result<(PooledConnection, bool)> {
-        while let Some(mut connection) = self.pop_idle() {
-            if connection.sender.ready().await.is_ok() {
-                return Ok((connection, true));
-            }
-        }
+    /// Returns an idle connection that can carry a call at once, and discards those that the upstream has closed.
+    fn pop_ready(&self) -> Option<PooledConnection> {
+        std::iter::from_fn(|| self.pop_idle()).find(|connection| connection.sender.is_ready())
+    }
+
+    /// Opens a connection, for which `connect_by` is the latest time.
+    async fn open(&self, connect_by: Instant) -> Result<PooledConnection> {
         let permit = Arc::clone(&self.permits).try_acquire_owned();
         let permit = permit.map_err(|_no_permit| UpstreamError::Exhausted)?;
-        Ok((connect(self.addr, permit).await?, false))
+        connect(self.addr, connect_by, permit).await
     }
 
     /// Returns the idle connection used last, or discards all if even that one was idle for too long.
@@ -304,8 +363,13 @@
 }
 
 /// Opens a connection, which keeps `permit` until the upstream has closed it.
-async fn connect(addr: SocketAddr, permit: OwnedSemaphorePermit) -> Result<PooledConnection> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+async fn connect(
+    addr: SocketAddr,
+    connect_by: Instant,
+    permit: OwnedSemaphorePermit,
+) -> Result<PooledConnection> {
+    let connect_by = connect_by.min(Instant::now() + CONNECT_TIMEOUT);
+    let connecting = tokio::time::timeout_at(connect_by, TcpStream::connect(addr));
     let stream = connecting.await.map_err(|_elapsed| UpstreamError::ConnectTimeout)?.context(ConnectSnafu)?;
     stream.set_nodelay(true).context(ConnectSnafu)?;
     // A slot stays occupied until the upstream closes the connection; on a dead connection only
@@ -320,7 +384,14 @@
     let driving = tokio::spawn(drive(connection, permit, closed_by_upstream.clone().drop_guard()));
     let driver = driving.abort_handle();
     let now = Instant::now();
-    Ok(PooledConnection { sender, closed_by_upstream, driver, opened_at: now, idle_since: now })
+    Ok(PooledConnection {
+        sender,
+        closed_by_upstream,
+        driver,
+        opened_at: now,
+        idle_since: now,
+        streamed_bytes: None,
+    })
 }
 
 /// Drives a connection to its end and then waits until the upstream has closed it too.
