--- a/daemon/tests/planned_stop.rs
+++ b/daemon/tests/planned_stop.rs
@@ -12,11 +12,13 @@
 use yuccatray_platform_testutils::lost_requests::PlannedStop;
 use yuccatray_platform_testutils::lost_requests::SentRequest;
 use yuccatray_platform_testutils::lost_requests::find_loss;
+use yuccatray_platform_testutils::paced_body::BodyPace;
 use yuccatray_platform_testutils::process_site::ClientTarget;
 use yuccatray_platform_testutils::process_site::ProcessSite;
 use yuccatray_platform_testutils::process_site::SitePlan;
 use yuccatray_platform_testutils::timed_request::TimedRequest;
 use yuccatray_platform_testutils::timed_worker::Execution;
+use yuccatray_platform_testutils::work::Work;
 
 const NODES: usize = 4;
 /// Timeout of the routes, later than the end of every process of these tests, in seconds.
@@ -52,7 +54,14 @@
 }
 
 fn unsafe_request(id: String, work: Duration, time_limit: Duration) -> TimedRequest {
-    TimedRequest { id, method: Method::POST, work, time_limit, body: Bytes::from_static(b"order") }
+    TimedRequest {
+        id,
+        method: Method::POST,
+        work: Work::with_time(work),
+        time_limit,
+        body: Bytes::from_static(b"order"),
+        body_pace: BodyPace::default(),
+    }
 }
 
 /// Guards against requests cut at a fixed time after SIGTERM, whatever the grace period of the deployment is.
@@ -105,7 +114,7 @@
     for sent in ended_requests {
         violations.extend(unanswered(&site, sent.as_ref(), &stop));
     }
-    let loss = find_loss(&endless, &executions_of(&site, ENDLESS), &stop);
+    let loss = find_loss(&endless, &executions_of(&site, ENDLESS), Some(&stop));
     violations.extend(loss.map(|loss| format!("{loss}: {}", describe(&site, &endless, &stop))));
     violations.into_iter().map(|violation| format!("grace of {} s: {violation}", row.grace_s)).collect()
 }
@@ -128,7 +137,7 @@
         return Some("a connection was not accepted".to_owned());
     };
     let answered = matches!(&sent.end, ExchangeEnd::Answered(answer) if answer.status == StatusCode::OK);
-    let loss = find_loss(sent, &executions_of(site, &sent.id), stop);
+    let loss = find_loss(sent, &executions_of(site, &sent.id), Some(stop));
     if answered && loss.is_none() {
         return None;
     }
