--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -3,14 +3,18 @@
 use std::path::Path;
 use std::time::Duration;
 
+use tokio::sync::Mutex;
 use yuccatray_soak::run_soak::SoakOptions;
 use yuccatray_soak::run_soak::run_soak;
 
 const NODE_COUNT: usize = 3;
 const DURATION: Duration = Duration::from_secs(4);
+/// Held by the soak that runs, since nodes of two soaks may take over each other's ports and names.
+static RUNNING: Mutex<()> = Mutex::const_new(());
 
 /// Runs a soak with the seed and asserts that it reports no findings.
-async fn assert_no_findings(seed: u64) {
+async fn assert_no_findings(seed: u64, repeat_signals: bool) {
+    let _running = RUNNING.lock().await;
     let logs = tempfile::tempdir().expect("a temporary directory can be created");
     let options = SoakOptions {
         binary: Path::new(env!("CARGO_BIN_EXE_yuccatrayd")).to_path_buf(),
@@ -18,6 +22,7 @@
         nodes: NODE_COUNT,
         duration: DURATION,
         logs: logs.path().to_path_buf(),
+        repeat_signals,
     };
     let report = run_soak(&options).await;
     let findings: Vec<String> = report.findings.iter().map(ToString::to_string).collect();
@@ -27,7 +32,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_short_seed_11() {
-    assert_no_findings(11).await;
+    assert_no_findings(11, false).await;
 }
 
 /// Guards against a fault in which some nodes never got the configuration.
@@ -35,5 +40,11 @@
 /// It affected nodes whose advertised peer address differs from the source address of their datagrams.
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_short_seed_1_advertised_address() {
-    assert_no_findings(1).await;
+    assert_no_findings(1, false).await;
+}
+
+/// Guards against calls that are cut when a node that stops gets further signals.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_short_seed_1002_repeated_signals() {
+    assert_no_findings(1002, true).await;
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -33,6 +33,9 @@
     /// Directory for the nodes' logs; those of seeds without findings are removed.
     #[arg(long, default_value = "target/soak")]
     logs: PathBuf,
+    /// Send further signals to processes that stop, and rewrite their settings.
+    #[arg(long)]
+    repeat_signals: bool,
 }
 
 #[derive(Debug, Snafu)]
@@ -70,6 +73,7 @@
             nodes: usize::try_from(arguments.nodes).unwrap_or(usize::MAX),
             duration: Duration::from_secs(arguments.seconds),
             logs: logs.clone(),
+            repeat_signals: arguments.repeat_signals,
         };
         let report = runtime.block_on(run_soak(&options));
         print_report(seed, &report);
--- a/soak/src/run_soak.rs
+++ b/soak/src/run_soak.rs
@@ -53,6 +53,8 @@
     pub duration: Duration,
     /// Directory for the nodes' logs.
     pub logs: PathBuf,
+    /// Whether processes that stop get further signals and rewritten settings.
+    pub repeat_signals: bool,
 }
 
 /// Result of a soak run.
@@ -134,6 +136,7 @@
                 name,
                 platform: fleet.platform.addr,
                 seeds: fleet.nodes.iter().map(|node| node.peer_relay.addr).collect(),
+                repeat_signals: options.repeat_signals,
             };
             fleet.nodes.push(Arc::new(SoakNode::start(config, &fleet.log, &fleet.ticker).await));
         }
--- a/soak/src/soak_node.rs
+++ b/soak/src/soak_node.rs
@@ -32,6 +32,8 @@
 const STOP_TIMEOUT: Duration = Duration::from_secs(8);
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 const SHUTDOWN_TIMEOUT_MS: u64 = 5_000;
+/// Time between two signals to a process that stops.
+const REPEATED_SIGNAL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Current addresses of a node, and the terminations of its processes so far.
 #[derive(Debug)]
@@ -95,6 +97,8 @@
     pub platform: SocketAddr,
     /// Peer addresses of other nodes.
     pub seeds: Vec<SocketAddr>,
+    /// Whether a process that stops gets further signals and rewritten settings.
+    pub repeat_signals: bool,
 }
 
 /// A node process, its upstream and the relays in front of both.
@@ -173,8 +177,9 @@
         self.status.stops.fetch_add(1, Ordering::SeqCst);
         self.process.lock().signal(Signal::SIGTERM);
         let exited = tokio::time::timeout(STOP_TIMEOUT, async {
-            while self.process.lock().exit_status().is_none() {
-                tokio::time::sleep(STOP_POLL_INTERVAL).await;
+            tokio::select! {
+                () = self.wait_until_exited() => (),
+                () = self.repeat_signals_until_exited(), if self.config.repeat_signals => (),
             }
         });
         let exited = exited.await.is_ok();
@@ -189,6 +194,25 @@
         exited
     }
 
+    async fn wait_until_exited(&self) {
+        while self.process.lock().exit_status().is_none() {
+            tokio::time::sleep(STOP_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Sends SIGTERM and SIGHUP in turn and rewrites the settings, until the process has exited.
+    async fn repeat_signals_until_exited(&self) {
+        for signal in [Signal::SIGTERM, Signal::SIGHUP].into_iter().cycle() {
+            tokio::time::sleep(REPEATED_SIGNAL_INTERVAL).await;
+            let mut process = self.process.lock();
+            if process.exit_status().is_some() {
+                return;
+            }
+            process.rewrite_settings();
+            process.signal(signal);
+        }
+    }
+
     /// Suspends the process for `duration`.
     pub async fn pause(&self, duration: Duration) {
         let _guard = self.process_operation.lock().await;
