--- a/daemon/tests/planned_stop_load.rs
+++ b/daemon/tests/planned_stop_load.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use tokio::task::JoinSet;
 use yuccatray_platform_testutils::stop_scenario::StopReport;
 use yuccatray_platform_testutils::stop_scenario::StopScenario;
 
@@ -29,13 +30,32 @@
     }
 }
 
+/// Plays two seeds or, if `LAST_SEED` is set, those from `FIRST_SEED` on, with `NODES` nodes if that is set.
 #[tokio::test(flavor = "multi_thread")]
 async fn batch_stop_under_load_loses_no_request() {
-    let [first, second] = SEEDS.map(|seed| StopScenario::from_seed(seed, GRACE_S));
-    let (first_report, second_report) = tokio::join!(first.run(binary()), second.run(binary()));
-    print_report(&first, &first_report);
-    print_report(&second, &second_report);
-    assert_eq!([first_report.findings, second_report.findings].concat(), Vec::<String>::new());
+    let last_seed = variable("LAST_SEED", 0_u64);
+    let seeds =
+        if last_seed > 0 { (variable("FIRST_SEED", 1)..=last_seed).collect() } else { SEEDS.to_vec() };
+    let mut findings = Vec::new();
+    for seeds in seeds.chunks(SEEDS.len()) {
+        let mut runs = JoinSet::new();
+        for seed in seeds {
+            runs.spawn(play(*seed));
+        }
+        findings.extend(runs.join_all().await.concat());
+    }
+    assert_eq!(findings, Vec::<String>::new());
+}
+
+/// Plays a seed with the grace period `GRACE_S`, and returns the findings.
+async fn play(seed: u64) -> Vec<String> {
+    let mut scenario = StopScenario::from_seed(seed, variable("GRACE_S", GRACE_S));
+    let nodes = variable("NODES", scenario.site.nodes);
+    scenario.stopping = (scenario.stopping * nodes / scenario.site.nodes).max(1);
+    scenario.site.nodes = nodes;
+    let report = scenario.run(binary()).await;
+    print_report(&scenario, &report);
+    report.findings
 }
 
 /// Guards against requests cut by a SIGTERM that reaches a node which is already stopping.
@@ -48,23 +68,6 @@
     assert_eq!(report.findings, Vec::<String>::new());
 }
 
-/// Plays the seeds from `FIRST_SEED` to `LAST_SEED` with the grace period `GRACE_S`, and with `NODES` nodes if set.
-#[tokio::test(flavor = "multi_thread")]
-#[ignore = "takes minutes; run by hand"]
-async fn batch_stop_over_many_seeds_loses_no_request() {
-    let mut findings = 0;
-    for seed in variable("FIRST_SEED", 1_u64)..=variable("LAST_SEED", 50) {
-        let mut scenario = StopScenario::from_seed(seed, variable("GRACE_S", GRACE_S));
-        let nodes = variable("NODES", scenario.site.nodes);
-        scenario.stopping = (scenario.stopping * nodes / scenario.site.nodes).max(1);
-        scenario.site.nodes = nodes;
-        let report = scenario.run(binary()).await;
-        print_report(&scenario, &report);
-        findings += report.findings.len();
-    }
-    assert_eq!(findings, 0, "findings");
-}
-
 /// Returns the value of an environment variable, or `default` if it is not set.
 fn variable<T: FromStr>(name: &str, default: T) -> T {
     std::env::var(name).map_or(default, |text| text.parse().ok().expect("the variable is a number"))
