--- a/lib/src/node/bounded_settings.rs
+++ b/lib/src/node/bounded_settings.rs
@@ -7,10 +7,10 @@
 use crate::transport::routes_watcher::max_watch_wait_ms;
 
 /// Part of the grace period that a stop leaves for the process to end, as a divisor.
-const END_RESERVE_DIVISOR: u64 = 15;
+const END_RESERVE_DIVISOR: u64 = 10;
 
 /// Smallest time that a stop leaves for the process to end, in milliseconds.
-const MIN_END_RESERVE_MS: u64 = 200;
+const MIN_END_RESERVE_MS: u64 = 300;
 
 /// Largest part of the grace period that a stop leaves unused, as a divisor.
 const MAX_END_RESERVE_DIVISOR: u64 = 6;
