--- a/lib/src/transport/call_body.rs
+++ b/lib/src/transport/call_body.rs
@@ -37,7 +37,7 @@
 #[derive(Debug, Snafu)]
 pub enum BodyError {
     /// The connection that carried it failed.
-    #[snafu(display("the body was cut short"))]
+    #[snafu(display("the body was cut short: {source}"))]
     Truncated {
         /// Error of the HTTP connection.
         source: hyper::Error,
--- a/lib/src/transport/call_resolution.rs
+++ b/lib/src/transport/call_resolution.rs
@@ -232,7 +232,7 @@
 #[derive(Debug, Snafu)]
 pub enum PeerAnswerError {
     /// The connection failed and the call is not resolved, since it may run again.
-    #[snafu(display("the answer was truncated"))]
+    #[snafu(display("the answer was truncated: {source}"))]
     Truncated {
         /// Error of the connection.
         source: BodyError,
