--- a/daemon/tests/planned_stop.rs
+++ b/daemon/tests/planned_stop.rs
@@ -142,7 +142,8 @@
     if answered && loss.is_none() {
         return None;
     }
-    Some(format!("{}: {}", loss.unwrap_or("no answer of a worker"), describe(site, sent, stop)))
+    let loss = loss.map_or_else(|| "no answer of a worker".to_owned(), |loss| loss.to_string());
+    Some(format!("{loss}: {}", describe(site, sent, stop)))
 }
 
 fn executions_of(site: &ProcessSite, id: &str) -> Vec<Execution> {
