--- a/daemon/tests/planned_stop.rs
+++ b/daemon/tests/planned_stop.rs
@@ -14,6 +14,7 @@
 use yuccatray_platform_testutils::lost_requests::find_loss;
 use yuccatray_platform_testutils::paced_body::BodyPace;
 use yuccatray_platform_testutils::process_site::ClientTarget;
+use yuccatray_platform_testutils::process_site::ProcessMember;
 use yuccatray_platform_testutils::process_site::ProcessSite;
 use yuccatray_platform_testutils::process_site::SitePlan;
 use yuccatray_platform_testutils::timed_request::TimedRequest;
@@ -44,6 +45,8 @@
     Row { grace_s: 20, sent_after_ms: &[0, 1_000, 2_000] },
 ];
 
+/// Nodes whose logs are read, so many that a lost line shows.
+const LOGGING_NODES: usize = 12;
 /// Id of the request that is still at work when its node ends.
 const ENDLESS: &str = "endless";
 /// Interval between two looks at the workers while waiting.
@@ -174,3 +177,37 @@
         log_lines.join("\n")
     )
 }
+
+/// Guards against cut calls that no log tells of, since the process ends before the line is written.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_calls_logged_before_the_process_ends() {
+    let plan = SitePlan {
+        nodes: LOGGING_NODES,
+        grace_s: 6,
+        safe_timeout_s: LONG_TIMEOUT_S,
+        unsafe_timeout_s: LONG_TIMEOUT_S,
+    };
+    let mut site = ProcessSite::start(binary(), &plan).await;
+    let time_limit = Duration::from_secs(plan.grace_s.into()) + WORK_AFTER_END;
+    let mut requests = JoinSet::new();
+    for member in &site.members {
+        let request = unsafe_request(format!("{ENDLESS}-{}", member.name), time_limit, time_limit);
+        requests.spawn(request.send_to(member.client_target()));
+    }
+    while site.executions().iter().filter(|execution| execution.request_id != "warm").count() < LOGGING_NODES
+    {
+        tokio::time::sleep(POLL).await;
+    }
+    let stops: Vec<PlannedStop> = site.members.iter().map(|member| member.begin_stop(&plan)).collect();
+    for (member, stop) in site.members.iter_mut().zip(&stops) {
+        assert!(member.wait_for_end(stop).await.is_some(), "{} ends in time", member.name);
+    }
+    let sent = requests.join_all().await;
+    let cut = sent.iter().flatten().filter(|sent| matches!(sent.end, ExchangeEnd::Cut { .. }));
+    let nodes_that_cut: Vec<&str> = cut.map(|sent| &*sent.node).collect();
+    let is_silent = |member: &&ProcessMember| member.log_lines(&["calls were cut short"]).is_empty();
+    let silent = site.members.iter().filter(is_silent).map(|member| &*member.name);
+    let silent: Vec<&str> = silent.filter(|name| nodes_that_cut.contains(name)).collect();
+    assert!(!nodes_that_cut.is_empty(), "some calls are cut");
+    assert_eq!(silent, Vec::<&str>::new(), "nodes that cut a call and did not log it");
+}
