--- a/daemon/tests/planned_stop.rs
+++ b/daemon/tests/planned_stop.rs
@@ -211,3 +211,38 @@
     assert!(!nodes_that_cut.is_empty(), "some calls are cut");
     assert_eq!(silent, Vec::<&str>::new(), "nodes that cut a call and did not log it");
 }
+
+/// Times at which requests are sent to a node before it stops, after the stop of the node beside their worker.
+const SENT_AFTER_GATE_MS: [u64; 6] = [0, 400, 800, 1_200, 1_600, 1_900];
+/// Time between the stop of a gate's node and that of the ingress's node.
+const STOP_GAP: Duration = Duration::from_secs(2);
+
+/// Guards against requests that a stopping gate takes and cuts, before the node that took them may give them up.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_not_cut_by_gate_that_stops_before_their_ingress() {
+    let timeout_s = 6.0;
+    let plan = SitePlan { nodes: 3, grace_s: 6, safe_timeout_s: timeout_s, unsafe_timeout_s: timeout_s };
+    let mut site = ProcessSite::start(binary(), &plan).await;
+    let ingress = site.members[0].client_target();
+    let gate_stop = site.members[1].begin_stop(&plan);
+    let mut requests = JoinSet::new();
+    for after_ms in SENT_AFTER_GATE_MS {
+        let id = format!("after-{after_ms}");
+        let request = unsafe_request(id, Duration::from_millis(4_500), Duration::from_secs_f64(timeout_s));
+        let target = ingress.clone();
+        requests.spawn(async move {
+            tokio::time::sleep_until(gate_stop.signalled_at + Duration::from_millis(after_ms)).await;
+            request.send_to(target).await
+        });
+    }
+    tokio::time::sleep_until(gate_stop.signalled_at + STOP_GAP).await;
+    let stop = site.members[0].begin_stop(&plan);
+    let sent = requests.join_all().await;
+    assert!(site.members[0].wait_for_end(&stop).await.is_some(), "the ingress ends in time");
+    site.wait_until_idle().await;
+    let lost = sent.iter().flatten().filter_map(|request| {
+        let loss = find_loss(request, &executions_of(&site, &request.id), Some(&stop))?;
+        Some(format!("{loss}: {}", describe(&site, request, &stop)))
+    });
+    assert_eq!(lost.collect::<Vec<_>>(), Vec::<String>::new());
+}
--- a/lib/src/node/stop_log.rs
+++ b/lib/src/node/stop_log.rs
@@ -74,6 +74,7 @@
         let began_at = Instant::now();
         let state = Arc::clone(counter.gate.stop_state());
         state.begin(began_at);
+        state.limit(stop_by);
         let log = Self { began_at, stop_by, state, counter, cut, has_ended: false };
         log.reached(StopStep::NotReady);
         log
--- a/lib/src/transport/gate_admission.rs
+++ b/lib/src/transport/gate_admission.rs
@@ -25,6 +25,9 @@
 impl Gate {
     /// Waits for a slot and stores it in `slot`; returns an error if the call is rejected.
     pub(super) async fn admit(self: &Arc<Self>, call: &GateCall, slot: &mut SlotGuard) -> Result<()> {
+        if self.stop_state().may_outlast(call.deadline) {
+            return Err(self.rejection(call, RejectReason::Draining));
+        }
         let (key, receiver) = match self.request_admission(call)? {
             AdmissionState::Granted(grant) => {
                 slot.grant(grant);
--- a/lib/src/transport/stop_state.rs
+++ b/lib/src/transport/stop_state.rs
@@ -33,6 +33,7 @@
 #[derive(Debug, Default)]
 pub struct StopState {
     began_at: OnceLock<Instant>,
+    stop_by: OnceLock<Instant>,
     end: OnceLock<StopEnd>,
 }
 
@@ -42,6 +43,17 @@
         let _repeated = self.began_at.set(now);
     }
 
+    /// Records when the stop ends at the latest; only the first record counts.
+    pub fn limit(&self, stop_by: Instant) {
+        let _repeated = self.stop_by.set(stop_by);
+    }
+
+    /// Returns whether a call with this deadline may still run when the stop ends.
+    #[must_use]
+    pub fn may_outlast(&self, deadline: Instant) -> bool {
+        self.stop_by.get().is_some_and(|stop_by| deadline > *stop_by)
+    }
+
     /// Records that the node closes the connections that are left; only the first record counts.
     pub fn end(&self, end: StopEnd) {
         let _repeated = self.end.set(end);
