--- a/lib/src/node/bounded_settings.rs
+++ b/lib/src/node/bounded_settings.rs
@@ -9,8 +9,8 @@
 /// Part of the grace period that a stop leaves for the process to end, as a divisor.
 const END_RESERVE_DIVISOR: u64 = 10;
 
-/// Smallest time that a stop leaves for the process to end, in milliseconds.
-const MIN_END_RESERVE_MS: u64 = 300;
+/// Smallest time that a stop leaves for the process to end, in milliseconds: the sum of the waits after its limit.
+const MIN_END_RESERVE_MS: u64 = 600;
 
 /// Largest part of the grace period that a stop leaves unused, as a divisor.
 const MAX_END_RESERVE_DIVISOR: u64 = 6;
@@ -31,6 +31,8 @@
 }
 
 /// Lets a stop use the whole grace period but for the time that the process needs to end.
+///
+/// The time in which the node only reports that it is not ready gets shorter in a short stop, never longer.
 fn limit_stop(limits: &mut LimitSettings, stop_grace_ms: u64) {
     let min_reserve_ms = MIN_END_RESERVE_MS.min(stop_grace_ms / MAX_END_RESERVE_DIVISOR);
     let reserve_ms = (stop_grace_ms / END_RESERVE_DIVISOR).max(min_reserve_ms);
--- a/lib/tests/bounded_settings.rs
+++ b/lib/tests/bounded_settings.rs
@@ -29,7 +29,7 @@
 #[test]
 fn apply_bounds_stop_follows_grace_period() {
     for (grace_ms, timeout_ms, notice_ms) in
-        [(1_000, 834, 417), (3_000, 2_700, 1_350), (6_000, 5_400, 2_700), (10_000, 9_000, 2_700)]
+        [(1_000, 834, 417), (3_000, 2_500, 1_250), (6_000, 5_400, 2_700), (10_000, 9_000, 2_700)]
     {
         let limits = bounded(DeploymentBounds { stop_grace_ms: Some(grace_ms), ..Default::default() }).limits;
         assert_eq!((limits.shutdown_timeout_ms, limits.unready_notice_ms), (timeout_ms, notice_ms));
