--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -179,6 +179,9 @@
         }
         node.set_stop_limits(settings_file.stop_limits());
     };
+    // The platform kills the process by the bounds that the file holds now.
+    settings_file.reload_if_changed("stop");
+    node.set_stop_limits(settings_file.stop_limits());
     log_event!(Info, "stopping", signal = stop_signal, second_sigint = "cuts calls in flight short");
     let calls_in_flight = node.in_flight_counter();
     tokio::select! {
