--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -311,7 +311,8 @@
         let stop_by = Instant::now() + self.shutdown_timeout;
         self.stopping.store(true, Ordering::Relaxed);
         self.ingress.set_stop_by(stop_by);
-        let log = StopLog::begin(stop_by, self.in_flight_counter.clone(), self.cut.clone());
+        let closing = [self.stop_callers.clone(), self.stop_rest.clone(), self.cut.clone()];
+        let log = StopLog::begin(stop_by, self.in_flight_counter.clone(), closing);
         tokio::time::sleep_until(stop_by.min(Instant::now() + self.unready_notice)).await;
         self.registration.drain_for_stop();
         self.ingress.drain();
--- a/lib/src/node/stop_log.rs
+++ b/lib/src/node/stop_log.rs
@@ -63,19 +63,19 @@
     stop_by: Instant,
     state: Arc<StopState>,
     counter: InFlightCounter,
-    /// Closes the connections that are left.
-    cut: CancellationToken,
+    /// Tokens that close the connections that are left, in the order in which they are cancelled.
+    closing: [CancellationToken; 3],
     has_ended: bool,
 }
 
 impl StopLog {
     /// Records the begin of a stop that has to end by `stop_by`.
-    pub(super) fn begin(stop_by: Instant, counter: InFlightCounter, cut: CancellationToken) -> Self {
+    pub(super) fn begin(stop_by: Instant, counter: InFlightCounter, closing: [CancellationToken; 3]) -> Self {
         let began_at = Instant::now();
         let state = Arc::clone(counter.gate.stop_state());
         state.begin(began_at);
         state.limit(stop_by);
-        let log = Self { began_at, stop_by, state, counter, cut, has_ended: false };
+        let log = Self { began_at, stop_by, state, counter, closing, has_ended: false };
         log.reached(StopStep::NotReady);
         log
     }
@@ -106,7 +106,7 @@
         self.reached(StopStep::Ended);
         self.counter.gate.log_unfinished_calls();
         self.state.end(end);
-        self.cut.cancel();
+        self.closing.iter().for_each(CancellationToken::cancel);
     }
 }
 
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -100,7 +100,7 @@
 pub struct ServerStop {
     /// Closes the listener, and each connection once its requests in flight are answered.
     pub graceful: CancellationToken,
-    /// Closes every connection at once.
+    /// Closes every connection at once; cancelled only after `graceful`.
     pub cut: CancellationToken,
 }
 
@@ -177,7 +177,7 @@
             log_event_limited!(Warn, "connection closed: connection limit reached", remote = remote);
             continue;
         };
-        let connection = acceptor.clone().serve(stream, remote, handler.clone());
+        let connection = acceptor.clone().authenticate_and_serve(stream, remote, handler.clone());
         let open_connection = open_connection.clone();
         tokio::spawn(async move {
             connection.await;
@@ -185,7 +185,7 @@
         });
     }
     for (stream, remote) in close_listener(listener) {
-        let connection = acceptor.clone().serve(stream, remote, handler.clone());
+        let connection = acceptor.clone().authenticate_and_serve(stream, remote, handler.clone());
         let open_connection = open_connection.clone();
         tokio::spawn(async move {
             connection.await;
@@ -248,19 +248,6 @@
 }
 
 impl Acceptor {
-    /// Serves a connection until it ends or is cut.
-    async fn serve<H>(self, stream: TcpStream, remote: SocketAddr, handler: H)
-    where
-        H: Handler,
-    {
-        let cut = self.stop.cut.clone();
-        tokio::select! {
-            biased;
-            () = self.authenticate_and_serve(stream, remote, handler) => {}
-            () = cut.cancelled() => {}
-        }
-    }
-
     /// Authenticates the client as the policy requires, then serves the connection.
     async fn authenticate_and_serve<H>(self, stream: TcpStream, remote: SocketAddr, handler: H)
     where
@@ -343,7 +330,11 @@
             ended = connection.as_mut() => ended,
             () = self.stop.graceful.cancelled() => {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                tokio::select! {
+                    biased;
+                    ended = connection => ended,
+                    () = self.stop.cut.cancelled() => return,
+                }
             }
         };
         if matches!(self.policy, ClientPolicy::Anyone) && unanswered.count() > 0 {
