--- a/daemon/tests/settings_reload.rs
+++ b/daemon/tests/settings_reload.rs
@@ -196,7 +196,7 @@
     assert!(line.contains("live=limits after_restart=nothing"), "{line}");
     node.wait_for_line("shutdown_timeout_ms=100");
     node.signal(Signal::SIGTERM);
-    // Under the former limits the process runs for ten minutes more.
+    // With the limits of the first file the process runs for ten minutes more.
     assert!(node.child.wait().expect("the process can be waited for").code().is_some());
 }
 
