--- a/daemon/tests/settings_reload.rs
+++ b/daemon/tests/settings_reload.rs
@@ -230,3 +230,19 @@
     let line = starting.line_with("settings ");
     assert!(line.contains("settings reloaded") && line.contains("after_restart=node"), "{line}");
 }
+
+/// Guards against a stop under limits that the settings file no longer holds.
+#[test]
+fn stop_follows_settings_changed_just_before() {
+    let mut first = settings();
+    first["limits"] = serde_json::json!({ "unready_notice_ms": 600_000, "shutdown_timeout_ms": 600_000 });
+    let mut node = NodeProcess::start(&first);
+    let mut next = first.clone();
+    next["limits"]["shutdown_timeout_ms"] = 100.into();
+    node.write_settings(&next.to_string());
+    node.signal(Signal::SIGTERM);
+    let line = node.wait_for_line("stop step reached; step=not_ready");
+    let left_ms = line.split(' ').find_map(|word| word.strip_prefix("left_ms="));
+    let left_ms: u64 = left_ms.and_then(|text| text.parse().ok()).expect("the line tells the time left");
+    assert!(left_ms <= 100, "{line}");
+}
