lib: admission, fleet view and publisher split by job

Three files of 550 to 650 lines held several jobs each, so that parts to come (a limit for cold upstreams, evacuations, tenants) would have grown them further.

Admission is now the state of a gate, with its requests and decisions, the admission of a new call and the assignment of free slots in modules below it. The fleet view leaves failure detection, dissemination and its contacts to modules beside it, as anti-entropy was before. The publisher has its lease, its watch of declared objects and its statuses in modules below it.

Lines moved only: without imports, module docs and visibility, the sorted lines before and after are the same. Public paths are unchanged, and no test was changed. The tests of admission, the fleet view, configurations and publishing pass.

--- /dev/null
+++ b/lib/src/coordination/admission/slots.rs
@@ -0,0 +1,128 @@
+//! Assignment of free slots to queued calls.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::coordination::admission::Admission;
+use crate::coordination::admission::decision::QueueDecision;
+use crate::coordination::admission::decision::SlotGrant;
+use crate::coordination::execution_progress::Execution;
+use crate::coordination::near_capacity::is_near_capacity;
+use crate::coordination::priority_queue::CallerKey;
+use crate::coordination::priority_queue::StartLimits;
+use crate::coordination::slot_balances::PrioritySlotUsage;
+
+/// All slots, in percent.
+pub(super) const FULL_PERCENT: u32 = 100;
+/// Time for which a lack of slots is expected to last, in mean service times.
+pub(super) const SHORTAGE_SERVICE_TIMES: u32 = 2;
+
+impl Admission {
+    /// Returns the number of slots in use, by any priority, at which calls of this priority have to wait.
+    pub(super) fn slots_for(&self, index: usize, now: Instant) -> u32 {
+        let slots = self.slots();
+        let usable = self.usable_slots(now);
+        (slots * self.queues[index].rule().usable_slots_percent / FULL_PERCENT).clamp(usable.min(1), usable)
+    }
+
+    /// Accounts the slot time used by each priority since the last change.
+    pub(super) fn account_slot_time(&mut self, now: Instant) {
+        let uses = self.queues.iter().map(|queue| PrioritySlotUsage {
+            running: queue.running(),
+            has_queued_calls: queue.has_queued(),
+            share_percent: queue.rule().min_share_percent,
+        });
+        let service_time = Duration::from_micros(self.estimate.mean_service_us());
+        self.balances.update_balances(uses, self.slots(), service_time, now);
+    }
+
+    /// Grants free slots to queued calls, and returns the decisions.
+    pub(super) fn fill_slots(&mut self, now: Instant) -> Vec<QueueDecision> {
+        let service_time = self.service_time();
+        let longest_call = self.estimate.longest_call_to_start(now);
+        let mut decisions = Vec::new();
+        self.reject_superseded_calls(service_time, now, &mut decisions);
+        while self.running < self.usable_slots(now) && self.start_rate.permits_start(now) {
+            let Some(index) = self.next_queue(service_time, longest_call, now) else {
+                break;
+            };
+            let limits = StartLimits { service_time, longest_call, max_late: self.slots() as usize };
+            let next = self.queues[index].next(limits, now, &mut decisions);
+            let Some((key, call)) = next else {
+                continue;
+            };
+            let grant = self.start(index, call.caller, call.typical_time, now);
+            decisions.push(QueueDecision::Admit(key, grant));
+        }
+        decisions
+    }
+
+    /// Rejects late calls while calls of the same or a more urgent priority that can be on time lack slots.
+    ///
+    /// Those start first, so under a lasting overload the late ones would wait until their deadlines in vain.
+    /// Rejected now, they leave their callers time to come back.
+    fn reject_superseded_calls(
+        &mut self,
+        service_time: Duration,
+        now: Instant,
+        rejections: &mut Vec<QueueDecision>,
+    ) {
+        let mut short_of_slots = false;
+        for queue in self.queues.iter_mut().filter(|queue| queue.rule().serve_late) {
+            short_of_slots |= queue.was_short_of_slots(service_time * SHORTAGE_SERVICE_TIMES, now)
+                && queue.has_call_on_time(service_time, now);
+            if short_of_slots {
+                queue.reject_late(service_time, now, rejections);
+            }
+        }
+    }
+
+    /// Returns the most urgent waiting queue with a positive balance, otherwise the most urgent one.
+    ///
+    /// Queues with a call that can still meet its objective precede queues with only late calls.
+    fn next_queue(
+        &self,
+        service_time: Duration,
+        longest_call: Option<Duration>,
+        now: Instant,
+    ) -> Option<usize> {
+        let is_eligible = |index: &usize| {
+            self.queues[*index].has_call_to_start(longest_call) && self.running < self.slots_for(*index, now)
+        };
+        let has_call_on_time = |index: &usize| {
+            let queue = &self.queues[*index];
+            !queue.rule().serve_late || queue.has_call_on_time(service_time, now)
+        };
+        let waiting: Vec<usize> = (0..self.queues.len()).filter(is_eligible).collect();
+        let on_time_queues = waiting.iter().copied().filter(has_call_on_time);
+        let on_time_queues: Vec<usize> = on_time_queues.collect();
+        let candidates = if on_time_queues.is_empty() { waiting } else { on_time_queues };
+        candidates
+            .iter()
+            .find(|index| self.balances.has_positive_balance(**index))
+            .or(candidates.first())
+            .copied()
+    }
+
+    pub(super) fn start(
+        &mut self,
+        index: usize,
+        caller: CallerKey,
+        typical_time: Option<Duration>,
+        now: Instant,
+    ) -> SlotGrant {
+        self.running += 1;
+        self.start_rate.record_start(now);
+        let execution = Execution {
+            started: now,
+            typical_time,
+            slowdown_percent: self.estimate.slowdown_percent(now),
+            slots_in_use: self.running,
+            near_capacity: is_near_capacity(self.running, self.slots()),
+        };
+        self.queues[index].start(caller);
+        self.estimate.start(execution);
+        SlotGrant { queue_index: index, caller, execution }
+    }
+}
--- a/lib/src/coordination/config_confirmation.rs
+++ b/lib/src/coordination/config_confirmation.rs
@@ -14,10 +14,10 @@
 use tokio::time::Instant;
 use yuccatray_proto::peer_v1 as wire;
 
+use crate::coordination::dissemination::MAX_GOSSIP_BYTES;
+use crate::coordination::dissemination::revisions_bytes;
 use crate::coordination::fleet_view::Action;
 use crate::coordination::fleet_view::FleetView;
-use crate::coordination::fleet_view::MAX_GOSSIP_BYTES;
-use crate::coordination::fleet_view::revisions_bytes;
 use crate::coordination::fleet_view::send;
 use crate::coordination::platform_role::confirmation_sources;
 use crate::protocol::member::Member;
--- a/lib/src/coordination/rejoin.rs
+++ b/lib/src/coordination/rejoin.rs
@@ -11,15 +11,46 @@
 
 use crate::coordination::fleet_view::Action;
 use crate::coordination::fleet_view::FleetView;
-use crate::coordination::fleet_view::INITIAL_JOIN_DELAY;
 use crate::coordination::fleet_view::send;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberState;
 
+/// Initial time between join attempts of a node that knows no other live node.
+pub(super) const INITIAL_JOIN_DELAY: Duration = Duration::from_millis(250);
+
 impl<R> FleetView<R>
 where
     R: Rng,
 {
+    /// Returns whether the address of another node to join through is known.
+    pub fn has_contacts(&self) -> bool {
+        let local_addr = self.membership.local_member().peer_addr;
+        self.contacts.iter().any(|contact| *contact != local_addr)
+    }
+
+    /// Adds addresses to join through, as found in the platform, and tries new ones at the next tick.
+    pub fn add_contacts<I>(&mut self, addrs: I)
+    where
+        I: IntoIterator<Item = SocketAddr>,
+    {
+        let known = self.contacts.len();
+        for addr in addrs {
+            if !self.contacts.contains(&addr) {
+                self.contacts.push(addr);
+            }
+        }
+        if self.contacts.len() > known {
+            self.timers.join_delay = INITIAL_JOIN_DELAY;
+            self.timers.next_rejoin = self.timers.last_tick;
+        }
+    }
+
+    /// Replaces the contacts in the own zone, as found in the platform.
+    pub fn set_zone_contacts(&mut self, addrs: Vec<SocketAddr>) {
+        self.add_contacts(addrs.iter().copied());
+        self.zone_contacts = addrs;
+    }
+
     /// Contacts seed addresses and dead members, so that the parts of a partitioned fleet reconnect.
     ///
     /// A node without live peers tries seeds with exponential backoff up to the regular interval, those
