--- a/lib/src/protocol/deployment_bounds.rs
+++ b/lib/src/protocol/deployment_bounds.rs
@@ -7,4 +7,8 @@
     pub stop_grace_ms: Option<u64>,
     /// Time within which a change of the configuration has to be in force on every node, in milliseconds.
     pub config_apply_ms: Option<u64>,
+    /// Age of the last confirmation of the configuration from which a node may refuse keys, in milliseconds.
+    pub revoke_ms: Option<u64>,
+    /// Whether a node refuses requests that need a key once its configuration was not confirmed for `revoke_ms`.
+    pub fail_closed: Option<bool>,
 }
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -23,4 +23,5 @@
 pub mod route;
 pub mod service_spec;
 pub mod settings;
+pub mod tenant;
 pub mod trace;
--- a/lib/src/protocol/object.rs
+++ b/lib/src/protocol/object.rs
@@ -73,7 +73,7 @@
 }
 
 /// Object with the metadata that the platform maintains.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
 pub struct Object {
     /// Kind of the object.
     pub kind: ObjectKind,
@@ -87,6 +87,18 @@
     pub value: Value,
 }
 
+/// Omits the content, which may hold API keys.
+impl fmt::Debug for Object {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Object")
+            .field("kind", &self.kind)
+            .field("name", &self.name)
+            .field("uid", &self.uid)
+            .field("version", &self.version)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Condition on the stored object under which a write succeeds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Precondition {
--- a/lib/src/protocol/route.rs
+++ b/lib/src/protocol/route.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::protocol::tenant::TenantSpec;
+
 /// Name under which the routes of the fleet are published, next to the names of services.
 ///
 /// Nodes that order routes by revisions of the store publish them as `routes`.
@@ -40,6 +42,9 @@
     pub max_attempts: u32,
     /// Priority of the requests; 0 is the most urgent.
     pub priority: u8,
+    /// Whether requests need no API key where the configuration has tenants.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// Service as declared in the configuration of the routes.
@@ -81,4 +86,7 @@
     pub services: Vec<RoutedService>,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// Tenants whose keys requests need on routes that are not public; requests need no key when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenants: Option<Vec<TenantSpec>>,
 }
--- a/lib/tests/routes.rs
+++ b/lib/tests/routes.rs
@@ -33,13 +33,15 @@
         timeout_ms: Some(1_000),
         max_attempts: 2,
         priority: 1,
+        public: false,
     }
 }
 
 fn route_set(routes: Vec<RouteSpec>) -> RouteSet {
     let service =
         RoutedService { name: Arc::from("a"), health_path: Arc::from("/health"), max_connections: 10 };
-    RouteSet { version: Arc::from("1"), revision: 1, routes, services: vec![service], limits: LIMITS }
+    let (version, services) = (Arc::from("1"), vec![service]);
+    RouteSet { version, revision: 1, routes, services, limits: LIMITS, tenants: None }
 }
 
 fn published(revision: u64, routes: Vec<RouteSpec>) -> Published {
