transport: the path of a request as a list of named steps

Cause: the functions that take a request from its arrival to its response mixed the order of the steps with their details, so that a further step had no clear place.

Change: `RoutedIngress::accept`, `Ingress::accept`, `Ingress::complete_call`, `Ingress::attempts` and `Gate::forward` have one line a step, and each step is a named function. What the attempts of a call have proved so far is in `AttemptHistory`. The order of the steps, the errors, the counts and the log lines are as before.

--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -75,6 +75,12 @@
         self.failed.contains(name) || self.rejected.contains(name)
     }
 
+    /// Excludes a gate at which an attempt failed with an error of the given kind.
+    fn exclude(&mut self, name: Arc<str>, kind: ErrorKind) {
+        let excluded = if reached_upstream(kind) { &mut self.failed } else { &mut self.rejected };
+        excluded.push(name);
+    }
+
     const fn excluded_count(&self) -> usize {
         self.failed.len() + self.rejected.len()
     }
@@ -122,6 +128,97 @@
     pub(super) reached_upstreams: u32,
 }
 
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NextStep {
+    /// The gate rerouted the call: send it to another one.
+    Reroute,
+    /// Retry at another gate.
+    Retry,
+    /// Return the error to the caller.
+    Fail,
+}
+
+/// Attempts made so far for one call, and what they prove about its execution.
+#[derive(Debug, Default)]
+struct AttemptHistory {
+    gates: AttemptedGates,
+    /// Number of attempts that reached an upstream, hedged requests excluded.
+    reached_upstreams: u32,
+    /// Whether an attempt may have been executed.
+    may_have_executed: bool,
+    /// Error of the last attempt that was to be retried.
+    last_answer: Option<ErrorAnswer>,
+}
+
+impl AttemptHistory {
+    const fn context<'a>(
+        &'a self,
+        call: &'a IngressCall,
+        config: &'a PublishedConfig,
+        budgets: &'a ServiceBudgets,
+    ) -> AttemptContext<'a> {
+        AttemptContext {
+            call,
+            config,
+            budgets,
+            attempted_gates: &self.gates,
+            reached_upstreams: self.reached_upstreams,
+        }
+    }
+
+    /// Counts the attempt and returns the response that ends the call, or the error of a failed attempt.
+    ///
+    /// A server error of the upstream is a failed attempt if the call may be retried; this spends retry budget.
+    fn final_response(
+        &mut self,
+        call: &IngressCall,
+        outgoing: &OutgoingRequest,
+        budgets: &ServiceBudgets,
+        result: Result<CallResponse>,
+    ) -> Result<CallResponse> {
+        match result {
+            Ok(response) if response.status().is_server_error() => {
+                self.reached_upstreams += 1;
+                if self.max_attempts_reached(call) || !may_run_again(call, outgoing, budgets) {
+                    return Ok(response);
+                }
+                Err(ErrorAnswer::new(ErrorKind::UpstreamFailed, "the upstream failed the call"))
+            }
+            Ok(response) => Ok(response),
+            Err(answer) => {
+                self.reached_upstreams += u32::from(reached_upstream(answer.kind));
+                Err(combined_error(outgoing.with_body_error(answer), self.may_have_executed))
+            }
+        }
+    }
+
+    /// Records the error of the planned attempt and returns what to do next; a retry may spend retry budget.
+    fn record_failure(
+        &mut self,
+        call: &IngressCall,
+        plan: &PlannedAttempt,
+        answer: &ErrorAnswer,
+        budgets: &ServiceBudgets,
+    ) -> NextStep {
+        self.may_have_executed |= answer.execution == Execution::OutcomeUnknown;
+        let name = Arc::clone(&plan.entry.member.id.name);
+        if plan.options.max_gate_latency.is_some() && answer.kind == ErrorKind::Overloaded {
+            self.gates.rerouted.push(name);
+            return NextStep::Reroute;
+        }
+        self.gates.exclude(name, answer.kind);
+        let attempts_exhausted =
+            self.max_attempts_reached(call) || self.gates.excluded_count() >= MAX_UNSUCCESSFUL_GATES;
+        let may_repeat = answer.kind == ErrorKind::UpstreamFailed || may_retry(call, answer, budgets);
+        if attempts_exhausted || !may_repeat { NextStep::Fail } else { NextStep::Retry }
+    }
+
+    fn max_attempts_reached(&self, call: &IngressCall) -> bool {
+        self.reached_upstreams + call.counted_hedges() >= call.max_attempts
+    }
+}
+
 impl<P> Ingress<P>
 where
     P: RoutingPolicy + Send + Sync + 'static,
@@ -139,73 +236,56 @@
         outgoing: &mut OutgoingRequest,
     ) -> Result<CallResponse> {
         let budgets = self.budgets(&call.head.service);
-        if !call.head.repeated {
-            let retry = &config.service.retry;
-            budgets.retry.earn(retry.budget_percent, retry.max_saved);
-        }
-        let mut attempted = AttemptedGates::default();
-        let mut reached_count = 0;
-        let mut last_answer = None;
-        let mut may_have_executed = false;
-        while let Some(plan) = self.plan(call, config, &budgets, &attempted, outgoing.is_replayable()) {
+        earn_retry_budget(call, config, &budgets);
+        let mut history = AttemptHistory::default();
+        while let Some(plan) = self.plan(call, config, &budgets, &history.gates, outgoing.is_replayable()) {
             let Some(request) = outgoing.next_attempt_request(call, plan.options) else {
                 break;
             };
             call.record_attempted_gate(&plan.entry.member.id.name);
-            let context = AttemptContext {
-                call,
-                config,
-                budgets: &budgets,
-                attempted_gates: &attempted,
-                reached_upstreams: reached_count,
-            };
-            let answer = match self.hedged_attempt(context, &plan, request, outgoing).await {
-                Ok(response) if response.status().is_server_error() => {
-                    reached_count += 1;
-                    if reached_count + call.counted_hedges() >= call.max_attempts
-                        || !may_run_again(call, outgoing, &budgets)
-                    {
-                        return Ok(response);
-                    }
-                    ErrorAnswer::new(ErrorKind::UpstreamFailed, "the upstream failed the call")
-                }
+            let context = history.context(call, config, &budgets);
+            let result = self.hedged_attempt(context, &plan, request, outgoing).await;
+            let answer = match history.final_response(call, outgoing, &budgets, result) {
                 Ok(response) => return Ok(response),
-                Err(answer) => {
-                    reached_count += u32::from(reached_upstream(answer.kind));
-                    combined_error(outgoing.with_body_error(answer), may_have_executed)
-                }
+                Err(answer) => answer,
             };
-            may_have_executed |= answer.execution == Execution::OutcomeUnknown;
-            let name = Arc::clone(&plan.entry.member.id.name);
-            if plan.options.max_gate_latency.is_some() && answer.kind == ErrorKind::Overloaded {
-                Metrics::count(&self.dependencies.metrics.reroutes, answer.kind.name());
-                attempted.rerouted.push(name);
-                continue;
-            }
-            let excluded =
-                if reached_upstream(answer.kind) { &mut attempted.failed } else { &mut attempted.rejected };
-            excluded.push(name);
-            let attempts_exhausted = reached_count + call.counted_hedges() >= call.max_attempts
-                || attempted.excluded_count() >= MAX_UNSUCCESSFUL_GATES;
-            let may_repeat = answer.kind == ErrorKind::UpstreamFailed || may_retry(call, &answer, &budgets);
-            if attempts_exhausted || !may_repeat {
-                return Err(answer);
+            match history.record_failure(call, &plan, &answer, &budgets) {
+                NextStep::Reroute => self.count_reroute(&answer),
+                NextStep::Retry => {
+                    self.record_retry(call, &plan, &answer, history.reached_upstreams);
+                    history.last_answer = Some(answer);
+                }
+                NextStep::Fail => return Err(answer),
             }
-            Metrics::count(&self.dependencies.metrics.retries, answer.kind.name());
-            log_event_limited!(
-                Info,
-                "retrying call at another gate",
-                call = &call.id,
-                service = &call.head.service,
-                failed_at = &plan.entry.member.id,
-                error = answer.kind,
-                execution = answer.execution.name(),
-                reached_upstreams = reached_count,
-            );
-            call.measurement.record_retry(Instant::now());
-            last_answer = Some(answer);
         }
-        Err(last_answer.unwrap_or_else(no_upstream_error))
+        Err(history.last_answer.unwrap_or_else(no_upstream_error))
+    }
+
+    /// Counts a call that is sent on to another gate because its gate rerouted it.
+    fn count_reroute(&self, answer: &ErrorAnswer) {
+        Metrics::count(&self.dependencies.metrics.reroutes, answer.kind.name());
+    }
+
+    /// Counts and logs a retry of the call after the planned attempt failed with `answer`.
+    fn record_retry(
+        &self,
+        call: &IngressCall,
+        plan: &PlannedAttempt,
+        answer: &ErrorAnswer,
+        reached_upstreams: u32,
+    ) {
+        Metrics::count(&self.dependencies.metrics.retries, answer.kind.name());
+        log_event_limited!(
+            Info,
+            "retrying call at another gate",
+            call = &call.id,
+            service = &call.head.service,
+            failed_at = &plan.entry.member.id,
+            error = answer.kind,
+            execution = answer.execution.name(),
+            reached_upstreams = reached_upstreams,
+        );
+        call.measurement.record_retry(Instant::now());
     }
 
     /// Returns the next attempt, or `None` without an eligible gate.
@@ -388,6 +468,14 @@
     }
 }
 
+/// Adds to the retry budget of the service for a call that is not itself a repetition.
+fn earn_retry_budget(call: &IngressCall, config: &PublishedConfig, budgets: &ServiceBudgets) {
+    if !call.head.repeated {
+        let retry = &config.service.retry;
+        budgets.retry.earn(retry.budget_percent, retry.max_saved);
+    }
+}
+
 /// Returns whether the call may be retried after an error answer.
 ///
 /// A retry spends retry budget if the failed attempt reached an upstream.
--- a/lib/src/transport/gate_forwarding.rs
+++ b/lib/src/transport/gate_forwarding.rs
@@ -1,6 +1,7 @@
 //! Forwarding of admitted calls to the upstream, and checks of its responses.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderValue;
 use http::Request;
@@ -32,6 +33,15 @@
 use crate::transport::upstream_pool::UpstreamError;
 use crate::transport::upstream_pool::UpstreamPool;
 
+/// Why an exchange with the upstream brought no response.
+#[derive(Debug)]
+enum ExchangeError {
+    /// The pool or the connection failed.
+    Upstream(UpstreamError),
+    /// The deadline of the call passed.
+    TimedOut,
+}
+
 impl Gate {
     /// Requests admission for a call, sends it to the upstream and waits for the head of its response.
     pub(super) async fn forward(
@@ -40,63 +50,117 @@
         request: Request<CallBody>,
         guard: &mut CallGuard,
     ) -> Result<Response<CallBody>> {
+        let (slot, queued) = self.acquire_slot(call).await?;
+        self.parents.insert(call.id.clone(), call.as_parent());
+        let pool = self.pool_for(call)?;
+        let request_id = self.request_id(&request);
+        self.mark_running(call, slot, request_id.as_ref(), &pool, guard);
+        let request = self.prepare_request(call, request, &pool);
+        let result = self.exchange(call, request, &pool, guard).await;
+        let response = result.map_err(|error| self.record_failed_exchange(call, &error, guard))?;
+        let response = self.verify_origin(call, response, request_id.as_ref(), &pool, guard)?;
+        guard.record_status(response.status());
+        let mut response = self.prepare_response(response);
+        self.report_execution(call, &mut response, queued, guard);
+        Ok(response)
+    }
+
+    /// Waits until the call is admitted; returns its slot and the time that it was queued.
+    async fn acquire_slot(self: &Arc<Self>, call: &GateCall) -> Result<(SlotGuard, Duration)> {
         let mut slot = SlotGuard::without_slot(Arc::clone(self), call.id.clone());
-        let admission_requested_at = Instant::now();
+        let requested_at = Instant::now();
         self.admit(call, &mut slot).await?;
-        let queued = admission_requested_at.elapsed();
-        self.parents.insert(call.id.clone(), call.as_parent());
+        Ok((slot, requested_at.elapsed()))
+    }
+
+    /// Returns the connections to the upstream if it serves the requested service.
+    fn pool_for(&self, call: &GateCall) -> Result<Arc<UpstreamPool>> {
         let pool = self.pool.load_full().ok_or_else(no_upstream_error)?;
         if *pool.service() != call.service {
             self.count("other_service");
             return Err(other_service(&call.service, pool.service()));
         }
-        let request_id = self
-            .external_fields
-            .as_ref()
-            .and_then(|fields| request.headers().get(&fields.request_id).cloned());
-        if let Some(request_id) = &request_id {
+        Ok(pool)
+    }
+
+    /// Returns the identity that an external request carries.
+    fn request_id(&self, request: &Request<CallBody>) -> Option<HeaderValue> {
+        let fields = self.external_fields.as_ref()?;
+        request.headers().get(&fields.request_id).cloned()
+    }
+
+    /// Records the call as running and passes its slot to the guard, which releases it.
+    fn mark_running(
+        &self,
+        call: &GateCall,
+        mut slot: SlotGuard,
+        request_id: Option<&HeaderValue>,
+        pool: &Arc<UpstreamPool>,
+        guard: &mut CallGuard,
+    ) {
+        if let Some(request_id) = request_id {
             slot.record_running(request_id.clone());
         }
-        guard.set_slot(slot, Arc::clone(&pool), call.deadline);
+        guard.set_slot(slot, Arc::clone(pool), call.deadline);
         if self.external_fields.is_some() {
             // Only external upstreams are bound to stop at the deadline that the request names.
             guard.release_after(call.deadline);
         }
+    }
+
+    /// Returns the request in the form in which the upstream receives it.
+    fn prepare_request(
+        &self,
+        call: &GateCall,
+        request: Request<CallBody>,
+        pool: &UpstreamPool,
+    ) -> Request<CallBody> {
         let mut request = into_upstream_request(request, pool.addr());
         if let Some(fields) = &self.external_fields {
             set_external_fields(request.headers_mut(), fields, pool.instance(), call.deadline);
         }
+        request
+    }
+
+    /// Sends the request and receives the response, whole if it is small, until the deadline of the call.
+    async fn exchange(
+        &self,
+        call: &GateCall,
+        request: Request<CallBody>,
+        pool: &UpstreamPool,
+        guard: &mut CallGuard,
+    ) -> Result<Response<CallBody>, ExchangeError> {
         let connect_by = connect_by(call, Instant::now());
         let exchange = async {
-            let may_still_send = || self.may_still_send(&pool);
+            let may_still_send = || self.may_still_send(pool);
             let response = pool.send(request, connect_by, may_still_send, guard.connection_mut()).await?;
             buffer_if_small(response, call.deadline).await.context(IncompleteResponseSnafu)
         };
         let result = tokio::time::timeout_at(call.deadline, exchange).await;
-        match result {
-            Ok(Ok(response)) => {
-                let response = self.verify_origin(call, response, request_id.as_ref(), &pool, guard)?;
-                guard.record_status(response.status());
-                let mut response = self.prepare_response(response);
-                if let Some(grant) = guard.slot_grant() {
-                    log_if_late(call, grant, queued, self.load().limit);
-                    set_execution_fields(response.headers_mut(), queued, grant.execution().slowdown_percent);
-                }
-                Ok(response)
-            }
-            Ok(Err(UpstreamError::Draining)) => {
+        result.map_err(|_elapsed| ExchangeError::TimedOut)?.map_err(ExchangeError::Upstream)
+    }
+
+    /// Records the outcome of a failed exchange at the guard and returns the error for its call.
+    fn record_failed_exchange(
+        &self,
+        call: &GateCall,
+        error: &ExchangeError,
+        guard: &mut CallGuard,
+    ) -> ErrorAnswer {
+        match error {
+            ExchangeError::Upstream(UpstreamError::Draining) => {
                 guard.record_not_sent();
-                Err(self.rejection(call, RejectReason::Draining))
+                self.rejection(call, RejectReason::Draining)
             }
-            Ok(Err(error)) => {
+            ExchangeError::Upstream(error) => {
                 guard.record_failure();
-                Err(self.upstream_error_answer(call, &error))
+                self.upstream_error_answer(call, error)
             }
-            Err(_) => {
+            ExchangeError::TimedOut => {
                 guard.record_failure();
                 self.count("deadline_while_running");
                 guard.discard_suspect_connections();
-                Err(ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "the upstream did not answer in time"))
+                ErrorAnswer::new(ErrorKind::DeadlineWhileRunning, "the upstream did not answer in time")
             }
         }
     }
@@ -165,6 +229,20 @@
         Response::from_parts(head, body)
     }
 
+    /// Adds how the call was executed to its response, and logs a call that was late.
+    fn report_execution(
+        &self,
+        call: &GateCall,
+        response: &mut Response<CallBody>,
+        queued: Duration,
+        guard: &CallGuard,
+    ) {
+        if let Some(grant) = guard.slot_grant() {
+            log_if_late(call, grant, queued, self.load().limit);
+            set_execution_fields(response.headers_mut(), queued, grant.execution().slowdown_percent);
+        }
+    }
+
     /// Returns the error for a call whose exchange with the upstream failed.
     fn upstream_error_answer(&self, call: &GateCall, error: &UpstreamError) -> ErrorAnswer {
         log::debug!("exchange with the upstream failed; call={} error={error}", call.id);
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -39,6 +39,7 @@
 use crate::protocol::headers;
 use crate::protocol::issued_key::IssuedKey;
 use crate::protocol::member::Member;
+use crate::protocol::published::Published;
 use crate::protocol::published::PublishedConfig;
 use crate::protocol::trace::TraceStep;
 use crate::state::burn_counts::BurnCounts;
@@ -193,6 +194,9 @@
         response
     }
 
+    /// Reads the parameters of a request and completes the call that it makes.
+    ///
+    /// A step that rejects the request ends it; the later steps don't see it.
     async fn accept(
         &self,
         id: CallId,
@@ -202,28 +206,25 @@
         remote: SocketAddr,
     ) -> Result<CallResponse> {
         let may_have_duplicates = issued_key.is_some();
-        self.validate_request(&request)
-            .map_err(|answer| mark_possibly_executed(answer, may_have_duplicates))?;
-        let service = service_name(request.headers(), request.method());
-        let service = service.map_err(|answer| mark_possibly_executed(answer, may_have_duplicates))?;
+        let rejection = |answer| mark_possibly_executed(answer, may_have_duplicates);
+        self.validate_request(&request).map_err(rejection)?;
+        let service = service_name(request.headers(), request.method()).map_err(rejection)?;
         let published = self.dependencies.config.get(&service);
-        let config = published.as_ref().and_then(|published| published.config.as_ref());
-        let config = config.ok_or_else(|| {
-            let message = format!("no published service is named {service:?}");
-            mark_possibly_executed(ErrorAnswer::new(ErrorKind::UnknownService, message), may_have_duplicates)
-        })?;
-        let head = self.read_head(service, &request, config);
-        let head = head.map_err(|answer| mark_possibly_executed(answer, may_have_duplicates))?;
+        let config = service_config(published.as_deref(), &service).map_err(rejection)?;
+        let head = self.read_head(service, &request, config).map_err(rejection)?;
         let mut call = IngressCall::new(id, id_header, head, config, &self.dependencies.burn, remote);
-        call.head.idempotent &= issued_key.is_none();
-        call.issued_key = issued_key;
+        call.set_issued_key(issued_key);
         let result = self.complete_call(&mut call, config, request).await;
-        if let Err(answer) = &result {
-            self.record_failure(&call, answer);
-        }
+        self.record_result(&call, &result);
         result
     }
 
+    fn record_result(&self, call: &IngressCall, result: &Result<CallResponse>) {
+        if let Err(answer) = result {
+            self.record_failure(call, answer);
+        }
+    }
+
     /// Records a call that no upstream answered in the metrics, the burn counts and the trace.
     pub(super) fn record_failure(&self, call: &IngressCall, answer: &ErrorAnswer) {
         log::debug!("call failed; call={} kind={} message={:?}", call.id, answer.kind, answer.message);
@@ -283,21 +284,25 @@
         config: &PublishedConfig,
         request: Request<Incoming>,
     ) -> Result<CallResponse> {
-        self.check_ends_before_stop(call)
-            .map_err(|answer| mark_possibly_executed(answer, call.issued_key.is_some()))?;
-        let outgoing = self.prepare_outgoing(call, config, request).await;
-        let mut outgoing =
-            outgoing.map_err(|answer| mark_possibly_executed(answer, call.issued_key.is_some()))?;
-        call.limit_slot_wait(call.started + self.max_slot_wait());
-        if let Some(stop_by) = self.stop_by.get() {
-            call.limit_slot_wait(stop_by.checked_sub(SHUTDOWN_ANSWER_MARGIN).unwrap_or(*stop_by));
-        }
+        let may_have_duplicates = call.issued_key.is_some();
+        let rejection = |answer| mark_possibly_executed(answer, may_have_duplicates);
+        self.check_ends_before_stop(call).map_err(rejection)?;
+        let mut outgoing = self.prepare_outgoing(call, config, request).await.map_err(rejection)?;
+        self.limit_slot_wait(call);
         if let Some(issued_key) = &call.issued_key {
             return self.attempt_at_issuing_gate(call, config, issued_key, outgoing).await;
         }
         self.attempts(call, config, &mut outgoing).await
     }
 
+    /// Limits how long the call waits for a slot, so that a stopping node can still answer it.
+    fn limit_slot_wait(&self, call: &mut IngressCall) {
+        call.limit_slot_wait(call.started + self.max_slot_wait());
+        if let Some(stop_by) = self.stop_by.get() {
+            call.limit_slot_wait(stop_by.checked_sub(SHUTDOWN_ANSWER_MARGIN).unwrap_or(*stop_by));
+        }
+    }
+
     /// Rejects a call that a draining node may have to cut, since its deadline lies after the end of the node.
     fn check_ends_before_stop(&self, call: &IngressCall) -> Result<()> {
         match self.stop_by.get() {
@@ -446,6 +451,14 @@
     }
 }
 
+/// Returns the configuration of the service that a caller named.
+fn service_config<'a>(published: Option<&'a Published>, service: &str) -> Result<&'a PublishedConfig> {
+    published.and_then(|published| published.config.as_ref()).ok_or_else(|| {
+        let message = format!("no published service is named {service:?}");
+        ErrorAnswer::new(ErrorKind::UnknownService, message)
+    })
+}
+
 /// Sets the HTTP/1.1 host field of an HTTP/2 request from its authority.
 fn set_host_header(parts: &mut Parts) {
     let host = parts.uri.authority().and_then(|name| HeaderValue::from_str(name.as_str()).ok());
--- a/lib/src/transport/ingress_call.rs
+++ b/lib/src/transport/ingress_call.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Sets the issued idempotency key, with which the call is executed at most once.
+    pub(super) fn set_issued_key(&mut self, issued_key: Option<IssuedKey>) {
+        self.head.idempotent &= issued_key.is_none();
+        self.issued_key = issued_key;
+    }
+
     /// Records that the call is about to be sent to the gate of the given node.
     pub(super) fn record_attempted_gate(&mut self, gate: &Arc<str>) {
         self.gates_attempted += 1;
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -25,6 +25,8 @@
 use crate::protocol::call_head::CallOrigin;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::external_fields::CallerFields;
+use crate::protocol::published::Published;
+use crate::protocol::published::PublishedConfig;
 use crate::state::route_table::Route;
 use crate::state::route_table::RouteTable;
 use crate::state::route_table::gate_rank;
@@ -53,6 +55,15 @@
     own_service: Option<HeaderValue>,
 }
 
+/// Parameters of a call that follow from its request and its route.
+#[derive(Debug)]
+struct RequestParameters {
+    timeout: Duration,
+    /// Time left until the latency objective.
+    objective: Duration,
+    origin: CallOrigin,
+}
+
 /// HTTP server handler that selects services by routes.
 #[derive(Debug)]
 pub struct RoutedHandler<P, I> {
@@ -112,6 +123,8 @@
     P: RoutingPolicy + Send + Sync + 'static,
 {
     /// Finds the route of a request and completes the call under the route's limits.
+    ///
+    /// A step that rejects the request ends it; the later steps don't see it.
     async fn accept(
         &self,
         mut request: Request<Incoming>,
@@ -120,56 +133,122 @@
     ) -> Result<CallResponse> {
         let received_at = Instant::now();
         self.ingress.validate_request(&request)?;
-        let table = self.ingress.dependencies.config.routes().ok_or_else(no_configuration)?;
+        let table = self.routes()?;
         let route = find_route(&table, &request)?;
+        let published = self.choose_service(route)?;
+        let config = service_config(&published)?;
+        let parameters = self.read_parameters(&request, request_id, route)?;
+        self.set_node_fields(request.headers_mut());
+        let call = self.build_call(&published.service, config, route, &parameters, remote);
+        let received = self.received_request(request_id, route, remote, received_at);
+        let mut unanswered = UnansweredRequest::new(received, call);
+        let result = self.complete(&mut unanswered, config, request).await;
+        self.record_result(&unanswered, route, &table, &result);
+        result
+    }
+
+    /// Returns the configuration by which the whole request is handled.
+    fn routes(&self) -> Result<Arc<RouteTable>> {
+        self.ingress.dependencies.config.routes().ok_or_else(no_configuration)
+    }
+
+    /// Chooses the service to which the request goes among the destinations of its route.
+    fn choose_service(&self, route: &Route) -> Result<Arc<Published>> {
         let service = route.next_service().ok_or_else(no_upstream_error)?;
-        let published = self.ingress.dependencies.config.get(service).ok_or_else(no_upstream_error)?;
-        let config = published.config.as_ref().ok_or_else(no_upstream_error)?;
+        self.ingress.dependencies.config.get(service).ok_or_else(no_upstream_error)
+    }
+
+    fn read_parameters(
+        &self,
+        request: &Request<Incoming>,
+        request_id: Option<&HeaderValue>,
+        route: &Route,
+    ) -> Result<RequestParameters> {
         let caller_timeout = caller_timeout(request.headers(), &self.caller_fields.timeout_ms)?;
+        let timeout = request_timeout(caller_timeout, route)?;
+        let origin = self.origin(request_id);
+        Ok(RequestParameters {
+            timeout,
+            objective: remaining_objective(caller_timeout, origin, route),
+            origin,
+        })
+    }
+
+    /// Creates the call that the request makes, under a new identity.
+    fn build_call(
+        &self,
+        service: &Arc<str>,
+        config: &PublishedConfig,
+        route: &Route,
+        parameters: &RequestParameters,
+        remote: SocketAddr,
+    ) -> IngressCall {
         let head = CallHead {
             service: Arc::clone(service),
             priority: gate_rank(route.spec.priority),
-            timeout: request_timeout(caller_timeout, route)?,
+            timeout: parameters.timeout,
             idempotent: route.spec.idempotent,
             caller: None,
             repeated: false,
         };
-        self.set_node_fields(request.headers_mut());
         let id = self.ingress.dependencies.ids.next();
         let id_header = HeaderValue::from_str(&id.to_string());
         let id_header = id_header.unwrap_or_else(|_| HeaderValue::from_static(""));
         let mut call = IngressCall::new(id, id_header, head, config, &self.ingress.dependencies.burn, remote);
         call.max_attempts = route.spec.max_attempts.max(1);
-        call.origin = self.origin(request_id);
-        // The timeout of a nested call says what is left to the call that waits for it, not how long it waited.
-        let waited = caller_timeout.filter(|_| call.origin == CallOrigin::Caller);
-        let waited = waited.map(|timeout| route.usual_timeout.record(timeout)).unwrap_or_default();
-        let objective = Duration::from_millis(route.spec.objective_ms);
-        call.apply_route(objective.saturating_sub(waited), &route.typical_time);
-        let received = ReceivedRequest {
+        call.origin = parameters.origin;
+        call.apply_route(parameters.objective, &route.typical_time);
+        call
+    }
+
+    fn received_request(
+        &self,
+        request_id: Option<&HeaderValue>,
+        route: &Route,
+        remote: SocketAddr,
+        received_at: Instant,
+    ) -> ReceivedRequest {
+        ReceivedRequest {
             request_id: request_id.cloned(),
             route: Arc::clone(&route.spec.name),
             remote,
             received_at,
             stop: Arc::clone(self.ingress.dependencies.gate.stop_state()),
-        };
-        let mut unanswered = UnansweredRequest::new(received, call);
+        }
+    }
+
+    /// Completes the call and prepares the log line for an answer that does not reach its end.
+    async fn complete(
+        &self,
+        unanswered: &mut UnansweredRequest,
+        config: &PublishedConfig,
+        request: Request<Incoming>,
+    ) -> Result<CallResponse> {
         let mut result = self.ingress.complete_call(&mut unanswered.call, config, request).await;
         unanswered.answered();
         if let Some(guard) = result.as_mut().ok().and_then(|response| response.body_mut().waiting_guard()) {
             guard.unfinished_answer = Some(Box::new(unanswered.unfinished_answer()));
         }
+        result
+    }
+
+    /// Logs the result of a request, and records a failure in the metrics.
+    fn record_result(
+        &self,
+        unanswered: &UnansweredRequest,
+        route: &Route,
+        table: &RouteTable,
+        result: &Result<CallResponse>,
+    ) {
+        let request_log = RequestLog::new(&unanswered.received, route, table);
         let call = &unanswered.call;
-        let request_log =
-            RequestLog { request_id, route, version: table.version(), elapsed: received_at.elapsed() };
-        match &result {
+        match result {
             Ok(response) => request_log.log_response(call, response.status()),
             Err(answer) => {
                 self.ingress.record_failure(call, answer);
                 request_log.log_failure(call, answer);
             }
         }
-        result
     }
 
     /// Returns who makes the request: a caller, or the upstream beside this node while it executes another one.
@@ -199,7 +278,16 @@
     elapsed: Duration,
 }
 
-impl RequestLog<'_> {
+impl<'a> RequestLog<'a> {
+    fn new(received: &'a ReceivedRequest, route: &'a Route, table: &'a RouteTable) -> Self {
+        Self {
+            request_id: received.request_id.as_ref(),
+            route,
+            version: table.version(),
+            elapsed: received.received_at.elapsed(),
+        }
+    }
+
     fn request_id(&self) -> &str {
         self.request_id.and_then(|id| id.to_str().ok()).unwrap_or("none")
     }
@@ -282,6 +370,18 @@
     Ok(timeout)
 }
 
+/// Returns the time left until the route's objective, after what its caller has already waited.
+fn remaining_objective(caller_timeout: Option<Duration>, origin: CallOrigin, route: &Route) -> Duration {
+    // The timeout of a nested call says what is left to the call that waits for it, not how long it waited.
+    let timeout = caller_timeout.filter(|_| origin == CallOrigin::Caller);
+    let waited = timeout.map(|timeout| route.usual_timeout.record(timeout)).unwrap_or_default();
+    Duration::from_millis(route.spec.objective_ms).saturating_sub(waited)
+}
+
+fn service_config(published: &Published) -> Result<&PublishedConfig> {
+    published.config.as_ref().ok_or_else(no_upstream_error)
+}
+
 fn no_configuration() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::NoConfiguration, "no configuration is known yet")
         .retry_after(GATE_RETRY_AFTER)
