transport: authenticate tenants by API keys at the ingress

Cause: deployments let tenants in by keys of the configuration, and the upstream has to learn the tenant and never the key.

Change: the ingress authenticates a request after it found the route and before it chooses a service. Tenants are a part of the route table, so route, service and key are of one version; a newer configuration of the service could be used before. Keys are searched by a keyed hash with a random key. The decision is a pure function of the tenants, the request and the time of the latest confirmation: a key that is not found gets 401 only while the configuration is confirmed, and 503 otherwise; with FailClosed, no key is accepted from RevokeS on. Upstreams get the tenant in its field; credentials, the caller's tenant field and announced trailers of these names are removed, also if the caller names the field as one of its connection. Nested calls inherit the tenant, which gates learn from the new field yuccatray-tenant. The name of the tenant is the caller's name at the gate, and its priority takes precedence. Without tenants nothing changes.

The error about an unreadable publication is logged without its text, which may quote a value.

--- a/lib/src/coordination/anti_entropy.rs
+++ b/lib/src/coordination/anti_entropy.rs
@@ -228,7 +228,13 @@
                     self.apply(received);
                 }
                 Err(error) => {
-                    log::warn!("unreadable publication; service={} error={error}", publication.service);
+                    // The text of the error may quote a value of the publication, which may be an API key.
+                    log::warn!(
+                        "unreadable publication; service={} error={:?} column={}",
+                        publication.service,
+                        error.classify(),
+                        error.column()
+                    );
                 }
             }
         }
--- a/lib/src/coordination/config_confirmation.rs
+++ b/lib/src/coordination/config_confirmation.rs
@@ -85,10 +85,16 @@
         self.read_at = self.read_at.max(Some(current_at));
     }
 
+    /// Returns the time of the latest confirmation, by the node's own reads or another node.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        self.read_at.max(self.told_at)
+    }
+
     /// Returns the age of the latest confirmation in milliseconds, rounded up.
     #[must_use]
     pub fn age_ms(&self, now: Instant) -> Option<u32> {
-        let confirmed_at = self.read_at.max(self.told_at)?;
+        let confirmed_at = self.confirmed_at()?;
         let age_us = now.saturating_duration_since(confirmed_at).as_micros();
         Some(u32::try_from(age_us.div_ceil(1_000)).unwrap_or(u32::MAX))
     }
@@ -191,6 +197,7 @@
     pub fn confirm_configurations(&mut self, current_at: Instant) {
         if let Some(confirmation) = &mut self.confirmation {
             confirmation.record_read(current_at);
+            self.config.record_confirmation(confirmation.confirmed_at());
         }
     }
 
@@ -225,6 +232,7 @@
         if let Some(confirmation) = &mut self.confirmation {
             confirmation
                 .record_answer(ack.sequence, age_ms.map(|age_ms| Duration::from_millis(age_ms.into())));
+            self.config.record_confirmation(confirmation.confirmed_at());
         }
     }
 
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub mod anti_entropy;
 pub mod applied_fleet;
 pub mod applied_report;
+pub mod authentication;
 pub mod backoff;
 pub mod call_measurement;
 pub mod concurrency_limit;
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -20,6 +20,7 @@
 use crate::coordination::routing::PowerOfTwoChoices;
 use crate::coordination::routing::RoutingPolicy;
 use crate::log_event;
+use crate::node::bounded_settings::key_rules;
 use crate::node::core_parts::Core;
 use crate::node::core_parts::SharedParts;
 use crate::node::core_parts::log_started;
@@ -82,6 +83,12 @@
         /// Cause of the error.
         source: SecurityError,
     },
+    /// The bounds of the deployment are invalid.
+    #[snafu(display("/platform/bounds: {problem}"))]
+    Bounds {
+        /// Description of the invalid bound.
+        problem: String,
+    },
 }
 
 /// A running node.
@@ -185,9 +192,12 @@
         let new_gate = |metrics| Gate::new(metrics).with_external_upstream(I::upstream_fields());
         let core = Core::new(settings, &listeners, security, new_gate)?;
         let ingress = Arc::new(core.ingress(settings, policy));
+        let bounds = I::parse_bounds(&settings.platform.bounds);
+        let bounds = bounds.map_err(|problem| NodeError::Bounds { problem })?;
+        let rules = key_rules(&settings.platform, &bounds);
         let own_service = settings.upstream.as_ref().map(|upstream| upstream.service.as_ref());
         let handlers = Handlers {
-            callers: RoutedHandler::<P, I>::new(Arc::clone(&ingress), own_service),
+            callers: RoutedHandler::<P, I>::new(Arc::clone(&ingress), own_service, rules),
             upstream: CheckInHandler::<I>::new(Arc::clone(&core.registration)),
         };
         let stop_rest = CancellationToken::new();
--- a/lib/src/node/bounded_settings.rs
+++ b/lib/src/node/bounded_settings.rs
@@ -1,9 +1,13 @@
 //! Time limits of a node that follow from the bounds of its deployment.
 
+use std::time::Duration;
+
+use crate::coordination::authentication::KeyRules;
 use crate::protocol::deployment_bounds::DeploymentBounds;
 use crate::protocol::settings::LimitSettings;
 use crate::protocol::settings::PlatformSettings;
 use crate::protocol::settings::Settings;
+use crate::transport::routes_watcher::max_confirmation_interval;
 use crate::transport::routes_watcher::max_watch_wait_ms;
 
 /// Part of the grace period that a stop leaves for the process to end, as a divisor.
@@ -18,6 +22,9 @@
 /// Largest part of a stop in which the node only reports that it is not ready, as a divisor.
 const MAX_NOTICE_DIVISOR: u64 = 2;
 
+/// Age of the confirmation from which no key is accepted, where the bounds only say that there is such an age.
+const DEFAULT_REVOKE_MS: u64 = 5_000;
+
 /// Sets the time limits of `settings` that follow from the bounds of the deployment.
 ///
 /// A limit whose bound is not set stays as it is.
@@ -30,6 +37,22 @@
     }
 }
 
+/// Returns how long confirmations of the configuration count when requests are authenticated.
+///
+/// Without a bound, a confirmation counts for the time between two confirmations of a node that reads the platform
+/// itself.
+#[must_use]
+pub(super) fn key_rules(settings: &PlatformSettings, bounds: &DeploymentBounds) -> KeyRules {
+    let revoke_ms = bounds.revoke_ms.unwrap_or(DEFAULT_REVOKE_MS);
+    let is_fail_closed = bounds.fail_closed.unwrap_or(false);
+    KeyRules {
+        max_refusal_age: bounds
+            .config_apply_ms
+            .map_or_else(|| max_confirmation_interval(settings), Duration::from_millis),
+        revoke_after: is_fail_closed.then(|| Duration::from_millis(revoke_ms)),
+    }
+}
+
 /// Lets a stop use the whole grace period but for the time that the process needs to end.
 ///
 /// The time in which the node only reports that it is not ready gets shorter in a short stop, never longer.
--- a/lib/src/protocol/error_kind.rs
+++ b/lib/src/protocol/error_kind.rs
@@ -21,8 +21,10 @@
     UnknownService,
     /// No route of the configuration in force takes the request.
     UnknownRoute,
-    /// The node knows no configuration yet.
+    /// The node knows no configuration yet, or can't confirm that the one it knows is the latest.
     NoConfiguration,
+    /// The request needs the API key of a tenant and has none that is known.
+    Unauthenticated,
     /// The service declares no such priority.
     UnknownPriority,
     /// The header section is larger than the node accepts.
@@ -91,11 +93,12 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::MalformedRequest,
         Self::UnknownService,
         Self::UnknownRoute,
         Self::NoConfiguration,
+        Self::Unauthenticated,
         Self::UnknownPriority,
         Self::HeadersTooLarge,
         Self::BodyTooLarge,
@@ -126,6 +129,7 @@
             Self::NoConfiguration => {
                 row("no_configuration", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true)
             }
+            Self::Unauthenticated => row("unauthenticated", StatusCode::UNAUTHORIZED, NotExecuted, false),
             Self::UnknownPriority => row("unknown_priority", StatusCode::BAD_REQUEST, NotExecuted, false),
             Self::HeadersTooLarge => {
                 row("headers_too_large", StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, NotExecuted, false)
--- a/lib/src/protocol/external_fields.rs
+++ b/lib/src/protocol/external_fields.rs
@@ -19,6 +19,14 @@
     ///
     /// Only nodes may set it: an ingress replaces what the caller sent.
     pub caller_service: HeaderName,
+    /// API key of the caller's tenant; it is removed where requests need a key.
+    pub credentials: HeaderName,
+    /// Returns the API key in the value of `credentials`, or `None` if the value holds none.
+    pub api_key: fn(&str) -> Option<&str>,
+    /// Name of the tenant of the request, for the upstream.
+    ///
+    /// Where requests need a key only nodes may set it: an ingress replaces what the caller sent.
+    pub tenant: HeaderName,
     /// Returns the identity of the request that a request was made for, if its own identity names one.
     pub parent_request: fn(&str) -> Option<&str>,
 }
--- a/lib/src/protocol/headers.rs
+++ b/lib/src/protocol/headers.rs
@@ -31,6 +31,8 @@
 pub const ISSUE_KEY: HeaderName = HeaderName::from_static("yuccatray-ticket");
 /// Name of the caller, to which the limits per caller apply.
 pub const CALLER: HeaderName = HeaderName::from_static("yuccatray-caller");
+/// Name of the tenant of a request, which the calls that its upstream makes inherit; between nodes only.
+pub const TENANT: HeaderName = HeaderName::from_static("yuccatray-tenant");
 /// Identity of the call, on requests to a gate and on every answer.
 pub const CALL: HeaderName = HeaderName::from_static("yuccatray-call");
 /// Name and incarnation of the node whose gate is addressed; between nodes only.
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -8,6 +8,7 @@
 pub mod call_id;
 pub mod check_in;
 pub mod checked_json;
+pub mod credentials;
 pub mod deployment_bounds;
 pub mod error_kind;
 pub mod external_fields;
--- a/lib/src/state/config_table.rs
+++ b/lib/src/state/config_table.rs
@@ -5,6 +5,7 @@
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use indexmap::IndexMap;
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::protocol::published::Published;
@@ -19,6 +20,8 @@
 pub struct ConfigTable {
     current: ArcSwap<ConfigSnapshot>,
     routes: ArcSwapOption<RouteTable>,
+    /// Latest time at which the table was known to hold the platform's latest configuration.
+    confirmed_at: ArcSwapOption<Instant>,
 }
 
 impl ConfigTable {
@@ -52,6 +55,19 @@
         self.routes.load_full()
     }
 
+    /// Records a time at which the table was known to hold the platform's latest configuration.
+    pub fn record_confirmation(&self, confirmed_at: Option<Instant>) {
+        if self.confirmed_at() < confirmed_at {
+            self.confirmed_at.store(confirmed_at.map(Arc::new));
+        }
+    }
+
+    /// Returns the latest time at which the table was known to hold the platform's latest configuration.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        self.confirmed_at.load().as_deref().copied()
+    }
+
     /// Returns a digest of the services and their revisions; nodes with equal tables have equal digests.
     #[must_use]
     pub fn digest(&self) -> u64 {
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
 
+use crate::state::authentication_metrics::AuthenticationMetrics;
 use crate::state::control_metrics::ControlMetrics;
 
 /// Upper bounds of the latency histogram's buckets.
@@ -81,6 +82,8 @@
     pub skipped_probes: Family<ReasonLabels, Counter>,
     /// Calls to the platform, by operation, or by kind of failure.
     pub platform_calls: Family<ReasonLabels, Counter>,
+    /// Authentications of requests.
+    pub authentications: AuthenticationMetrics,
     /// Control traffic between nodes.
     pub control: ControlMetrics,
 }
@@ -121,6 +124,8 @@
         registry.register("platform_calls", "Calls of the platform by outcome", platform_calls.clone());
         let control = ControlMetrics::default();
         control.register_in(&mut registry);
+        let authentications = AuthenticationMetrics::default();
+        authentications.register_in(&mut registry);
         Self {
             registry: Mutex::new(registry),
             calls,
@@ -133,6 +138,7 @@
             probes,
             skipped_probes,
             platform_calls,
+            authentications,
             control,
         }
     }
--- a/lib/src/state/route_table.rs
+++ b/lib/src/state/route_table.rs
@@ -22,6 +22,7 @@
 use crate::protocol::service_spec::RetrySpec;
 use crate::protocol::service_spec::ServiceSpec;
 use crate::protocol::service_spec::UpstreamRuleSpec;
+use crate::state::tenant_table::TenantTable;
 use crate::state::typical_time::TypicalTime;
 use crate::state::usual_timeout::UsualTimeout;
 
@@ -81,6 +82,8 @@
     by_host: IndexMap<Arc<str>, Vec<Route>>,
     services: IndexMap<Arc<str>, Arc<Published>>,
     limits: CallerLimits,
+    /// Tenants of the same revision; requests need no key when absent.
+    tenants: Option<TenantTable>,
 }
 
 impl Route {
@@ -139,6 +142,7 @@
             by_host,
             services: services.collect(),
             limits: set.limits,
+            tenants: set.tenants.as_deref().map(TenantTable::new),
         }
     }
 
@@ -160,6 +164,12 @@
         self.limits
     }
 
+    /// Returns the tenants whose keys requests need, or `None` if requests need no key.
+    #[must_use]
+    pub const fn tenants(&self) -> Option<&TenantTable> {
+        self.tenants.as_ref()
+    }
+
     /// Returns the route of a request: the one of its host with the longest matching path prefix.
     ///
     /// A port in `host` is ignored, and so is the case of its letters.
--- a/lib/src/transport/call_guard.rs
+++ b/lib/src/transport/call_guard.rs
@@ -13,6 +13,7 @@
 use crate::coordination::admission::SlotGrant;
 use crate::coordination::service_estimate::ExecutionOutcome;
 use crate::protocol::call_id::CallId;
+use crate::state::running_requests::RunningRequest;
 use crate::transport::call_body::BodyGuard;
 use crate::transport::call_body::CallBody;
 use crate::transport::gate::Gate;
@@ -30,8 +31,8 @@
     gate: Arc<Gate>,
     id: CallId,
     grant: Option<SlotGrant>,
-    /// Identity of an external request, recorded as running at the gate.
-    request_id: Option<HeaderValue>,
+    /// External request that is recorded as running at the gate, with its identity.
+    running: Option<(HeaderValue, RunningRequest)>,
     /// Outcome that is reported to the gate when the slot is released.
     outcome: ExecutionOutcome,
 }
@@ -40,7 +41,7 @@
     /// Creates a guard for a call to which the gate has not granted a slot yet.
     #[must_use]
     pub const fn without_slot(gate: Arc<Gate>, id: CallId) -> Self {
-        Self { gate, id, grant: None, request_id: None, outcome: ExecutionOutcome::Abandoned }
+        Self { gate, id, grant: None, running: None, outcome: ExecutionOutcome::Abandoned }
     }
 
     /// Stores the slot that the gate granted.
@@ -49,9 +50,9 @@
     }
 
     /// Records the external request as running until the slot is released.
-    pub fn record_running(&mut self, request_id: HeaderValue) {
-        self.gate.running_requests.insert(request_id.clone());
-        self.request_id = Some(request_id);
+    pub fn record_running(&mut self, request_id: HeaderValue, request: RunningRequest) {
+        self.gate.running_requests.insert(request_id.clone(), request.clone());
+        self.running = Some((request_id, request));
     }
 
     /// Records a success with its service time, or a failure, according to the status of the response.
@@ -67,8 +68,8 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        if let Some(request_id) = &self.request_id {
-            self.gate.running_requests.remove(request_id);
+        if let Some((request_id, request)) = &self.running {
+            self.gate.running_requests.remove(request_id, request);
         }
         if let Some(grant) = self.grant {
             self.gate.finish_call(&self.id, grant, self.outcome);
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -34,6 +34,7 @@
 use crate::state::metrics::Metrics;
 use crate::state::metrics::SharedMetrics;
 use crate::state::parent_calls::ParentCalls;
+use crate::state::running_requests::RunningRequest;
 use crate::state::running_requests::RunningRequests;
 use crate::transport::answer_relay::AnswerRelay;
 use crate::transport::answer_relay::AnswerRelayBody;
@@ -269,10 +270,10 @@
         self.parents.get(id)
     }
 
-    /// Returns whether the upstream is executing the external request with the given identity.
+    /// Returns the external request with the given identity if the upstream is executing it.
     #[must_use]
-    pub fn is_running_request(&self, id: &str) -> bool {
-        self.running_requests.contains(id)
+    pub fn running_request(&self, id: &str) -> Option<RunningRequest> {
+        self.running_requests.get(id)
     }
 
     /// Requests admission for a call and forwards it to the upstream.
--- a/lib/src/transport/gate_forwarding.rs
+++ b/lib/src/transport/gate_forwarding.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -15,6 +16,7 @@
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::external_fields::AnswerOrigin;
 use crate::protocol::headers;
+use crate::state::running_requests::RunningRequest;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::buffer_if_small;
 use crate::transport::call_guard::CallGuard;
@@ -54,7 +56,8 @@
         self.parents.insert(call.id.clone(), call.as_parent());
         let pool = self.pool_for(call)?;
         let request_id = self.request_id(&request);
-        self.mark_running(call, slot, request_id.as_ref(), &pool, guard);
+        let running = request_id.clone().map(|id| (id, running_request(request.headers())));
+        self.mark_running(call, slot, running, &pool, guard);
         let request = self.prepare_request(call, request, &pool);
         let result = self.exchange(call, request, &pool, guard).await;
         let response = result.map_err(|error| self.record_failed_exchange(call, &error, guard))?;
@@ -94,12 +97,12 @@
         &self,
         call: &GateCall,
         mut slot: SlotGuard,
-        request_id: Option<&HeaderValue>,
+        running: Option<(HeaderValue, RunningRequest)>,
         pool: &Arc<UpstreamPool>,
         guard: &mut CallGuard,
     ) {
-        if let Some(request_id) = request_id {
-            slot.record_running(request_id.clone());
+        if let Some((request_id, request)) = running {
+            slot.record_running(request_id, request);
         }
         guard.set_slot(slot, Arc::clone(pool), call.deadline);
         if self.external_fields.is_some() {
@@ -255,6 +258,12 @@
     }
 }
 
+/// Returns what the gate has to remember of a request while the upstream is executing it.
+fn running_request(fields: &HeaderMap) -> RunningRequest {
+    let tenant = fields.get(&headers::TENANT).and_then(|name| std::str::from_utf8(name.as_bytes()).ok());
+    RunningRequest { tenant: tenant.map(Arc::from) }
+}
+
 /// Returns the latest time at which the connection for a call has to be open.
 ///
 /// A call that got its slot at once after its latest start did not wait; the deadline alone limits it.
--- a/lib/src/transport/ingress_call.rs
+++ b/lib/src/transport/ingress_call.rs
@@ -20,6 +20,7 @@
 use crate::protocol::published::PublishedConfig;
 use crate::state::burn_counts::BurnCounts;
 use crate::state::burn_counts::BurnKey;
+use crate::state::tenant_table::Tenant;
 use crate::state::typical_time::TypicalTime;
 use crate::transport::call_attempts::UpstreamRequirements;
 
@@ -59,6 +60,8 @@
     pub(super) max_attempts: u32,
     /// Who makes the call.
     pub(super) origin: CallOrigin,
+    /// Tenant that the call belongs to, if it belongs to one.
+    pub(super) tenant: Option<Tenant>,
     pub(super) measurement: Arc<CallMeasurement>,
 }
 
@@ -92,6 +95,7 @@
             objective,
             objective_at: None,
             origin: CallOrigin::Caller,
+            tenant: None,
             max_attempts: config.service.retry.max_attempts,
             measurement: Arc::new(CallMeasurement::new(Arc::clone(burn), key, objective, started)),
             head,
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -8,6 +8,7 @@
 pub mod call_body;
 pub mod call_guard;
 pub mod call_resolution;
+mod caller_authentication;
 pub mod check_in_server;
 pub mod config_watcher;
 pub mod datagram_keys;
--- a/lib/src/transport/outgoing_request.rs
+++ b/lib/src/transport/outgoing_request.rs
@@ -77,6 +77,10 @@
         if call.origin == CallOrigin::Upstream {
             fields.insert(headers::NESTED, HeaderValue::from_static("true"));
         }
+        fields.remove(headers::TENANT);
+        if let Some(tenant) = &call.tenant {
+            insert(fields, headers::TENANT, &tenant.name);
+        }
         fields.remove(headers::RESOLVE);
         fields.remove(headers::START_WITHIN_MS);
         fields.remove(headers::OBJECTIVE_MS);
@@ -123,7 +127,7 @@
 
 /// Sets a field, unless the value can't be written in a header.
 fn insert(fields: &mut HeaderMap, name: http::HeaderName, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
+    if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
         fields.insert(name, value);
     }
 }
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -212,7 +212,7 @@
 }
 
 fn field_text<'a>(fields: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
-    fields.get(name).and_then(|value| value.to_str().ok())
+    fields.get(name).and_then(|value| std::str::from_utf8(value.as_bytes()).ok())
 }
 
 fn parse_optional<T>(fields: &HeaderMap, name: &HeaderName) -> Option<T>
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -18,6 +18,8 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::coordination::authentication::CallerIdentity;
+use crate::coordination::authentication::KeyRules;
 use crate::coordination::routing::RoutingPolicy;
 use crate::log_event_limited;
 use crate::protocol::answer::ErrorAnswer;
@@ -31,6 +33,7 @@
 use crate::state::route_table::RouteTable;
 use crate::state::route_table::gate_rank;
 use crate::transport::call_attempts::CallResponse;
+use crate::transport::caller_authentication::CallerAuthentication;
 use crate::transport::external_dialect::ExternalDialect;
 use crate::transport::gate::GATE_RETRY_AFTER;
 use crate::transport::http_server::Handler;
@@ -51,6 +54,7 @@
 struct RoutedIngress<P> {
     ingress: Arc<Ingress<P>>,
     caller_fields: CallerFields,
+    authentication: CallerAuthentication,
     /// Service of the VM on which the node runs.
     own_service: Option<HeaderValue>,
 }
@@ -77,9 +81,18 @@
 {
     /// Creates a handler over `ingress`; `own_service` is the service of the VM on which the node runs.
     #[must_use]
-    pub fn new(ingress: Arc<Ingress<P>>, own_service: Option<&str>) -> Self {
+    pub fn new(ingress: Arc<Ingress<P>>, own_service: Option<&str>, rules: KeyRules) -> Self {
         let own_service = own_service.and_then(|name| HeaderValue::from_str(name).ok());
-        let routed_ingress = RoutedIngress { ingress, caller_fields: I::caller_fields(), own_service };
+        let dependencies = &ingress.dependencies;
+        let authentication = CallerAuthentication {
+            fields: I::caller_fields(),
+            rules,
+            config: Arc::clone(&dependencies.config),
+            gate: Arc::clone(&dependencies.gate),
+            metrics: Arc::clone(&dependencies.metrics),
+        };
+        let caller_fields = I::caller_fields();
+        let routed_ingress = RoutedIngress { ingress, caller_fields, authentication, own_service };
         Self { routed_ingress: Arc::new(routed_ingress), dialect: PhantomData }
     }
 }
@@ -135,11 +148,13 @@
         self.ingress.validate_request(&request)?;
         let table = self.routes()?;
         let route = find_route(&table, &request)?;
-        let published = self.choose_service(route)?;
-        let config = service_config(&published)?;
+        let caller = self.authentication.authenticate(&table, route, request.headers(), request_id)?;
+        let published = choose_service(&table, route)?;
+        let config = service_config(published)?;
         let parameters = self.read_parameters(&request, request_id, route)?;
         self.set_node_fields(request.headers_mut());
-        let call = self.build_call(&published.service, config, route, &parameters, remote);
+        self.authentication.set_fields(&caller, request.headers_mut());
+        let call = self.build_call(config, route, &parameters, caller, &published.service, remote);
         let received = self.received_request(request_id, route, remote, received_at);
         let mut unanswered = UnansweredRequest::new(received, call);
         let result = self.complete(&mut unanswered, config, request).await;
@@ -152,12 +167,6 @@
         self.ingress.dependencies.config.routes().ok_or_else(no_configuration)
     }
 
-    /// Chooses the service to which the request goes among the destinations of its route.
-    fn choose_service(&self, route: &Route) -> Result<Arc<Published>> {
-        let service = route.next_service().ok_or_else(no_upstream_error)?;
-        self.ingress.dependencies.config.get(service).ok_or_else(no_upstream_error)
-    }
-
     fn read_parameters(
         &self,
         request: &Request<Incoming>,
@@ -177,18 +186,19 @@
     /// Creates the call that the request makes, under a new identity.
     fn build_call(
         &self,
-        service: &Arc<str>,
         config: &PublishedConfig,
         route: &Route,
         parameters: &RequestParameters,
+        caller: CallerIdentity,
+        service: &Arc<str>,
         remote: SocketAddr,
     ) -> IngressCall {
         let head = CallHead {
             service: Arc::clone(service),
-            priority: gate_rank(route.spec.priority),
+            priority: gate_rank(caller.priority().unwrap_or(route.spec.priority)),
             timeout: parameters.timeout,
             idempotent: route.spec.idempotent,
-            caller: None,
+            caller: caller.tenant.as_ref().map(|tenant| Arc::clone(&tenant.name)),
             repeated: false,
         };
         let id = self.ingress.dependencies.ids.next();
@@ -197,6 +207,7 @@
         let mut call = IngressCall::new(id, id_header, head, config, &self.ingress.dependencies.burn, remote);
         call.max_attempts = route.spec.max_attempts.max(1);
         call.origin = parameters.origin;
+        call.tenant = caller.tenant;
         call.apply_route(parameters.objective, &route.typical_time);
         call
     }
@@ -255,7 +266,9 @@
     fn origin(&self, request_id: Option<&HeaderValue>) -> CallOrigin {
         let parent = request_id.and_then(|id| id.to_str().ok()).and_then(self.caller_fields.parent_request);
         match parent {
-            Some(parent) if self.ingress.dependencies.gate.is_running_request(parent) => CallOrigin::Upstream,
+            Some(parent) if self.ingress.dependencies.gate.running_request(parent).is_some() => {
+                CallOrigin::Upstream
+            }
             _ => CallOrigin::Caller,
         }
     }
@@ -378,6 +391,12 @@
     Duration::from_millis(route.spec.objective_ms).saturating_sub(waited)
 }
 
+/// Chooses the service to which a request goes among the destinations of its route, both of one version.
+fn choose_service<'a>(table: &'a RouteTable, route: &Route) -> Result<&'a Arc<Published>> {
+    let service = route.next_service().ok_or_else(no_upstream_error)?;
+    table.service(service).ok_or_else(no_upstream_error)
+}
+
 fn service_config(published: &Published) -> Result<&PublishedConfig> {
     published.config.as_ref().ok_or_else(no_upstream_error)
 }
--- a/lib/src/transport/routes_watcher.rs
+++ b/lib/src/transport/routes_watcher.rs
@@ -75,6 +75,13 @@
     Duration::from_millis(settings.watch_wait_ms) + CONFIRMATION_SPREAD
 }
 
+/// Returns the longest time between two confirmations of a node that reads the platform itself.
+#[must_use]
+pub fn max_confirmation_interval(settings: &PlatformSettings) -> Duration {
+    let wait_ms = settings.watch_wait_ms * UNCONFIRMED_WAIT_FACTOR;
+    Duration::from_millis(wait_ms) + CONFIRMATION_SPREAD + READ_TIME
+}
+
 /// Returns the longest wait of a watch with which a change is in force within `config_apply_ms`, in milliseconds.
 #[must_use]
 pub fn max_watch_wait_ms(config_apply_ms: u64) -> u64 {
