coordination: limit of the calls that a cold upstream gets

Upstreams of the platform are cold for some seconds after they start, tolerate a few requests a second meanwhile, and may become cold again at any moment. Nothing in the node knew of it.

The platform's ColdStartS, ColdPerS, ColdRemainingS and Cold-Ms are parsed. The gate does not use any of it yet.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod applied_report;
 pub mod backoff;
 pub mod call_measurement;
+pub mod cold_limit;
 pub mod concurrency_limit;
 pub mod config_confirmation;
 pub mod cross_zone_yield;
--- a/lib/src/coordination/publication.rs
+++ b/lib/src/coordination/publication.rs
@@ -62,6 +62,7 @@
         service: spec,
         priorities,
         upstream_rule: rule,
+        cold_start: None,
     })
 }
 
--- a/lib/src/protocol/check_in.rs
+++ b/lib/src/protocol/check_in.rs
@@ -11,6 +11,8 @@
 pub const MAX_SLOTS: u32 = 100_000;
 /// Largest sequence number: the largest integer that every JSON implementation represents exactly.
 const MAX_SEQUENCE: u64 = (1 << 53) - 1;
+/// Longest time that an upstream may say that it stays cold.
+pub const MAX_COLD_TIME: Duration = Duration::from_hours(1);
 /// How far the start of an incarnation may lie ahead of the node's clock, which can be set back meanwhile.
 const MAX_START_AHEAD: Duration = Duration::from_hours(24);
 
@@ -38,6 +40,8 @@
     pub slots: u32,
     /// Whether the upstream accepts no new calls.
     pub draining: bool,
+    /// Time that the upstream stays cold; zero if it is warm.
+    pub cold_for: Duration,
 }
 
 impl Heartbeat {
--- a/lib/src/protocol/external_fields.rs
+++ b/lib/src/protocol/external_fields.rs
@@ -1,13 +1,17 @@
 //! Header fields of callers and upstreams that use an external dialect.
 
 use std::fmt;
+use std::time::Duration;
 
 use http::HeaderMap;
 use http::HeaderName;
 
+use crate::protocol::check_in::MAX_COLD_TIME;
 use crate::protocol::rate_limit::RateLimit;
 use crate::protocol::rate_limit::Result;
 
+const MILLIS_PER_S: f64 = 1_000.0;
+
 /// Names of the header fields that callers of an external dialect send.
 #[derive(Clone, Debug)]
 pub struct CallerFields {
@@ -46,6 +50,8 @@
     pub rate_limit: HeaderName,
     /// Marker, present on all answers of an upstream that is draining.
     pub draining: HeaderName,
+    /// Time that the upstream stays cold, in milliseconds, on answers to health checks; absent if it is warm.
+    pub cold_ms: HeaderName,
 }
 
 /// State that an upstream announces with each of its answers.
@@ -141,6 +147,19 @@
         }
     }
 
+    /// Returns how long the upstream stays cold by its answer to a health check; zero if it is warm.
+    ///
+    /// `None` if the answer shows neither: it is no success, or its value is not a number of milliseconds.
+    #[must_use]
+    pub fn cold_time(&self, status: http::StatusCode, fields: &HeaderMap) -> Option<Duration> {
+        let Some(value) = fields.get(&self.cold_ms) else {
+            return status.is_success().then_some(Duration::ZERO);
+        };
+        let millis: f64 = value.to_str().ok()?.trim().parse().ok()?;
+        let cold_time = Duration::try_from_secs_f64(millis / MILLIS_PER_S).ok()?.min(MAX_COLD_TIME);
+        (status.is_success() || !cold_time.is_zero()).then_some(cold_time)
+    }
+
     /// Returns the state that the upstream announces with an answer.
     ///
     /// # Errors
--- a/lib/src/protocol/published.rs
+++ b/lib/src/protocol/published.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::protocol::route::ColdStart;
 use crate::protocol::route::RouteSet;
 use crate::protocol::service_spec::PrioritySetSpec;
 use crate::protocol::service_spec::ServiceSpec;
@@ -40,6 +41,9 @@
     pub priorities: PrioritySetSpec,
     /// Content of the `UpstreamRule` object.
     pub upstream_rule: UpstreamRuleSpec,
+    /// Behaviour of upstreams after their start, which only routes declare.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Versions of the objects that a publication was built from.
--- a/lib/src/protocol/route.rs
+++ b/lib/src/protocol/route.rs
@@ -42,6 +42,15 @@
     pub priority: u8,
 }
 
+/// How upstreams of a service behave for some time after their start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Time for which an upstream is usually cold after its start, in milliseconds.
+    pub duration_ms: u64,
+    /// Maximum number of requests that a cold upstream tolerates in a second.
+    pub max_requests_per_s: u32,
+}
+
 /// Service as declared in the configuration of the routes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoutedService {
@@ -51,6 +60,9 @@
     pub health_path: Arc<str>,
     /// Maximum number of connections that one upstream accepts from all callers together.
     pub max_connections: u32,
+    /// Behaviour of its upstreams after their start; `None` if they are always warm.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Limits on what callers may send.
--- a/lib/src/state/route_table.rs
+++ b/lib/src/state/route_table.rs
@@ -193,7 +193,7 @@
 
 /// Returns the configuration of a service: the objectives of its routes, and defaults for the rest.
 fn service_config(set: &RouteSet, service: &RoutedService, revision: u64) -> Published {
-    let RoutedService { name, health_path, max_connections } = service;
+    let RoutedService { name, health_path, max_connections, cold_start } = service;
     let routes = set
         .routes
         .iter()
@@ -247,6 +247,7 @@
             max_ejected_percent: MAX_EJECTED_PERCENT,
             adaptive_limit: false,
         },
+        cold_start: *cold_start,
     };
     Published { service: Arc::clone(name), revision, epoch: 0, config: Some(config), routes: None }
 }
--- a/lib/tests/call_tree.rs
+++ b/lib/tests/call_tree.rs
@@ -44,6 +44,7 @@
         service,
         priorities,
         upstream_rule: UpstreamRuleSpec::default(),
+        cold_start: None,
     }
 }
 
--- a/lib/tests/routes.rs
+++ b/lib/tests/routes.rs
@@ -37,8 +37,12 @@
 }
 
 fn route_set(routes: Vec<RouteSpec>) -> RouteSet {
-    let service =
-        RoutedService { name: Arc::from("a"), health_path: Arc::from("/health"), max_connections: 10 };
+    let service = RoutedService {
+        name: Arc::from("a"),
+        health_path: Arc::from("/health"),
+        max_connections: 10,
+        cold_start: None,
+    };
     RouteSet { version: Arc::from("1"), revision: 1, routes, services: vec![service], limits: LIMITS }
 }
 
