gate: cold upstreams get no more than their cold rate

A gate sent a cold upstream as much as a warm one, since it read neither ColdRemainingS nor Cold-Ms.

The cold limit is now part of admission, beside the rate limit that upstreams name: it applies from a heartbeat, a health response, a new incarnation, a failed connection or probe, and Gate::suspect_cold, until a health response says that the upstream is warm. Log lines and metrics tell the changes and what the upstream was sent. Without a declared cold rate no probe is sent and nothing waits.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -8,6 +8,7 @@
 
 use tokio::time::Instant;
 
+use crate::coordination::cold_limit::ColdLimit;
 use crate::coordination::concurrency_limit::ConcurrencyLimit;
 use crate::coordination::execution_progress::micros;
 use crate::coordination::priority_queue::PriorityQueue;
@@ -48,6 +49,7 @@
     balances: SlotBalances,
     estimate: ServiceEstimate,
     start_rate: StartRate,
+    cold_limit: ColdLimit,
     last_request_at: Option<Instant>,
 }
 
@@ -66,6 +68,7 @@
             balances: SlotBalances::new(now),
             estimate: ServiceEstimate::new(now),
             start_rate: StartRate::new(now),
+            cold_limit: ColdLimit::new(now),
             last_request_at: None,
         }
     }
@@ -104,10 +107,23 @@
         self.start_rate.hold(limit, start_at);
     }
 
+    /// Returns the limit that applies while the upstream is cold or may be.
+    #[must_use]
+    pub const fn cold_limit(&self) -> &ColdLimit {
+        &self.cold_limit
+    }
+
+    /// Returns the cold limit, to record what is learned of the upstream.
+    ///
+    /// Calls that it permits afterwards start with [`Self::start_held_calls`].
+    pub const fn cold_limit_mut(&mut self) -> &mut ColdLimit {
+        &mut self.cold_limit
+    }
+
     /// Returns the time at which the rate limit lets a queued call start, if only that keeps it waiting.
     #[must_use]
     pub fn next_start_at(&self, now: Instant) -> Option<Instant> {
-        let delay = self.start_rate.delay(0, now);
+        let delay = self.start_delay(0, now);
         (!delay.is_zero() && self.queued() > 0 && self.running < self.usable_slots(now)).then(|| now + delay)
     }
 
@@ -199,7 +215,7 @@
             limit: self.slots(),
             service_time_us: self.estimate.current_service_us(now),
             slowness_permille: self.estimate.slowness_permille(now),
-            start_delay_us: micros(self.start_rate.delay(self.queued(), now)),
+            start_delay_us: micros(self.start_delay(self.queued(), now)),
         }
     }
 
@@ -210,7 +226,12 @@
     pub fn retry_hint(&self, now: Instant) -> Duration {
         let queued = self.queued();
         let drain_time = self.service_time() * queued.saturating_add(1) / self.slots().max(1);
-        drain_time.max(self.start_rate.delay(queued, now)).clamp(MIN_RETRY_HINT, MAX_RETRY_HINT)
+        drain_time.max(self.start_delay(queued, now)).clamp(MIN_RETRY_HINT, MAX_RETRY_HINT)
+    }
+
+    /// Returns the time until the upstream's limits let a call start after `calls_ahead` others.
+    fn start_delay(&self, calls_ahead: u32, now: Instant) -> Duration {
+        self.start_rate.delay(calls_ahead, now).max(self.cold_limit.delay(calls_ahead, now))
     }
 
     /// Returns the number of queued calls of all priorities.
--- a/lib/src/coordination/admission/arrival.rs
+++ b/lib/src/coordination/admission/arrival.rs
@@ -51,7 +51,7 @@
         let is_slot_free = self.is_slot_free_for(index, now);
         let slot_wait =
             if is_slot_free { Duration::ZERO } else { self.expected_wait(index, request.caller, now) };
-        let rate_delay = self.start_rate.delay(self.queued_before(index), now);
+        let rate_delay = self.start_delay(self.queued_before(index), now);
         let wait = slot_wait.max(rate_delay);
         // A call may be held although a slot is free, see `ServiceEstimate::longest_call_to_start`.
         let longest_call = self.estimate.longest_call_to_start(now);
--- a/lib/src/coordination/admission/slots.rs
+++ b/lib/src/coordination/admission/slots.rs
@@ -43,7 +43,7 @@
         let longest_call = self.estimate.longest_call_to_start(now);
         let mut decisions = Vec::new();
         self.reject_superseded_calls(service_time, now, &mut decisions);
-        while self.running < self.usable_slots(now) && self.start_rate.permits_start(now) {
+        while self.running < self.usable_slots(now) && self.start_delay(0, now).is_zero() {
             let Some(index) = self.next_queue(service_time, longest_call, now) else {
                 break;
             };
@@ -114,6 +114,7 @@
     ) -> SlotGrant {
         self.running += 1;
         self.start_rate.record_start(now);
+        self.cold_limit.record_start(now);
         let execution = Execution {
             started: now,
             typical_time,
--- a/lib/src/coordination/start_rate.rs
+++ b/lib/src/coordination/start_rate.rs
@@ -68,12 +68,6 @@
         })
     }
 
-    /// Returns whether a call may start now.
-    #[must_use]
-    pub fn permits_start(&self, now: Instant) -> bool {
-        self.delay(0, now).is_zero()
-    }
-
     fn interval(&self) -> Option<Duration> {
         self.limit.map(|limit| limit.interval().map_or(MAX_INTERVAL, |interval| interval.min(MAX_INTERVAL)))
     }
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -194,6 +194,7 @@
         let mut platform_tasks =
             spawn_external_platform_tasks::<I>(settings, &core.gossip, &core.shared, &stop_rest);
         platform_tasks.push(tokio::spawn(core.slowdown_probe().run(stop_rest.clone())));
+        platform_tasks.push(tokio::spawn(core.cold_probe().run(stop_rest.clone())));
         let gate = Arc::clone(&core.gate);
         platform_tasks.push(tokio::spawn(gate.start_rate_limited_calls(stop_rest.clone())));
         let parts = Parts { listeners, core, ingress, handlers, platform_tasks, stop_rest };
--- a/lib/src/node/core_parts.rs
+++ b/lib/src/node/core_parts.rs
@@ -32,6 +32,7 @@
 use crate::state::metrics::SharedMetrics;
 use crate::transport::admin_server::AdminHandler;
 use crate::transport::announce_server::UpstreamRegistration;
+use crate::transport::cold_probe::ColdProbe;
 use crate::transport::gate::Gate;
 use crate::transport::gossip::Gossip;
 use crate::transport::gossip::GossipDependencies;
@@ -163,6 +164,14 @@
         }
     }
 
+    pub(super) fn cold_probe(&self) -> ColdProbe {
+        ColdProbe {
+            gate: Arc::clone(&self.gate),
+            config: Arc::clone(&self.shared.config),
+            metrics: Arc::clone(&self.shared.metrics),
+        }
+    }
+
     pub(super) fn spawn_tasks(&self, stop: &CancellationToken) -> Vec<JoinHandle<()>> {
         vec![
             tokio::spawn(Arc::clone(&self.gossip).run(stop.clone())),
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -79,6 +79,10 @@
     pub probes: Family<ReasonLabels, Counter>,
     /// Load probes that were skipped, by reason.
     pub skipped_probes: Family<ReasonLabels, Counter>,
+    /// Changes of what the gate knows of its upstream's cold starts, by the new state.
+    pub cold_states: Family<ReasonLabels, Counter>,
+    /// Calls started while the upstream was cold or might have been, counted once it is warm.
+    pub cold_starts: Counter,
     /// Calls to the platform, by operation, or by kind of failure.
     pub platform_calls: Family<ReasonLabels, Counter>,
     /// Control traffic between nodes.
@@ -102,6 +106,8 @@
         let hedge_outcomes = Family::<ReasonLabels, Counter>::default();
         let probes = Family::<ReasonLabels, Counter>::default();
         let skipped_probes = Family::<ReasonLabels, Counter>::default();
+        let cold_states = Family::<ReasonLabels, Counter>::default();
+        let cold_starts = Counter::default();
         let platform_calls = Family::<ReasonLabels, Counter>::default();
         let mut registry = Registry::with_prefix("yuccatray");
         registry.register("calls", "Calls answered by the ingress", calls.clone());
@@ -118,6 +124,16 @@
         registry.register("hedge_outcomes", "Races of two copies by the winner", hedge_outcomes.clone());
         registry.register("probes", "Questions to the upstream about its load", probes.clone());
         registry.register("probes_denied", "Questions not asked by reason", skipped_probes.clone());
+        registry.register(
+            "cold_states",
+            "Changes of the upstream's cold state by new state",
+            cold_states.clone(),
+        );
+        registry.register(
+            "cold_starts",
+            "Calls started while the upstream was or may have been cold, counted when it is warm",
+            cold_starts.clone(),
+        );
         registry.register("platform_calls", "Calls of the platform by outcome", platform_calls.clone());
         let control = ControlMetrics::default();
         control.register_in(&mut registry);
@@ -132,6 +148,8 @@
             hedge_outcomes,
             probes,
             skipped_probes,
+            cold_states,
+            cold_starts,
             platform_calls,
             control,
         }
--- a/lib/src/transport/announce_server.rs
+++ b/lib/src/transport/announce_server.rs
@@ -34,6 +34,7 @@
 use crate::protocol::checked_json::parse_jsonc;
 use crate::protocol::member::UpstreamInfo;
 use crate::protocol::published::Published;
+use crate::protocol::route::ColdStart;
 use crate::protocol::service_spec::UpstreamRuleSpec;
 use crate::state::config_table::ConfigTable;
 use crate::transport::gate::Gate;
@@ -244,6 +245,7 @@
         };
         let mut upstream = RegisteredUpstream::new(announcement, Some(version));
         self.apply(&mut upstream);
+        self.gate.record_cold_heartbeat(heartbeat.cold_for);
         *registered = Some(upstream);
         CheckInOutcome::Followed
     }
@@ -305,6 +307,7 @@
         let published = self.config.get(&announcement.service);
         upstream.revision = published.as_ref().map(|published| published.revision);
         self.gate.set_priority_rules(&priority_rules(published.as_deref()));
+        self.gate.set_cold_start(cold_start(published.as_deref()));
         let is_drained = announcement.draining || self.is_draining();
         if is_drained {
             self.gate.drain();
@@ -336,6 +339,10 @@
     config.map(|config| config.upstream_rule.clone()).unwrap_or_default()
 }
 
+fn cold_start(published: Option<&Published>) -> Option<ColdStart> {
+    published.and_then(|published| published.config.as_ref()?.cold_start)
+}
+
 fn priority_rules(published: Option<&Published>) -> Vec<PriorityRule> {
     let config = published.and_then(|published| published.config.as_ref());
     let priorities = config.iter().flat_map(|config| config.priorities.priorities.values());
--- a/lib/src/transport/call_guard.rs
+++ b/lib/src/transport/call_guard.rs
@@ -182,6 +182,9 @@
         if let Some(slot) = &self.slot {
             let running = slot.grant.map(|grant| grant.started().elapsed()).unwrap_or_default();
             log_answer_aborted(&slot.id, running, slot.gate.stop_state(), error);
+            if let Some(pool) = &self.pool {
+                slot.gate.record_connection_failure(pool);
+            }
         }
         self.close_connection();
     }
--- a/lib/src/transport/gate_admission.rs
+++ b/lib/src/transport/gate_admission.rs
@@ -64,10 +64,14 @@
         let now = Instant::now();
         let mut queue = self.queue.lock();
         match queue.admission.request_admission(request, now) {
-            AdmissionOutcome::Admitted(grant) => Ok(AdmissionState::Granted(grant)),
+            AdmissionOutcome::Admitted(grant) => {
+                queue.request_cold_probe(now);
+                Ok(AdmissionState::Granted(grant))
+            }
             AdmissionOutcome::Queued(key) => {
                 let (sender, receiver) = oneshot::channel();
                 queue.waiters.insert(key, sender);
+                queue.request_cold_probe(now);
                 if queue.admission.next_start_at(now).is_some() {
                     self.next_start_changed.notify_one();
                 }
--- a/lib/src/transport/gate_forwarding.rs
+++ b/lib/src/transport/gate_forwarding.rs
@@ -90,6 +90,9 @@
             }
             Ok(Err(error)) => {
                 guard.record_failure();
+                if error.is_connection_failure() {
+                    self.record_connection_failure(&pool);
+                }
                 Err(self.upstream_error_answer(call, &error))
             }
             Err(_) => {
--- a/lib/src/transport/gate_notice.rs
+++ b/lib/src/transport/gate_notice.rs
@@ -7,6 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::admission::Admission;
+use crate::coordination::cold_limit::ColdCause;
 use crate::log_event_limited;
 use crate::protocol::external_fields::UpstreamNotice;
 use crate::protocol::rate_limit;
@@ -97,6 +98,7 @@
         if self.external_fields.is_some() {
             hold_starts(&mut self.queue.lock().admission);
         }
+        self.suspect_cold_after(ColdCause::NewUpstream);
         self.pool.store(Some(Arc::new(pool)));
         self.next_start_changed.notify_one();
         self.upstream_replaced.notify_one();
--- a/lib/src/transport/gate_query.rs
+++ b/lib/src/transport/gate_query.rs
@@ -19,6 +19,8 @@
 
 /// Time limit of a request that the gate itself makes to the upstream.
 const UPSTREAM_QUERY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit of a probe while calls may have to wait for its answer.
+const COLD_PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Largest response body accepted for a request that the gate itself makes, in bytes.
 const MAX_QUERY_BODY_BYTES: usize = 16_384;
@@ -26,19 +28,36 @@
 impl Gate {
     /// Probes an upstream of an external dialect for its slowdown and returns whether it reported one.
     pub async fn probe_slowdown(&self, path: &str) -> bool {
+        self.probe(path, UPSTREAM_QUERY_TIMEOUT).await
+    }
+
+    /// Probes an upstream that may be cold, and returns whether it reported its slowdown.
+    pub async fn probe_cold(&self, path: &str) -> bool {
+        self.probe(path, COLD_PROBE_TIMEOUT).await
+    }
+
+    /// Requests the health path of an upstream of an external dialect and records what its answer says.
+    async fn probe(&self, path: &str, time_limit: Duration) -> bool {
         let Some(fields) = &self.external_fields else {
             return false;
         };
         let Some(pool) = self.pool.load_full() else {
             return false;
         };
-        let Some(response) = query(&pool, path).await else {
+        let probe = self.begin_health_probe();
+        let response = query(&pool, path, time_limit).await.filter(|response| {
+            let is_own = fields.is_health_of(pool.instance().map(AsRef::as_ref), response.headers());
+            if !is_own {
+                log_event_limited!(Info, "probe answered by another instance", addr = pool.addr());
+            }
+            is_own
+        });
+        let cold_time =
+            response.as_ref().and_then(|response| fields.cold_time(response.status(), response.headers()));
+        self.record_health(&pool, probe, cold_time);
+        let Some(response) = response else {
             return false;
         };
-        if !fields.is_health_of(pool.instance().map(AsRef::as_ref), response.headers()) {
-            log_event_limited!(Info, "probe answered by another instance", addr = pool.addr());
-            return false;
-        }
         self.observe_notice(&pool, fields.notice(response.headers()), NoticeSource::Probe);
         let Some(report) = fields.upstream_load(response.headers()) else {
             return false;
@@ -51,15 +70,15 @@
     ///
     /// Returns `None` if there is no upstream, the request fails or times out, or the body is too large.
     pub async fn query_upstream(&self, path: &str) -> Option<Response<Bytes>> {
-        query(&self.pool.load_full()?, path).await
+        query(&self.pool.load_full()?, path, UPSTREAM_QUERY_TIMEOUT).await
     }
 }
 
-/// Fetches a small document from the upstream of a pool within [`UPSTREAM_QUERY_TIMEOUT`].
-async fn query(pool: &Arc<UpstreamPool>, path: &str) -> Option<Response<Bytes>> {
+/// Fetches a small document from the upstream of a pool within a time limit.
+async fn query(pool: &Arc<UpstreamPool>, path: &str, time_limit: Duration) -> Option<Response<Bytes>> {
     let request = Request::get(path).header(HOST, pool.addr().to_string());
     let request = request.body(CallBody::from(Bytes::new())).ok()?;
-    let answer_by = Instant::now() + UPSTREAM_QUERY_TIMEOUT;
+    let answer_by = Instant::now() + time_limit;
     let query = async {
         let mut connection = None;
         let response = pool.send(request, answer_by, || true, &mut connection).await.ok()?;
--- a/lib/src/transport/gate_queue.rs
+++ b/lib/src/transport/gate_queue.rs
@@ -1,6 +1,9 @@
 //! Admission state of a gate together with the channels to its queued calls.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -15,15 +18,36 @@
 pub(super) struct GateQueue {
     pub(super) admission: Admission,
     pub(super) waiters: IndexMap<QueueKey, oneshot::Sender<Result<SlotGrant, RejectReason>>>,
+    /// Notified when a health response is needed to learn whether the upstream is cold.
+    pub(super) cold_probe_due: Arc<Notify>,
 }
 
 impl GateQueue {
     pub(super) fn new(now: Instant) -> Self {
-        Self { admission: Admission::new(0, &[], now), waiters: IndexMap::new() }
+        Self {
+            admission: Admission::new(0, &[], now),
+            waiters: IndexMap::new(),
+            cold_probe_due: Arc::default(),
+        }
+    }
+
+    /// Requests a probe if it is needed to learn whether the upstream is cold.
+    pub(super) fn request_cold_probe(&self, now: Instant) {
+        if self.needs_cold_probe(now) {
+            self.cold_probe_due.notify_one();
+        }
+    }
+
+    /// Returns whether a health response is needed to learn whether the upstream is cold.
+    pub(super) fn needs_cold_probe(&self, now: Instant) -> bool {
+        self.admission.cold_limit().needs_probe(!self.waiters.is_empty(), now)
     }
 
     /// Sends outcomes to the queued calls that they belong to.
     pub(super) fn deliver(&mut self, queue_outcomes: Vec<QueueDecision>) {
+        if !queue_outcomes.is_empty() {
+            self.request_cold_probe(Instant::now());
+        }
         for queue_outcome in queue_outcomes {
             let (key, outcome) = match queue_outcome {
                 QueueDecision::Admit(key, grant) => (key, Ok(grant)),
--- a/lib/src/transport/slowdown_probe.rs
+++ b/lib/src/transport/slowdown_probe.rs
@@ -45,7 +45,7 @@
             if !probe.is_empty() || !self.gate.needs_slowdown_probe(Instant::now()) {
                 continue;
             }
-            let Some(measuring) = self.measuring() else {
+            let Some(measuring) = measuring(&self.gate, &self.config) else {
                 self.gate.extend_wait_for_first_answer();
                 continue;
             };
@@ -55,12 +55,12 @@
             }
         }
     }
+}
 
-    /// Returns how the service of the upstream is measured, once its configuration is known.
-    fn measuring(&self) -> Option<MeasuringSpec> {
-        let published = self.config.get(&self.gate.service()?)?;
-        Some(published.config.as_ref()?.service.measuring.clone())
-    }
+/// Returns how the service of the upstream is measured, once its configuration is known.
+pub(super) fn measuring(gate: &Gate, config: &ConfigTable) -> Option<MeasuringSpec> {
+    let published = config.get(&gate.service()?)?;
+    Some(published.config.as_ref()?.service.measuring.clone())
 }
 
 /// Probes the upstream once and counts the outcome.
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -104,6 +104,12 @@
     pub const fn proves_not_executed(&self) -> bool {
         !matches!(self, Self::Lost { .. } | Self::IncompleteResponse { .. })
     }
+
+    /// Returns whether the upstream refused or ended a connection, as it does when it restarts.
+    #[must_use]
+    pub const fn is_connection_failure(&self) -> bool {
+        !matches!(self, Self::ConnectTimeout | Self::Exhausted | Self::Draining)
+    }
 }
 
 /// Connection that is ready for one call.
--- a/lib/tests/cold_limit.rs
+++ b/lib/tests/cold_limit.rs
@@ -258,12 +258,12 @@
     limit.record_probe_failure(probe, now);
     let change = limit.record_heartbeat(Duration::ZERO, now).expect("nothing else can tell");
     assert_eq!((change.state, change.cause), (ColdState::Warm, ColdCause::Heartbeat));
-    let mut started = 0;
-    while limit.delay(0, now).is_zero() {
+    let started = (0..100).take_while(|_| {
+        let may_start = limit.delay(0, now).is_zero();
         limit.record_start(now);
-        started += 1;
-    }
-    assert_eq!(started, 7, "half as many as after a health response");
+        may_start
+    });
+    assert_eq!(started.count(), 7, "half as many as after a health response");
 }
 
 #[test]
