evacuation: zones are evacuated by an entry in the store

Cause: operators had no way to take all upstreams of a zone out of service.

Change: the nodes that confirm configurations, and those that none confirms, watch the kind `evacuations` and publish the set under `zone-evacuations`, with the store's epoch and version as revision. Ingresses exclude evacuated zones, gates of the zone reject new and queued calls as not executed, and calls to a service without another zone get 503 at once. Watches of routes and evacuations share their modes. Off unless the bounds contain the limit for evacuations.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 pub mod cross_zone_yield;
 pub mod delayed_count;
 mod dissemination;
+pub mod evacuation;
 pub mod execution_progress;
 mod failure_detection;
 pub mod fleet_view;
--- a/lib/src/coordination/publication.rs
+++ b/lib/src/coordination/publication.rs
@@ -101,7 +101,7 @@
         return None;
     }
     let revision = last_revision.max(min_revision) + 1;
-    Some(Published { service: Arc::clone(name), revision, epoch, config, routes: None })
+    Some(Published { service: Arc::clone(name), revision, epoch, config, routes: None, evacuations: None })
 }
 
 /// Parses and validates the value of an object.
--- a/lib/src/node/bounded_settings.rs
+++ b/lib/src/node/bounded_settings.rs
@@ -4,6 +4,7 @@
 use crate::protocol::settings::LimitSettings;
 use crate::protocol::settings::PlatformSettings;
 use crate::protocol::settings::Settings;
+use crate::transport::evacuation_watcher::max_evacuation_wait_ms;
 use crate::transport::routes_watcher::max_watch_wait_ms;
 
 /// Part of the grace period that a stop leaves for the process to end, as a divisor.
@@ -28,6 +29,11 @@
     if let Some(config_apply_ms) = bounds.config_apply_ms {
         limit_watch_wait(&mut settings.platform, config_apply_ms);
     }
+    if let Some(evacuation_ms) = bounds.evacuation_ms {
+        // A node that others fail reads the evacuations only once its last confirmation is too old.
+        limit_watch_wait(&mut settings.platform, evacuation_ms);
+        settings.platform.evacuation_wait_ms = Some(max_evacuation_wait_ms(evacuation_ms));
+    }
 }
 
 /// Lets a stop use the whole grace period but for the time that the process needs to end.
--- a/lib/src/node/core_parts.rs
+++ b/lib/src/node/core_parts.rs
@@ -47,6 +47,7 @@
 use crate::transport::peer_server::PeerHandler;
 use crate::transport::routes_watcher::max_confirmation_age;
 use crate::transport::slowdown_probe::SlowdownProbe;
+use crate::transport::zone_evacuator::ZoneEvacuator;
 
 /// State and services shared by the servers and tasks of one node.
 #[derive(Debug)]
@@ -163,10 +164,19 @@
         }
     }
 
+    fn zone_evacuator(&self) -> ZoneEvacuator {
+        ZoneEvacuator {
+            zone: Arc::clone(&self.local_member.zone),
+            gate: Arc::clone(&self.gate),
+            config: Arc::clone(&self.shared.config),
+        }
+    }
+
     pub(super) fn spawn_tasks(&self, stop: &CancellationToken) -> Vec<JoinHandle<()>> {
         vec![
             tokio::spawn(Arc::clone(&self.gossip).run(stop.clone())),
             tokio::spawn(Arc::clone(&self.registration).run(stop.clone())),
+            tokio::spawn(self.zone_evacuator().run(stop.clone())),
             tokio::spawn(Arc::clone(&self.shared.security).run(stop.clone())),
         ]
     }
--- a/lib/src/node/tasks.rs
+++ b/lib/src/node/tasks.rs
@@ -13,6 +13,7 @@
 use crate::node::core_parts::SharedParts;
 use crate::protocol::settings::Settings;
 use crate::transport::config_watcher::ConfigWatcher;
+use crate::transport::evacuation_watcher::EvacuationWatcher;
 use crate::transport::external_dialect::ExternalDialect;
 use crate::transport::fleet_link::GossipLink;
 use crate::transport::gossip::Gossip;
@@ -28,6 +29,9 @@
 /// Time that background tasks have to end after the servers have stopped.
 const BACKGROUND_STOP_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Maximum time for which a starting node waits for the evacuations before it reads the routes.
+const FIRST_LISTING_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Spawns the tasks that communicate with the platform as the current role of the node requires.
 pub(super) fn spawn_platform_tasks(
     settings: &Settings,
@@ -77,7 +81,27 @@
         has_seeds: !settings.seeds.is_empty(),
         metrics: Arc::clone(metrics),
     };
-    vec![tokio::spawn(watcher.run(stop.clone())), tokio::spawn(seed_registry.run(stop.clone()))]
+    let evacuations = EvacuationWatcher::new::<I>(
+        &settings.platform,
+        Arc::clone(gossip),
+        Arc::clone(&shared.config),
+        Arc::clone(metrics),
+    );
+    let mut tasks = vec![tokio::spawn(seed_registry.run(stop.clone()))];
+    match evacuations {
+        None => tasks.push(tokio::spawn(watcher.run(stop.clone()))),
+        Some(evacuations) => {
+            let listed = evacuations.listed().clone();
+            let stop_routes = stop.clone();
+            tasks.push(tokio::spawn(evacuations.run(stop.clone())));
+            tasks.push(tokio::spawn(async move {
+                // A node that starts must not send calls to an evacuated zone as soon as it has routes.
+                let _listed_or_not = tokio::time::timeout(FIRST_LISTING_TIMEOUT, listed.cancelled()).await;
+                watcher.run(stop_routes).await;
+            }));
+        }
+    }
+    tasks
 }
 
 pub(super) fn server_limits(settings: &Settings) -> ServerLimits {
--- a/lib/src/protocol/deployment_bounds.rs
+++ b/lib/src/protocol/deployment_bounds.rs
@@ -11,4 +11,6 @@
     pub revoke_ms: Option<u64>,
     /// Whether a node refuses requests that need a key once its configuration was not confirmed for `revoke_ms`.
     pub fail_closed: Option<bool>,
+    /// Time after which no call may reach an upstream of a zone that operators have evacuated, in milliseconds.
+    pub evacuation_ms: Option<u64>,
 }
--- a/lib/src/protocol/error_kind.rs
+++ b/lib/src/protocol/error_kind.rs
@@ -45,6 +45,8 @@
     NoUpstream,
     /// The node or its upstream is draining.
     Draining,
+    /// Every upstream that could serve the call is in a zone that operators have evacuated.
+    ZoneEvacuated,
     /// The deadline passed before the call reached an upstream.
     DeadlineBeforeStart,
     /// The deadline passed while an upstream may have been running the call.
@@ -91,7 +93,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::MalformedRequest,
         Self::UnknownService,
         Self::UnknownRoute,
@@ -107,6 +109,7 @@
         Self::ObjectiveMissed,
         Self::NoUpstream,
         Self::Draining,
+        Self::ZoneEvacuated,
         Self::DeadlineBeforeStart,
         Self::DeadlineWhileRunning,
         Self::OutcomeUnknown,
@@ -143,6 +146,7 @@
             }
             Self::NoUpstream => row("no_upstream", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true),
             Self::Draining => row("draining", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true),
+            Self::ZoneEvacuated => row("zone_evacuated", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true),
             Self::DeadlineBeforeStart => {
                 row("deadline_before_start", StatusCode::GATEWAY_TIMEOUT, NotExecuted, true)
             }
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -10,6 +10,7 @@
 pub mod checked_json;
 pub mod deployment_bounds;
 pub mod error_kind;
+pub mod evacuation;
 pub mod external_fields;
 pub mod headers;
 pub mod issued_key;
--- a/lib/src/protocol/published.rs
+++ b/lib/src/protocol/published.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::protocol::evacuation::EvacuationSet;
 use crate::protocol::route::RouteSet;
 use crate::protocol::service_spec::PrioritySetSpec;
 use crate::protocol::service_spec::ServiceSpec;
@@ -27,6 +28,9 @@
     /// Routes of the fleet; set only in the entry for the routes, whose `service` is not that of a service.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub routes: Option<RouteSet>,
+    /// Evacuated zones; set only in the entry for the evacuations, whose `service` is not that of a service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<EvacuationSet>,
 }
 
 /// Configuration of a service with the objects that it refers to.
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -146,6 +146,11 @@
     /// those of these settings.
     #[serde(default)]
     pub bounds: Arc<str>,
+    /// Maximum time that a watch of evacuated zones waits, in milliseconds; `None` if zones are not evacuated.
+    ///
+    /// It follows from the bounds.
+    #[serde(skip)]
+    pub evacuation_wait_ms: Option<u64>,
 }
 
 /// Limits on what a node accepts.
--- a/lib/src/state/config_table.rs
+++ b/lib/src/state/config_table.rs
@@ -5,8 +5,11 @@
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use indexmap::IndexMap;
+use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::protocol::evacuation::EVACUATIONS_NAME;
+use crate::protocol::evacuation::EvacuationSet;
 use crate::protocol::published::Published;
 use crate::protocol::route::ROUTES_NAME;
 use crate::state::route_table::RouteTable;
@@ -19,6 +22,9 @@
 pub struct ConfigTable {
     current: ArcSwap<ConfigSnapshot>,
     routes: ArcSwapOption<RouteTable>,
+    evacuations: ArcSwapOption<EvacuationSet>,
+    /// Revision of the evacuations in force.
+    evacuations_revision: watch::Sender<u64>,
 }
 
 impl ConfigTable {
@@ -52,6 +58,24 @@
         self.routes.load_full()
     }
 
+    /// Returns the evacuated zones, or `None` as long as no zone has been evacuated.
+    #[must_use]
+    pub fn evacuations(&self) -> Option<Arc<EvacuationSet>> {
+        self.evacuations.load_full()
+    }
+
+    /// Returns a receiver that is notified when the evacuated zones change.
+    #[must_use]
+    pub fn evacuations_changed(&self) -> watch::Receiver<u64> {
+        self.evacuations_revision.subscribe()
+    }
+
+    /// Returns whether the node knows services or routes, so that it can serve calls.
+    #[must_use]
+    pub fn is_configured(&self) -> bool {
+        self.current.load().keys().any(|name| **name != *EVACUATIONS_NAME)
+    }
+
     /// Returns a digest of the services and their revisions; nodes with equal tables have equal digests.
     #[must_use]
     pub fn digest(&self) -> u64 {
@@ -60,7 +84,12 @@
     }
 
     /// Applies a publication if it is newer than the current one and returns whether it was applied.
+    ///
+    /// Evacuations without content are not applied: a node of a build that does not know them passes them on so.
     pub fn apply(&self, published: Published) -> bool {
+        if *published.service == *EVACUATIONS_NAME && published.evacuations.is_none() {
+            return false;
+        }
         let published = Arc::new(published);
         let mut applied = false;
         self.current.rcu(|table| {
@@ -82,9 +111,27 @@
                 self.routes.load().as_deref(),
             )));
         }
+        if applied
+            && *published.service == *EVACUATIONS_NAME
+            && let Some(evacuations) = &published.evacuations
+        {
+            self.replace_evacuations(evacuations, published.revision);
+        }
         applied
     }
 
+    /// Replaces the evacuated zones unless the current ones are at least as new.
+    fn replace_evacuations(&self, evacuations: &EvacuationSet, revision: u64) {
+        self.evacuations_revision.send_if_modified(|current| {
+            if *current >= revision {
+                return false;
+            }
+            *current = revision;
+            self.evacuations.store(Some(Arc::new(evacuations.clone())));
+            true
+        });
+    }
+
     /// Replaces the routes unless the current ones are at least as new.
     fn replace_routes(&self, table: &Arc<RouteTable>) {
         self.routes.rcu(|current| match current {
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub mod control_metrics;
 pub mod decision_log;
 pub mod directory;
+pub mod evacuation_metrics;
 pub mod metrics;
 pub mod parent_calls;
 pub mod route_table;
--- a/lib/src/state/route_table.rs
+++ b/lib/src/state/route_table.rs
@@ -248,5 +248,12 @@
             adaptive_limit: false,
         },
     };
-    Published { service: Arc::clone(name), revision, epoch: 0, config: Some(config), routes: None }
+    Published {
+        service: Arc::clone(name),
+        revision,
+        epoch: 0,
+        config: Some(config),
+        routes: None,
+        evacuations: None,
+    }
 }
--- a/lib/src/transport/admin_server.rs
+++ b/lib/src/transport/admin_server.rs
@@ -54,6 +54,20 @@
     pub revisions: IndexMap<Arc<str>, u64>,
     /// Members that it knows.
     pub members: Vec<MemberReport>,
+    /// Zones that operators have evacuated.
+    #[serde(default)]
+    pub evacuations: Vec<EvacuationReport>,
+}
+
+/// Evacuation of a zone as a node sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationReport {
+    /// Name of the zone.
+    pub zone: Arc<str>,
+    /// Time at which a node first read the entry, in milliseconds since 1970 by that node's clock.
+    pub since_unix_ms: u64,
+    /// Calls of the reporting node's callers that still run at upstreams of the zone.
+    pub running_calls: u32,
 }
 
 /// A member as recorded in a node's directory.
@@ -135,8 +149,37 @@
                 .map(|(name, published)| (Arc::clone(name), published.revision))
                 .collect(),
             members: members.collect(),
+            evacuations: self.evacuation_reports(),
         }
     }
+
+    /// Returns the evacuated zones, and how many calls of this node still run there.
+    fn evacuation_reports(&self) -> Vec<EvacuationReport> {
+        let evacuations = self.config.evacuations().unwrap_or_default();
+        let snapshot = self.directory.snapshot();
+        let now = Instant::now();
+        let running_calls = |zone: &str| {
+            let entries = snapshot.entries().filter(|entry| *entry.member.zone == *zone);
+            entries.map(|entry| entry.stats.load(now).in_flight).sum()
+        };
+        let reports = evacuations.zones.iter().map(|evacuation| EvacuationReport {
+            zone: Arc::clone(&evacuation.zone),
+            since_unix_ms: evacuation.since_unix_ms,
+            running_calls: running_calls(&evacuation.zone),
+        });
+        reports.collect()
+    }
+
+    /// Returns all metrics, with the gauges of the evacuated zones as of now.
+    fn encode_metrics(&self) -> String {
+        let reports = self.evacuation_reports();
+        let running_calls: i64 = reports.iter().map(|report| i64::from(report.running_calls)).sum();
+        let gauges = &self.metrics.evacuation;
+        gauges.zones.set(i64::try_from(reports.len()).unwrap_or(i64::MAX));
+        gauges.own_zone.set(i64::from(self.gate.is_zone_evacuated()));
+        gauges.running_calls.set(running_calls);
+        self.metrics.encode()
+    }
 }
 
 impl AdminHandler {
@@ -163,7 +206,7 @@
         if local_member.is_some_and(|entry| entry.member.state == MemberState::Leaving) {
             return Some("stopping");
         }
-        self.config.snapshot().is_empty().then_some("no configuration yet")
+        (!self.config.is_configured()).then_some("no configuration yet")
     }
 
     fn trace(&self, call: Option<&str>) -> Response<Full<Bytes>> {
@@ -199,7 +242,7 @@
             (&Method::GET, "/metrics") => answer(
                 StatusCode::OK,
                 "application/openmetrics-text; version=1.0.0; charset=utf-8",
-                self.metrics.encode(),
+                self.encode_metrics(),
             ),
             (&Method::GET, "/v1/node") => json(&self.report()),
             (&Method::GET, "/v1/burn") => json(&self.burn_report(query_parameter(request.uri(), "service"))),
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::coordination::cross_zone_yield::CrossZoneYield;
+use crate::coordination::evacuation::may_send_to;
 use crate::coordination::routing::Candidate;
 use crate::coordination::routing::FULL_RAMP_UP_PERMILLE;
 use crate::coordination::routing::RoutingContext;
@@ -19,9 +20,11 @@
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::error_kind::Execution;
+use crate::protocol::member::Member;
 use crate::protocol::published::PublishedConfig;
 use crate::protocol::trace::TraceStep;
 use crate::state::directory::DirectoryEntry;
+use crate::state::directory::MemberKey;
 use crate::state::metrics::Metrics;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
@@ -63,16 +66,24 @@
     rejected: Vec<Arc<str>>,
     /// Gates that rerouted the call.
     rerouted: Vec<Arc<str>>,
+    /// Zones in which a gate rejected an attempt because the zone is evacuated.
+    evacuated_zones: Vec<Arc<str>>,
 }
 
 impl AttemptedGates {
-    fn contains(&self, name: &Arc<str>) -> bool {
-        self.is_excluded(name) || self.rerouted.contains(name)
+    fn contains(&self, member: &Member) -> bool {
+        self.is_excluded(member) || self.rerouted.contains(&member.id.name)
     }
 
     /// Returns whether the gate must not be attempted again; a gate that only rerouted the call may be.
-    fn is_excluded(&self, name: &Arc<str>) -> bool {
-        self.failed.contains(name) || self.rejected.contains(name)
+    fn is_excluded(&self, member: &Member) -> bool {
+        let name = &member.id.name;
+        self.failed.contains(name) || self.rejected.contains(name) || self.is_in_evacuated_zone(member)
+    }
+
+    /// Returns whether a gate of the member's zone has rejected the call because the zone is evacuated.
+    pub(super) fn is_in_evacuated_zone(&self, member: &Member) -> bool {
+        self.evacuated_zones.contains(&member.zone)
     }
 
     const fn excluded_count(&self) -> usize {
@@ -185,6 +196,9 @@
             let excluded =
                 if reached_upstream(answer.kind) { &mut attempted.failed } else { &mut attempted.rejected };
             excluded.push(name);
+            if answer.kind == ErrorKind::ZoneEvacuated {
+                attempted.evacuated_zones.push(Arc::clone(&plan.entry.member.zone));
+            }
             let attempts_exhausted = reached_count + call.counted_hedges() >= call.max_attempts
                 || attempted.excluded_count() >= MAX_UNSUCCESSFUL_GATES;
             let may_repeat = answer.kind == ErrorKind::UpstreamFailed || may_retry(call, &answer, &budgets);
@@ -222,14 +236,15 @@
         let repeated = attempted.excluded_count() > 0;
         let may_reroute = is_replayable && attempted.rerouted.len() < MAX_REROUTES;
         if may_reroute && budgets.reroute_budget(call.head.priority).permits_reroute() {
-            let planned = self
-                .choose_gate(call.requirements(), config, budgets, repeated, |name| attempted.contains(name));
+            let planned = self.choose_gate(call.requirements(), config, budgets, repeated, |member| {
+                attempted.contains(member)
+            });
             if planned.is_some() {
                 return planned;
             }
         }
-        let plan = self.choose_gate(call.requirements(), config, budgets, repeated, |name| {
-            attempted.is_excluded(name)
+        let plan = self.choose_gate(call.requirements(), config, budgets, repeated, |member| {
+            attempted.is_excluded(member)
         })?;
         if attempted.rerouted.contains(&plan.entry.member.id.name) {
             // The gate rejects this identity permanently, and the call was never executed under it.
@@ -238,7 +253,7 @@
         Some(PlannedAttempt { options: AttemptOptions { max_gate_latency: None, ..plan.options }, ..plan })
     }
 
-    /// Chooses a gate by the routing policy among those that `skip` does not exclude.
+    /// Chooses a gate by the routing policy among those that `skip` does not exclude, outside of evacuated zones.
     pub(super) fn choose_gate<F>(
         &self,
         requirements: UpstreamRequirements<'_>,
@@ -248,11 +263,16 @@
         skip: F,
     ) -> Option<PlannedAttempt>
     where
-        F: Fn(&Arc<str>) -> bool,
+        F: Fn(&Member) -> bool,
     {
         let now = Instant::now();
         let snapshot = self.dependencies.directory.snapshot();
-        let keys = snapshot.members_serving(requirements.service);
+        let evacuations = self.dependencies.config.evacuations();
+        let serving = snapshot.members_serving(requirements.service).iter();
+        let keys: Vec<MemberKey> = serving
+            .copied()
+            .filter(|key| may_send_to(&snapshot.entry(*key).member.zone, evacuations.as_deref()))
+            .collect();
         let ramp = Duration::from_millis(config.upstream_rule.ramp_ms);
         let all_candidates: Vec<Candidate> =
             keys.iter().map(|key| self.candidate(snapshot.entry(*key), ramp, now)).collect();
@@ -260,7 +280,7 @@
         let mut candidates = Vec::with_capacity(keys.len());
         for (key, candidate) in keys.iter().zip(&all_candidates) {
             let entry = snapshot.entry(*key);
-            if !skip(&entry.member.id.name) {
+            if !skip(&entry.member) {
                 candidates.push(*candidate);
                 entries.push(entry);
             }
@@ -434,6 +454,7 @@
             | ErrorKind::DeadlineBeforeStart
             | ErrorKind::DuplicateCall
             | ErrorKind::Draining
+            | ErrorKind::ZoneEvacuated
     )
 }
 
--- a/lib/src/transport/config_watcher.rs
+++ b/lib/src/transport/config_watcher.rs
@@ -48,7 +48,7 @@
                 let mut position = None;
                 let watching = watch.resume(
                     &mut position,
-                    |event| apply_event(&self.gossip, event),
+                    |event, _position| apply_event(&self.gossip, event),
                     |current_at| self.gossip.confirm_configurations(current_at),
                 );
                 tokio::select! {
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -53,6 +53,9 @@
 /// Retry delay suggested in errors for which the queue gives no estimate.
 pub(super) const GATE_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Retry delay suggested when a call fails because of an evacuation, which usually lasts for minutes.
+pub(super) const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Properties of a call that its admission and forwarding depend on.
 #[derive(Clone, Debug)]
 pub struct GateCall {
@@ -179,7 +182,7 @@
         }
         let mut queue = self.queue.lock();
         if !self.is_upstream_draining() {
-            queue.admission.resume();
+            queue.set_upstream_drained(false);
         }
         queue.admission.set_adaptive(rule.adaptive_limit);
         let outcomes = queue.admission.set_limit(slots, Instant::now());
@@ -188,9 +191,35 @@
 
     /// Stops admitting calls and rejects the queued ones.
     pub fn drain(&self) {
+        self.queue.lock().set_upstream_drained(true);
+    }
+
+    /// Rejects new and queued calls as not executed until the evacuation of the zone ends.
+    ///
+    /// Running calls finish. Announcements of the upstream don't reopen the gate. Returns the number of rejected calls.
+    pub fn close_for_evacuation(&self) -> usize {
         let mut queue = self.queue.lock();
-        let outcomes = queue.admission.drain();
-        queue.deliver(outcomes);
+        let queued = queue.waiters.len();
+        queue.set_zone_evacuated(true);
+        queued
+    }
+
+    /// Accepts calls again after an evacuation of the zone, unless the upstream drains.
+    pub fn reopen_after_evacuation(&self) {
+        // The upstream may be cold from here on, so the cold limit has to apply before the gate opens.
+        self.queue.lock().set_zone_evacuated(false);
+    }
+
+    /// Returns whether new calls are admitted, queued or rejected by the load alone.
+    #[must_use]
+    pub fn accepts_calls(&self) -> bool {
+        !self.queue.lock().admission.is_draining()
+    }
+
+    /// Returns whether the gate is closed because its zone is evacuated.
+    #[must_use]
+    pub fn is_zone_evacuated(&self) -> bool {
+        self.queue.lock().is_zone_evacuated()
     }
 
     /// Replaces the priority rules, ordered from the most urgent; rejects queued calls of removed priorities.
--- a/lib/src/transport/gate_admission.rs
+++ b/lib/src/transport/gate_admission.rs
@@ -15,6 +15,7 @@
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::transport::call_guard::SlotGuard;
+use crate::transport::gate::EVACUATED_RETRY_AFTER;
 use crate::transport::gate::Gate;
 use crate::transport::gate::GateCall;
 use crate::transport::gate::Result;
@@ -99,6 +100,9 @@
             RejectReason::CallerLimited => {
                 (ErrorKind::CallerLimited, "caller_limited", "this caller has its share of the queue already")
             }
+            RejectReason::Draining if self.is_zone_evacuated() => {
+                (ErrorKind::ZoneEvacuated, "evacuated", "the zone of the upstream is evacuated")
+            }
             RejectReason::Draining => (ErrorKind::Draining, "draining", "the upstream takes no new work"),
         };
         self.count(reason);
@@ -107,6 +111,7 @@
             let now = Instant::now();
             (queue.admission.load(now), queue.admission.retry_hint(now))
         };
+        let hint = if kind == ErrorKind::ZoneEvacuated { EVACUATED_RETRY_AFTER } else { hint };
         log_rejection(call, reason, load);
         ErrorAnswer::new(kind, message).retry_after(hint).with_load(load)
     }
--- a/lib/src/transport/gate_queue.rs
+++ b/lib/src/transport/gate_queue.rs
@@ -15,11 +15,46 @@
 pub(super) struct GateQueue {
     pub(super) admission: Admission,
     pub(super) waiters: IndexMap<QueueKey, oneshot::Sender<Result<SlotGrant, RejectReason>>>,
+    /// Whether the upstream drains.
+    is_upstream_drained: bool,
+    /// Whether the zone of the gate is evacuated.
+    is_zone_evacuated: bool,
 }
 
 impl GateQueue {
     pub(super) fn new(now: Instant) -> Self {
-        Self { admission: Admission::new(0, &[], now), waiters: IndexMap::new() }
+        Self {
+            admission: Admission::new(0, &[], now),
+            waiters: IndexMap::new(),
+            is_upstream_drained: false,
+            is_zone_evacuated: false,
+        }
+    }
+
+    /// Sets whether the upstream drains, and rejects queued calls if so.
+    pub(super) fn set_upstream_drained(&mut self, is_upstream_drained: bool) {
+        self.is_upstream_drained = is_upstream_drained;
+        self.close_or_open();
+    }
+
+    /// Sets whether the zone of the gate is evacuated, and rejects queued calls if so.
+    pub(super) fn set_zone_evacuated(&mut self, is_zone_evacuated: bool) {
+        self.is_zone_evacuated = is_zone_evacuated;
+        self.close_or_open();
+    }
+
+    pub(super) const fn is_zone_evacuated(&self) -> bool {
+        self.is_zone_evacuated
+    }
+
+    /// Admits calls only if neither the upstream nor the zone stands against it.
+    fn close_or_open(&mut self) {
+        if self.is_upstream_drained || self.is_zone_evacuated {
+            let outcomes = self.admission.drain();
+            self.deliver(outcomes);
+        } else {
+            self.admission.resume();
+        }
     }
 
     /// Sends outcomes to the queued calls that they belong to.
--- a/lib/src/transport/hedging.rs
+++ b/lib/src/transport/hedging.rs
@@ -1,7 +1,6 @@
 //! Hedged requests: a second attempt of a slow call, made while the first is still running.
 
 use std::pin::pin;
-use std::sync::Arc;
 
 use futures_util::future::Either as FutureEither;
 use futures_util::future::select;
@@ -10,6 +9,7 @@
 
 use crate::coordination::hedge::max_hedge_latency;
 use crate::coordination::routing::RoutingPolicy;
+use crate::protocol::member::Member;
 use crate::state::metrics::Metrics;
 use crate::transport::call_attempts::AttemptContext;
 use crate::transport::call_attempts::CallResponse;
@@ -98,7 +98,12 @@
         }
         let first_gate = &plan.entry.member.id.name;
         // Gates that rejected an earlier attempt are not skipped, since they may have a free slot by now.
-        let skip = |name: &Arc<str>| name == first_gate || context.attempted_gates.failed.contains(name);
+        let attempted = context.attempted_gates;
+        let skip = |member: &Member| {
+            member.id.name == *first_gate
+                || attempted.failed.contains(&member.id.name)
+                || attempted.is_in_evacuated_zone(member)
+        };
         let mut hedge =
             self.choose_gate(context.call.requirements(), context.config, context.budgets, true, skip)?;
         let routed_limit = hedge.options.max_gate_latency;
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -27,6 +27,7 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
+use crate::coordination::evacuation::is_fully_evacuated;
 use crate::coordination::routing::RoutingPolicy;
 use crate::coordination::service_budgets::ServiceBudgets;
 use crate::protocol::answer::ErrorAnswer;
@@ -52,6 +53,7 @@
 use crate::transport::call_body::GuardedBody;
 use crate::transport::call_resolution::OwnGateCancelGuard;
 use crate::transport::call_resolution::PeerAnswerBody;
+use crate::transport::gate::EVACUATED_RETRY_AFTER;
 use crate::transport::gate::Gate;
 use crate::transport::gate::GateBody;
 use crate::transport::gate::GateCall;
@@ -285,6 +287,8 @@
     ) -> Result<CallResponse> {
         self.check_ends_before_stop(call)
             .map_err(|answer| mark_possibly_executed(answer, call.issued_key.is_some()))?;
+        self.check_not_evacuated(&call.head.service)
+            .map_err(|answer| mark_possibly_executed(answer, call.issued_key.is_some()))?;
         let outgoing = self.prepare_outgoing(call, config, request).await;
         let mut outgoing =
             outgoing.map_err(|answer| mark_possibly_executed(answer, call.issued_key.is_some()))?;
@@ -309,6 +313,23 @@
         }
     }
 
+    /// Rejects a call to a service whose upstreams are all in evacuated zones, before its body is read.
+    fn check_not_evacuated(&self, service: &str) -> Result<()> {
+        let Some(evacuations) = self.dependencies.config.evacuations() else {
+            return Ok(());
+        };
+        let snapshot = self.dependencies.directory.snapshot();
+        let serving = snapshot.members_serving(service).iter();
+        let zones = serving.map(|key| snapshot.entry(*key).member.zone.as_ref());
+        if is_fully_evacuated(zones, &evacuations) {
+            let message = "all zones that serve this service are evacuated";
+            return Err(
+                ErrorAnswer::new(ErrorKind::ZoneEvacuated, message).retry_after(EVACUATED_RETRY_AFTER)
+            );
+        }
+        Ok(())
+    }
+
     /// Buffers a small body so that the request can be retried; a larger one is streamed once.
     async fn prepare_outgoing(
         &self,
--- a/lib/src/transport/object_watch.rs
+++ b/lib/src/transport/object_watch.rs
@@ -38,8 +38,10 @@
 /// Position of a watch: a version of the store, which is comparable only within one epoch of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WatchPosition {
-    epoch: u64,
-    version: u64,
+    /// Epoch of the store.
+    pub epoch: u64,
+    /// Version of the store within the epoch.
+    pub version: u64,
 }
 
 /// Lists a kind, then watches it until the future is dropped.
@@ -48,13 +50,13 @@
 /// failed to report is reported by the next watch. The kind is listed again after a failure, an expired
 /// version, or a restore of the store: a restored store gives versions out again, so that changes may lie
 /// behind the version watched from.
-pub async fn watch_objects<P, F>(platform: P, kind: ObjectKind, metrics: SharedMetrics, on_event: F)
+pub async fn watch_objects<P, F>(platform: P, kind: ObjectKind, metrics: SharedMetrics, mut on_event: F)
 where
     P: Platform,
     F: FnMut(ObjectEvent) + Send,
 {
     let watch = ObjectWatch { platform, kind, metrics, backoff: platform_backoff() };
-    watch.resume(&mut None, on_event, |_current_at| {}).await;
+    watch.resume(&mut None, |event, _position| on_event(event), |_current_at| {}).await;
 }
 
 /// A watch of all objects of one kind.
@@ -76,6 +78,7 @@
 {
     /// Watches like [`watch_objects`], from `position` if there is one, and leaves there how far it came.
     ///
+    /// `on_event` gets each event with the position up to which it completes the events reported before.
     /// After each answer, `on_current` gets a time at which the events reported so far were up to date.
     /// An answer to a watch counts as up to date when it arrives, since the platform sends it at once when there is
     /// a change or the wait ends. A listing counts from its request, as it may take several answers.
@@ -85,7 +88,7 @@
         mut on_event: F,
         mut on_current: C,
     ) where
-        F: FnMut(ObjectEvent) + Send,
+        F: FnMut(ObjectEvent, WatchPosition) + Send,
         C: FnMut(Instant) + Send,
     {
         let mut last_epoch = position.map(|position| position.epoch);
@@ -127,7 +130,7 @@
         on_current: &mut C,
     ) -> Result<WatchPosition>
     where
-        F: FnMut(ObjectEvent) + Send,
+        F: FnMut(ObjectEvent, WatchPosition) + Send,
         C: FnMut(Instant) + Send,
     {
         Metrics::count(&self.metrics.platform_calls, "list");
@@ -139,7 +142,7 @@
             log_restore(self.kind, previous, &listing);
         }
         let position = WatchPosition { epoch: listing.epoch, version: listing.version };
-        on_event(ObjectEvent::Listed(listing.objects));
+        on_event(ObjectEvent::Listed(listing.objects), position);
         on_current(requested_at);
         Ok(position)
     }
@@ -152,7 +155,7 @@
         on_current: &mut C,
     ) -> Result<Option<WatchPosition>>
     where
-        F: FnMut(ObjectEvent) + Send,
+        F: FnMut(ObjectEvent, WatchPosition) + Send,
         C: FnMut(Instant) + Send,
     {
         Metrics::count(&self.metrics.platform_calls, "watch");
@@ -163,7 +166,7 @@
         let mut next = watched;
         if !changes.changes.is_empty() {
             next.version = changes.version;
-            on_event(ObjectEvent::Changed(changes.changes));
+            on_event(ObjectEvent::Changed(changes.changes), next);
         }
         on_current(Instant::now());
         Ok(Some(next))
--- a/lib/src/transport/routes_watcher.rs
+++ b/lib/src/transport/routes_watcher.rs
@@ -4,11 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::coordination::backoff::Backoff;
-use crate::coordination::backoff::jittered;
 use crate::log_event;
 use crate::protocol::object::Object;
 use crate::protocol::object::ObjectKind;
@@ -21,51 +18,19 @@
 use crate::transport::object_watch::ObjectEvent;
 use crate::transport::object_watch::ObjectWatch;
 use crate::transport::object_watch::WatchPosition;
-use crate::transport::object_watch::platform_backoff;
 use crate::transport::platform::Platform;
+use crate::transport::watch_mode::CONFIRMATION_SPREAD;
+use crate::transport::watch_mode::MIN_WATCH_WAIT_MS;
+use crate::transport::watch_mode::READ_TIME;
+use crate::transport::watch_mode::WatchMode;
+use crate::transport::watch_mode::WatchModes;
 
-/// Interval, before jitter, between checks of how the node has to watch.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Consecutive checks that have to find a new role of the node before it acts on it.
-const ROLE_CHECKS: u32 = 4;
 /// Factor by which watches wait longer on a node that gets no confirmation from others.
 const UNCONFIRMED_WAIT_FACTOR: u64 = 2;
 /// Factor by which watches wait longer on nodes that also get new routes from others.
 const FOLLOWER_WAIT_FACTOR: u64 = 12;
 /// Longest wait of a watch that the platform allows, in milliseconds.
 const MAX_WATCH_WAIT_MS: u64 = 30_000;
-/// Time that a confirmation may take to reach a node, one lost datagram included, beyond the wait of a watch.
-const CONFIRMATION_SPREAD: Duration = Duration::from_millis(600);
-
-/// Time that one read of the platform may take.
-const READ_TIME: Duration = Duration::from_millis(500);
-/// Shortest wait of a watch, in milliseconds.
-const MIN_WATCH_WAIT_MS: u64 = 100;
-
-/// Upper bounds of the pauses between failed reads of a node that gets no confirmation from others.
-///
-/// Such a node may be one of many: while the platform is away, no node can confirm anything to the others.
-const UNCONFIRMED_BACKOFF: Backoff = Backoff::new(Duration::from_secs(1), Duration::from_secs(2));
-
-/// How a node watches the routes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum WatchMode {
-    /// With short waits, since a watch may stall without failing and other nodes rely on this one.
-    Confirmer,
-    /// With medium waits, since no other node confirms that the routes are the latest.
-    Unconfirmed,
-    /// With long waits.
-    Follower,
-    /// With long waits and at a lower price; changes may come seconds late, but other nodes tell of them.
-    StaleFollower,
-}
-
-impl WatchMode {
-    /// Returns whether the node relies on others to tell it of new routes in time.
-    const fn relies_on_others(self) -> bool {
-        matches!(self, Self::Follower | Self::StaleFollower)
-    }
-}
 
 /// Returns the age at which a confirmation of the routes by another node no longer counts.
 ///
@@ -98,7 +63,7 @@
     follower_store: I::Store,
     stale_store: I::Store,
     gossip: Arc<Gossip>,
-    may_miss_configurations: watch::Receiver<bool>,
+    modes: WatchModes,
     metrics: SharedMetrics,
     dialect: PhantomData<fn() -> I>,
 }
@@ -116,7 +81,7 @@
             unconfirmed_store: I::new_store(&with_longer_waits(settings, UNCONFIRMED_WAIT_FACTOR)),
             stale_store: follower_store.with_stale_watches(),
             follower_store,
-            may_miss_configurations: gossip.may_miss_configurations(),
+            modes: WatchModes::new(Arc::clone(&gossip)),
             gossip,
             metrics,
             dialect: PhantomData,
@@ -126,7 +91,7 @@
     /// Runs until `stop` is cancelled.
     pub async fn run(self, stop: CancellationToken) {
         let follow_by_mode = async {
-            let mut mode = self.mode();
+            let mut mode = self.modes.current();
             let mut position = None;
             loop {
                 log_event!(Info, "watching routes", mode = format_args!("{mode:?}"));
@@ -136,7 +101,7 @@
                 }
                 tokio::select! {
                     () = self.follow(mode, &mut position) => {}
-                    next = self.next_mode(mode) => mode = next,
+                    next = self.modes.next(mode) => mode = next,
                 }
             }
         };
@@ -154,61 +119,20 @@
             WatchMode::Follower => &self.follower_store,
             WatchMode::StaleFollower => &self.stale_store,
         };
-        let on_event = |event| apply_event::<I>(&self.gossip, event);
+        let on_event = |event, _position| apply_event::<I>(&self.gossip, event);
         let on_current = |current_at| {
             if mode != WatchMode::StaleFollower {
                 self.gossip.confirm_configurations(current_at);
             }
         };
-        let backoff = match mode {
-            WatchMode::Unconfirmed => UNCONFIRMED_BACKOFF,
-            WatchMode::Confirmer | WatchMode::Follower | WatchMode::StaleFollower => platform_backoff(),
-        };
         let watch = ObjectWatch {
             platform: store.clone(),
             kind: ObjectKind::Routes,
             metrics: Arc::clone(&self.metrics),
-            backoff,
+            backoff: mode.backoff(),
         };
         watch.resume(position, on_event, on_current).await;
     }
-
-    /// Returns how the node has to watch now.
-    fn mode(&self) -> WatchMode {
-        let role = self.gossip.role();
-        let may_miss_configurations = *self.may_miss_configurations.borrow();
-        if role.confirms_configurations || (role.watches_platform && may_miss_configurations) {
-            WatchMode::Confirmer
-        } else if may_miss_configurations {
-            WatchMode::Unconfirmed
-        } else if role.watches_platform {
-            WatchMode::Follower
-        } else {
-            WatchMode::StaleFollower
-        }
-    }
-
-    /// Waits until the node has to watch in another mode than `current`, and returns it.
-    ///
-    /// Several checks in a row have to find a new role, since in a mass start each node leads for a moment. A node
-    /// that may miss configurations acts at once.
-    async fn next_mode(&self, current: WatchMode) -> WatchMode {
-        let mut may_miss_configurations = self.may_miss_configurations.clone();
-        let mut matching_checks = 0;
-        loop {
-            let pause = jittered(CHECK_INTERVAL, &mut rand::rng());
-            tokio::select! {
-                () = tokio::time::sleep(pause) => {}
-                Ok(_) = may_miss_configurations.wait_for(|may_miss| *may_miss), if current.relies_on_others() => {}
-            }
-            let mode = self.mode();
-            matching_checks = if mode == current { 0 } else { matching_checks + 1 };
-            let is_urgent = current.relies_on_others() && !mode.relies_on_others();
-            if matching_checks >= ROLE_CHECKS || is_urgent {
-                return mode;
-            }
-        }
-    }
 }
 
 /// Returns the settings with waits of watches that are longer by a factor, as far as the platform allows.
@@ -238,6 +162,7 @@
                     epoch: 0,
                     config: None,
                     routes: Some(set),
+                    evacuations: None,
                 };
                 if gossip.apply(published) {
                     log_event!(
--- a/lib/tests/bounded_settings.rs
+++ b/lib/tests/bounded_settings.rs
@@ -54,6 +54,16 @@
     }
 }
 
+#[test]
+fn apply_bounds_evacuations_followed_only_with_their_bound() {
+    assert_eq!(settings().platform.evacuation_wait_ms, None);
+    for (evacuation_ms, wait_ms, watch_wait_ms) in [(1_500, 100, 400), (5_000, 3_000, 900)] {
+        let bounds = DeploymentBounds { evacuation_ms: Some(evacuation_ms), ..Default::default() };
+        let platform = bounded(bounds).platform;
+        assert_eq!((platform.evacuation_wait_ms, platform.watch_wait_ms), (Some(wait_ms), watch_wait_ms));
+    }
+}
+
 #[test]
 fn apply_bounds_none_set_settings_unchanged() {
     assert_eq!(bounded(DeploymentBounds::default()), settings());
--- a/lib/tests/object_watch.rs
+++ b/lib/tests/object_watch.rs
@@ -135,7 +135,7 @@
             metrics,
             backoff: platform_backoff(),
         };
-        let watching = watch.resume(&mut position, |_| {}, on_current);
+        let watching = watch.resume(&mut position, |_, _| {}, on_current);
         let _still_waiting = tokio::time::timeout(MAX_TEST_TIME, watching).await;
     }
     let watch = Call::Watch(LISTED_VERSION);
--- a/lib/tests/publishing.rs
+++ b/lib/tests/publishing.rs
@@ -328,6 +328,7 @@
         epoch: 7,
         config: None,
         routes: None,
+        evacuations: None,
     });
     tables.gossip();
     let stop = CancellationToken::new();
--- a/lib/tests/routes.rs
+++ b/lib/tests/routes.rs
@@ -46,7 +46,7 @@
 
 fn published(revision: u64, routes: Vec<RouteSpec>) -> Published {
     let routes = Some(route_set(routes));
-    Published { service: Arc::from(ROUTES_NAME), revision, epoch: 0, config: None, routes }
+    Published { service: Arc::from(ROUTES_NAME), revision, epoch: 0, config: None, routes, evacuations: None }
 }
 
 fn find_prefix<'a>(table: &'a RouteTable, host: &str, path: &str) -> Option<&'a str> {
--- a/lib/testutils/src/simulated_fleet.rs
+++ b/lib/testutils/src/simulated_fleet.rs
@@ -544,7 +544,14 @@
 }
 
 fn published(service: &Arc<str>, revision: u64) -> Published {
-    Published { service: Arc::clone(service), revision, epoch: 1, config: None, routes: None }
+    Published {
+        service: Arc::clone(service),
+        revision,
+        epoch: 1,
+        config: None,
+        routes: None,
+        evacuations: None,
+    }
 }
 
 /// Returns the identities of the members that a node lists as alive, sorted.
--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -265,6 +265,7 @@
             timeout_ms: 2_000,
             watch_wait_ms: 20_000,
             bounds: Arc::default(),
+            evacuation_wait_ms: None,
         },
         dialect: DialectName::Own,
         upstream: None,
