--- a/cli/src/commands/nodes.rs
+++ b/cli/src/commands/nodes.rs
@@ -1,9 +1,13 @@
 //! `yuccactl nodes`: lists the members of the fleet that a node knows.
 
 use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use clap::Args;
 use http::Method;
+use yuccatray::transport::admin_server::EvacuationReport;
 
 use crate::CommandContext;
 use crate::cli_error::Result;
@@ -39,5 +43,18 @@
         ]
     });
     print_table(&["NAME", "STATE", "ZONE", "SERVICE", "SLOTS", "DRAINING", "INGRESS"], rows.collect());
+    for evacuation in &report.evacuations {
+        println!("{}", evacuation_line(evacuation));
+    }
     Ok(())
 }
+
+/// Returns a line on an evacuated zone.
+fn evacuation_line(evacuation: &EvacuationReport) -> String {
+    let EvacuationReport { zone, since_unix_ms, running_calls } = evacuation;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let evacuated_for_s = now.saturating_sub(Duration::from_millis(*since_unix_ms)).as_secs();
+    format!(
+        "zone {zone} is evacuated for {evacuated_for_s} s; {running_calls} calls of this node still run there"
+    )
+}
