--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -361,7 +361,7 @@
         str![[r#"
 exit code 2
 error: unknown kind "Quilt"
-hint: the kinds are Service, PrioritySet, UpstreamRule, Published, ServiceStatus, Lease, Rendezvous, Routes
+hint: the kinds are Service, PrioritySet, UpstreamRule, Published, ServiceStatus, Lease, Rendezvous, Routes, Evacuation
 
 "#]]
     );
