--- a/lib/src/transport/gate_queue.rs
+++ b/lib/src/transport/gate_queue.rs
@@ -20,6 +20,10 @@
     pub(super) waiters: IndexMap<QueueKey, oneshot::Sender<Result<SlotGrant, RejectReason>>>,
     /// Notified when a health response is needed to learn whether the upstream is cold.
     pub(super) cold_probe_due: Arc<Notify>,
+    /// Whether the upstream drains.
+    is_upstream_drained: bool,
+    /// Whether the zone of the gate is evacuated.
+    is_zone_evacuated: bool,
 }
 
 impl GateQueue {
@@ -28,6 +32,8 @@
             admission: Admission::new(0, &[], now),
             waiters: IndexMap::new(),
             cold_probe_due: Arc::default(),
+            is_upstream_drained: false,
+            is_zone_evacuated: false,
         }
     }
 
@@ -43,6 +49,32 @@
         self.admission.cold_limit().needs_probe(!self.waiters.is_empty(), now)
     }
 
+    /// Sets whether the upstream drains, and rejects queued calls if so.
+    pub(super) fn set_upstream_drained(&mut self, is_upstream_drained: bool) {
+        self.is_upstream_drained = is_upstream_drained;
+        self.close_or_open();
+    }
+
+    /// Sets whether the zone of the gate is evacuated, and rejects queued calls if so.
+    pub(super) fn set_zone_evacuated(&mut self, is_zone_evacuated: bool) {
+        self.is_zone_evacuated = is_zone_evacuated;
+        self.close_or_open();
+    }
+
+    pub(super) const fn is_zone_evacuated(&self) -> bool {
+        self.is_zone_evacuated
+    }
+
+    /// Admits calls only if neither the upstream nor the zone stands against it.
+    fn close_or_open(&mut self) {
+        if self.is_upstream_drained || self.is_zone_evacuated {
+            let outcomes = self.admission.drain();
+            self.deliver(outcomes);
+        } else {
+            self.admission.resume();
+        }
+    }
+
     /// Sends outcomes to the queued calls that they belong to.
     pub(super) fn deliver(&mut self, queue_outcomes: Vec<QueueDecision>) {
         if !queue_outcomes.is_empty() {
