--- a/lib/src/coordination/publication.rs
+++ b/lib/src/coordination/publication.rs
@@ -62,6 +62,7 @@
         service: spec,
         priorities,
         upstream_rule: rule,
+        cold_start: None,
     })
 }
 
@@ -101,7 +102,7 @@
         return None;
     }
     let revision = last_revision.max(min_revision) + 1;
-    Some(Published { service: Arc::clone(name), revision, epoch, config, routes: None })
+    Some(Published { service: Arc::clone(name), revision, epoch, config, routes: None, evacuations: None })
 }
 
 /// Parses and validates the value of an object.
--- a/lib/src/node/bounded_settings.rs
+++ b/lib/src/node/bounded_settings.rs
@@ -7,6 +7,7 @@
 use crate::protocol::settings::LimitSettings;
 use crate::protocol::settings::PlatformSettings;
 use crate::protocol::settings::Settings;
+use crate::transport::evacuation_watcher::max_evacuation_wait_ms;
 use crate::transport::routes_watcher::max_confirmation_interval;
 use crate::transport::routes_watcher::max_watch_wait_ms;
 
@@ -35,6 +36,11 @@
     if let Some(config_apply_ms) = bounds.config_apply_ms {
         limit_watch_wait(&mut settings.platform, config_apply_ms);
     }
+    if let Some(evacuation_ms) = bounds.evacuation_ms {
+        // A node that others fail reads the evacuations only once its last confirmation is too old.
+        limit_watch_wait(&mut settings.platform, evacuation_ms);
+        settings.platform.evacuation_wait_ms = Some(max_evacuation_wait_ms(evacuation_ms));
+    }
 }
 
 /// Returns how long confirmations of the configuration count when requests are authenticated.
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -11,6 +11,7 @@
 pub mod credentials;
 pub mod deployment_bounds;
 pub mod error_kind;
+pub mod evacuation;
 pub mod external_fields;
 pub mod headers;
 pub mod issued_key;
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::coordination::cross_zone_yield::CrossZoneYield;
+use crate::coordination::evacuation::may_send_to;
 use crate::coordination::routing::Candidate;
 use crate::coordination::routing::FULL_RAMP_UP_PERMILLE;
 use crate::coordination::routing::RoutingContext;
@@ -19,9 +20,11 @@
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::error_kind::Execution;
+use crate::protocol::member::Member;
 use crate::protocol::published::PublishedConfig;
 use crate::protocol::trace::TraceStep;
 use crate::state::directory::DirectoryEntry;
+use crate::state::directory::MemberKey;
 use crate::state::metrics::Metrics;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::GuardedBody;
@@ -63,22 +66,33 @@
     rejected: Vec<Arc<str>>,
     /// Gates that rerouted the call.
     rerouted: Vec<Arc<str>>,
+    /// Zones in which a gate rejected an attempt because the zone is evacuated.
+    evacuated_zones: Vec<Arc<str>>,
 }
 
 impl AttemptedGates {
-    fn contains(&self, name: &Arc<str>) -> bool {
-        self.is_excluded(name) || self.rerouted.contains(name)
+    fn contains(&self, member: &Member) -> bool {
+        self.is_excluded(member) || self.rerouted.contains(&member.id.name)
     }
 
     /// Returns whether the gate must not be attempted again; a gate that only rerouted the call may be.
-    fn is_excluded(&self, name: &Arc<str>) -> bool {
-        self.failed.contains(name) || self.rejected.contains(name)
+    fn is_excluded(&self, member: &Member) -> bool {
+        let name = &member.id.name;
+        self.failed.contains(name) || self.rejected.contains(name) || self.is_in_evacuated_zone(member)
     }
 
-    /// Excludes a gate at which an attempt failed with an error of the given kind.
-    fn exclude(&mut self, name: Arc<str>, kind: ErrorKind) {
+    /// Returns whether a gate of the member's zone has rejected the call because the zone is evacuated.
+    pub(super) fn is_in_evacuated_zone(&self, member: &Member) -> bool {
+        self.evacuated_zones.contains(&member.zone)
+    }
+
+    /// Excludes a gate at which an attempt failed with an error of the given kind, and its zone if that is evacuated.
+    fn exclude(&mut self, member: &Member, kind: ErrorKind) {
         let excluded = if reached_upstream(kind) { &mut self.failed } else { &mut self.rejected };
-        excluded.push(name);
+        excluded.push(Arc::clone(&member.id.name));
+        if kind == ErrorKind::ZoneEvacuated {
+            self.evacuated_zones.push(Arc::clone(&member.zone));
+        }
     }
 
     const fn excluded_count(&self) -> usize {
@@ -202,12 +216,12 @@
         budgets: &ServiceBudgets,
     ) -> NextStep {
         self.may_have_executed |= answer.execution == Execution::OutcomeUnknown;
-        let name = Arc::clone(&plan.entry.member.id.name);
+        let member = &plan.entry.member;
         if plan.options.max_gate_latency.is_some() && answer.kind == ErrorKind::Overloaded {
-            self.gates.rerouted.push(name);
+            self.gates.rerouted.push(Arc::clone(&member.id.name));
             return NextStep::Reroute;
         }
-        self.gates.exclude(name, answer.kind);
+        self.gates.exclude(member, answer.kind);
         let attempts_exhausted =
             self.max_attempts_reached(call) || self.gates.excluded_count() >= MAX_UNSUCCESSFUL_GATES;
         let may_repeat = answer.kind == ErrorKind::UpstreamFailed || may_retry(call, answer, budgets);
@@ -302,14 +316,15 @@
         let repeated = attempted.excluded_count() > 0;
         let may_reroute = is_replayable && attempted.rerouted.len() < MAX_REROUTES;
         if may_reroute && budgets.reroute_budget(call.head.priority).permits_reroute() {
-            let planned = self
-                .choose_gate(call.requirements(), config, budgets, repeated, |name| attempted.contains(name));
+            let planned = self.choose_gate(call.requirements(), config, budgets, repeated, |member| {
+                attempted.contains(member)
+            });
             if planned.is_some() {
                 return planned;
             }
         }
-        let plan = self.choose_gate(call.requirements(), config, budgets, repeated, |name| {
-            attempted.is_excluded(name)
+        let plan = self.choose_gate(call.requirements(), config, budgets, repeated, |member| {
+            attempted.is_excluded(member)
         })?;
         if attempted.rerouted.contains(&plan.entry.member.id.name) {
             // The gate rejects this identity permanently, and the call was never executed under it.
@@ -318,7 +333,7 @@
         Some(PlannedAttempt { options: AttemptOptions { max_gate_latency: None, ..plan.options }, ..plan })
     }
 
-    /// Chooses a gate by the routing policy among those that `skip` does not exclude.
+    /// Chooses a gate by the routing policy among those that `skip` does not exclude, outside of evacuated zones.
     pub(super) fn choose_gate<F>(
         &self,
         requirements: UpstreamRequirements<'_>,
@@ -328,11 +343,16 @@
         skip: F,
     ) -> Option<PlannedAttempt>
     where
-        F: Fn(&Arc<str>) -> bool,
+        F: Fn(&Member) -> bool,
     {
         let now = Instant::now();
         let snapshot = self.dependencies.directory.snapshot();
-        let keys = snapshot.members_serving(requirements.service);
+        let evacuations = self.dependencies.config.evacuations();
+        let serving = snapshot.members_serving(requirements.service).iter();
+        let keys: Vec<MemberKey> = serving
+            .copied()
+            .filter(|key| may_send_to(&snapshot.entry(*key).member.zone, evacuations.as_deref()))
+            .collect();
         let ramp = Duration::from_millis(config.upstream_rule.ramp_ms);
         let all_candidates: Vec<Candidate> =
             keys.iter().map(|key| self.candidate(snapshot.entry(*key), ramp, now)).collect();
@@ -340,7 +360,7 @@
         let mut candidates = Vec::with_capacity(keys.len());
         for (key, candidate) in keys.iter().zip(&all_candidates) {
             let entry = snapshot.entry(*key);
-            if !skip(&entry.member.id.name) {
+            if !skip(&entry.member) {
                 candidates.push(*candidate);
                 entries.push(entry);
             }
@@ -522,6 +542,7 @@
             | ErrorKind::DeadlineBeforeStart
             | ErrorKind::DuplicateCall
             | ErrorKind::Draining
+            | ErrorKind::ZoneEvacuated
     )
 }
 
--- a/lib/tests/routes.rs
+++ b/lib/tests/routes.rs
@@ -38,15 +38,19 @@
 }
 
 fn route_set(routes: Vec<RouteSpec>) -> RouteSet {
-    let service =
-        RoutedService { name: Arc::from("a"), health_path: Arc::from("/health"), max_connections: 10 };
+    let service = RoutedService {
+        name: Arc::from("a"),
+        health_path: Arc::from("/health"),
+        max_connections: 10,
+        cold_start: None,
+    };
     let (version, services) = (Arc::from("1"), vec![service]);
     RouteSet { version, revision: 1, routes, services, limits: LIMITS, tenants: None }
 }
 
 fn published(revision: u64, routes: Vec<RouteSpec>) -> Published {
     let routes = Some(route_set(routes));
-    Published { service: Arc::from(ROUTES_NAME), revision, epoch: 0, config: None, routes }
+    Published { service: Arc::from(ROUTES_NAME), revision, epoch: 0, config: None, routes, evacuations: None }
 }
 
 fn find_prefix<'a>(table: &'a RouteTable, host: &str, path: &str) -> Option<&'a str> {
