quota: datagrams, waiting requests and the roster's object

Cause: the state machines of quotas need I/O.

Change: quota_link sends and receives their messages in the gossip socket, keeps the requests that wait and ticks; quota_roster reads the roster as the leading node of a zone and changes it, by conditional writes, as that of the fleet. Time is CLOCK_BOOTTIME (crate nix, feature time), behind a trait. Nothing is sent and the store is not called unless a tenant of the configuration has a limit. Two error kinds, metrics and a log line for changes of roles.

Result: two nodes over loopback sockets with a clock that the test advances give out the burst once.

--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -191,8 +191,13 @@
             upstream: CheckInHandler::<I>::new(Arc::clone(&core.registration)),
         };
         let stop_rest = CancellationToken::new();
-        let mut platform_tasks =
-            spawn_external_platform_tasks::<I>(settings, &core.gossip, &core.shared, &stop_rest);
+        let mut platform_tasks = spawn_external_platform_tasks::<I>(
+            settings,
+            &core.gossip,
+            &core.quotas,
+            &core.shared,
+            &stop_rest,
+        );
         platform_tasks.push(tokio::spawn(core.slowdown_probe().run(stop_rest.clone())));
         let gate = Arc::clone(&core.gate);
         platform_tasks.push(tokio::spawn(gate.start_rate_limited_calls(stop_rest.clone())));
--- a/lib/src/node/core_parts.rs
+++ b/lib/src/node/core_parts.rs
@@ -32,6 +32,7 @@
 use crate::state::metrics::SharedMetrics;
 use crate::transport::admin_server::AdminHandler;
 use crate::transport::announce_server::UpstreamRegistration;
+use crate::transport::boot_clock::SystemBootClock;
 use crate::transport::gate::Gate;
 use crate::transport::gossip::Gossip;
 use crate::transport::gossip::GossipDependencies;
@@ -45,6 +46,8 @@
 use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_security::PeerSecurity;
 use crate::transport::peer_server::PeerHandler;
+use crate::transport::quota_link::QuotaLink;
+use crate::transport::quota_link::QuotaLinkDependencies;
 use crate::transport::routes_watcher::max_confirmation_age;
 use crate::transport::slowdown_probe::SlowdownProbe;
 
@@ -59,6 +62,7 @@
     pub(super) decisions: Arc<DecisionLog>,
     pub(super) gate: Arc<Gate>,
     pub(super) gossip: Arc<Gossip>,
+    pub(super) quotas: Arc<QuotaLink>,
     pub(super) registration: Arc<UpstreamRegistration>,
 }
 
@@ -82,7 +86,8 @@
             security,
         };
         let gate = Arc::new(new_gate(Arc::clone(&shared.metrics)));
-        let gossip = Arc::new(new_gossip(settings, &local_member, socket, &shared));
+        let quotas = Arc::new(new_quota_link(&local_member, Arc::clone(&socket), &shared));
+        let gossip = Arc::new(new_gossip(settings, &local_member, socket, &shared, Arc::clone(&quotas)));
         let registration =
             UpstreamRegistration::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&shared.config));
         Ok(Self {
@@ -94,6 +99,7 @@
             decisions: Arc::new(DecisionLog::new(Instant::now())),
             gate,
             gossip,
+            quotas,
             registration: Arc::new(registration),
         })
     }
@@ -166,6 +172,7 @@
     pub(super) fn spawn_tasks(&self, stop: &CancellationToken) -> Vec<JoinHandle<()>> {
         vec![
             tokio::spawn(Arc::clone(&self.gossip).run(stop.clone())),
+            tokio::spawn(Arc::clone(&self.quotas).run(stop.clone())),
             tokio::spawn(Arc::clone(&self.registration).run(stop.clone())),
             tokio::spawn(Arc::clone(&self.shared.security).run(stop.clone())),
         ]
@@ -225,6 +232,7 @@
     local_member: &Member,
     socket: Arc<UdpSocket>,
     shared: &SharedParts,
+    quotas: Arc<QuotaLink>,
 ) -> Gossip {
     let now = Instant::now();
     let view = FleetView::new(
@@ -247,5 +255,18 @@
         channels: Arc::new(ControlChannels::new(Arc::clone(&shared.security))),
         security: Arc::clone(&shared.security),
         metrics: Arc::clone(&shared.metrics),
+        quotas,
+    })
+}
+
+fn new_quota_link(local_member: &Member, socket: Arc<UdpSocket>, shared: &SharedParts) -> QuotaLink {
+    QuotaLink::new(QuotaLinkDependencies {
+        local_id: local_member.id.clone(),
+        clock: SystemBootClock,
+        config: Arc::clone(&shared.config),
+        directory: Arc::clone(&shared.directory),
+        socket,
+        security: Arc::clone(&shared.security),
+        metrics: Arc::clone(&shared.metrics),
     })
 }
--- a/lib/src/node/tasks.rs
+++ b/lib/src/node/tasks.rs
@@ -22,6 +22,8 @@
 use crate::transport::http_server::serve;
 use crate::transport::platform_http::HttpPlatform;
 use crate::transport::publisher::Publisher;
+use crate::transport::quota_link::QuotaLink;
+use crate::transport::quota_roster::QuotaRosterTask;
 use crate::transport::routes_watcher::RoutesWatcher;
 use crate::transport::seed_registry::SeedRegistry;
 
@@ -62,6 +64,7 @@
 pub(super) fn spawn_external_platform_tasks<I>(
     settings: &Settings,
     gossip: &Arc<Gossip>,
+    quotas: &Arc<QuotaLink>,
     shared: &SharedParts,
     stop: &CancellationToken,
 ) -> Vec<JoinHandle<()>>
@@ -71,13 +74,19 @@
     let platform = I::new_store(&settings.platform);
     let metrics = &shared.metrics;
     let watcher = RoutesWatcher::<I>::new(&settings.platform, Arc::clone(gossip), Arc::clone(metrics));
+    let quota_roster =
+        QuotaRosterTask::new(platform.clone(), Arc::clone(gossip), Arc::clone(quotas), Arc::clone(metrics));
     let seed_registry = SeedRegistry {
         platform,
         gossip: Arc::clone(gossip),
         has_seeds: !settings.seeds.is_empty(),
         metrics: Arc::clone(metrics),
     };
-    vec![tokio::spawn(watcher.run(stop.clone())), tokio::spawn(seed_registry.run(stop.clone()))]
+    vec![
+        tokio::spawn(watcher.run(stop.clone())),
+        tokio::spawn(seed_registry.run(stop.clone())),
+        tokio::spawn(quota_roster.run(stop.clone())),
+    ]
 }
 
 pub(super) fn server_limits(settings: &Settings) -> ServerLimits {
--- a/lib/src/protocol/error_kind.rs
+++ b/lib/src/protocol/error_kind.rs
@@ -33,6 +33,10 @@
     UpgradeRefused,
     /// The caller used more than its own share.
     CallerLimited,
+    /// The tenant used up its limit over all nodes.
+    QuotaExceeded,
+    /// No quota server answered in time whether the tenant's limit allows the call.
+    QuotaUnavailable,
     /// Every candidate was full or its queue for the priority was.
     Overloaded,
     /// The upstream itself refused the call before it ran.
@@ -91,7 +95,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 22] = [
         Self::MalformedRequest,
         Self::UnknownService,
         Self::UnknownRoute,
@@ -101,6 +105,8 @@
         Self::BodyTooLarge,
         Self::UpgradeRefused,
         Self::CallerLimited,
+        Self::QuotaExceeded,
+        Self::QuotaUnavailable,
         Self::Overloaded,
         Self::UpstreamRefused,
         Self::UpstreamFailed,
@@ -133,6 +139,10 @@
             Self::BodyTooLarge => row("body_too_large", StatusCode::PAYLOAD_TOO_LARGE, NotExecuted, false),
             Self::UpgradeRefused => row("upgrade_refused", StatusCode::NOT_IMPLEMENTED, NotExecuted, false),
             Self::CallerLimited => row("caller_limited", StatusCode::TOO_MANY_REQUESTS, NotExecuted, true),
+            Self::QuotaExceeded => row("quota_exceeded", StatusCode::TOO_MANY_REQUESTS, NotExecuted, true),
+            Self::QuotaUnavailable => {
+                row("quota_unavailable", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true)
+            }
             Self::Overloaded => row("overloaded", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true),
             Self::UpstreamRefused => {
                 row("upstream_refused", StatusCode::SERVICE_UNAVAILABLE, NotExecuted, true)
--- a/lib/src/protocol/object.rs
+++ b/lib/src/protocol/object.rs
@@ -26,11 +26,13 @@
     Rendezvous,
     /// All routes of the fleet, where operators write them as one object.
     Routes,
+    /// Share roster: how the right to spend the limits of tenants is divided among the nodes.
+    QuotaRoster,
 }
 
 impl ObjectKind {
     /// Every kind.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Service,
         Self::PrioritySet,
         Self::UpstreamRule,
@@ -39,6 +41,7 @@
         Self::Lease,
         Self::Rendezvous,
         Self::Routes,
+        Self::QuotaRoster,
     ];
 
     /// Kinds that operators write.
@@ -56,6 +59,7 @@
             Self::Lease => "Lease",
             Self::Rendezvous => "Rendezvous",
             Self::Routes => "Routes",
+            Self::QuotaRoster => "QuotaRoster",
         }
     }
 
--- a/lib/src/state/control_metrics.rs
+++ b/lib/src/state/control_metrics.rs
@@ -13,7 +13,7 @@
 pub struct TrafficLabels {
     /// Direction: `sent` or `received`.
     pub direction: &'static str,
-    /// Transport: `datagram` or `exchange`.
+    /// Transport: `datagram`, `exchange`, or `quota` for datagrams about quotas.
     pub carrier: &'static str,
 }
 
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -16,6 +16,7 @@
 use prometheus_client::registry::Unit;
 
 use crate::state::control_metrics::ControlMetrics;
+use crate::state::quota_metrics::QuotaMetrics;
 
 /// Upper bounds of the latency histogram's buckets.
 const LATENCY_BUCKETS_SECONDS: [f64; 14] =
@@ -83,6 +84,8 @@
     pub platform_calls: Family<ReasonLabels, Counter>,
     /// Control traffic between nodes.
     pub control: ControlMetrics,
+    /// Quotas of tenants.
+    pub quota: QuotaMetrics,
 }
 
 impl fmt::Debug for Metrics {
@@ -121,6 +124,8 @@
         registry.register("platform_calls", "Calls of the platform by outcome", platform_calls.clone());
         let control = ControlMetrics::default();
         control.register_in(&mut registry);
+        let quota = QuotaMetrics::default();
+        quota.register_in(&mut registry);
         Self {
             registry: Mutex::new(registry),
             calls,
@@ -134,6 +139,7 @@
             skipped_probes,
             platform_calls,
             control,
+            quota,
         }
     }
 }
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -8,6 +8,7 @@
 pub mod directory;
 pub mod metrics;
 pub mod parent_calls;
+pub mod quota_metrics;
 pub mod route_table;
 pub mod running_requests;
 pub mod time_ring;
--- a/lib/src/transport/gossip.rs
+++ b/lib/src/transport/gossip.rs
@@ -39,6 +39,7 @@
 use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_channel::ControlClient;
 use crate::transport::peer_security::PeerSecurity;
+use crate::transport::quota_link::QuotaLink;
 
 /// Time between two checks for gossip and reports that are due.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -72,6 +73,8 @@
     pub channels: Arc<ControlChannels>,
     /// Metrics of the node.
     pub metrics: SharedMetrics,
+    /// Quotas of tenants, whose datagrams share the socket.
+    pub quotas: Arc<QuotaLink>,
 }
 
 /// State of the gossip behind its lock.
@@ -96,6 +99,7 @@
     security: Arc<PeerSecurity>,
     channels: Arc<ControlChannels>,
     metrics: SharedMetrics,
+    quotas: Arc<QuotaLink>,
     exchange_permits: Arc<Semaphore>,
     /// Whether the node has to read configurations from the platform itself.
     may_miss_configurations: watch::Sender<bool>,
@@ -123,6 +127,7 @@
             security: dependencies.security,
             channels: dependencies.channels,
             metrics: dependencies.metrics,
+            quotas: dependencies.quotas,
             exchange_permits: Arc::new(Semaphore::new(MAX_EXCHANGES)),
             may_miss_configurations: watch::Sender::new(true),
             configurations_read: Notify::new(),
@@ -349,7 +354,13 @@
             self.metrics.control.rejected_datagrams.inc();
             return;
         };
-        self.metrics.control.count("received", "datagram", signed.len() as u64 + UDP_HEADER_BYTES);
+        let is_quota = datagram.kind() == wire::DatagramKind::Quota;
+        let carrier = if is_quota { "quota" } else { "datagram" };
+        self.metrics.control.count("received", carrier, signed.len() as u64 + UDP_HEADER_BYTES);
+        if is_quota {
+            self.quotas.receive(&datagram).await;
+            return;
+        }
         let actions = self.handle_datagram(from, &datagram);
         self.perform(actions).await;
     }
