ingress: tokens for the requests of limited tenants

Cause: quotas decide nothing until the ingress asks.

Change: a routed request of a tenant takes a token before it goes to any gate, for up to a quarter of the route's objective; a retry after an attempt that reached an upstream and a hedge take one each, or are not sent. Calls of upstreams take none. The tenant is a field of the call that authentication sets; until then no request has one and nothing changes. The roster's task reads again soon after a write. Waiting requests go on if the limit of their tenant is removed.

No test sends limited requests through real nodes yet, as no request has a tenant.

--- a/lib/src/coordination/quota/client.rs
+++ b/lib/src/coordination/quota/client.rs
@@ -311,15 +311,15 @@
         if queue.pending.is_some() || queue.waiting.is_empty() || now < queue.next_ask_at {
             return;
         }
+        let Some(limit) = context.limits.limits.get(tenant) else {
+            queue.admit_all(tenant, output);
+            return;
+        };
         let servers = context.roles.servers(group_of(tenant));
         let is_usable = |server: &&Arc<str>| self.skipped.get(*server).is_none_or(|skip| skip.until <= now);
         let Some(server) = servers.iter().find(is_usable).or_else(|| servers.first()) else {
             return;
         };
-        let Some(limit) = context.limits.limits.get(tenant) else {
-            queue.admit_all(tenant, output);
-            return;
-        };
         let sequence = self.next_sequence;
         self.next_sequence = self.next_sequence.wrapping_add(1);
         let ask = wire::TokenAsk {
--- a/lib/src/coordination/quota/quota_node.rs
+++ b/lib/src/coordination/quota/quota_node.rs
@@ -164,7 +164,7 @@
 
     /// Performs the periodic work that is due.
     pub fn tick(&mut self, now: BootTime) -> Vec<QuotaAction> {
-        if self.limits.limits.is_empty() {
+        if self.limits.limits.is_empty() && !self.client.has_waiting() {
             return Vec::new();
         }
         let mut outgoing = VecDeque::new();
--- a/lib/src/node/core_parts.rs
+++ b/lib/src/node/core_parts.rs
@@ -119,6 +119,7 @@
             gate: Arc::clone(&self.gate),
             channels: Arc::new(CallChannels::new(Arc::clone(&self.shared.security))),
             metrics: Arc::clone(&self.shared.metrics),
+            quotas: Arc::clone(&self.quotas),
             burn: Arc::clone(&self.burn),
             decisions: Arc::clone(&self.decisions),
             policy,
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -251,6 +251,7 @@
             };
             match history.record_failure(call, &plan, &answer, &budgets) {
                 NextStep::Reroute => self.count_reroute(&answer),
+                NextStep::Retry if !self.may_use_quota_again(call, &answer).await => return Err(answer),
                 NextStep::Retry => {
                     self.record_retry(call, &plan, &answer, history.reached_upstreams);
                     history.last_answer = Some(answer);
@@ -261,6 +262,11 @@
         Err(history.last_answer.unwrap_or_else(no_upstream_error))
     }
 
+    /// Takes the token of a retry if the failed attempt reached an upstream; returns whether the retry may be sent.
+    async fn may_use_quota_again(&self, call: &IngressCall, answer: &ErrorAnswer) -> bool {
+        !reached_upstream(answer.kind) || self.takes_token_for_further_attempt(call).await
+    }
+
     /// Counts a call that is sent on to another gate because its gate rerouted it.
     fn count_reroute(&self, answer: &ErrorAnswer) {
         Metrics::count(&self.dependencies.metrics.reroutes, answer.kind.name());
--- a/lib/src/transport/hedging.rs
+++ b/lib/src/transport/hedging.rs
@@ -18,6 +18,7 @@
 use crate::transport::call_body::CallBody;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::Result;
+use crate::transport::ingress_quota::HedgeToken;
 use crate::transport::outgoing_request::OutgoingRequest;
 
 /// Maximum number of hedges of one attempt, including hedges that a gate rejected.
@@ -61,13 +62,24 @@
         let mut pause = delay.unwrap_or_default();
         for _ in 0..MAX_HEDGES {
             if let Some((hedge, request)) = self.plan_hedge(context, plan, outgoing) {
+                match self.take_hedge_token(call, first.as_mut()).await {
+                    HedgeToken::Granted => {}
+                    HedgeToken::Rejected => {
+                        self.withdraw_hedge(context, "no_token");
+                        break;
+                    }
+                    HedgeToken::FirstEnded(result) => {
+                        self.withdraw_hedge(context, "not_sent");
+                        return result;
+                    }
+                }
                 let second = pin!(self.attempt(context, &hedge, request));
                 match select(first.as_mut(), second).await {
                     FutureEither::Left((Ok(response), _)) => return Ok(self.record("first_won", response)),
                     FutureEither::Right((Ok(response), _)) => return Ok(self.record("copy_won", response)),
                     FutureEither::Left((Err(_), second)) => return second.await,
                     FutureEither::Right((Err(answer), _)) if reached_upstream(answer.kind) => break,
-                    FutureEither::Right((Err(_), _)) => self.record_hedge_rejected(context),
+                    FutureEither::Right((Err(_), _)) => self.withdraw_hedge(context, "copy_refused"),
                 }
             }
             pause *= 2;
@@ -78,11 +90,11 @@
         first.await
     }
 
-    /// Refunds the budget for a hedge that a gate rejected, since it did not reach an upstream.
-    fn record_hedge_rejected(&self, context: AttemptContext<'_>) {
+    /// Refunds the budget for a hedge that was not sent or that a gate rejected, since it did not reach an upstream.
+    fn withdraw_hedge(&self, context: AttemptContext<'_>, outcome: &'static str) {
         context.call.record_hedge_rejected();
         context.budgets.hedge_budget(context.call.has_route()).refund();
-        Metrics::count(&self.dependencies.metrics.hedge_outcomes, "copy_refused");
+        Metrics::count(&self.dependencies.metrics.hedge_outcomes, outcome);
     }
 
     /// Chooses the gate of a hedge and builds its request; `None` if no hedge may be sent now.
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -66,6 +66,7 @@
 use crate::transport::outgoing_request::OutgoingRequest;
 use crate::transport::outgoing_request::OutgoingRequestBody;
 use crate::transport::peer_channel::CallChannels;
+use crate::transport::quota_link::QuotaLink;
 use crate::transport::upstream_fields::queued_time;
 
 /// Result of handling a call or one attempt of it; the error is the answer to the caller.
@@ -100,6 +101,8 @@
     pub channels: Arc<CallChannels>,
     /// Metrics of the node.
     pub metrics: SharedMetrics,
+    /// Quotas of tenants.
+    pub quotas: Arc<QuotaLink>,
     /// Counts of calls that met or missed their latency objective.
     pub burn: Arc<BurnCounts>,
     /// Log of the most recent decisions about calls, for traces.
--- a/lib/src/transport/ingress_call.rs
+++ b/lib/src/transport/ingress_call.rs
@@ -59,6 +59,8 @@
     pub(super) max_attempts: u32,
     /// Who makes the call.
     pub(super) origin: CallOrigin,
+    /// Tenant whose API key the request carried; none where the configuration has no tenants.
+    pub(super) tenant: Option<Arc<str>>,
     pub(super) measurement: Arc<CallMeasurement>,
 }
 
@@ -92,6 +94,7 @@
             objective,
             objective_at: None,
             origin: CallOrigin::Caller,
+            tenant: None,
             max_attempts: config.service.retry.max_attempts,
             measurement: Arc::new(CallMeasurement::new(Arc::clone(burn), key, objective, started)),
             head,
@@ -105,6 +108,11 @@
         self.issued_key = issued_key;
     }
 
+    /// Returns the tenant whose limit the call counts against; none for a nested call, whose parent counted.
+    pub(super) fn tenant_of_caller(&self) -> Option<&Arc<str>> {
+        self.tenant.as_ref().filter(|_| self.origin == CallOrigin::Caller)
+    }
+
     /// Records that the call is about to be sent to the gate of the given node.
     pub(super) fn record_attempted_gate(&mut self, gate: &Arc<str>) {
         self.gates_attempted += 1;
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -29,6 +29,7 @@
 pub mod ingress;
 pub mod ingress_call;
 pub mod ingress_guard;
+mod ingress_quota;
 mod issued_key_call;
 pub mod listeners;
 pub mod load_probe;
--- a/lib/src/transport/quota_roster.rs
+++ b/lib/src/transport/quota_roster.rs
@@ -38,7 +38,7 @@
 const MIN_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum time between two reads while there is no usable roster or the store does not answer.
-const MAX_RETRY_INTERVAL: Duration = Duration::from_secs(15);
+const MAX_RETRY_INTERVAL: Duration = Duration::from_secs(5);
 
 /// The roster as one node reads and maintains it.
 #[derive(Debug)]
@@ -125,6 +125,8 @@
             return Ok(is_usable);
         };
         self.write(&changed, object).await?;
+        // The next read shows the result, and is due soon.
+        self.retry.reset();
         Ok(false)
     }
 
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -142,7 +142,7 @@
         let call = self.build_call(&published.service, config, route, &parameters, remote);
         let received = self.received_request(request_id, route, remote, received_at);
         let mut unanswered = UnansweredRequest::new(received, call);
-        let result = self.complete(&mut unanswered, config, request).await;
+        let result = self.complete(&mut unanswered, config, route, request).await;
         self.record_result(&unanswered, route, &table, &result);
         result
     }
@@ -222,9 +222,10 @@
         &self,
         unanswered: &mut UnansweredRequest,
         config: &PublishedConfig,
+        route: &Route,
         request: Request<Incoming>,
     ) -> Result<CallResponse> {
-        let mut result = self.ingress.complete_call(&mut unanswered.call, config, request).await;
+        let mut result = self.complete_within_quota(&mut unanswered.call, config, route, request).await;
         unanswered.answered();
         if let Some(guard) = result.as_mut().ok().and_then(|response| response.body_mut().waiting_guard()) {
             guard.unfinished_answer = Some(Box::new(unanswered.unfinished_answer()));
@@ -232,6 +233,19 @@
         result
     }
 
+    /// Takes the token that the request needs, if its tenant has a limit, and completes the call.
+    async fn complete_within_quota(
+        &self,
+        call: &mut IngressCall,
+        config: &PublishedConfig,
+        route: &Route,
+        request: Request<Incoming>,
+    ) -> Result<CallResponse> {
+        let objective = Duration::from_millis(route.spec.objective_ms);
+        self.ingress.take_token(call, objective).await?;
+        self.ingress.complete_call(call, config, request).await
+    }
+
     /// Logs the result of a request, and records a failure in the metrics.
     fn record_result(
         &self,
--- a/lib/tests/quota_fleet.rs
+++ b/lib/tests/quota_fleet.rs
@@ -167,6 +167,16 @@
     assert_within_limit(&fleet, 10);
 }
 
+/// Guards against requests that wait for a token after their tenant's limit was removed.
+#[test]
+fn removed_limit_admits_waiting_requests() {
+    let mut fleet = QuotaFleet::new(NODE_COUNT, ZONE_COUNT, limits(1, RATE), 9);
+    fleet.request(3, &tenant(), PATIENCE);
+    fleet.set_limits(TenantLimits { revision: 2, ..TenantLimits::default() }, 0..NODE_COUNT);
+    fleet.run(Duration::from_millis(140));
+    assert_eq!(fleet.admissions.len(), 1);
+}
+
 /// Guards against a start at which all nodes wait for each other.
 #[test]
 fn start_of_all_nodes_serves_within_seconds() {
