--- a/lib/src/protocol/object.rs
+++ b/lib/src/protocol/object.rs
@@ -28,11 +28,13 @@
     Routes,
     /// Share roster: how the right to spend the limits of tenants is divided among the nodes.
     QuotaRoster,
+    /// Evacuation of the zone that the object is named after, written by operators.
+    Evacuation,
 }
 
 impl ObjectKind {
     /// Every kind.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Service,
         Self::PrioritySet,
         Self::UpstreamRule,
@@ -42,6 +44,7 @@
         Self::Rendezvous,
         Self::Routes,
         Self::QuotaRoster,
+        Self::Evacuation,
     ];
 
     /// Kinds that operators write.
@@ -60,6 +63,7 @@
             Self::Rendezvous => "Rendezvous",
             Self::Routes => "Routes",
             Self::QuotaRoster => "QuotaRoster",
+            Self::Evacuation => "Evacuation",
         }
     }
 
--- a/lib/src/transport/gate_forwarding.rs
+++ b/lib/src/transport/gate_forwarding.rs
@@ -57,7 +57,7 @@
         self.mark_running(call, slot, request_id.as_ref(), &pool, guard);
         let request = self.prepare_request(call, request, &pool);
         let result = self.exchange(call, request, &pool, guard).await;
-        let response = result.map_err(|error| self.record_failed_exchange(call, &error, guard))?;
+        let response = result.map_err(|error| self.record_failed_exchange(call, &error, &pool, guard))?;
         let response = self.verify_origin(call, response, request_id.as_ref(), &pool, guard)?;
         guard.record_status(response.status());
         let mut response = self.prepare_response(response);
@@ -145,6 +145,7 @@
         &self,
         call: &GateCall,
         error: &ExchangeError,
+        pool: &UpstreamPool,
         guard: &mut CallGuard,
     ) -> ErrorAnswer {
         match error {
@@ -154,6 +155,9 @@
             }
             ExchangeError::Upstream(error) => {
                 guard.record_failure();
+                if error.is_connection_failure() {
+                    self.record_connection_failure(pool);
+                }
                 self.upstream_error_answer(call, error)
             }
             ExchangeError::TimedOut => {
--- a/lib/tests/quota_link.rs
+++ b/lib/tests/quota_link.rs
@@ -175,7 +175,14 @@
         limits,
         tenants: Some(vec![limited, unlimited]),
     };
-    Published { service: Arc::from(ROUTES_NAME), revision: 1, epoch: 0, config: None, routes: Some(routes) }
+    Published {
+        service: Arc::from(ROUTES_NAME),
+        revision: 1,
+        epoch: 0,
+        config: None,
+        routes: Some(routes),
+        evacuations: None,
+    }
 }
 
 /// Guards against tokens that two nodes give out twice, and against requests that wait for ever.
