quota tests: a restarted leading node waits for its predecessor's leases

Cause: the stateful test did not find the planted fault that a restarted borrower counts as the one before (120 sequences).

Result: with the fault planted the test fails, without it it passes.

--- a/lib/tests/quota_fleet.rs
+++ b/lib/tests/quota_fleet.rs
@@ -154,6 +154,24 @@
     assert_eq!(fleet.rejections, Vec::new());
 }
 
+/// Guards against a restarted leading node that lends what its predecessor has lent to another server.
+#[test]
+fn restarted_leading_node_waits_for_leases_of_predecessor() {
+    let mut fleet = settled_fleet();
+    let server = fleet.server_of(group_of(TENANT));
+    let leaders: Vec<usize> = (0..ZONE_COUNT).map(|zone| fleet.leader_of_zone(zone)).collect();
+    for leader in leaders.into_iter().filter(|leader| *leader != server) {
+        fleet.start(leader);
+    }
+    for observer in (0..NODE_COUNT).filter(|observer| *observer != server) {
+        fleet.set_view(observer, server, true);
+    }
+    for _ in 0..2_000 {
+        fleet.run(Duration::from_millis(1));
+        assert!(fleet.spendable_parts() <= 1_000_000, "{} parts at once", fleet.spendable_parts());
+    }
+}
+
 /// Guards against a lower limit that waits for full buckets or for nodes with the earlier configuration.
 #[test]
 fn lower_limit_applies_once_caller_or_server_has_it() {
