--- a/lib/src/node/core_parts.rs
+++ b/lib/src/node/core_parts.rs
@@ -32,6 +32,7 @@
 use crate::state::metrics::SharedMetrics;
 use crate::transport::admin_server::AdminHandler;
 use crate::transport::announce_server::UpstreamRegistration;
+use crate::transport::boot_clock::SystemBootClock;
 use crate::transport::cold_probe::ColdProbe;
 use crate::transport::gate::Gate;
 use crate::transport::gossip::Gossip;
@@ -46,6 +47,8 @@
 use crate::transport::peer_channel::ControlChannels;
 use crate::transport::peer_security::PeerSecurity;
 use crate::transport::peer_server::PeerHandler;
+use crate::transport::quota_link::QuotaLink;
+use crate::transport::quota_link::QuotaLinkDependencies;
 use crate::transport::routes_watcher::max_confirmation_age;
 use crate::transport::slowdown_probe::SlowdownProbe;
 use crate::transport::zone_evacuator::ZoneEvacuator;
@@ -61,6 +64,7 @@
     pub(super) decisions: Arc<DecisionLog>,
     pub(super) gate: Arc<Gate>,
     pub(super) gossip: Arc<Gossip>,
+    pub(super) quotas: Arc<QuotaLink>,
     pub(super) registration: Arc<UpstreamRegistration>,
 }
 
@@ -84,7 +88,8 @@
             security,
         };
         let gate = Arc::new(new_gate(Arc::clone(&shared.metrics)));
-        let gossip = Arc::new(new_gossip(settings, &local_member, socket, &shared));
+        let quotas = Arc::new(new_quota_link(&local_member, Arc::clone(&socket), &shared));
+        let gossip = Arc::new(new_gossip(settings, &local_member, socket, &shared, Arc::clone(&quotas)));
         let registration =
             UpstreamRegistration::new(Arc::clone(&gate), Arc::clone(&gossip), Arc::clone(&shared.config));
         Ok(Self {
@@ -96,6 +101,7 @@
             decisions: Arc::new(DecisionLog::new(Instant::now())),
             gate,
             gossip,
+            quotas,
             registration: Arc::new(registration),
         })
     }
@@ -115,6 +121,7 @@
             gate: Arc::clone(&self.gate),
             channels: Arc::new(CallChannels::new(Arc::clone(&self.shared.security))),
             metrics: Arc::clone(&self.shared.metrics),
+            quotas: Arc::clone(&self.quotas),
             burn: Arc::clone(&self.burn),
             decisions: Arc::clone(&self.decisions),
             policy,
@@ -184,6 +191,7 @@
     pub(super) fn spawn_tasks(&self, stop: &CancellationToken) -> Vec<JoinHandle<()>> {
         vec![
             tokio::spawn(Arc::clone(&self.gossip).run(stop.clone())),
+            tokio::spawn(Arc::clone(&self.quotas).run(stop.clone())),
             tokio::spawn(Arc::clone(&self.registration).run(stop.clone())),
             tokio::spawn(self.zone_evacuator().run(stop.clone())),
             tokio::spawn(Arc::clone(&self.shared.security).run(stop.clone())),
@@ -244,6 +252,7 @@
     local_member: &Member,
     socket: Arc<UdpSocket>,
     shared: &SharedParts,
+    quotas: Arc<QuotaLink>,
 ) -> Gossip {
     let now = Instant::now();
     let view = FleetView::new(
@@ -266,5 +275,18 @@
         channels: Arc::new(ControlChannels::new(Arc::clone(&shared.security))),
         security: Arc::clone(&shared.security),
         metrics: Arc::clone(&shared.metrics),
+        quotas,
+    })
+}
+
+fn new_quota_link(local_member: &Member, socket: Arc<UdpSocket>, shared: &SharedParts) -> QuotaLink {
+    QuotaLink::new(QuotaLinkDependencies {
+        local_id: local_member.id.clone(),
+        clock: SystemBootClock,
+        config: Arc::clone(&shared.config),
+        directory: Arc::clone(&shared.directory),
+        socket,
+        security: Arc::clone(&shared.security),
+        metrics: Arc::clone(&shared.metrics),
     })
 }
--- a/lib/src/protocol/object.rs
+++ b/lib/src/protocol/object.rs
@@ -26,13 +26,15 @@
     Rendezvous,
     /// All routes of the fleet, where operators write them as one object.
     Routes,
+    /// Share roster: how the right to spend the limits of tenants is divided among the nodes.
+    QuotaRoster,
     /// Evacuation of the zone that the object is named after, written by operators.
     Evacuation,
 }
 
 impl ObjectKind {
     /// Every kind.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Service,
         Self::PrioritySet,
         Self::UpstreamRule,
@@ -41,6 +43,7 @@
         Self::Lease,
         Self::Rendezvous,
         Self::Routes,
+        Self::QuotaRoster,
         Self::Evacuation,
     ];
 
@@ -59,6 +62,7 @@
             Self::Lease => "Lease",
             Self::Rendezvous => "Rendezvous",
             Self::Routes => "Routes",
+            Self::QuotaRoster => "QuotaRoster",
             Self::Evacuation => "Evacuation",
         }
     }
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -18,6 +18,7 @@
 use crate::state::authentication_metrics::AuthenticationMetrics;
 use crate::state::control_metrics::ControlMetrics;
 use crate::state::evacuation_metrics::EvacuationMetrics;
+use crate::state::quota_metrics::QuotaMetrics;
 
 /// Upper bounds of the latency histogram's buckets.
 const LATENCY_BUCKETS_SECONDS: [f64; 14] =
@@ -75,7 +76,7 @@
     pub reroutes: Family<ReasonLabels, Counter>,
     /// Hedges: second attempts that started while the first was running, by event.
     pub hedges: Family<ReasonLabels, Counter>,
-    /// Hedges by outcome: which of the two attempts answered first, or that a gate rejected the hedge.
+    /// Hedges by outcome: which of the two attempts answered first, that a gate rejected the hedge, or that it was not sent.
     pub hedge_outcomes: Family<ReasonLabels, Counter>,
     /// Probes of the upstream's load or slowdown, by outcome.
     pub probes: Family<ReasonLabels, Counter>,
@@ -91,6 +92,8 @@
     pub authentications: AuthenticationMetrics,
     /// Control traffic between nodes.
     pub control: ControlMetrics,
+    /// Quotas of tenants.
+    pub quota: QuotaMetrics,
     /// Evacuated zones.
     pub evacuation: EvacuationMetrics,
 }
@@ -145,6 +148,8 @@
         control.register_in(&mut registry);
         let authentications = AuthenticationMetrics::default();
         authentications.register_in(&mut registry);
+        let quota = QuotaMetrics::default();
+        quota.register_in(&mut registry);
         let evacuation = EvacuationMetrics::default();
         evacuation.register_in(&mut registry);
         Self {
@@ -163,6 +168,7 @@
             platform_calls,
             authentications,
             control,
+            quota,
             evacuation,
         }
     }
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -10,6 +10,7 @@
 pub mod evacuation_metrics;
 pub mod metrics;
 pub mod parent_calls;
+pub mod quota_metrics;
 pub mod route_table;
 pub mod running_requests;
 pub mod tenant_table;
--- a/lib/src/transport/ingress_call.rs
+++ b/lib/src/transport/ingress_call.rs
@@ -62,6 +62,8 @@
     pub(super) origin: CallOrigin,
     /// Tenant that the call belongs to, if it belongs to one.
     pub(super) tenant: Option<Tenant>,
+    /// Whether the call counts towards the quota of its tenant, which it does if it came with the tenant's key.
+    pub(super) uses_quota: bool,
     pub(super) measurement: Arc<CallMeasurement>,
 }
 
@@ -96,6 +98,7 @@
             objective_at: None,
             origin: CallOrigin::Caller,
             tenant: None,
+            uses_quota: false,
             max_attempts: config.service.retry.max_attempts,
             measurement: Arc::new(CallMeasurement::new(Arc::clone(burn), key, objective, started)),
             head,
@@ -109,6 +112,11 @@
         self.issued_key = issued_key;
     }
 
+    /// Returns the name of the tenant whose quota the call counts towards; none for a nested call, whose parent counted.
+    pub(super) fn quota_tenant(&self) -> Option<&Arc<str>> {
+        self.tenant.as_ref().filter(|_| self.uses_quota).map(|tenant| &tenant.name)
+    }
+
     /// Records that the call is about to be sent to the gate of the given node.
     pub(super) fn record_attempted_gate(&mut self, gate: &Arc<str>) {
         self.gates_attempted += 1;
