quotas: the first roster is written after three quiet seconds

Requests of limited tenants are refused until there is a roster. With ten seconds without a change of the known members it came after the first requests of a deployment that starts as a whole; gossip makes all members known within about a second. The test of the first start now expects the roster within seven seconds.

--- a/lib/src/coordination/quota/roster_keeper.rs
+++ b/lib/src/coordination/quota/roster_keeper.rs
@@ -24,7 +24,7 @@
 /// Observed time without a change of the known nodes before the first roster is written.
 ///
 /// Within it, the queries for the own share show whether another node knows a roster.
-const SETTLING_TIME: Duration = Duration::from_secs(10);
+const SETTLING_TIME: Duration = Duration::from_secs(3);
 
 /// Maximum time between two observations that counts towards settling.
 const MAX_SETTLING_GAP: Duration = Duration::from_secs(1);
--- a/lib/tests/quota_fleet.rs
+++ b/lib/tests/quota_fleet.rs
@@ -209,10 +209,10 @@
 #[test]
 fn first_start_writes_equal_shares() {
     let mut fleet = QuotaFleet::new(NODE_COUNT, ZONE_COUNT, limits(1, RATE), 9);
-    send(&mut fleet, 10, 5, |_| 3);
+    send(&mut fleet, 10, 2, |_| 3);
     assert_eq!(rejected(&fleet, QuotaRejectionKind::Unavailable), fleet.rejections.len());
     assert_eq!(fleet.admissions.len(), 0);
-    fleet.run(Duration::from_secs(12));
+    fleet.run(Duration::from_secs(5));
     let roster = fleet.store.roster.clone().expect("the leading node wrote a roster");
     assert_eq!(roster.all_parts(), 1_000_000);
     assert_eq!(roster.shares.len(), NODE_COUNT);
