gate: treat responses without a final status as lost

An upstream's response with status 101 or 600 to 999 was passed on as the answer of its call, since the HTTP client delivers them and nothing checked the status. After 600 to 999 the connection was kept for the next call. Health responses with such a status were believed.

protocol/final_status.rs now decides what is final (200 to 599), and the pool of upstream connections applies it to each response. The call ends with 502 and an unknown outcome and is retried only if it is idempotent, within the retry budget; its connection is closed. A metric counts these responses. Log lines name the status, or the status line if the client can't read it.

Status lines that are not valid HTTP, such as 000, gave 502 before the change too.

--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -13,6 +13,7 @@
 pub mod error_kind;
 pub mod evacuation;
 pub mod external_fields;
+pub mod final_status;
 pub mod headers;
 pub mod issued_key;
 pub mod load_report;
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -81,6 +81,8 @@
     pub probes: Family<ReasonLabels, Counter>,
     /// Load probes that were skipped, by reason.
     pub skipped_probes: Family<ReasonLabels, Counter>,
+    /// Responses without a final status, by what was requested: a call, a query of the gate, or a call of a peer.
+    pub no_final_responses: Family<ReasonLabels, Counter>,
     /// Changes of what the gate knows of its upstream's cold starts, by the new state.
     pub cold_states: Family<ReasonLabels, Counter>,
     /// Calls started while the upstream was cold or might have been, counted once it is warm.
@@ -112,6 +114,7 @@
         let hedge_outcomes = Family::<ReasonLabels, Counter>::default();
         let probes = Family::<ReasonLabels, Counter>::default();
         let skipped_probes = Family::<ReasonLabels, Counter>::default();
+        let no_final_responses = Family::<ReasonLabels, Counter>::default();
         let cold_states = Family::<ReasonLabels, Counter>::default();
         let cold_starts = Counter::default();
         let platform_calls = Family::<ReasonLabels, Counter>::default();
@@ -130,6 +133,11 @@
         registry.register("hedge_outcomes", "Races of two copies by the winner", hedge_outcomes.clone());
         registry.register("probes", "Questions to the upstream about its load", probes.clone());
         registry.register("probes_denied", "Questions not asked by reason", skipped_probes.clone());
+        registry.register(
+            "no_final_responses",
+            "Responses without a final status by what was requested",
+            no_final_responses.clone(),
+        );
         registry.register(
             "cold_states",
             "Changes of the upstream's cold state by new state",
@@ -158,6 +166,7 @@
             hedge_outcomes,
             probes,
             skipped_probes,
+            no_final_responses,
             cold_states,
             cold_starts,
             platform_calls,
--- a/lib/src/transport/gate_forwarding.rs
+++ b/lib/src/transport/gate_forwarding.rs
@@ -1,5 +1,6 @@
 //! Forwarding of admitted calls to the upstream, and checks of its responses.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::external_fields::AnswerOrigin;
 use crate::protocol::headers;
+use crate::state::metrics::Metrics;
 use crate::state::running_requests::RunningRequest;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::buffer_if_small;
@@ -26,6 +28,7 @@
 use crate::transport::gate::GateCall;
 use crate::transport::gate::Result;
 use crate::transport::gate_log::log_if_late;
+use crate::transport::gate_log::log_no_final_response;
 use crate::transport::gate_notice::NoticeSource;
 use crate::transport::upstream_fields::into_upstream_request;
 use crate::transport::upstream_fields::set_execution_fields;
@@ -257,9 +260,23 @@
             self.count("upstream_unreachable");
             return ErrorAnswer::new(ErrorKind::NoUpstream, error.to_string()).retry_after(GATE_RETRY_AFTER);
         }
+        self.record_no_final_response(&call.id, "call", error);
         self.count("upstream_lost");
         ErrorAnswer::new(ErrorKind::OutcomeUnknown, error.to_string())
     }
+
+    /// Counts and logs a request that ended because the upstream sent no final response; other errors are ignored.
+    pub(super) fn record_no_final_response(
+        &self,
+        request: &impl Display,
+        purpose: &'static str,
+        error: &UpstreamError,
+    ) {
+        if error.is_no_final_response() {
+            Metrics::count(&self.metrics.no_final_responses, purpose);
+            log_no_final_response(request, purpose, error);
+        }
+    }
 }
 
 /// Returns what the gate has to remember of a request while the upstream is executing it.
--- a/lib/src/transport/gate_log.rs
+++ b/lib/src/transport/gate_log.rs
@@ -13,6 +13,7 @@
 use crate::protocol::load_report::LoadReport;
 use crate::transport::gate::GateCall;
 use crate::transport::stop_state::StopState;
+use crate::transport::upstream_pool::UpstreamError;
 
 /// Maximum number of calls that are logged one by one as the node ends.
 const MAX_UNFINISHED_LINES: usize = 100;
@@ -34,6 +35,18 @@
     );
 }
 
+/// Logs that the upstream sent no final response to a request, which is named by its call or by its path.
+pub(super) fn log_no_final_response(request: &impl Display, purpose: &'static str, error: &UpstreamError) {
+    log_event_limited!(
+        Warn,
+        "upstream sent no final response",
+        request = request,
+        purpose = purpose,
+        status = error.status_text(),
+        error = error,
+    );
+}
+
 /// Logs a call whose answer began after its objective, and the conditions under which it started.
 ///
 /// They tell a long wait from a slow VM, a nearly full upstream and a call that takes long by itself.
--- a/lib/src/transport/gate_query.rs
+++ b/lib/src/transport/gate_query.rs
@@ -45,7 +45,7 @@
             return false;
         };
         let probe = self.begin_health_probe();
-        let response = query(&pool, path, time_limit).await.filter(|response| {
+        let response = self.query(&pool, path, time_limit).await.filter(|response| {
             let is_own = fields.is_health_of(pool.instance().map(AsRef::as_ref), response.headers());
             if !is_own {
                 log_event_limited!(Info, "probe answered by another instance", addr = pool.addr());
@@ -70,24 +70,31 @@
     ///
     /// Returns `None` if there is no upstream, the request fails or times out, or the body is too large.
     pub async fn query_upstream(&self, path: &str) -> Option<Response<Bytes>> {
-        query(&self.pool.load_full()?, path, UPSTREAM_QUERY_TIMEOUT).await
+        self.query(&self.pool.load_full()?, path, UPSTREAM_QUERY_TIMEOUT).await
     }
-}
 
-/// Fetches a small document from the upstream of a pool within a time limit.
-async fn query(pool: &Arc<UpstreamPool>, path: &str, time_limit: Duration) -> Option<Response<Bytes>> {
-    let request = Request::get(path).header(HOST, pool.addr().to_string());
-    let request = request.body(CallBody::from(Bytes::new())).ok()?;
-    let answer_by = Instant::now() + time_limit;
-    let query = async {
-        let mut connection = None;
-        let response = pool.send(request, answer_by, || true, &mut connection).await.ok()?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_QUERY_BODY_BYTES).collect().await.ok()?;
-        if let Some(connection) = connection {
-            pool.return_connection(connection, answer_by);
-        }
-        Some(Response::from_parts(head, body.to_bytes()))
-    };
-    tokio::time::timeout_at(answer_by, query).await.ok()?
+    /// Fetches a small document from the upstream of a pool within a time limit.
+    async fn query(
+        &self,
+        pool: &Arc<UpstreamPool>,
+        path: &str,
+        time_limit: Duration,
+    ) -> Option<Response<Bytes>> {
+        let request = Request::get(path).header(HOST, pool.addr().to_string());
+        let request = request.body(CallBody::from(Bytes::new())).ok()?;
+        let answer_by = Instant::now() + time_limit;
+        let query = async {
+            let mut connection = None;
+            let sent = pool.send(request, answer_by, || true, &mut connection).await;
+            let response =
+                sent.inspect_err(|error| self.record_no_final_response(&path, "query", error)).ok()?;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, MAX_QUERY_BODY_BYTES).collect().await.ok()?;
+            if let Some(connection) = connection {
+                pool.return_connection(connection, answer_by);
+            }
+            Some(Response::from_parts(head, body.to_bytes()))
+        };
+        tokio::time::timeout_at(answer_by, query).await.ok()?
+    }
 }
--- a/lib/src/transport/upstream_pool.rs
+++ b/lib/src/transport/upstream_pool.rs
@@ -9,6 +9,7 @@
 
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::Connection;
@@ -30,6 +31,7 @@
 use crate::log_event_limited;
 use crate::protocol::check_in::UpstreamIncarnation;
 use crate::protocol::external_fields::UpstreamNotice;
+use crate::protocol::final_status::is_final_status;
 use crate::transport::call_body::BodyError;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::MAX_BUFFERED_BODY_BYTES;
@@ -57,6 +59,12 @@
 /// Largest header section of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 65_536;
 
+/// Start of every HTTP/1 status line.
+const STATUS_LINE_START: &[u8] = b"HTTP/";
+
+/// Longest part of a status line that is logged, in bytes.
+const MAX_LOGGED_STATUS_LINE_BYTES: usize = 40;
+
 /// Error of a call that got no complete response from the upstream.
 #[derive(Debug, Snafu)]
 pub enum UpstreamError {
@@ -90,6 +98,18 @@
         /// Error reported by hyper.
         source: hyper::Error,
     },
+    /// The status of the response is not final, so the connection is unusable and the call may have been executed.
+    #[snafu(display("the upstream answered with status {status}, which is not final", status = status.as_u16()))]
+    NoFinalStatus {
+        /// Status of the response.
+        status: StatusCode,
+    },
+    /// The head of the response is not valid HTTP, and the call may have been executed.
+    #[snafu(display("the upstream's answer is unreadable: {source}"))]
+    UnreadableResponse {
+        /// Error reported by hyper.
+        source: hyper::Error,
+    },
     /// The response ended before it was complete.
     #[snafu(display("the upstream's answer broke off"), visibility(pub(crate)))]
     IncompleteResponse {
@@ -102,10 +122,25 @@
     /// Returns whether the error proves that the upstream never received the call.
     #[must_use]
     pub const fn proves_not_executed(&self) -> bool {
-        !matches!(self, Self::Lost { .. } | Self::IncompleteResponse { .. })
+        !matches!(self, Self::Lost { .. } | Self::IncompleteResponse { .. }) && !self.is_no_final_response()
+    }
+
+    /// Returns whether the upstream sent something other than a final response.
+    #[must_use]
+    pub const fn is_no_final_response(&self) -> bool {
+        matches!(self, Self::NoFinalStatus { .. } | Self::UnreadableResponse { .. })
+    }
+
+    /// Returns the status code of a response that is not final, or `unreadable`.
+    #[must_use]
+    pub fn status_text(&self) -> String {
+        match self {
+            Self::NoFinalStatus { status } => status.as_u16().to_string(),
+            _ => "unreadable".to_owned(),
+        }
     }
 
-    /// Returns whether the upstream refused or ended a connection, as it does when it restarts.
+    /// Returns whether the connection failed as when an upstream restarts: refused, ended, or without a final response.
     #[must_use]
     pub const fn is_connection_failure(&self) -> bool {
         !matches!(self, Self::ConnectTimeout | Self::Exhausted | Self::Draining)
@@ -268,7 +303,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no connection is available, the one used fails or the call may not be sent any more.
+    /// Returns an error if no connection is available, the one used fails, the call may not be sent any more or the
+    /// response is not final. The connection of such a response remains in `in_use`, and the caller closes it.
     /// A request of which no byte was written is first retried on the other idle connections and then on a new
     /// one.
     pub async fn send<F>(
@@ -294,11 +330,12 @@
             connection.streamed_bytes.clone_from(&streamed_bytes);
             let sent = in_use.insert(connection).sender.try_send_request(request);
             match sent.await {
-                Ok(response) => return Ok(response),
+                Ok(response) if is_final_status(response.status()) => return Ok(response),
+                Ok(response) => return NoFinalStatusSnafu { status: response.status() }.fail(),
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) if reused => request = unsent,
                     Some(_) => return NotWrittenSnafu.fail(),
-                    None => return Err(UpstreamError::Lost { source: failure.into_error() }),
+                    None => return Err(failed_after_write(failure.into_error())),
                 },
             }
         }
@@ -368,6 +405,15 @@
     }
 }
 
+/// Returns the error for a connection that failed after the call may have been written.
+fn failed_after_write(source: hyper::Error) -> UpstreamError {
+    if source.is_parse() {
+        UpstreamError::UnreadableResponse { source }
+    } else {
+        UpstreamError::Lost { source }
+    }
+}
+
 /// Opens a connection, which keeps `permit` until the upstream has closed it.
 async fn connect(
     addr: SocketAddr,
@@ -387,7 +433,7 @@
         .await
         .context(HandshakeSnafu)?;
     let closed_by_upstream = CancellationToken::new();
-    let driving = tokio::spawn(drive(connection, permit, closed_by_upstream.clone().drop_guard()));
+    let driving = tokio::spawn(drive(addr, connection, permit, closed_by_upstream.clone().drop_guard()));
     let driver = driving.abort_handle();
     let now = Instant::now();
     Ok(PooledConnection {
@@ -402,6 +448,7 @@
 
 /// Drives a connection to its end and then waits until the upstream has closed it too.
 async fn drive(
+    addr: SocketAddr,
     mut connection: Connection<TokioIo<TcpStream>, CallBody>,
     permit: OwnedSemaphorePermit,
     closed_by_upstream: DropGuard,
@@ -410,11 +457,30 @@
     if let Err(error) = ended {
         log::debug!("upstream connection failed; error={error}");
     }
-    wait_closed(connection.into_parts().io.into_inner()).await;
+    let parts = connection.into_parts();
+    log_unread_status_line(addr, &parts.read_buf);
+    wait_closed(parts.io.into_inner()).await;
     drop(closed_by_upstream);
     drop(permit);
 }
 
+/// Logs the status line of a response that a connection ended without reading.
+///
+/// Input of another form may be part of a body and is not logged.
+fn log_unread_status_line(addr: SocketAddr, unread: &[u8]) {
+    if !unread.starts_with(STATUS_LINE_START) {
+        return;
+    }
+    let line = unread.split(|byte| matches!(byte, b'\r' | b'\n')).next().unwrap_or_default();
+    let logged = line.get(..MAX_LOGGED_STATUS_LINE_BYTES).unwrap_or(line);
+    log_event_limited!(
+        Warn,
+        "upstream connection ended at an unreadable or unrequested response",
+        addr = addr,
+        status_line = String::from_utf8_lossy(logged),
+    );
+}
+
 /// Closes the sending side and discards input until the upstream closes its side.
 ///
 /// An upstream that sends nothing may be executing the call still, so the wait has no end of its own. One
