peer calls, store: accept final statuses only

A gate on another node could answer with 600 to 999, which reached the caller, and a field beside it that says "not executed" was believed. A write that the store answered with 101 or 600 to 999 counted as rejected, although the store may have made it.

Responses of peers and of the store are now checked by the same rule as those of upstreams. The call has an unknown outcome, also when its outcome is asked for over a new connection; the store's response counts as none.

--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -408,6 +408,7 @@
                 deadline: call.deadline,
                 idempotent: call.head.idempotent,
                 continues_without_caller: call.issued_key.is_some(),
+                metrics: &self.dependencies.metrics,
             };
             let response = send_via_peer_gate(&self.dependencies.channels, peer, request).await;
             response.map(|response| response.map(Either::Left))
--- a/lib/src/transport/call_resolution.rs
+++ b/lib/src/transport/call_resolution.rs
@@ -16,6 +16,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::Uri;
 use http_body::Body;
 use http_body::Frame;
@@ -25,13 +26,17 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::log_event_limited;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::error_kind::Execution;
+use crate::protocol::final_status::is_final_status;
 use crate::protocol::headers;
 use crate::protocol::member::MemberId;
 use crate::protocol::resolve_request::ResolveRequest;
+use crate::state::metrics::Metrics;
+use crate::state::metrics::SharedMetrics;
 use crate::transport::call_body::BodyError;
 use crate::transport::call_body::CallBody;
 use crate::transport::call_body::buffer_if_small;
@@ -64,6 +69,8 @@
     pub idempotent: bool,
     /// Whether it continues when its caller disconnects, because the caller may fetch the answer later.
     pub continues_without_caller: bool,
+    /// Metrics of the node.
+    pub metrics: &'a SharedMetrics,
 }
 
 /// Sends a call to a gate and returns the answer once its header section is received.
@@ -82,6 +89,7 @@
         addr: call.addr,
         deadline: call.deadline,
         channel: channels.get(call.addr),
+        metrics: Arc::clone(call.metrics),
     };
     if let Some(gate) = &resolver.gate {
         request.headers_mut().insert(headers::GATE, gate.clone());
@@ -94,7 +102,7 @@
         Ok::<_, PeerError>(buffer_if_small(response, call.deadline).await)
     };
     let answer = match tokio::time::timeout_at(call.deadline, exchange).await {
-        Ok(Ok(Ok(response))) => response_or_error(response),
+        Ok(Ok(Ok(response))) => resolver.read_response(response),
         Ok(Ok(Err(error))) => {
             log::debug!("answer truncated; call={} peer={} error={error}", call.id, call.addr);
             resolver.resolve_if(!call.idempotent).await
@@ -126,6 +134,7 @@
     addr: SocketAddr,
     deadline: Instant,
     channel: Arc<PeerChannel<CallBody>>,
+    metrics: SharedMetrics,
 }
 
 impl CallResolver {
@@ -141,7 +150,7 @@
                 match self.channel.send(self.request(ResolveRequest::Attach)).await {
                     Ok(response) => {
                         if let Ok(response) = buffer_if_small(response, self.deadline).await {
-                            return response_or_error(response);
+                            return self.read_response(response);
                         }
                     }
                     Err(error) => log::debug!("cannot resolve call; call={} error={error}", self.id),
@@ -154,6 +163,23 @@
             .unwrap_or_else(|_elapsed| Err(connection_lost()))
     }
 
+    /// Returns the response, or the error answer for one that is not final or describes an error.
+    fn read_response(&self, response: Response<CallBody>) -> Result<Response<CallBody>> {
+        let status = response.status();
+        if is_final_status(status) {
+            return response_or_error(response);
+        }
+        Metrics::count(&self.metrics.no_final_responses, "peer");
+        log_event_limited!(
+            Warn,
+            "peer sent no final response",
+            call = &self.id,
+            peer = self.addr,
+            status = status.as_u16(),
+        );
+        Err(no_final_response(status))
+    }
+
     /// Cancels the call at its gate, without a retry.
     async fn cancel(self) {
         let sent = self.channel.send(self.request(ResolveRequest::Cancel));
@@ -369,6 +395,12 @@
     })
 }
 
+/// Returns the error answer for a call that another node answered with a status that is not final.
+fn no_final_response(status: StatusCode) -> ErrorAnswer {
+    let message = format!("the upstream's gate answered with status {}, which is not final", status.as_u16());
+    ErrorAnswer::new(ErrorKind::OutcomeUnknown, message)
+}
+
 /// Returns the error answer for a call whose connection failed and whose outcome is unknown.
 fn connection_lost() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the connection failed while the call was under way")
--- a/lib/src/transport/store_client.rs
+++ b/lib/src/transport/store_client.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 
 use crate::log_event;
+use crate::protocol::final_status::is_final_status;
 use crate::transport::platform::PlatformError;
 use crate::transport::platform::Result;
 use crate::transport::silence_watch::enable_keepalive;
@@ -110,6 +111,9 @@
     ) -> Result<Response<Bytes>, String> {
         let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
         let (head, body) = response.into_parts();
+        if !is_final_status(head.status) {
+            return Err(format!("status {}, which is not final", head.status.as_u16()));
+        }
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
         let bytes = body.map_err(|error| error.to_string())?.to_bytes();
         let mut idle = self.idle.lock();
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod logging_upstream;
 pub mod objects;
 pub mod raw_http;
+pub mod raw_peer;
 pub mod simulated_fleet;
 pub mod two_nodes;
 pub mod workspace;
