evacuation: judge upstreams anew when their zone is taken back

A report of all nodes showed slowness estimates of 17 to 318 times normal at its gates. Slowness is relative to typical times, which the routes had learned anew meanwhile, and no call was sent there that could correct the estimate.

Change: gates forget slowness and failures when their zone is evacuated or taken back, and ingresses when it is taken back.

The new unit test fails without the change.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -180,6 +180,11 @@
             && self.estimate.slowdown_report_is_older_than(MAX_SLOWDOWN_REPORT_AGE, now)
     }
 
+    /// Forgets how slow and how often failing the upstream was, since that no longer holds after a time without calls.
+    pub const fn forget_slowness(&mut self) {
+        self.estimate.forget_slowness();
+    }
+
     /// Releases the slot of a call that ended, and returns decisions on queued calls.
     pub fn release(
         &mut self,
--- a/lib/src/coordination/service_estimate.rs
+++ b/lib/src/coordination/service_estimate.rs
@@ -163,6 +163,18 @@
         self.slowdown = Some(SlowdownReport::new(percent, self.slowdown, now));
     }
 
+    /// Forgets how slow and how often failing the upstream was, as after a time without calls.
+    ///
+    /// Slowness is relative to typical times, which change while other upstreams execute the calls.
+    pub const fn forget_slowness(&mut self) {
+        if self.slowness_permille > 0 {
+            self.slowness_permille = PERMILLE;
+        }
+        self.mean_service_us = 0;
+        self.failing_permille = 0;
+        self.near_capacity = NearCapacityComparison::new();
+    }
+
     /// Returns the longest typical time of a call that is worth starting now, or `None` if any call is.
     ///
     /// Longer calls gain by waiting for the end of a brief slowdown of the VM.
--- a/lib/src/node/core_parts.rs
+++ b/lib/src/node/core_parts.rs
@@ -185,6 +185,7 @@
             zone: Arc::clone(&self.local_member.zone),
             gate: Arc::clone(&self.gate),
             config: Arc::clone(&self.shared.config),
+            directory: Arc::clone(&self.shared.directory),
         }
     }
 
--- a/lib/src/state/upstream_stats.rs
+++ b/lib/src/state/upstream_stats.rs
@@ -115,6 +115,15 @@
         self.consecutive_failures.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Forgets how slow and how often failing the upstream was, as after a time without calls.
+    pub fn forget_slowness(&self) {
+        self.reported_service_time_us.store(0, Ordering::Relaxed);
+        self.service_time_us.store(0, Ordering::Relaxed);
+        self.reported_slowness_permille.store(0, Ordering::Relaxed);
+        self.mean_slowness_permille.store(0, Ordering::Relaxed);
+        self.consecutive_failures.store(0, Ordering::Relaxed);
+    }
+
     /// Returns the statistics at `now`.
     #[must_use]
     pub fn load(&self, now: Instant) -> UpstreamLoad {
--- a/lib/src/transport/gate_queue.rs
+++ b/lib/src/transport/gate_queue.rs
@@ -56,8 +56,12 @@
     }
 
     /// Sets whether the zone of the gate is evacuated, and rejects queued calls if so.
+    ///
+    /// Ingresses would avoid an upstream that seemed slow before, and nothing would correct that. Its estimate is
+    /// forgotten also when the gate closes, so that no later load report carries it.
     pub(super) fn set_zone_evacuated(&mut self, is_zone_evacuated: bool) {
         self.is_zone_evacuated = is_zone_evacuated;
+        self.admission.forget_slowness();
         self.close_or_open();
     }
 
--- a/lib/src/transport/zone_evacuator.rs
+++ b/lib/src/transport/zone_evacuator.rs
@@ -1,4 +1,5 @@
-//! Closes the gate of a node while operators evacuate its zone, and logs how far the evacuation is.
+//! Applies evacuations to a node: its gate is closed while its zone is evacuated, and upstreams of zones that are taken
+//! back are judged anew.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,12 +11,13 @@
 use crate::log_event;
 use crate::protocol::evacuation::EvacuationSet;
 use crate::state::config_table::ConfigTable;
+use crate::state::directory::Directory;
 use crate::transport::gate::Gate;
 
 /// Interval between checks whether calls still run at the upstream of an evacuated zone.
 const RUNNING_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Applies the evacuations in force to the gate of one node.
+/// Applies the evacuations in force to one node.
 #[derive(Debug)]
 pub struct ZoneEvacuator {
     /// Zone of the node.
@@ -24,6 +26,8 @@
     pub gate: Arc<Gate>,
     /// Evacuations in force.
     pub config: Arc<ConfigTable>,
+    /// Members with this node's statistics of their upstreams.
+    pub directory: Arc<Directory>,
 }
 
 impl ZoneEvacuator {
@@ -31,6 +35,7 @@
     pub async fn run(self, stop: CancellationToken) {
         let apply_changes = async {
             let mut changed = self.config.evacuations_changed();
+            let mut previous = Arc::default();
             loop {
                 let revision = *changed.borrow_and_update();
                 let evacuations = self.config.evacuations().unwrap_or_default();
@@ -38,6 +43,8 @@
                     log_zones(&evacuations, revision);
                 }
                 self.apply(&evacuations);
+                self.forget_slowness(&previous, &evacuations);
+                previous = evacuations;
                 tokio::select! {
                     result = changed.changed() => if result.is_err() {
                         return;
@@ -75,6 +82,16 @@
         }
     }
 
+    /// Forgets how slow the upstreams of the zones were whose evacuation has ended.
+    fn forget_slowness(&self, previous: &EvacuationSet, evacuations: &EvacuationSet) {
+        let has_ended = |zone: &str| previous.contains(zone) && !evacuations.contains(zone);
+        for entry in self.directory.snapshot().entries() {
+            if has_ended(&entry.member.zone) {
+                entry.stats.forget_slowness();
+            }
+        }
+    }
+
     /// Logs once that no call runs any more at the upstream of an evacuated zone, and then waits without end.
     async fn log_when_idle(&self) {
         if self.gate.is_zone_evacuated() {
--- a/lib/tests/evacuations.rs
+++ b/lib/tests/evacuations.rs
@@ -2,16 +2,22 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde_json::json;
+use tokio::time::Instant;
 use yuccatray::coordination::evacuation::EvacuationView;
 use yuccatray::coordination::evacuation::GateChange;
 use yuccatray::coordination::evacuation::evacuation_revision;
 use yuccatray::coordination::evacuation::gate_change;
 use yuccatray::coordination::evacuation::is_fully_evacuated;
 use yuccatray::coordination::evacuation::may_send_to;
+use yuccatray::coordination::execution_progress::Execution;
+use yuccatray::coordination::service_estimate::ExecutionOutcome;
+use yuccatray::coordination::service_estimate::ServiceEstimate;
 use yuccatray::protocol::evacuation::EVACUATIONS_NAME;
 use yuccatray::protocol::evacuation::EvacuationSet;
+use yuccatray::protocol::load_report::LoadReport;
 use yuccatray::protocol::object::Object;
 use yuccatray::protocol::object::ObjectKind;
 use yuccatray::protocol::published::Published;
@@ -19,6 +25,7 @@
 use yuccatray::state::config_table::ConfigTable;
 use yuccatray::state::metrics::Metrics;
 use yuccatray::state::metrics::SharedMetrics;
+use yuccatray::state::upstream_stats::UpstreamStats;
 use yuccatray::transport::evacuation_watcher::max_evacuation_wait_ms;
 use yuccatray::transport::gate::Gate;
 
@@ -158,3 +165,38 @@
     let published = EvacuationView::listed(&[entry("a", "6", 6)], 1, 9).publication(None, 5);
     assert_eq!(published.map(|published| published.service).as_deref(), Some(EVACUATIONS_NAME));
 }
+
+/// Guards against avoiding an upstream for its slowness before the evacuation, which no call would ever correct.
+#[test]
+fn upstream_of_a_zone_taken_back_is_judged_anew() {
+    let now = Instant::now();
+    let slow = LoadReport {
+        limit: 9,
+        service_time_us: 2_600_000,
+        slowness_permille: 300_000,
+        ..LoadReport::default()
+    };
+    let stats = UpstreamStats::new(now);
+    stats.record_load_report(slow, now);
+    stats.record_failure();
+    stats.forget_slowness();
+    let load = stats.load(now);
+    assert_eq!((load.service_time_us, load.slowness_permille, load.consecutive_failures), (0, 0, 0));
+    assert_eq!(load.reported_slots, 9, "the slots are known");
+
+    let mut estimate = ServiceEstimate::new(now);
+    let typical_time = Some(Duration::from_millis(2));
+    let execution = Execution {
+        started: now,
+        typical_time,
+        slowdown_percent: 100,
+        slots_in_use: 1,
+        near_capacity: false,
+    };
+    estimate.start(execution);
+    let end = now + Duration::from_millis(600);
+    estimate.finish(execution, ExecutionOutcome::Succeeded(Duration::from_millis(600)), end);
+    assert_eq!(estimate.slowness_permille(end), 300_000);
+    estimate.forget_slowness();
+    assert_eq!(estimate.slowness_permille(end), 1_000, "as fast as others");
+}
