admission: shed calls by what that costs callers

Cause: a gate let less urgent calls use 50 to 80 % of its slots whoever held the others, so crests of a wave were rejected while slots were free. Queued calls started in the order of their timeouts, calls at a cold upstream were judged at its normal speed, and all callers got the same retry delay.

Change: the setting /overload/shedding = by_cost lets every priority use the slots below the load at which upstreams slow down, starts nested calls first and then the calls with the least spare time, lets tenants take turns in proportion to their limits, judges calls at the lasting speed of the VM, and spreads retry delays. by_priority stays the default.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -2,15 +2,18 @@
 
 mod arrival;
 mod decision;
+mod shedding;
 mod slots;
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::coordination::admission::shedding::RetrySpread;
 use crate::coordination::cold_limit::ColdLimit;
 use crate::coordination::concurrency_limit::ConcurrencyLimit;
 use crate::coordination::execution_progress::micros;
+use crate::coordination::priority_queue::Pace;
 use crate::coordination::priority_queue::PriorityQueue;
 use crate::coordination::priority_queue::PriorityRule;
 use crate::coordination::service_estimate::ExecutionOutcome;
@@ -19,6 +22,7 @@
 use crate::coordination::start_rate::StartRate;
 use crate::protocol::load_report::LoadReport;
 use crate::protocol::rate_limit::RateLimit;
+use crate::protocol::settings::Shedding;
 
 pub use crate::coordination::admission::decision::AdmissionOutcome;
 pub use crate::coordination::admission::decision::AdmissionRequest;
@@ -40,6 +44,8 @@
 #[derive(Debug)]
 pub struct Admission {
     limit: ConcurrencyLimit,
+    shedding: Shedding,
+    retry_spread: RetrySpread,
     adaptive: bool,
     reserved_slots: u32,
     running: u32,
@@ -59,6 +65,8 @@
     pub fn new(limit: u32, rules: &[PriorityRule], now: Instant) -> Self {
         Self {
             limit: ConcurrencyLimit::new(limit),
+            shedding: Shedding::ByPriority,
+            retry_spread: RetrySpread::default(),
             adaptive: true,
             reserved_slots: 0,
             running: 0,
@@ -73,6 +81,12 @@
         }
     }
 
+    /// Sets by what calls are delayed or rejected while slots are short.
+    #[must_use]
+    pub fn with_shedding(self, shedding: Shedding) -> Self {
+        Self { shedding, ..self }
+    }
+
     /// Replaces the priority rules and rejects the calls queued for removed priorities.
     pub fn set_priority_rules(&mut self, rules: &[PriorityRule]) -> Vec<QueueDecision> {
         for (queue, rule) in self.queues.iter_mut().zip(rules) {
@@ -229,6 +243,17 @@
         drain_time.max(self.start_delay(queued, now)).clamp(MIN_RETRY_HINT, MAX_RETRY_HINT)
     }
 
+    /// Returns the retry delay for the next rejected call.
+    ///
+    /// Calls that are rejected together get different delays, so that their callers don't return together.
+    pub fn next_retry_delay(&mut self, now: Instant) -> Duration {
+        let hint = self.retry_hint(now);
+        match self.shedding {
+            Shedding::ByPriority => hint,
+            Shedding::ByCost => self.retry_spread.next(hint).min(MAX_RETRY_HINT),
+        }
+    }
+
     /// Returns the time until the upstream's limits let a call start after `calls_ahead` others.
     fn start_delay(&self, calls_ahead: u32, now: Instant) -> Duration {
         self.start_rate.delay(calls_ahead, now).max(self.cold_limit.delay(calls_ahead, now))
@@ -250,6 +275,17 @@
         self.estimate.usable_slots(self.slots(), now)
     }
 
+    /// Returns the service times by which calls are judged to be on time.
+    fn pace(&self, now: Instant) -> Pace {
+        let service_time = self.service_time();
+        match self.shedding {
+            Shedding::ByPriority => Pace::normal(service_time),
+            Shedding::ByCost => {
+                Pace { service_time, slowdown_percent: self.estimate.lasting_slowdown_percent(now) }
+            }
+        }
+    }
+
     fn service_time(&self) -> Duration {
         Duration::from_micros(self.estimate.mean_service_us())
     }
--- a/lib/src/coordination/admission/arrival.rs
+++ b/lib/src/coordination/admission/arrival.rs
@@ -74,16 +74,16 @@
     /// Under a lasting overload a free slot is needed by the next call on time. Calls that come back after a
     /// rejection are late more often than others, so without this they would displace them.
     fn yields_to_calls_on_time(&self, request: &AdmissionRequest, index: usize, now: Instant) -> bool {
-        let service_time = self.service_time();
+        let pace = self.pace(now);
         let Some(objective_at) = request.objective_at.filter(|_| self.queues[index].rule().serve_late) else {
             return false;
         };
-        let call = QueuedCall { caller: request.caller, objective_at, typical_time: request.typical_time };
+        let call = queued_call(request, objective_at);
         request.origin == CallOrigin::Caller
-            && !call.can_meet_objective(service_time, now)
+            && !call.can_meet_objective(pace, now)
             && self.queues[..=index]
                 .iter()
-                .any(|queue| queue.was_short_of_slots(service_time * SHORTAGE_SERVICE_TIMES, now))
+                .any(|queue| queue.was_short_of_slots(pace.service_time * SHORTAGE_SERVICE_TIMES, now))
     }
 
     /// Returns the expected service time of a call that starts now.
@@ -124,8 +124,8 @@
         let objective = request.objective_at.map(|at| at.saturating_duration_since(now));
         let objective = objective.unwrap_or(self.queues[index].rule().objective);
         let max_wait = self.max_wait(index, objective, request.caller);
-        let service_time = self.service_time();
-        let superseded = self.queues[..=index].iter().any(|queue| queue.has_call_on_time(service_time, now));
+        let pace = self.pace(now);
+        let superseded = self.queues[..=index].iter().any(|queue| queue.has_call_on_time(pace, now));
         let queue = &mut self.queues[index];
         let objective_at = now + objective;
         let typical_execution =
@@ -150,10 +150,7 @@
         }
         let key = QueueKey { start_by, sequence: self.next_sequence, queue_index: index };
         self.next_sequence += 1;
-        queue.push(
-            key,
-            QueuedCall { caller: request.caller, objective_at, typical_time: request.typical_time },
-        );
+        queue.push(key, queued_call(&request, objective_at));
         AdmissionOutcome::Queued(key)
     }
 
@@ -221,3 +218,13 @@
         (limit * PERCENT).saturating_sub(more_urgent_use + others_use).max(own_guaranteed)
     }
 }
+
+const fn queued_call(request: &AdmissionRequest, objective_at: Instant) -> QueuedCall {
+    QueuedCall {
+        caller: request.caller,
+        objective_at,
+        typical_time: request.typical_time,
+        caller_weight: request.caller_weight,
+        origin: request.origin,
+    }
+}
--- a/lib/src/coordination/admission/decision.rs
+++ b/lib/src/coordination/admission/decision.rs
@@ -1,5 +1,6 @@
 //! Requests for admission at a gate, and the decisions on them.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -31,6 +32,8 @@
     pub priority: u8,
     /// Caller of the call.
     pub caller: CallerKey,
+    /// Weight of the caller against others that have one; `None` if callers don't share slots by weight.
+    pub caller_weight: Option<NonZeroU32>,
     /// Time after which the caller no longer waits for the answer.
     pub deadline: Instant,
     /// Latest time at which the call may get a slot, if its sender can't wait until the deadline.
--- a/lib/src/coordination/admission/slots.rs
+++ b/lib/src/coordination/admission/slots.rs
@@ -7,9 +7,11 @@
 use crate::coordination::admission::Admission;
 use crate::coordination::admission::decision::QueueDecision;
 use crate::coordination::admission::decision::SlotGrant;
+use crate::coordination::admission::shedding::usable_percent;
 use crate::coordination::execution_progress::Execution;
 use crate::coordination::near_capacity::is_near_capacity;
 use crate::coordination::priority_queue::CallerKey;
+use crate::coordination::priority_queue::Pace;
 use crate::coordination::priority_queue::StartLimits;
 use crate::coordination::slot_balances::PrioritySlotUsage;
 
@@ -23,7 +25,8 @@
     pub(super) fn slots_for(&self, index: usize, now: Instant) -> u32 {
         let slots = self.slots();
         let usable = self.usable_slots(now);
-        (slots * self.queues[index].rule().usable_slots_percent / FULL_PERCENT).clamp(usable.min(1), usable)
+        let percent = usable_percent(self.shedding, self.queues[index].rule().usable_slots_percent);
+        (slots * percent / FULL_PERCENT).clamp(usable.min(1), usable)
     }
 
     /// Accounts the slot time used by each priority since the last change.
@@ -39,15 +42,16 @@
 
     /// Grants free slots to queued calls, and returns the decisions.
     pub(super) fn fill_slots(&mut self, now: Instant) -> Vec<QueueDecision> {
-        let service_time = self.service_time();
+        let pace = self.pace(now);
         let longest_call = self.estimate.longest_call_to_start(now);
         let mut decisions = Vec::new();
-        self.reject_superseded_calls(service_time, now, &mut decisions);
+        self.reject_superseded_calls(pace, now, &mut decisions);
         while self.running < self.usable_slots(now) && self.start_delay(0, now).is_zero() {
-            let Some(index) = self.next_queue(service_time, longest_call, now) else {
+            let Some(index) = self.next_queue(pace, longest_call, now) else {
                 break;
             };
-            let limits = StartLimits { service_time, longest_call, max_late: self.slots() as usize };
+            let max_late = self.slots() as usize;
+            let limits = StartLimits { pace, longest_call, max_late, shedding: self.shedding };
             let next = self.queues[index].next(limits, now, &mut decisions);
             let Some((key, call)) = next else {
                 continue;
@@ -62,18 +66,13 @@
     ///
     /// Those start first, so under a lasting overload the late ones would wait until their deadlines in vain.
     /// Rejected now, they leave their callers time to come back.
-    fn reject_superseded_calls(
-        &mut self,
-        service_time: Duration,
-        now: Instant,
-        rejections: &mut Vec<QueueDecision>,
-    ) {
+    fn reject_superseded_calls(&mut self, pace: Pace, now: Instant, rejections: &mut Vec<QueueDecision>) {
         let mut short_of_slots = false;
         for queue in self.queues.iter_mut().filter(|queue| queue.rule().serve_late) {
-            short_of_slots |= queue.was_short_of_slots(service_time * SHORTAGE_SERVICE_TIMES, now)
-                && queue.has_call_on_time(service_time, now);
+            short_of_slots |= queue.was_short_of_slots(pace.service_time * SHORTAGE_SERVICE_TIMES, now)
+                && queue.has_call_on_time(pace, now);
             if short_of_slots {
-                queue.reject_late(service_time, now, rejections);
+                queue.reject_late(pace, now, rejections);
             }
         }
     }
@@ -81,18 +80,13 @@
     /// Returns the most urgent waiting queue with a positive balance, otherwise the most urgent one.
     ///
     /// Queues with a call that can still meet its objective precede queues with only late calls.
-    fn next_queue(
-        &self,
-        service_time: Duration,
-        longest_call: Option<Duration>,
-        now: Instant,
-    ) -> Option<usize> {
+    fn next_queue(&self, pace: Pace, longest_call: Option<Duration>, now: Instant) -> Option<usize> {
         let is_eligible = |index: &usize| {
             self.queues[*index].has_call_to_start(longest_call) && self.running < self.slots_for(*index, now)
         };
         let has_call_on_time = |index: &usize| {
             let queue = &self.queues[*index];
-            !queue.rule().serve_late || queue.has_call_on_time(service_time, now)
+            !queue.rule().serve_late || queue.has_call_on_time(pace, now)
         };
         let waiting: Vec<usize> = (0..self.queues.len()).filter(is_eligible).collect();
         let on_time_queues = waiting.iter().copied().filter(has_call_on_time);
--- a/lib/src/coordination/priority_queue.rs
+++ b/lib/src/coordination/priority_queue.rs
@@ -1,6 +1,7 @@
 //! The queued and running calls of one priority at one gate, and the order in which queued calls get slots.
 
 use std::collections::BTreeMap;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -9,8 +10,14 @@
 use crate::coordination::admission::QueueDecision;
 use crate::coordination::admission::QueueKey;
 use crate::coordination::admission::RejectReason;
+use crate::protocol::call_head::CallOrigin;
+use crate::protocol::settings::Shedding;
 
 const PERCENT: usize = 100;
+/// Normal speed of an upstream's VM, in percent of the normal service time.
+const NORMAL_SPEED_PERCENT: u32 = 100;
+/// Factor that keeps fractions when running calls are divided by the weight of their caller.
+const WEIGHT_SCALE: u64 = 1_000;
 /// Divisor of the expected time that gives the margin added to it.
 ///
 /// A margin is needed because about half of all calls take longer than the typical time.
@@ -46,26 +53,60 @@
     pub objective_at: Instant,
     /// Typical service time of this kind of call; the gate's mean service time applies if it is not known.
     pub typical_time: Option<Duration>,
+    /// Weight of the caller against others that have one.
+    pub caller_weight: Option<NonZeroU32>,
+    /// Who makes the call.
+    pub origin: CallOrigin,
 }
 
 impl QueuedCall {
     /// Returns whether the call can still meet its objective if it starts now.
     #[must_use]
-    pub fn can_meet_objective(&self, service_time: Duration, now: Instant) -> bool {
-        let expected = self.typical_time.unwrap_or(service_time);
+    pub fn can_meet_objective(&self, pace: Pace, now: Instant) -> bool {
+        let expected = pace.expected_time(self.typical_time);
         self.objective_at >= now + expected + expected / TYPICAL_TIME_MARGIN_DIVISOR
     }
+
+    /// Returns the latest time at which the call may start and still meet its objective.
+    fn latest_start_on_time(&self, pace: Pace) -> Option<Instant> {
+        self.objective_at.checked_sub(pace.expected_time(self.typical_time))
+    }
+}
+
+/// Service times that an upstream is expected to need now.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Mean service time at normal speed, for calls whose typical time is not known.
+    pub service_time: Duration,
+    /// Service times relative to those at normal speed, in percent.
+    pub slowdown_percent: u32,
+}
+
+impl Pace {
+    /// Returns the pace of an upstream at normal speed.
+    #[must_use]
+    pub const fn normal(service_time: Duration) -> Self {
+        Self { service_time, slowdown_percent: NORMAL_SPEED_PERCENT }
+    }
+
+    /// Returns the expected service time of a call.
+    #[must_use]
+    pub fn expected_time(&self, typical_time: Option<Duration>) -> Duration {
+        typical_time.unwrap_or(self.service_time) * self.slowdown_percent / NORMAL_SPEED_PERCENT
+    }
 }
 
 /// Conditions on the queued calls that may start.
 #[derive(Clone, Copy, Debug)]
 pub struct StartLimits {
-    /// Mean service time, for calls whose typical time is not known.
-    pub service_time: Duration,
+    /// Service times to expect.
+    pub pace: Pace,
     /// Longest typical time of a call that is worth starting; `None` if any call is.
     pub longest_call: Option<Duration>,
     /// Maximum number of late calls that stay queued.
     pub max_late: usize,
+    /// Order of the calls that can meet their objectives.
+    pub shedding: Shedding,
 }
 
 /// Returns whether a call may start although longer ones than `longest_call` are held.
@@ -179,14 +220,14 @@
 
     /// Returns whether any queued call can still meet its objective.
     #[must_use]
-    pub fn has_call_on_time(&self, service_time: Duration, now: Instant) -> bool {
+    pub fn has_call_on_time(&self, pace: Pace, now: Instant) -> bool {
         let mut unexpired = self.waiting.iter().filter(|(key, _)| key.start_by() > now);
-        unexpired.any(|(_, call)| call.can_meet_objective(service_time, now))
+        unexpired.any(|(_, call)| call.can_meet_objective(pace, now))
     }
 
     /// Rejects the queued calls that can no longer meet their objective.
-    pub fn reject_late(&mut self, service_time: Duration, now: Instant, rejections: &mut Vec<QueueDecision>) {
-        let late = self.late_calls(service_time, now);
+    pub fn reject_late(&mut self, pace: Pace, now: Instant, rejections: &mut Vec<QueueDecision>) {
+        let late = self.late_calls(pace, now);
         if !late.is_empty() {
             self.record_shortage(now);
         }
@@ -205,8 +246,8 @@
     }
 
     /// Returns the queued calls that can no longer meet their objective, the one to start first at the front.
-    fn late_calls(&self, service_time: Duration, now: Instant) -> Vec<QueueKey> {
-        let is_late = |call: &QueuedCall| !call.can_meet_objective(service_time, now);
+    fn late_calls(&self, pace: Pace, now: Instant) -> Vec<QueueKey> {
+        let is_late = |call: &QueuedCall| !call.can_meet_objective(pace, now);
         self.waiting.iter().filter(|(_, call)| is_late(call)).map(|(key, _)| *key).collect()
     }
 
@@ -231,7 +272,7 @@
             let reason = if key.start_by() <= now {
                 RejectReason::TooLate
             // Looser than `can_meet_objective`: the mean service time applies to every call, without margin.
-            } else if call.objective_at < now + limits.service_time {
+            } else if call.objective_at < now + limits.pace.service_time {
                 RejectReason::ObjectiveMissed
             } else {
                 return Some((key, call));
@@ -247,23 +288,40 @@
         now: Instant,
         rejections: &mut Vec<QueueDecision>,
     ) -> Option<(QueueKey, QueuedCall)> {
-        let StartLimits { service_time, longest_call, max_late } = limits;
+        let StartLimits { pace, longest_call, max_late, shedding } = limits;
         let expired = self.waiting.keys().take_while(|key| key.start_by() <= now);
         let expired: Vec<QueueKey> = expired.copied().collect();
         self.reject(&expired, RejectReason::TooLate, rejections);
-        let late = self.late_calls(service_time, now);
+        let late = self.late_calls(pace, now);
         let excess = late.len().saturating_sub(max_late);
         self.reject(&late[..excess], RejectReason::ObjectiveMissed, rejections);
         let may_start = |call: &QueuedCall| is_worth_starting(call.typical_time, longest_call);
         let mut startable = self.waiting.iter().filter(|(_, call)| may_start(call));
         let last = startable.clone().next_back();
-        let first_on_time = startable.find(|(_, call)| call.can_meet_objective(service_time, now));
+        let mut on_time = startable.by_ref().filter(|(_, call)| call.can_meet_objective(pace, now));
+        let first_on_time = match shedding {
+            Shedding::ByPriority => on_time.next(),
+            Shedding::ByCost => on_time.min_by_key(|(key, call)| (self.start_order(call, pace), **key)),
+        };
         let next = first_on_time.or(last);
         let (key, call) = next.map(|(key, call)| (*key, *call))?;
         self.remove(key);
         Some((key, call))
     }
 
+    /// Returns the order in which calls of this priority start if it follows what their delay costs.
+    ///
+    /// Nested calls come first, since with them the work done for the running request would be lost. Callers with a
+    /// weight take turns in proportion to it, and of the calls of one caller the one with the least spare time is next.
+    fn start_order(&self, call: &QueuedCall, pace: Pace) -> (bool, u64, Option<Instant>) {
+        let is_new_request = call.origin == CallOrigin::Caller;
+        let running = self.callers.get(&call.caller).map_or(0, |counts| counts.running);
+        let use_of_share = call
+            .caller_weight
+            .map_or(0, |weight| u64::from(running) * WEIGHT_SCALE / u64::from(weight.get()));
+        (is_new_request, use_of_share, call.latest_start_on_time(pace))
+    }
+
     /// Removes calls from the queue and appends their rejections.
     fn reject(&mut self, keys: &[QueueKey], reason: RejectReason, rejections: &mut Vec<QueueDecision>) {
         for key in keys {
--- a/lib/src/coordination/service_estimate.rs
+++ b/lib/src/coordination/service_estimate.rs
@@ -179,6 +179,16 @@
         self.slowdown.map_or(PERCENT, |slowdown| slowdown.percent(now))
     }
 
+    /// Returns the execution time on the upstream's VM relative to normal without brief slowdowns, in percent.
+    ///
+    /// It is at least 100: a fast phase may be over before a call that starts now.
+    #[must_use]
+    pub fn lasting_slowdown_percent(&self, now: Instant) -> u32 {
+        let lasting =
+            self.slowdown.map_or(PERCENT, |slowdown| slowdown.percent(now).min(slowdown.mean_percent));
+        u32::try_from(lasting.max(PERCENT)).unwrap_or(u32::MAX)
+    }
+
     /// Returns the current service time of calls relative to the typical time of their kind, in thousandths.
     ///
     /// It is 0 until the upstream has reported its slowdown or a call of known typical time has succeeded.
--- a/lib/src/node/core_parts.rs
+++ b/lib/src/node/core_parts.rs
@@ -87,7 +87,8 @@
             metrics: SharedMetrics::new(Metrics::default()),
             security,
         };
-        let gate = Arc::new(new_gate(Arc::clone(&shared.metrics)));
+        let gate = new_gate(Arc::clone(&shared.metrics)).with_shedding(settings.overload.shedding);
+        let gate = Arc::new(gate);
         let quotas = Arc::new(new_quota_link(&local_member, Arc::clone(&socket), &shared));
         let gossip = Arc::new(new_gossip(settings, &local_member, socket, &shared, Arc::clone(&quotas)));
         let registration =
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -49,6 +49,9 @@
     /// Resources of the VM that the node may use.
     #[serde(default)]
     pub process: ProcessSettings,
+    /// Behavior while upstreams have too few slots.
+    #[serde(default)]
+    pub overload: OverloadSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -214,6 +217,25 @@
     pub worker_threads: u32,
 }
 
+/// Behavior of a node while its upstream has too few slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct OverloadSettings {
+    /// By what calls are delayed or rejected.
+    pub shedding: Shedding,
+}
+
+/// By what calls are delayed or rejected while slots are short.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Shedding {
+    /// By priority and deadline; each priority may occupy only its share of the slots.
+    #[default]
+    ByPriority,
+    /// By what a delay or rejection costs callers: priority, spare time until the objective, and work already done.
+    ByCost,
+}
+
 /// Logging of a node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
--- a/lib/src/state/config_table.rs
+++ b/lib/src/state/config_table.rs
@@ -1,5 +1,6 @@
 //! The published configuration of each service, as a node applies it.
 
+use std::num::NonZeroU32;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
@@ -55,6 +56,13 @@
         routes.as_ref().and_then(|routes| routes.service(service)).map(Arc::clone)
     }
 
+    /// Returns the weight by which a caller shares slots with others, if it is a tenant with a limit.
+    #[must_use]
+    pub fn caller_weight(&self, caller: &str) -> Option<NonZeroU32> {
+        let routes = self.routes.load();
+        routes.as_ref()?.tenants()?.find_by_name(caller)?.weight()
+    }
+
     /// Returns the routes in force, or `None` before the first ones are applied.
     #[must_use]
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
--- a/lib/src/state/tenant_table.rs
+++ b/lib/src/state/tenant_table.rs
@@ -4,6 +4,7 @@
 //! hashes nor the time that a search takes tell anything of an API key.
 
 use std::fmt;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::sync::LazyLock;
 
@@ -19,6 +20,8 @@
 
 /// Length of the secret key of the hashes, which is the block size of the hash function, in bytes.
 const HASH_KEY_BYTES: usize = 64;
+/// Thousandths of a request in one request.
+const MILLIREQUESTS_PER_REQUEST: u64 = 1_000;
 /// Length of the part of a hash by which entries are indexed, in bytes.
 const INDEX_BYTES: usize = 8;
 
@@ -42,6 +45,18 @@
     pub rate: Option<TenantRate>,
 }
 
+impl Tenant {
+    /// Returns the weight by which the tenant shares slots with others: its limit in requests per second.
+    ///
+    /// A tenant without a limit has no weight.
+    #[must_use]
+    pub fn weight(&self) -> Option<NonZeroU32> {
+        let rate = self.rate?;
+        let requests_per_s = rate.millirequests_per_s.div_ceil(MILLIREQUESTS_PER_REQUEST);
+        NonZeroU32::new(u32::try_from(requests_per_s).unwrap_or(u32::MAX))
+    }
+}
+
 /// Tenants by key and by name.
 #[derive(Default)]
 pub struct TenantTable {
--- a/lib/src/transport/gate.rs
+++ b/lib/src/transport/gate.rs
@@ -4,6 +4,7 @@
 //! only once, requests of the gate itself, and what the upstream announces have modules of their own.
 
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,6 +30,7 @@
 use crate::protocol::external_fields::UpstreamFields;
 use crate::protocol::load_report::LoadReport;
 use crate::protocol::service_spec::UpstreamRuleSpec;
+use crate::protocol::settings::Shedding;
 use crate::state::call_records::CallRecordState;
 use crate::state::call_records::CallRecords;
 use crate::state::metrics::Metrics;
@@ -72,6 +74,8 @@
     pub repeated: bool,
     /// Key of the caller, by which the queue is shared among callers.
     pub caller: CallerKey,
+    /// Weight of the caller against others that have one, by which callers share slots.
+    pub caller_weight: Option<NonZeroU32>,
     /// Time after which the caller no longer waits for the answer.
     pub deadline: Instant,
     /// Latest time at which the call may get a slot, if its ingress can't wait until the deadline.
@@ -139,7 +143,7 @@
     /// Creates a gate without an upstream.
     #[must_use]
     pub fn new(metrics: SharedMetrics) -> Self {
-        let queue = GateQueue::new(Instant::now());
+        let queue = GateQueue::new(Shedding::default(), Instant::now());
         Self {
             queue: Mutex::new(queue),
             records: CallRecords::default(),
@@ -160,6 +164,12 @@
         Self { external_fields: Some(fields), ..self }
     }
 
+    /// Sets by what calls are delayed or rejected while slots are short.
+    #[must_use]
+    pub fn with_shedding(self, shedding: Shedding) -> Self {
+        Self { queue: Mutex::new(GateQueue::new(shedding, Instant::now())), ..self }
+    }
+
     /// Sets or updates the upstream as announced, and resumes admission unless its answers say that it drains.
     ///
     /// A new external upstream gets no calls until it has answered a probe or has had time to do so: only its
--- a/lib/src/transport/gate_admission.rs
+++ b/lib/src/transport/gate_admission.rs
@@ -54,6 +54,7 @@
         let request = AdmissionRequest {
             priority: call.priority,
             caller: call.caller,
+            caller_weight: call.caller_weight,
             deadline: call.deadline,
             start_by: call.start_by,
             objective_at: call.objective_at,
@@ -111,9 +112,9 @@
         };
         self.count(reason);
         let (load, hint) = {
-            let queue = self.queue.lock();
+            let mut queue = self.queue.lock();
             let now = Instant::now();
-            (queue.admission.load(now), queue.admission.retry_hint(now))
+            (queue.admission.load(now), queue.admission.next_retry_delay(now))
         };
         let hint = if kind == ErrorKind::ZoneEvacuated { EVACUATED_RETRY_AFTER } else { hint };
         log_rejection(call, reason, load);
--- a/lib/src/transport/gate_queue.rs
+++ b/lib/src/transport/gate_queue.rs
@@ -12,6 +12,7 @@
 use crate::coordination::admission::QueueKey;
 use crate::coordination::admission::RejectReason;
 use crate::coordination::admission::SlotGrant;
+use crate::protocol::settings::Shedding;
 
 /// Admission and the queued calls that wait for its outcome.
 #[derive(Debug)]
@@ -27,9 +28,9 @@
 }
 
 impl GateQueue {
-    pub(super) fn new(now: Instant) -> Self {
+    pub(super) fn new(shedding: Shedding, now: Instant) -> Self {
         Self {
-            admission: Admission::new(0, &[], now),
+            admission: Admission::new(0, &[], now).with_shedding(shedding),
             waiters: IndexMap::new(),
             cold_probe_due: Arc::default(),
             is_upstream_drained: false,
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -389,6 +389,7 @@
             priority_name: Arc::clone(&call.priority_name),
             repeated: options.repeated || call.head.repeated,
             caller: caller_key(&call.caller),
+            caller_weight: self.dependencies.config.caller_weight(&call.caller),
             deadline: call.deadline,
             start_by: call.start_by(),
             objective_at: call.objective_at,
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -121,13 +121,15 @@
             return Err(ErrorAnswer::new(ErrorKind::NoUpstream, message));
         }
         let timeout_ms = parse_required(fields, &headers::TIMEOUT_MS)?;
+        let caller = field_text(fields, &headers::CALLER).unwrap_or_default();
         Ok(GateCall {
             id,
             service: Arc::from(field_text(fields, &headers::SERVICE).unwrap_or_default()),
             priority: self.priority_rank(fields),
             priority_name: Arc::from(field_text(fields, &headers::PRIORITY).unwrap_or_default()),
             repeated: field_text(fields, &headers::REPEAT) == Some("true"),
-            caller: caller_key(field_text(fields, &headers::CALLER).unwrap_or_default()),
+            caller: caller_key(caller),
+            caller_weight: self.config.caller_weight(caller),
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
             start_by: parse_optional(fields, &headers::START_WITHIN_MS)
                 .map(|within_ms| Instant::now() + Duration::from_millis(within_ms)),
--- a/lib/tests/admission.rs
+++ b/lib/tests/admission.rs
@@ -136,6 +136,7 @@
         let request = AdmissionRequest {
             priority,
             caller: CallerKey(0),
+            caller_weight: None,
             deadline,
             start_by: None,
             objective_at: None,
@@ -284,6 +285,7 @@
         let request = AdmissionRequest {
             priority,
             caller: CallerKey(0),
+            caller_weight: None,
             deadline,
             start_by: None,
             objective_at: None,
@@ -410,6 +412,7 @@
     AdmissionRequest {
         priority: 0,
         caller: CallerKey(caller),
+        caller_weight: None,
         deadline,
         start_by: None,
         objective_at: None,
@@ -475,6 +478,7 @@
     AdmissionRequest {
         priority,
         caller: CallerKey(0),
+        caller_weight: None,
         deadline: now + Duration::from_millis(timeout_ms),
         start_by: None,
         objective_at: Some(now + Duration::from_millis(objective_ms)),
--- a/lib/tests/connection_wait.rs
+++ b/lib/tests/connection_wait.rs
@@ -66,6 +66,7 @@
         priority_name: Arc::from("urgent"),
         repeated: false,
         caller: caller_key(""),
+        caller_weight: None,
         deadline: start_by + TIMEOUT,
         start_by: Some(start_by),
         objective_at: None,
--- a/lib/tests/gate_identity.rs
+++ b/lib/tests/gate_identity.rs
@@ -87,6 +87,7 @@
         priority_name: Arc::from("urgent"),
         repeated: false,
         caller: caller_key(""),
+        caller_weight: None,
         deadline: Instant::now() + Duration::from_secs(1),
         start_by: None,
         objective_at: None,
--- a/lib/tests/held_calls.rs
+++ b/lib/tests/held_calls.rs
@@ -37,6 +37,7 @@
     AdmissionRequest {
         priority: 0,
         caller: CallerKey(0),
+        caller_weight: None,
         deadline: now + Duration::from_secs(3),
         start_by: None,
         objective_at: Some(now + Duration::from_millis(500)),
--- a/lib/tests/overload_recovery.rs
+++ b/lib/tests/overload_recovery.rs
@@ -296,6 +296,7 @@
         let request = AdmissionRequest {
             priority: 0,
             caller: CallerKey(u64::try_from(ingress).expect("few ingresses")),
+            caller_weight: None,
             deadline: arrived + TIMEOUT,
             start_by: None,
             objective_at: Some(arrived + OBJECTIVE),
--- a/lib/tests/rate_limited_admission.rs
+++ b/lib/tests/rate_limited_admission.rs
@@ -42,6 +42,7 @@
     AdmissionRequest {
         priority,
         caller: CallerKey(1),
+        caller_weight: None,
         deadline: now + TIMEOUT,
         start_by: None,
         objective_at: None,
--- a/lib/tests/short_budgets.rs
+++ b/lib/tests/short_budgets.rs
@@ -151,6 +151,7 @@
         let request = AdmissionRequest {
             priority: state.rank,
             caller: CallerKey(u64::try_from(call).expect("few calls")),
+            caller_weight: None,
             deadline: state.began + TIMEOUT,
             start_by: None,
             objective_at: Some((state.began + OBJECTIVE).max(now)),
