--- a/lib/src/transport/seed_registry.rs
+++ b/lib/src/transport/seed_registry.rs
@@ -25,7 +25,9 @@
 use crate::transport::resolved_write::write_resolved;
 
 /// Approximate period over which the first lookups of nodes that start together are spread.
-const START_SPREAD: Duration = Duration::from_secs(1);
+///
+/// A fleet that starts as a whole serves nothing until its nodes know each other.
+const START_SPREAD: Duration = Duration::from_millis(250);
 
 /// Delay, before jitter, of the first lookup of a node that can also join through configured seeds.
 const SEED_GRACE: Duration = Duration::from_millis(1_500);
