routing: a test fixes the choices for a seed

Cause: explanations will share the steps of the choice, which must not change. Change: a test of both policies with a fixed seed and varied candidates.

--- a/lib/tests/routing.rs
+++ b/lib/tests/routing.rs
@@ -22,6 +22,7 @@
 use yuccatray::coordination::routing::PowerOfTwoChoices;
 use yuccatray::coordination::routing::RoutingContext;
 use yuccatray::coordination::routing::RoutingPolicy;
+use yuccatray::coordination::routing::ZoneFirst;
 use yuccatray::coordination::service_estimate::ExecutionOutcome;
 use yuccatray::coordination::service_estimate::ServiceEstimate;
 use yuccatray::protocol::load_report::LoadReport;
@@ -492,3 +493,35 @@
     assert_eq!(max_hedge_latency(Some(routed), None), Some(routed));
     assert_eq!(max_hedge_latency(None, None), None);
 }
+
+/// Returns candidates of two zones that differ in load, speed, failures and ramp, and of which some are ejected.
+fn varied_candidates(count: u16) -> Vec<Candidate> {
+    let mut varied = candidates(count);
+    for (index, candidate) in (0_u32..).zip(&mut varied) {
+        candidate.same_zone = index % 3 != 1;
+        candidate.load.in_flight = index * 7 % 5;
+        candidate.load.reported_calls = index * 11 % 13;
+        candidate.load.service_time_us = 20_000 + u64::from(index * 37 % 11) * 9_000;
+        candidate.load.consecutive_failures = u32::from(index % 5 == 3) * 5;
+        candidate.ramp_up_permille = if index % 4 == 2 { 300 } else { FULL_RAMP_UP_PERMILLE };
+    }
+    varied
+}
+
+fn first_choices<P>(policy: &P) -> Vec<usize>
+where
+    P: RoutingPolicy,
+{
+    let mut rng = Pcg64Mcg::seed_from_u64(9);
+    let counts = [1, 2, 3, 5, 9, 14, 20, 33, 55, 3, 9, 20];
+    let context = RoutingContext { cross_zone_cost_permille: 200, objective_us: 90_000, ..CONTEXT };
+    let choose = |count| policy.choose(&varied_candidates(count), context, &mut rng);
+    counts.into_iter().map(choose).map(|choice| choice.expect("there are candidates")).collect()
+}
+
+/// Guards against a real choice that changes, or draws other random numbers, as explanations share its steps.
+#[test]
+fn choose_fixed_seed() {
+    assert_eq!(first_choices(&PowerOfTwoChoices), [0, 0, 1, 4, 4, 11, 15, 31, 9, 0, 4, 15]);
+    assert_eq!(first_choices(&ZoneFirst), [0, 0, 0, 0, 0, 11, 0, 11, 11, 0, 0, 11]);
+}
