yuccactl explain: where a request would go, and why

Cause: operators need the explanations of one or several nodes in one place. A node that fails is named, and the exit code is 1. No error quotes an argument, since it may hold a key.

--- a/cli/src/cli_error.rs
+++ b/cli/src/cli_error.rs
@@ -69,6 +69,12 @@
         /// Error of the platform client.
         source: PlatformError,
     },
+    /// Nodes did not explain a request.
+    #[snafu(display("no explanation from {failures}"))]
+    NotExplained {
+        /// Each node with the reason.
+        failures: String,
+    },
     /// A node did not return a report.
     #[snafu(display("{message}"))]
     Node {
@@ -81,7 +87,7 @@
     /// Returns the exit code of the command.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Platform { .. } | Self::Node { .. } => 1,
+            Self::Platform { .. } | Self::Node { .. } | Self::NotExplained { .. } => 1,
             Self::Usage { .. } | Self::Objects { .. } => 2,
             Self::NotFound { .. } | Self::TraceNotFound { .. } => 3,
             Self::Conflict { .. } => 4,
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -5,6 +5,8 @@
 pub mod delete;
 pub mod describe;
 pub mod drain;
+pub mod explain;
+mod explain_text;
 pub mod get;
 pub mod list;
 pub mod nodes;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -21,6 +21,7 @@
 use crate::commands::delete;
 use crate::commands::describe;
 use crate::commands::drain;
+use crate::commands::explain;
 use crate::commands::get;
 use crate::commands::list;
 use crate::commands::nodes;
@@ -63,6 +64,7 @@
     Delete(delete::DeleteArgs),
     Describe(describe::DescribeArgs),
     Drain(drain::DrainArgs),
+    Explain(explain::ExplainArgs),
     Get(get::GetArgs),
     List(list::ListArgs),
     Nodes(nodes::NodesArgs),
@@ -112,6 +114,7 @@
         Command::Delete(args) => delete::cmd_delete(context, args).await,
         Command::Describe(args) => describe::cmd_describe(context, args).await,
         Command::Drain(args) => drain::cmd_drain(context, args).await,
+        Command::Explain(args) => explain::cmd_explain(context, args).await,
         Command::Get(args) => get::cmd_get(context, args).await,
         Command::List(args) => list::cmd_list(context, args).await,
         Command::Nodes(args) => nodes::cmd_nodes(context, args).await,
--- a/lib/src/coordination/quota/client.rs
+++ b/lib/src/coordination/quota/client.rs
@@ -196,7 +196,8 @@
         let rejection = queue.and_then(|queue| queue.local_rejection(now));
         QuotaOutlook {
             server: server.map(Arc::clone),
-            server_state: server.map_or_else(QuotaServerState::default, |name| self.server_state(tenant, name)),
+            server_state: server
+                .map_or_else(QuotaServerState::default, |name| self.server_state(tenant, name)),
             waiting: queue.map_or(0, |queue| queue.waiting.len()),
             rejection: rejection.map(|rejection| rejection.peek(now)),
         }
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -249,13 +249,7 @@
             handlers.upstream,
             stop_rest.clone(),
         ));
-        drop(spawn_server(
-            &control,
-            listeners.admin,
-            control_limits,
-            admin_handler,
-            stop_rest.clone(),
-        ));
+        drop(spawn_server(&control, listeners.admin, control_limits, admin_handler, stop_rest.clone()));
         let mut background_tasks = core.spawn_tasks(&stop_rest);
         background_tasks.extend(platform_tasks);
         log_started(&core.local_member, addrs);
--- a/lib/src/transport/admin_client.rs
+++ b/lib/src/transport/admin_client.rs
@@ -8,11 +8,14 @@
 use http::Request;
 use http::StatusCode;
 use http::header::HOST;
+use http::request::Builder;
 use http_body_util::BodyExt;
-use http_body_util::Empty;
+use http_body_util::Collected;
+use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -20,6 +23,9 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
+use crate::protocol::explain::EXPLAIN_PATH;
+use crate::protocol::explain::ExplainRequest;
+use crate::protocol::explain::Explanation;
 use crate::protocol::member::MemberState;
 use crate::transport::admin_server::MemberReport;
 use crate::transport::admin_server::state_name;
@@ -59,6 +65,16 @@
         /// Status of the response.
         status: StatusCode,
     },
+    /// The node refused with an explained error.
+    #[snafu(display("the node responded with status {status}: {error}: {message}"))]
+    Refused {
+        /// Status of the response.
+        status: StatusCode,
+        /// Name of the error kind.
+        error: String,
+        /// Explanation.
+        message: String,
+    },
     /// The response body is not the expected report.
     #[snafu(display("cannot parse the report: {source}"))]
     Report {
@@ -89,12 +105,36 @@
 where
     T: DeserializeOwned,
 {
-    match tokio::time::timeout(timeout, exchange(node, target)).await {
+    request_report(node, Request::get(target), Bytes::new(), timeout).await
+}
+
+/// Returns the explanation of the node whose admin port is at `node` for a request.
+///
+/// # Errors
+///
+/// Fails when the node can't be reached, does not respond within `timeout`, or does not explain the request.
+pub async fn explain(node: SocketAddr, request: &ExplainRequest, timeout: Duration) -> Result<Explanation> {
+    let body = serde_json::to_vec(request).context(ReportSnafu)?;
+    request_report(node, Request::post(EXPLAIN_PATH), Bytes::from(body), timeout).await
+}
+
+async fn request_report<T>(node: SocketAddr, request: Builder, body: Bytes, timeout: Duration) -> Result<T>
+where
+    T: DeserializeOwned,
+{
+    match tokio::time::timeout(timeout, exchange(node, request, body)).await {
         Ok(body) => serde_json::from_slice(&body?).context(ReportSnafu),
         Err(_) => TimeoutSnafu { timeout }.fail(),
     }
 }
 
+/// JSON body of an error that the node explains.
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: String,
+    message: String,
+}
+
 /// A member with its report, or with the reason why the report could not be read.
 pub type MemberReadResult<T> = (MemberReport, std::result::Result<T, String>);
 
@@ -140,19 +180,22 @@
     (member, report)
 }
 
-/// Sends a GET request to the admin port at `node` and returns the body of the response.
-async fn exchange(node: SocketAddr, target: &str) -> Result<Bytes> {
-    let request = Request::get(target).header(HOST, node.to_string());
-    let request = request.body(Empty::<Bytes>::new()).context(RequestSnafu)?;
+/// Sends a request to the admin port at `node` and returns the body of the response.
+async fn exchange(node: SocketAddr, request: Builder, body: Bytes) -> Result<Bytes> {
+    let request = request.header(HOST, node.to_string()).body(Full::new(body)).context(RequestSnafu)?;
     let stream = TcpStream::connect(node).await.context(ConnectSnafu)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.context(ExchangeSnafu)?;
     tokio::spawn(connection);
     let response = sender.send_request(request).await.context(ExchangeSnafu)?;
     let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await;
     if status != StatusCode::OK {
-        return StatusSnafu { status }.fail();
+        let body = body.map(Collected::to_bytes).unwrap_or_default();
+        return match serde_json::from_slice::<ErrorBody>(&body) {
+            Ok(ErrorBody { error, message }) => RefusedSnafu { status, error, message }.fail(),
+            Err(_) => StatusSnafu { status }.fail(),
+        };
     }
-    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await;
     let body = body.map_err(|error| AdminClientError::Body { reason: error.to_string() })?;
     Ok(body.to_bytes())
 }
--- a/lib/src/transport/admin_server.rs
+++ b/lib/src/transport/admin_server.rs
@@ -254,10 +254,8 @@
     ///
     /// Errors quote nothing of the body, since it may hold a key.
     async fn explain(&self, body: Incoming) -> Response<Full<Bytes>> {
-        let received = tokio::time::timeout(
-            EXPLAIN_BODY_TIMEOUT,
-            Limited::new(body, MAX_EXPLAIN_BYTES).collect(),
-        );
+        let received =
+            tokio::time::timeout(EXPLAIN_BODY_TIMEOUT, Limited::new(body, MAX_EXPLAIN_BYTES).collect());
         let explanation = match received.await {
             Ok(Ok(body)) => self.explain_description(&body.to_bytes()),
             Ok(Err(error)) if error.is::<LengthLimitError>() => {
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -120,7 +120,11 @@
 }
 
 impl UpstreamRequirements<'_> {
-    pub(super) fn routing_context(self, config: &PublishedConfig, cross_zone_yield: &CrossZoneYield) -> RoutingContext {
+    pub(super) fn routing_context(
+        self,
+        config: &PublishedConfig,
+        cross_zone_yield: &CrossZoneYield,
+    ) -> RoutingContext {
         let rank = usize::from(self.priority).min(CROSS_ZONE_COST_PERMILLE.len() - 1);
         let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
         RoutingContext {
@@ -353,8 +357,7 @@
         F: Fn(&Member) -> bool,
     {
         let snapshot = self.dependencies.directory.snapshot();
-        let (keys, all_candidates) =
-            self.candidates(&snapshot, requirements.service, config, Instant::now());
+        let (keys, all_candidates) = self.candidates(&snapshot, requirements.service, config, Instant::now());
         let mut entries = Vec::with_capacity(keys.len());
         let mut candidates = Vec::with_capacity(keys.len());
         for (key, candidate) in keys.iter().zip(&all_candidates) {
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -475,7 +475,10 @@
 }
 
 /// Returns the configuration of the service that a caller named.
-pub(super) fn service_config<'a>(published: Option<&'a Published>, service: &str) -> Result<&'a PublishedConfig> {
+pub(super) fn service_config<'a>(
+    published: Option<&'a Published>,
+    service: &str,
+) -> Result<&'a PublishedConfig> {
     published.and_then(|published| published.config.as_ref()).ok_or_else(|| {
         let message = format!("no published service is named {service:?}");
         ErrorAnswer::new(ErrorKind::UnknownService, message)
