--- a/lib/src/protocol/explain.rs
+++ b/lib/src/protocol/explain.rs
@@ -167,7 +167,7 @@
 pub enum Verdict {
     /// It was chosen.
     Chosen,
-    /// Another one that it was compared with is better.
+    /// Another one that it was compared with is better, or as good.
     Outranked,
     /// It is not in the random sample that was compared.
     NotSampled,
@@ -248,7 +248,7 @@
     pub const fn description(self) -> &'static str {
         match self {
             Self::Chosen => "chosen",
-            Self::Outranked => "another is better",
+            Self::Outranked => "another is as good or better",
             Self::NotSampled => "not in the sample",
             Self::RampingUp => "ramping up",
             Self::Ejected => "ejected",
--- a/lib/src/transport/routed_explainer.rs
+++ b/lib/src/transport/routed_explainer.rs
@@ -65,7 +65,7 @@
             let decided =
                 self.authentication.decide(&table, route, request.headers(), request_id, confirmed_at, now);
             builder.explanation.tenant = Some(tenant_state(decided.as_ref()));
-            let caller = builder.check(decided.map_err(|refusal| refusal.answer()));
+            let caller = builder.check(decided.map_err(Refusal::answer));
             let caller = caller.unwrap_or(CallerIdentity::NOT_REQUIRED);
             self.explain_call(&mut builder, &table, route, request, &caller)?;
         }
