quotas: answers and loans go to the address that asked

A server looked up the asking node in its view of the membership and dropped its answer if it still regarded that node as dead. After a cut of 70 nodes this lasted for about ten seconds. Answers, loans and statements now go to the source address of the datagram that they respond to. Datagrams are authenticated, and the name of their target is still checked.

Tests: quota_fleet (with node_regarded_as_dead_gets_answers, red before), quota_link and quota_machine pass.

--- a/lib/src/coordination/quota/quota_node.rs
+++ b/lib/src/coordination/quota/quota_node.rs
@@ -66,7 +66,20 @@
 }
 
 /// Message to a node of the fleet, which may be this node itself.
-type Outgoing = (Arc<str>, Body);
+struct Outgoing {
+    target: Arc<str>,
+    /// Address that the request came from, if the message responds to one.
+    ///
+    /// The membership may still regard the sender as dead after a cut has healed.
+    reply_to: Option<SocketAddr>,
+    body: Body,
+}
+
+impl Outgoing {
+    const fn request(target: Arc<str>, body: Body) -> Self {
+        Self { target, reply_to: None, body }
+    }
+}
 
 /// State of the quotas at one node.
 #[derive(Clone, Debug)]
@@ -169,11 +182,13 @@
         }
         let mut outgoing = VecDeque::new();
         let query = self.holder.due_query(self.roles.other_zone_leaders(), now);
-        outgoing.extend(query.map(|(node, query)| (node, Body::ShareQuery(query))));
+        outgoing.extend(query.map(|(node, query)| Outgoing::request(node, Body::ShareQuery(query))));
         let polls = self.lender.due_polls(&self.roles, now);
-        outgoing.extend(polls.into_iter().map(|(node, poll)| (node, Body::ShareBorrow(poll))));
+        outgoing
+            .extend(polls.into_iter().map(|(node, poll)| Outgoing::request(node, Body::ShareBorrow(poll))));
         let polls = self.server.due_polls(&self.roles, &self.limits, now);
-        outgoing.extend(polls.into_iter().map(|(node, poll)| (node, Body::GroupBorrow(poll))));
+        outgoing
+            .extend(polls.into_iter().map(|(node, poll)| Outgoing::request(node, Body::GroupBorrow(poll))));
         let context = ClientContext { roles: &self.roles, limits: &self.limits };
         let output = self.client.tick(context, now);
         self.deliver(output, outgoing, now)
@@ -185,10 +200,11 @@
         if self.client.has_waiting() { WAITING_TICK } else { IDLE_TICK }
     }
 
-    /// Processes a message from another node; `now` has to be read after the message arrived.
+    /// Processes a message from another node at `addr`; `now` has to be read after the message arrived.
     pub fn receive(
         &mut self,
         from: &Arc<str>,
+        addr: SocketAddr,
         message: &wire::QuotaMessage,
         now: BootTime,
     ) -> Vec<QuotaAction> {
@@ -197,6 +213,9 @@
         };
         let mut outgoing = VecDeque::new();
         let output = self.handle(from, message.process, body, now, &mut outgoing);
+        for response in &mut outgoing {
+            response.reply_to = (response.target == *from).then_some(addr);
+        }
         self.deliver(output, outgoing, now)
     }
 
@@ -256,7 +275,7 @@
                 return self.client.receive(from, *answer, context, now);
             }
         };
-        outgoing.extend(response.map(|response| (Arc::clone(from), response)));
+        outgoing.extend(response.map(|response| Outgoing::request(Arc::clone(from), response)));
         ClientOutput::default()
     }
 
@@ -288,14 +307,14 @@
     ) -> Vec<QuotaAction> {
         let mut actions = Vec::new();
         take_output(output, &mut outgoing, &mut actions);
-        while let Some((node, body)) = outgoing.pop_front() {
-            if node == self.name {
+        while let Some(Outgoing { target, reply_to, body }) = outgoing.pop_front() {
+            if target == self.name {
                 let own_name = Arc::clone(&self.name);
                 let output = self.handle(&own_name, self.process, &body, now, &mut outgoing);
                 take_output(output, &mut outgoing, &mut actions);
-            } else if let Some(to) = self.roles.addr(&node) {
+            } else if let Some(to) = reply_to.or_else(|| self.roles.addr(&target)) {
                 let message = Box::new(wire::QuotaMessage { process: self.process, body: Some(body) });
-                actions.push(QuotaAction::Send { to, target: node, message });
+                actions.push(QuotaAction::Send { to, target, message });
             }
         }
         actions
@@ -309,6 +328,7 @@
 }
 
 fn take_output(output: ClientOutput, outgoing: &mut VecDeque<Outgoing>, actions: &mut Vec<QuotaAction>) {
-    outgoing.extend(output.asks.into_iter().map(|(server, ask)| (server, Body::TokenAsk(ask))));
+    let asks = output.asks.into_iter();
+    outgoing.extend(asks.map(|(server, ask)| Outgoing::request(server, Body::TokenAsk(ask))));
     actions.extend(output.resolutions.into_iter().map(QuotaAction::Resolve));
 }
--- a/lib/src/transport/gossip.rs
+++ b/lib/src/transport/gossip.rs
@@ -358,7 +358,7 @@
         let carrier = if is_quota { "quota" } else { "datagram" };
         self.metrics.control.count("received", carrier, signed.len() as u64 + UDP_HEADER_BYTES);
         if is_quota {
-            self.quotas.receive(&datagram).await;
+            self.quotas.receive(&datagram, from).await;
             return;
         }
         let actions = self.handle_datagram(from, &datagram);
--- a/lib/src/transport/quota_link.rs
+++ b/lib/src/transport/quota_link.rs
@@ -2,6 +2,7 @@
 //!
 //! The protocol logic is in [`QuotaNode`]; this module performs its actions and passes messages to it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -145,8 +146,8 @@
         decided.unwrap_or(Ok(Err(lost))).unwrap_or(Err(lost))
     }
 
-    /// Processes a verified datagram that carries a quota message to this node.
-    pub async fn receive(&self, datagram: &wire::Datagram) {
+    /// Processes a verified datagram from `addr` that carries a quota message to this node.
+    pub async fn receive(&self, datagram: &wire::Datagram, addr: SocketAddr) {
         let Some(message) = &datagram.quota else {
             return;
         };
@@ -159,7 +160,7 @@
             // Read while holding the lock, so that readings and messages are in the same order.
             let now = self.dependencies.clock.now();
             self.refresh(&mut inner, now);
-            let actions = inner.node.receive(&from, message, now);
+            let actions = inner.node.receive(&from, addr, message, now);
             inner.resolve(actions, &self.dependencies.metrics)
         };
         self.send_all(actions).await;
--- a/lib/tests/quota_fleet.rs
+++ b/lib/tests/quota_fleet.rs
@@ -298,3 +298,16 @@
     assert_eq!((roster.epoch, roster.shares.len()), (1, NODE_COUNT));
     assert!(fleet.spendable_parts() > 999_000);
 }
+
+/// Guards against servers that drop their answers to a node that they still regard as dead after a cut.
+#[test]
+fn node_regarded_as_dead_gets_answers() {
+    let mut fleet = settled_fleet();
+    let server = fleet.server_of(group_of(TENANT));
+    let caller = (server + 1) % NODE_COUNT;
+    for observer in 0..NODE_COUNT {
+        fleet.set_view(observer, caller, true);
+    }
+    send(&mut fleet, 50, 2, |_| caller);
+    assert_eq!(fleet.rejections, Vec::new());
+}
--- a/lib/tests/quota_link.rs
+++ b/lib/tests/quota_link.rs
@@ -130,9 +130,9 @@
         tokio::select! {
             () = stop.cancelled() => return,
             received = socket.recv_from(&mut buffer) => {
-                let (length, _) = received.expect("the socket receives");
+                let (length, addr) = received.expect("the socket receives");
                 let datagram = wire::Datagram::decode(&buffer[..length]).expect("the datagram is readable");
-                link.receive(&datagram).await;
+                link.receive(&datagram, addr).await;
             }
         }
     }
--- a/lib/testutils/src/simulated_quotas.rs
+++ b/lib/testutils/src/simulated_quotas.rs
@@ -443,7 +443,7 @@
             return;
         }
         let clock = process.clock(now);
-        let actions = process.node.receive(&Self::name(from), &message, clock);
+        let actions = process.node.receive(&Self::name(from), peer_addr(from), &message, clock);
         self.perform(to, actions);
     }
 
@@ -518,8 +518,7 @@
     }
 
     fn member(&self, index: usize, state: MemberState) -> Member {
-        let port = u16::try_from(index + 1).expect("the fleet is small");
-        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        let addr = peer_addr(index);
         Member {
             id: MemberId { name: Self::name(index), incarnation: 1 },
             version: 1,
@@ -534,6 +533,11 @@
     }
 }
 
+fn peer_addr(index: usize) -> SocketAddr {
+    let port = u16::try_from(index + 1).expect("the fleet is small");
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
 /// Returns a window in which more requests were both sent and started than the limit allows, if there is one.
 ///
 /// The window is given by its length, the requests in it and the requests allowed.
