quotas: a silent server is skipped for 0.5 to 4 s

A server that did not answer was skipped for 2 to 16 s, which outlasts most cuts. It is now skipped for 500 ms, doubled up to 4 s.

Tests: quota_fleet (with server_is_asked_again_soon_after_cut, red before), quota_link and quota_machine pass.

--- a/lib/src/coordination/quota/client.rs
+++ b/lib/src/coordination/quota/client.rs
@@ -21,10 +21,10 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Time for which a server that did not answer is skipped, doubled each time up to the maximum.
-const MIN_SKIP: Duration = Duration::from_secs(2);
+const MIN_SKIP: Duration = Duration::from_millis(500);
 
-/// Maximum time for which a server that did not answer is skipped.
-const MAX_SKIP: Duration = Duration::from_secs(16);
+/// Maximum time for which a server that did not answer is skipped; a longer one outlasts most cuts of the network.
+const MAX_SKIP: Duration = Duration::from_secs(4);
 
 /// Maximum time for which an ingress rejects requests of a tenant by itself.
 const MAX_LOCAL_REJECTION: Duration = Duration::from_millis(50);
--- a/lib/tests/quota_fleet.rs
+++ b/lib/tests/quota_fleet.rs
@@ -311,3 +311,21 @@
     send(&mut fleet, 50, 2, |_| caller);
     assert_eq!(fleet.rejections, Vec::new());
 }
+
+/// Guards against a server that is skipped long after the cut to it has healed.
+#[test]
+fn server_is_asked_again_soon_after_cut() {
+    let mut fleet = settled_fleet();
+    let server = fleet.server_of(group_of(TENANT));
+    let caller = (server + 1) % NODE_COUNT;
+    fleet.set_cut(caller, server, true);
+    send(&mut fleet, 50, 7, |_| caller);
+    fleet.heal();
+    send(&mut fleet, 50, 5, |_| caller);
+    fleet.rejections.clear();
+    for other in (0..NODE_COUNT).filter(|other| *other != server) {
+        fleet.set_cut(caller, other, true);
+    }
+    send(&mut fleet, 50, 1, |_| caller);
+    assert_eq!(fleet.rejections, Vec::new());
+}
