ingress: failed and late requests are logged with their tenant

The log lines of requests that failed or missed their objective name the tenant, or none. The name comes from the configuration; no part of a key is near it.

Tests: none of its own; the lines are built by the same macro as before.

--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -335,6 +335,7 @@
             route = &self.route.spec.name,
             config = self.version,
             service = &call.head.service,
+            tenant = tenant_name(call),
             status = status.as_u16(),
             gate = call.last_gate.as_deref().unwrap_or("none"),
             gates_tried = call.gates_attempted,
@@ -354,6 +355,7 @@
             route = &self.route.spec.name,
             config = self.version,
             service = &call.head.service,
+            tenant = tenant_name(call),
             error = answer.kind,
             execution = answer.execution.name(),
             reason = &answer.message,
@@ -365,6 +367,11 @@
     }
 }
 
+/// Returns the name of the call's tenant for a log line.
+fn tenant_name(call: &IngressCall) -> &str {
+    call.tenant.as_ref().map_or("none", |tenant| &tenant.name)
+}
+
 fn find_route<'a>(table: &'a RouteTable, request: &Request<Incoming>) -> Result<&'a Route> {
     let authority = request.uri().authority().map(http::uri::Authority::as_str);
     let host = authority.or_else(|| request.headers().get(HOST).and_then(|value| value.to_str().ok()));
