quotas: a node that no server answers spends its own share

A node that was cut off answered every limited request with 503 until the membership regarded the other nodes as dead. Now, once the lease of its share has ended and its asks time out or find servers without parts, it decides requests by local buckets with rate and burst times its parts. It stops when a node asks for the share or a server with parts answers.

A bucket that holds less than a token never grants one. Where the deployment allows requests beyond the limit, the first k nodes of a ranking by tenant and node may hold one token more.

- Silent servers are probed by asks for no tokens, so that no request waits for them.
- If all ranked servers are silent, the node that borrows the share is asked: nodes that are cut off together use the parts that their leading node holds.
- A node that hears no other one does not lend its share to itself, and nodes beyond the fourth of a zone's ranking do not lead, since no server borrows from them.

--- a/lib/src/coordination/quota/client.rs
+++ b/lib/src/coordination/quota/client.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use yuccatray_proto::peer_v1 as wire;
 
 use crate::coordination::quota::BootTime;
 use crate::coordination::quota::TOKEN_VALIDITY;
 use crate::coordination::quota::fleet_roles::FleetRoles;
+use crate::coordination::quota::local_share::LocalShare;
+use crate::coordination::quota::tenant_limits::TenantLimit;
 use crate::coordination::quota::tenant_limits::TenantLimits;
 use crate::coordination::quota::tenant_limits::group_of;
 use crate::log_event_limited;
@@ -83,12 +86,18 @@
 }
 
 /// What a client needs to know of the fleet and the configuration.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub struct ClientContext<'a> {
     /// Roles of nodes.
     pub roles: &'a FleetRoles,
     /// Limits of tenants.
     pub limits: &'a TenantLimits,
+    /// Share of this node, as far as it is not lent.
+    pub local: &'a mut LocalShare,
+    /// Name of this node.
+    pub own_name: &'a Arc<str>,
+    /// Node to which the share of this node is lent.
+    pub share_borrower: Option<&'a Arc<str>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -107,6 +116,12 @@
     repeated_at: BootTime,
 }
 
+#[derive(Clone, Debug)]
+struct Probe {
+    tenant: Arc<str>,
+    pending: PendingAsk,
+}
+
 /// Period during which an ingress rejects requests by itself.
 #[derive(Clone, Copy, Debug)]
 struct LocalRejection {
@@ -143,6 +158,10 @@
     pending: IndexMap<u64, Arc<str>>,
     /// Servers that did not answer.
     skipped: IndexMap<Arc<str>, Skip>,
+    /// Asks for no tokens, by sequence number, that find out whether a server answers again.
+    probes: IndexMap<u64, Probe>,
+    /// Tenants whose last ask got no answer, or one of a server without parts.
+    unserved: IndexSet<Arc<str>>,
     /// Server that was last asked for each tenant, to log changes.
     server_changes: u64,
     last_servers: IndexMap<Arc<str>, Arc<str>>,
@@ -157,6 +176,8 @@
             tenants: IndexMap::new(),
             pending: IndexMap::new(),
             skipped: IndexMap::new(),
+            probes: IndexMap::new(),
+            unserved: IndexSet::new(),
             server_changes: 0,
             last_servers: IndexMap::new(),
         }
@@ -180,7 +201,7 @@
         waiter: WaiterId,
         tenant: &Arc<str>,
         give_up_at: BootTime,
-        context: ClientContext<'_>,
+        context: &mut ClientContext<'_>,
         now: BootTime,
     ) -> ClientOutput {
         let queue = self.tenants.entry(Arc::clone(tenant)).or_default();
@@ -194,6 +215,12 @@
         output
     }
 
+    /// Asks all servers again at once, since this node was cut off and has heard another node again.
+    pub fn forget_silence(&mut self) {
+        self.skipped.clear();
+        self.probes.clear();
+    }
+
     /// Removes a request that no longer waits.
     pub fn cancel(&mut self, tenant: &str, waiter: WaiterId) {
         if let Some(queue) = self.tenants.get_mut(tenant) {
@@ -206,10 +233,14 @@
         &mut self,
         from: &str,
         answer: wire::TokenAnswer,
-        context: ClientContext<'_>,
+        context: &mut ClientContext<'_>,
         now: BootTime,
     ) -> ClientOutput {
         let mut output = ClientOutput::default();
+        if let Some(tenant) = self.receive_probe(from, answer, now) {
+            self.ask_if_due(&tenant, context, now, &mut output);
+            return output;
+        }
         let Some(tenant) = self.pending.get(&answer.echo).map(Arc::clone) else {
             return output;
         };
@@ -221,6 +252,11 @@
         };
         self.pending.swap_remove(&answer.echo);
         self.skipped.swap_remove(from);
+        if has_parts(answer) {
+            self.unserved.swap_remove(&tenant);
+        } else {
+            self.unserved.insert(Arc::clone(&tenant));
+        }
         if now < pending.sent_at + TOKEN_VALIDITY {
             queue.apply_answer(&tenant, answer, now, &mut output);
         }
@@ -229,9 +265,23 @@
         output
     }
 
+    /// Applies the answer to a probe, and returns its tenant.
+    fn receive_probe(&mut self, from: &str, answer: wire::TokenAnswer, now: BootTime) -> Option<Arc<str>> {
+        self.probes.get(&answer.echo).filter(|probe| *probe.pending.server == *from)?;
+        let probe = self.probes.swap_remove(&answer.echo)?;
+        if has_parts(answer) {
+            self.skipped.swap_remove(from);
+            self.unserved.swap_remove(&probe.tenant);
+        } else {
+            self.skip(&probe.pending.server, now);
+        }
+        Some(probe.tenant)
+    }
+
     /// Performs the periodic work that is due.
-    pub fn tick(&mut self, context: ClientContext<'_>, now: BootTime) -> ClientOutput {
+    pub fn tick(&mut self, context: &mut ClientContext<'_>, now: BootTime) -> ClientOutput {
         let mut output = ClientOutput::default();
+        self.repeat_probes(now, &mut output);
         let tenants: Vec<Arc<str>> = self.tenants.keys().map(Arc::clone).collect();
         for tenant in &tenants {
             self.give_up_late(tenant, now, &mut output);
@@ -268,19 +318,29 @@
             return;
         };
         if now < pending.sent_at + ASK_TIMEOUT {
-            if now >= pending.repeated_at + REPEAT_AFTER {
-                pending.repeated_at = now;
-                output.asks.push((Arc::clone(&pending.server), pending.ask.clone()));
-            }
+            output.asks.extend(pending.due_repetition(now));
             return;
         }
         let server = Arc::clone(&pending.server);
         self.pending.swap_remove(&pending.ask.sequence);
         queue.pending = None;
         queue.clear_asked();
+        self.unserved.insert(Arc::clone(tenant));
         self.skip(&server, now);
     }
 
+    /// Repeats the probes that were not answered, or skips their servers for longer.
+    fn repeat_probes(&mut self, now: BootTime, output: &mut ClientOutput) {
+        let probes = self.probes.values_mut();
+        output.asks.extend(probes.filter_map(|probe| probe.pending.due_repetition(now)));
+        let is_late = |probe: &Probe| now >= probe.pending.sent_at + ASK_TIMEOUT;
+        let late: Vec<Probe> = self.probes.values().filter(|probe| is_late(probe)).cloned().collect();
+        for probe in late {
+            self.probes.swap_remove(&probe.pending.ask.sequence);
+            self.skip(&probe.pending.server, now);
+        }
+    }
+
     fn skip(&mut self, server: &Arc<str>, now: BootTime) {
         let skip =
             self.skipped.entry(Arc::clone(server)).or_insert(Skip { until: now, duration: Duration::ZERO });
@@ -297,46 +357,113 @@
         );
     }
 
-    /// Asks for tokens for the waiting requests of a tenant unless an ask is pending.
+    /// Decides the waiting requests of a tenant by the local share, or asks for tokens for them unless an ask is pending.
     fn ask_if_due(
         &mut self,
         tenant: &Arc<str>,
-        context: ClientContext<'_>,
+        context: &mut ClientContext<'_>,
         now: BootTime,
         output: &mut ClientOutput,
     ) {
+        let is_local = self.unserved.contains(tenant) && context.local.serves(tenant);
         let Some(queue) = self.tenants.get_mut(tenant) else {
             return;
         };
-        if queue.pending.is_some() || queue.waiting.is_empty() || now < queue.next_ask_at {
+        if queue.waiting.is_empty() {
             return;
         }
         let Some(limit) = context.limits.limits.get(tenant) else {
             queue.admit_all(tenant, output);
             return;
         };
+        let is_asked = queue.pending.is_some() || now < queue.next_ask_at;
+        if is_local {
+            queue.decide_locally(tenant, context.local, now, output);
+        }
+        self.probe_if_due(tenant, context, is_local, now, output);
+        if is_local || is_asked {
+            return;
+        }
+        if let Some(server) = self.choose_server(tenant, context) {
+            self.ask(tenant, *limit, context.limits.revision, server, now, output);
+        }
+    }
+
+    /// Returns the first server of the ranking that is not known to be silent.
+    ///
+    /// If all are, it is the node that borrows the share of this one, since it holds parts.
+    fn choose_server(&self, tenant: &str, context: &ClientContext<'_>) -> Option<Arc<str>> {
         let servers = context.roles.servers(group_of(tenant));
-        let is_usable = |server: &&Arc<str>| self.skipped.get(*server).is_none_or(|skip| skip.until <= now);
-        let Some(server) = servers.iter().find(is_usable).or_else(|| servers.first()) else {
+        let is_usable = |server: &&Arc<str>| !self.skipped.contains_key(*server);
+        let usable = servers.iter().chain(context.share_borrower).find(is_usable);
+        usable.or_else(|| servers.first()).map(Arc::clone)
+    }
+
+    /// Asks a silent server for no tokens once it was skipped for long enough; no request waits for its answer.
+    ///
+    /// A node that decides locally asks the other servers as well, which may have got parts since.
+    fn probe_if_due(
+        &mut self,
+        tenant: &Arc<str>,
+        context: &ClientContext<'_>,
+        is_local: bool,
+        now: BootTime,
+        output: &mut ClientOutput,
+    ) {
+        let Some(limit) = context.limits.limits.get(tenant) else {
             return;
         };
+        let is_due = |server: &&Arc<str>| {
+            let is_probed = self.probes.values().any(|probe| probe.pending.server == **server);
+            !is_probed && self.skipped.get(*server).map_or(is_local, |skip| skip.until <= now)
+        };
+        let mut others =
+            context.roles.servers(group_of(tenant)).iter().filter(|server| *server != context.own_name);
+        let Some(server) = others.find(is_due).map(Arc::clone) else {
+            return;
+        };
+        let ask = self.new_ask(tenant, *limit, context.limits.revision);
+        output.asks.push((Arc::clone(&server), ask.clone()));
+        let sequence = ask.sequence;
+        let pending = PendingAsk { ask, server, sent_at: now, repeated_at: now };
+        self.probes.insert(sequence, Probe { tenant: Arc::clone(tenant), pending });
+    }
+
+    /// Returns an ask for no tokens.
+    fn new_ask(&mut self, tenant: &Arc<str>, limit: TenantLimit, revision: u64) -> wire::TokenAsk {
         let sequence = self.next_sequence;
         self.next_sequence = self.next_sequence.wrapping_add(1);
-        let ask = wire::TokenAsk {
+        wire::TokenAsk {
             sequence,
             tenant: tenant.to_string(),
-            tokens: queue.mark_asked(),
-            rejected: std::mem::take(&mut queue.rejected),
+            tokens: 0,
+            rejected: 0,
             rate_millis_per_s: limit.rate_millis_per_s,
             burst: limit.burst,
-            revision: context.limits.revision,
+            revision,
+        }
+    }
+
+    fn ask(
+        &mut self,
+        tenant: &Arc<str>,
+        limit: TenantLimit,
+        revision: u64,
+        server: Arc<str>,
+        now: BootTime,
+        output: &mut ClientOutput,
+    ) {
+        let mut ask = self.new_ask(tenant, limit, revision);
+        let Some(queue) = self.tenants.get_mut(tenant) else {
+            return;
         };
+        ask.tokens = queue.mark_asked();
+        ask.rejected = std::mem::take(&mut queue.rejected);
         let pending =
-            PendingAsk { ask: ask.clone(), server: Arc::clone(server), sent_at: now, repeated_at: now };
+            PendingAsk { ask: ask.clone(), server: Arc::clone(&server), sent_at: now, repeated_at: now };
         queue.pending = Some(pending);
-        self.pending.insert(sequence, Arc::clone(tenant));
-        output.asks.push((Arc::clone(server), ask));
-        let server = Arc::clone(server);
+        self.pending.insert(ask.sequence, Arc::clone(tenant));
+        output.asks.push((Arc::clone(&server), ask));
         self.record_server(tenant, server);
     }
 
@@ -350,6 +477,17 @@
     }
 }
 
+impl PendingAsk {
+    /// Returns the ask with its server if it has to be repeated.
+    fn due_repetition(&mut self, now: BootTime) -> Option<(Arc<str>, wire::TokenAsk)> {
+        if now < self.repeated_at + REPEAT_AFTER {
+            return None;
+        }
+        self.repeated_at = now;
+        Some((Arc::clone(&self.server), self.ask.clone()))
+    }
+}
+
 impl TenantQueue {
     /// Returns the rejection of a new request while this ingress rejects requests by itself.
     fn reject_locally(&mut self, now: BootTime) -> Option<Result<(), QuotaRejection>> {
@@ -406,6 +544,24 @@
         self.rejection = Some(rejection);
     }
 
+    /// Decides all waiting requests by the local share.
+    fn decide_locally(
+        &mut self,
+        tenant: &Arc<str>,
+        local: &mut LocalShare,
+        now: BootTime,
+        output: &mut ClientOutput,
+    ) {
+        let wanted = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        let taken = local.take(tenant, wanted, now);
+        let next_token_at = now + taken.retry_after;
+        let mut rejection = LocalRejection { until: now, next_token_at, interval: taken.interval };
+        for (number, waiter) in (0..wanted).zip(self.waiting.drain(..)) {
+            let result = if number < taken.granted { Ok(()) } else { Err(rejection.next(now)) };
+            output.resolutions.push(Resolution { waiter: waiter.id, tenant: Arc::clone(tenant), result });
+        }
+    }
+
     /// Admits the waiting requests of a tenant whose limit was removed.
     fn admit_all(&mut self, tenant: &Arc<str>, output: &mut ClientOutput) {
         for waiter in self.waiting.drain(..) {
@@ -445,3 +601,8 @@
         QuotaRejection { kind: QuotaRejectionKind::Exceeded, retry_after }
     }
 }
+
+/// Returns whether the server that gave an answer holds parts; otherwise it names no time to the next token.
+const fn has_parts(answer: wire::TokenAnswer) -> bool {
+    !answer.warming || answer.retry_after_ms > 0
+}
--- a/lib/src/coordination/quota/fleet_roles.rs
+++ b/lib/src/coordination/quota/fleet_roles.rs
@@ -20,12 +20,13 @@
 const NODES_PER_CLASS: usize = 16;
 
 /// Number of nodes of a ranking that may take a role, one after the other.
-const MAX_RANKED: usize = 4;
+pub const MAX_RANKED: usize = 4;
 
 /// The roles of nodes as one node sees the fleet.
 #[derive(Clone, Debug, Default)]
 pub struct FleetRoles {
     addrs: IndexMap<Arc<str>, SocketAddr>,
+    all_nodes: Vec<Arc<str>>,
     zone_nodes: Vec<Arc<str>>,
     own_rank: Option<usize>,
     zone_rankings: Vec<Vec<Arc<str>>>,
@@ -53,6 +54,7 @@
         let server_rankings = server_rankings(&live);
         Self {
             addrs: reachable.iter().map(|member| (Arc::clone(&member.id.name), member.peer_addr)).collect(),
+            all_nodes: names(members),
             zone_nodes: names(
                 reachable.iter().copied().filter(|member| member.shares_zone_with(local_member)),
             ),
@@ -118,6 +120,12 @@
         self.own_groups
     }
 
+    /// Returns the names of all nodes, including dead ones.
+    #[must_use]
+    pub fn all_nodes(&self) -> &[Arc<str>] {
+        &self.all_nodes
+    }
+
     /// Returns the names of all nodes that are not dead.
     pub fn nodes(&self) -> impl Iterator<Item = &Arc<str>> {
         self.addrs.keys()
--- a/lib/src/coordination/quota/mod.rs
+++ b/lib/src/coordination/quota/mod.rs
@@ -3,9 +3,11 @@
 //! State machines without I/O: they take messages, clock readings and events, and return messages and decisions.
 //! `docs/design/quotas.md` describes the protocol and why the sum of all nodes stays within the limit.
 
+pub mod allowance;
 pub mod answer_memory;
 pub mod client;
 pub mod fleet_roles;
+pub mod local_share;
 pub mod promises;
 pub mod quota_node;
 pub mod recent_demand;
--- a/lib/src/coordination/quota/quota_node.rs
+++ b/lib/src/coordination/quota/quota_node.rs
@@ -10,12 +10,15 @@
 
 use crate::coordination::quota::ALL_PARTS;
 use crate::coordination::quota::BootTime;
+use crate::coordination::quota::SHARE_LEASE;
+use crate::coordination::quota::allowance::QuotaAllowance;
 use crate::coordination::quota::client::ClientContext;
 use crate::coordination::quota::client::ClientOutput;
 use crate::coordination::quota::client::QuotaClient;
 use crate::coordination::quota::client::Resolution;
 use crate::coordination::quota::client::WaiterId;
 use crate::coordination::quota::fleet_roles::FleetRoles;
+use crate::coordination::quota::local_share::LocalShare;
 use crate::coordination::quota::promises::Borrower;
 use crate::coordination::quota::roster::ConfirmedRoster;
 use crate::coordination::quota::server::QuotaServer;
@@ -61,6 +64,10 @@
     pub served_groups: usize,
     /// Smallest number of parts held for a group that this node serves.
     pub served_parts: u32,
+    /// Parts of the own share that this node may spend by itself.
+    pub local_parts: u32,
+    /// Tokens given out of these parts so far.
+    pub local_tokens: u64,
     /// How often a tenant's requests went to another server than before.
     pub server_changes: u64,
 }
@@ -92,6 +99,9 @@
     lender: ZoneLender,
     server: QuotaServer,
     client: QuotaClient,
+    local: LocalShare,
+    /// When a message of another node last arrived.
+    heard_at: BootTime,
 }
 
 impl QuotaNode {
@@ -99,7 +109,6 @@
     #[must_use]
     pub fn new(name: Arc<str>, process: u64, now: BootTime) -> Self {
         Self {
-            name,
             process,
             roles: FleetRoles::default(),
             limits: TenantLimits::default(),
@@ -107,14 +116,23 @@
             lender: ZoneLender::new(process, now),
             server: QuotaServer::new(process),
             client: QuotaClient::new(process),
+            local: LocalShare::new(Arc::clone(&name), now),
+            heard_at: now,
+            name,
         }
     }
 
     /// Replaces what the node knows of the fleet.
     pub fn set_roles(&mut self, roles: FleetRoles) {
+        self.local.learn_nodes(roles.all_nodes());
         self.roles = roles;
     }
 
+    /// Sets what the deployment allows beyond the limits of tenants.
+    pub const fn set_allowance(&mut self, allowance: Option<QuotaAllowance>) {
+        self.local.set_allowance(allowance);
+    }
+
     /// Returns what the node knows of the fleet.
     #[must_use]
     pub const fn roles(&self) -> &FleetRoles {
@@ -126,7 +144,9 @@
         if limits.revision < self.limits.revision {
             return;
         }
+        self.local.advance(self.holder.unlent_parts(now), &self.limits, now);
         self.limits = limits;
+        self.local.limits_changed();
         self.server.set_limits(&self.limits, now);
     }
 
@@ -165,8 +185,9 @@
             let tenant = Arc::clone(tenant);
             return vec![QuotaAction::Resolve(Resolution { waiter, tenant, result: Ok(()) })];
         }
-        let context = ClientContext { roles: &self.roles, limits: &self.limits };
-        let output = self.client.admit(waiter, tenant, give_up_at, context, now);
+        self.advance_local(now);
+        let (client, mut context) = self.client_and_context(now);
+        let output = client.admit(waiter, tenant, give_up_at, &mut context, now);
         self.deliver(output, VecDeque::new(), now)
     }
 
@@ -183,14 +204,16 @@
         let mut outgoing = VecDeque::new();
         let query = self.holder.due_query(self.roles.other_zone_leaders(), now);
         outgoing.extend(query.map(|(node, query)| Outgoing::request(node, Body::ShareQuery(query))));
-        let polls = self.lender.due_polls(&self.roles, now);
+        let spared = self.is_isolated(now).then_some(&self.name);
+        let polls = self.lender.due_polls(&self.roles, spared, now);
         outgoing
             .extend(polls.into_iter().map(|(node, poll)| Outgoing::request(node, Body::ShareBorrow(poll))));
         let polls = self.server.due_polls(&self.roles, &self.limits, now);
         outgoing
             .extend(polls.into_iter().map(|(node, poll)| Outgoing::request(node, Body::GroupBorrow(poll))));
-        let context = ClientContext { roles: &self.roles, limits: &self.limits };
-        let output = self.client.tick(context, now);
+        self.advance_local(now);
+        let (client, mut context) = self.client_and_context(now);
+        let output = client.tick(&mut context, now);
         self.deliver(output, outgoing, now)
     }
 
@@ -211,6 +234,10 @@
         let Some(body) = &message.body else {
             return Vec::new();
         };
+        if self.is_isolated(now) {
+            self.client.forget_silence();
+        }
+        self.heard_at = now;
         let mut outgoing = VecDeque::new();
         let output = self.handle(from, message.process, body, now, &mut outgoing);
         for response in &mut outgoing {
@@ -229,6 +256,8 @@
             zone_leases: self.lender.lease_count(),
             served_groups: self.server.held_parts(now).count(),
             served_parts: self.server.held_parts(now).map(|(_, parts)| parts).min().unwrap_or(0),
+            local_parts: self.holder.unlent_parts(now),
+            local_tokens: self.local.granted(),
             server_changes: self.client.server_changes(),
         }
     }
@@ -246,6 +275,7 @@
         now: BootTime,
         outgoing: &mut VecDeque<Outgoing>,
     ) -> ClientOutput {
+        self.advance_local(now);
         let borrower = || Borrower { node: Arc::clone(from), process };
         let response = match body {
             Body::ShareBorrow(request) => Some(Body::ShareLoan(self.lend_share(&borrower(), *request, now))),
@@ -271,8 +301,8 @@
                 None
             }
             Body::TokenAnswer(answer) => {
-                let context = ClientContext { roles: &self.roles, limits: &self.limits };
-                return self.client.receive(from, *answer, context, now);
+                let (client, mut context) = self.client_and_context(now);
+                return client.receive(from, *answer, &mut context, now);
             }
         };
         outgoing.extend(response.map(|response| Outgoing::request(Arc::clone(from), response)));
@@ -295,7 +325,30 @@
         if let Some(share) = request.share {
             self.holder.confirm(&borrower.node, share);
         }
-        self.holder.lend(borrower, is_leader, request.sequence, now)
+        let loan = self.holder.lend(borrower, is_leader, request.sequence, now);
+        self.advance_local(now);
+        loan
+    }
+
+    /// Refills the local buckets up to `now` and applies what this node may spend by itself from then on.
+    fn advance_local(&mut self, now: BootTime) {
+        self.local.advance(self.holder.unlent_parts(now), &self.limits, now);
+    }
+
+    /// Returns whether this node knows others but has heard none of them for a lease time.
+    fn is_isolated(&self, now: BootTime) -> bool {
+        self.local.knows_others() && self.heard_at + SHARE_LEASE <= now
+    }
+
+    fn client_and_context(&mut self, now: BootTime) -> (&mut QuotaClient, ClientContext<'_>) {
+        let context = ClientContext {
+            roles: &self.roles,
+            limits: &self.limits,
+            local: &mut self.local,
+            own_name: &self.name,
+            share_borrower: self.holder.borrower(now),
+        };
+        (&mut self.client, context)
     }
 
     /// Turns output into actions; messages to this node itself are processed at once.
--- a/lib/src/coordination/quota/share_holder.rs
+++ b/lib/src/coordination/quota/share_holder.rs
@@ -41,6 +41,8 @@
     sent: SentRequests,
     /// When the node that this one regards as the leading one of its zone last asked.
     leader_asked_at: Option<BootTime>,
+    /// Node that last asked for the share, and the time until which it may use what was lent to it.
+    last_asker: Option<(Arc<str>, BootTime)>,
     next_query_at: BootTime,
     query_count: usize,
 }
@@ -55,6 +57,7 @@
             loans: LoanBook::default(),
             sent: SentRequests::new(first_sequence),
             leader_asked_at: None,
+            last_asker: None,
             next_query_at: now + FIRST_QUERY_INTERVAL,
             query_count: 0,
         }
@@ -79,6 +82,21 @@
         self.loans.owed(now)
     }
 
+    /// Returns the parts that this node may spend by itself at `now`: all or none.
+    ///
+    /// It may not if any node asked for its share within the last lease time, also if that node was lent nothing.
+    #[must_use]
+    pub fn unlent_parts(&self, now: BootTime) -> u32 {
+        let is_free = now >= self.lends_from && self.borrower(now).is_none();
+        if is_free { self.usable_parts(now) } else { 0 }
+    }
+
+    /// Returns the node that last asked for the share, if that was within the last lease time.
+    #[must_use]
+    pub fn borrower(&self, now: BootTime) -> Option<&Arc<str>> {
+        self.last_asker.as_ref().filter(|(_, until)| *until > now).map(|(node, _)| node)
+    }
+
     /// Applies what `from` read of this node's share.
     pub fn confirm(&mut self, from: &str, statement: wire::ShareStatement) {
         let Some(sent_at) = self.sent.take(statement.echo, from) else {
@@ -103,6 +121,7 @@
         if is_leader {
             self.leader_asked_at = Some(now);
         }
+        self.last_asker = Some((Arc::clone(&borrower.node), LoanBook::end_of_loan(now, SHARE_LEASE)));
         let parts = self.parts_for(borrower, is_leader, now);
         self.loans.lend(borrower, parts, now, SHARE_LEASE);
         wire::ShareLoan {
--- a/lib/src/coordination/quota/token_bucket.rs
+++ b/lib/src/coordination/quota/token_bucket.rs
@@ -14,7 +14,7 @@
 /// Tokens beyond the burst that a bucket with all parts may hold.
 ///
 /// Without it a tenant with a burst of 1 would get nothing while a single part is missing.
-const SPARE_TOKENS: u128 = 1;
+pub const SPARE_TOKENS: u32 = 1;
 
 /// Time at the tenant's rate to which the count of rejected requests is limited.
 const MAX_BACKLOG: Duration = Duration::from_secs(10);
@@ -35,6 +35,8 @@
 pub struct TokenBucket {
     limit: TenantLimit,
     level: u128,
+    /// Units that the bucket may hold beyond its capacity, also without parts: one token or nothing.
+    extra: u128,
     /// Rejected requests for which a token is still to come, in units.
     backlog: u128,
 }
@@ -43,7 +45,7 @@
     /// Creates an empty bucket.
     #[must_use]
     pub const fn new(limit: TenantLimit) -> Self {
-        Self { limit, level: 0, backlog: 0 }
+        Self { limit, level: 0, extra: 0, backlog: 0 }
     }
 
     /// Adds what the bucket gains in a time during which the server holds `parts`.
@@ -56,8 +58,23 @@
 
     /// Removes what a server that holds `parts` may not keep.
     pub fn cut(&mut self, parts: u32) {
-        let capacity = (u128::from(self.limit.burst) + SPARE_TOKENS) * u128::from(parts) * TOKEN_PER_PART;
-        self.level = self.level.min(capacity);
+        self.level = self.level.min(self.capacity(parts));
+    }
+
+    /// Sets whether the bucket may hold one token beyond its capacity.
+    pub const fn set_extra(&mut self, has_extra: bool) {
+        self.extra = if has_extra { TOKEN } else { 0 };
+    }
+
+    /// Returns the extra token to a bucket that has given it out.
+    pub fn restore_extra(&mut self) {
+        self.level = self.level.max(self.extra);
+    }
+
+    /// Returns whether the bucket of a server that holds `parts` may ever hold a whole token.
+    #[must_use]
+    pub fn holds_a_token(&self, parts: u32) -> bool {
+        self.capacity(parts) >= TOKEN
     }
 
     /// Replaces the limit; a lower one applies to the tokens that are in the bucket.
@@ -88,6 +105,11 @@
         u32::try_from(self.level / TOKEN).unwrap_or(u32::MAX)
     }
 
+    fn capacity(&self, parts: u32) -> u128 {
+        let tokens = u128::from(self.limit.burst) + u128::from(SPARE_TOKENS);
+        tokens * u128::from(parts) * TOKEN_PER_PART + self.extra
+    }
+
     /// Returns the time in which the bucket gains this many units.
     fn time_to(&self, units: u128, parts: u32) -> Duration {
         let per_nano = u128::from(self.limit.rate_millis_per_s) * u128::from(parts);
--- a/lib/src/coordination/quota/zone_lender.rs
+++ b/lib/src/coordination/quota/zone_lender.rs
@@ -10,6 +10,7 @@
 use crate::coordination::quota::GROUP_LEASE;
 use crate::coordination::quota::SHARE_VALIDITY;
 use crate::coordination::quota::fleet_roles::FleetRoles;
+use crate::coordination::quota::fleet_roles::MAX_RANKED;
 use crate::coordination::quota::promises::Borrower;
 use crate::coordination::quota::promises::LeaseBook;
 use crate::coordination::quota::promises::LoanBook;
@@ -104,14 +105,23 @@
     /// Returns whether this node acts as the leading node of its zone.
     #[must_use]
     pub fn is_acting(&self, own_rank: Option<usize>, now: BootTime) -> bool {
-        let Some(rank) = own_rank.and_then(|rank| u32::try_from(rank).ok()) else {
+        // No server borrows from nodes of a later rank, so a share that they borrowed would be idle.
+        let rank = own_rank.filter(|rank| *rank < MAX_RANKED);
+        let Some(rank) = rank.and_then(|rank| u32::try_from(rank).ok()) else {
             return false;
         };
         now >= self.superior_heard_at + LEADER_SILENCE * rank
     }
 
     /// Returns the nodes to ask for their share, with the requests that are due.
-    pub fn due_polls(&mut self, roles: &FleetRoles, now: BootTime) -> Vec<(Arc<str>, wire::ShareBorrow)> {
+    ///
+    /// `spared` is not asked: this node itself while it hears no other one, which leaves it its share to spend.
+    pub fn due_polls(
+        &mut self,
+        roles: &FleetRoles,
+        spared: Option<&Arc<str>>,
+        now: BootTime,
+    ) -> Vec<(Arc<str>, wire::ShareBorrow)> {
         self.sent.expire(now);
         self.leases.expire(now);
         if !self.is_acting(roles.own_rank(), now) {
@@ -121,6 +131,7 @@
         let due = roles
             .zone_nodes()
             .iter()
+            .filter(|node| spared != Some(*node))
             .filter(|node| self.nodes.get(*node).is_none_or(|polled| polled.next_poll_at <= now));
         let due: Vec<Arc<str>> = due.map(Arc::clone).collect();
         due.into_iter().map(|node| (Arc::clone(&node), self.poll(&node, now))).collect()
--- a/lib/tests/quota_fleet.rs
+++ b/lib/tests/quota_fleet.rs
@@ -329,3 +329,56 @@
     send(&mut fleet, 50, 1, |_| caller);
     assert_eq!(fleet.rejections, Vec::new());
 }
+
+fn cut_off(fleet: &mut QuotaFleet, node: usize) {
+    for other in (0..NODE_COUNT).filter(|other| *other != node) {
+        fleet.set_cut(node, other, true);
+        fleet.set_cut(other, node, true);
+    }
+}
+
+/// Guards against cut-off nodes that serve nothing until the membership regards the others as dead.
+#[test]
+fn cut_off_node_spends_its_share_within_two_seconds() {
+    for node in 0..NODE_COUNT {
+        let mut fleet = settled_fleet();
+        cut_off(&mut fleet, node);
+        send(&mut fleet, 40, 2, |_| node);
+        fleet.rejections.clear();
+        let before = fleet.admissions.len();
+        send(&mut fleet, 40, 6, |_| node);
+        let admitted = admitted_since(&fleet, before);
+        let share = 6 * usize::try_from(RATE).unwrap_or(0) / NODE_COUNT;
+        assert!(admitted >= share * 95 / 100, "node {node} admitted {admitted} of {share} requests");
+        assert_eq!(rejected(&fleet, QuotaRejectionKind::Unavailable), 0, "node {node}");
+        fleet.heal();
+        send(&mut fleet, 90, 1, |_| node);
+        fleet.rejections.clear();
+        send(&mut fleet, 80, 3, |_| node);
+        assert_eq!(fleet.rejections, Vec::new(), "node {node} after the cut");
+        assert_within_limit(&fleet, RATE);
+    }
+}
+
+/// Guards against nodes that are cut off together and leave their shares to a leading node that nobody borrows from.
+#[test]
+fn nodes_cut_off_together_spend_their_shares() {
+    for (zone, other) in [(0, 4), (1, 5), (2, 6), (3, 7), (0, 1), (6, 11), (8, 4)] {
+        let mut fleet = settled_fleet();
+        let inside = |node: usize| node == zone || node == other || (other == zone + 4 && node % 4 == zone);
+        for (from, to) in (0..NODE_COUNT * NODE_COUNT).map(|pair| (pair / NODE_COUNT, pair % NODE_COUNT)) {
+            fleet.set_cut(from, to, inside(from) != inside(to));
+        }
+        let nodes: Vec<usize> = (0..NODE_COUNT).filter(|node| inside(*node)).collect();
+        send(&mut fleet, 40, 3, |number| nodes[usize::try_from(number).unwrap_or(0) % nodes.len()]);
+        fleet.rejections.clear();
+        let before = fleet.admissions.len();
+        send(&mut fleet, 60, 6, |number| nodes[usize::try_from(number).unwrap_or(0) % nodes.len()]);
+        let admitted = admitted_since(&fleet, before);
+        let share = 6 * usize::try_from(RATE).unwrap_or(0) * nodes.len() / NODE_COUNT;
+        let unavailable = rejected(&fleet, QuotaRejectionKind::Unavailable);
+        assert!(admitted >= share * 95 / 100, "{nodes:?} admitted {admitted} of {share} requests");
+        assert_eq!(unavailable, 0, "{nodes:?}");
+        assert_within_limit(&fleet, RATE);
+    }
+}
--- a/lib/tests/quota_machine.rs
+++ b/lib/tests/quota_machine.rs
@@ -17,11 +17,13 @@
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
 use yuccatray::coordination::quota::ALL_PARTS;
+use yuccatray::coordination::quota::allowance::QuotaAllowance;
 use yuccatray::coordination::quota::tenant_limits::TenantLimit;
 use yuccatray::coordination::quota::tenant_limits::TenantLimits;
 use yuccatray_testutils::simulated_quotas::QuotaFleet;
 use yuccatray_testutils::simulated_quotas::QuotaNetFaults;
 use yuccatray_testutils::simulated_quotas::exceeded_window;
+use yuccatray_testutils::simulated_quotas::exceeded_window_up_to;
 
 const DEFAULT_CASES: u32 = 48;
 const DEFAULT_SEED: u64 = 11;
@@ -38,6 +40,8 @@
 const MAX_CHANGED_RATE: u32 = 60;
 /// Longest pause of a process while shares move.
 const MAX_SLOW_PAUSE_MS: u64 = 4_000_000;
+/// Allowance that leaves extra tokens to some nodes only for the first tenant, and to all of them for the others.
+const ALLOWANCE: QuotaAllowance = QuotaAllowance { window: Duration::from_secs(5), over: 0.1, slack: 3.0 };
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -60,6 +64,12 @@
     },
     /// Cuts a node off from all others, which then regard it as dead, as it regards them.
     Isolate(usize),
+    /// Cuts a node off from all others before any node regards another as dead, and sends requests to it for a while.
+    CutOff {
+        node: usize,
+        tenant: usize,
+        seconds: u64,
+    },
     Heal,
     Pause {
         node: usize,
@@ -104,6 +114,8 @@
         }),
         2 => (node(), node(), any::<bool>()).prop_map(|(from, to, is_cut)| Step::Cut { from, to, is_cut }),
         1 => node().prop_map(Step::Isolate),
+        2 => (node(), 0..TENANTS.len(), 0_u64..4)
+            .prop_map(|(node, tenant, seconds)| Step::CutOff { node, tenant, seconds }),
         1 => Just(Step::Heal),
         2 => (node(), 1..max_pause_ms).prop_map(|(node, millis)| Step::Pause { node, millis }),
         1 => (node(), any::<bool>()).prop_map(|(node, is_killed)| Step::Restart { node, is_killed }),
@@ -205,11 +217,23 @@
     }
 
     fn isolate(&mut self, node: usize) {
+        self.cut_off(node);
+        self.fleet.correct_views();
+    }
+
+    fn cut_off(&mut self, node: usize) {
         for other in (0..NODE_COUNT).filter(|other| *other != node) {
             self.fleet.set_cut(node, other, true);
             self.fleet.set_cut(other, node, true);
         }
-        self.fleet.correct_views();
+    }
+
+    /// Sends requests of a tenant to a node in bursts.
+    fn request_repeatedly(&mut self, node: usize, tenant: usize, seconds: u64) {
+        for _ in 0..seconds * 4 {
+            self.request(node, tenant, 20);
+            self.fleet.run(Duration::from_millis(250));
+        }
     }
 
     fn replace(&mut self, node: usize) {
@@ -239,6 +263,10 @@
             }
             Step::Cut { from, to, is_cut } => fleet.set_cut(from, to, is_cut),
             Step::Isolate(node) => tested.isolate(node),
+            Step::CutOff { node, tenant, seconds } => {
+                tested.cut_off(node);
+                tested.request_repeatedly(node, tenant, seconds);
+            }
             Step::Heal => fleet.heal(),
             Step::Pause { node, millis } => fleet.pause(node, Duration::from_millis(millis)),
             Step::PauseBeforeSend { node, millis } => {
@@ -268,6 +296,23 @@
         assert!(shares <= ALL_PARTS, "processes hold shares of {shares} parts at once");
     }
 
+    /// Checks that windows hold no more than the limit and the extra tokens of all nodes.
+    fn check_windows_with_allowance(&self) {
+        for (index, (rate, burst)) in TENANTS.into_iter().enumerate() {
+            let is_changing = index == CHANGING_TENANT;
+            let extra = ALLOWANCE.extra_tokens(limit_of((rate, burst)));
+            let extra = if is_changing { NODE_COUNT } else { usize::try_from(extra).unwrap_or(usize::MAX) };
+            let extra = u32::try_from(extra.min(NODE_COUNT)).unwrap_or(u32::MAX);
+            let rate = if is_changing { rate.max(MAX_CHANGED_RATE) } else { rate };
+            let rate = f64::from(rate) * CLOCK_SPEED;
+            let burst = f64::from(burst + extra) + SPARE_TOKENS;
+            let name = tenant_name(index);
+            let exceeded =
+                exceeded_window_up_to(&self.fleet.admissions, &name, rate, burst, ALLOWANCE.window);
+            assert_eq!(exceeded, None, "tenant {index} got more than its allowance in a window");
+        }
+    }
+
     fn check_windows(&self) {
         for (index, (rate, burst)) in TENANTS.into_iter().enumerate() {
             let rate = if index == CHANGING_TENANT { rate.max(MAX_CHANGED_RATE) } else { rate };
@@ -302,6 +347,32 @@
     }
 }
 
+/// The same with extra tokens.
+struct AllowanceTest;
+
+impl StateMachineTest for AllowanceTest {
+    type SystemUnderTest = FleetUnderTest;
+    type Reference = Oracle;
+
+    fn init_test(seed: &u64) -> FleetUnderTest {
+        let mut tested = FleetUnderTest::new(*seed);
+        tested.fleet.set_allowance(Some(ALLOWANCE));
+        tested
+    }
+
+    fn apply(tested: FleetUnderTest, _: &u64, step: Step) -> FleetUnderTest {
+        tested.apply(step)
+    }
+
+    fn check_invariants(tested: &FleetUnderTest, _: &u64) {
+        tested.check_parts();
+    }
+
+    fn teardown(tested: FleetUnderTest, _: u64) {
+        tested.check_windows_with_allowance();
+    }
+}
+
 struct SlowTest;
 
 impl StateMachineTest for SlowTest {
@@ -350,6 +421,9 @@
     #[test]
     fn quota_fleet_never_exceeds_a_limit(sequential 1..80 => QuotaTest);
 
+    #[test]
+    fn quota_fleet_never_exceeds_an_allowance(sequential 1..80 => AllowanceTest);
+
     #[test]
     fn quota_fleet_never_holds_a_share_twice(sequential 1..60 => SlowTest);
 }
@@ -374,3 +448,24 @@
         assert!(count * 100 >= (2 * rate + burst) * 90, "tenant {tenant} got {count} requests");
     }
 }
+
+/// Guards against a machine whose nodes never spend their own shares, so that the bound is not checked over them.
+#[test]
+fn quota_machine_spends_shares_of_isolated_nodes() {
+    let mut tested = FleetUnderTest::new(3);
+    tested.fleet.set_allowance(Some(ALLOWANCE));
+    tested.fleet.run(Duration::from_secs(6));
+    for node in 0..NODE_COUNT {
+        tested.isolate(node);
+    }
+    tested.fleet.run(Duration::from_secs(2));
+    for node in 0..NODE_COUNT {
+        tested.request(node, 0, 2);
+    }
+    tested.fleet.run(Duration::from_millis(200));
+    // Each node holds a fifth of two tokens, so all of these are extra ones.
+    let extra = ALLOWANCE.extra_tokens(limit_of(TENANTS[0]));
+    assert_eq!((extra, tested.fleet.local_tokens()), (3, 3));
+    tested.check_parts();
+    tested.check_windows_with_allowance();
+}
--- a/lib/testutils/src/simulated_quotas.rs
+++ b/lib/testutils/src/simulated_quotas.rs
@@ -14,6 +14,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use yuccatray::coordination::quota::SHARE_VALIDITY;
+use yuccatray::coordination::quota::allowance::QuotaAllowance;
 use yuccatray::coordination::quota::client::QuotaRejection;
 use yuccatray::coordination::quota::fleet_roles::FleetRoles;
 use yuccatray::coordination::quota::quota_node::QuotaAction;
@@ -127,6 +128,7 @@
     /// Nodes that an observer regards as dead.
     dead_views: IndexSet<(usize, usize)>,
     limits: TenantLimits,
+    allowance: Option<QuotaAllowance>,
     events: BTreeMap<(Duration, u64), Event>,
     next_event: u64,
     next_waiter: u64,
@@ -149,6 +151,7 @@
             cuts: IndexSet::new(),
             dead_views: IndexSet::new(),
             limits,
+            allowance: None,
             events: BTreeMap::new(),
             next_event: 0,
             next_waiter: 0,
@@ -196,6 +199,7 @@
         process.node = QuotaNode::new(Self::name(index), self.rng.random(), clock);
         process.keeper = RosterKeeper::new(Self::name(index), clock);
         process.node.set_limits(self.limits.clone(), clock);
+        process.node.set_allowance(self.allowance);
         self.processes[index] = Some(process);
         self.update_roles(index);
     }
@@ -279,6 +283,14 @@
         self.limits = limits;
     }
 
+    /// Sets what the deployment allows beyond the limits; processes that start later have it, too.
+    pub fn set_allowance(&mut self, allowance: Option<QuotaAllowance>) {
+        for process in self.processes.iter_mut().flatten() {
+            process.node.set_allowance(allowance);
+        }
+        self.allowance = allowance;
+    }
+
     /// Keeps a copy of the store.
     pub fn copy_store(&mut self) {
         self.store.copy.clone_from(&self.store.roster);
@@ -329,15 +341,26 @@
     }
 
     /// Returns the parts that all processes together may spend, for the group with the most.
+    ///
+    /// What nodes may spend by themselves counts for every group.
     #[must_use]
     pub fn spendable_parts(&self) -> u32 {
         let mut parts: IndexMap<Group, u32> = IndexMap::new();
+        let mut local_parts = 0;
         for process in self.processes.iter().flatten() {
+            local_parts += process.node.status(process.clock(self.now)).local_parts;
             for (group, held) in process.node.spendable_parts(process.clock(self.now)) {
                 *parts.entry(group).or_default() += held;
             }
         }
-        parts.into_values().max().unwrap_or(0)
+        local_parts + parts.into_values().max().unwrap_or(0)
+    }
+
+    /// Returns the tokens that the running processes have given out of their own shares.
+    #[must_use]
+    pub fn local_tokens(&self) -> u64 {
+        let running = self.processes.iter().flatten();
+        running.map(|process| process.node.status(process.clock(self.now)).local_tokens).sum()
     }
 
     /// Returns the shares that all processes together may spend or lend.
@@ -547,6 +570,18 @@
     tenant: &str,
     rate_per_s: f64,
     burst: f64,
+) -> Option<(Duration, usize, f64)> {
+    exceeded_window_up_to(admissions, tenant, rate_per_s, burst, Duration::MAX)
+}
+
+/// The same for windows of at most a length.
+#[must_use]
+pub fn exceeded_window_up_to(
+    admissions: &[Admission],
+    tenant: &str,
+    rate_per_s: f64,
+    burst: f64,
+    max_length: Duration,
 ) -> Option<(Duration, usize, f64)> {
     let mut spans: Vec<(Duration, Duration)> = admissions
         .iter()
@@ -560,6 +595,9 @@
         let inside = spans.iter().filter(|(arrived_at, _)| *arrived_at >= window_start);
         for (index, (_, started_at)) in inside.enumerate() {
             let length = started_at.saturating_sub(window_start);
+            if length > max_length {
+                break;
+            }
             let allowed = rate_per_s * length.as_secs_f64() + burst;
             let count = index + 1;
             if f64::from(u32::try_from(count).unwrap_or(u32::MAX)) > allowed {
