quotas: bounds, metrics and documentation of local spending

QuotaWindowS, QuotaOver and QuotaSlack among the bounds of the deployment say how many nodes may hold an extra token; without all three no node does. New counter quota_local_tokens and gauge quota_parts{role="local"}. A server that no request led to probe for 10 s is asked again without a probe.

--- a/lib/src/coordination/quota/client.rs
+++ b/lib/src/coordination/quota/client.rs
@@ -29,6 +29,9 @@
 /// Maximum time for which a server that did not answer is skipped; a longer one outlasts most cuts of the network.
 const MAX_SKIP: Duration = Duration::from_secs(4);
 
+/// Time after which a server that no request led to probe is no longer regarded as silent.
+const SILENCE_RETENTION: Duration = Duration::from_secs(10);
+
 /// Maximum time for which an ingress rejects requests of a tenant by itself.
 const MAX_LOCAL_REJECTION: Duration = Duration::from_millis(50);
 
@@ -282,6 +285,7 @@
     pub fn tick(&mut self, context: &mut ClientContext<'_>, now: BootTime) -> ClientOutput {
         let mut output = ClientOutput::default();
         self.repeat_probes(now, &mut output);
+        self.skipped.retain(|_, skip| skip.until + SILENCE_RETENTION > now);
         let tenants: Vec<Arc<str>> = self.tenants.keys().map(Arc::clone).collect();
         for tenant in &tenants {
             self.give_up_late(tenant, now, &mut output);
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -21,6 +21,7 @@
 use crate::coordination::routing::RoutingPolicy;
 use crate::log_event;
 use crate::node::bounded_settings::key_rules;
+use crate::node::bounded_settings::quota_allowance;
 use crate::node::core_parts::Core;
 use crate::node::core_parts::SharedParts;
 use crate::node::core_parts::log_started;
@@ -195,6 +196,7 @@
         let bounds = I::parse_bounds(&settings.platform.bounds);
         let bounds = bounds.map_err(|problem| NodeError::Bounds { problem })?;
         let rules = key_rules(&settings.platform, &bounds);
+        core.quotas.set_allowance(quota_allowance(&bounds));
         let own_service = settings.upstream.as_ref().map(|upstream| upstream.service.as_ref());
         let handlers = Handlers {
             callers: RoutedHandler::<P, I>::new(Arc::clone(&ingress), own_service, rules),
--- a/lib/src/node/bounded_settings.rs
+++ b/lib/src/node/bounded_settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::coordination::authentication::KeyRules;
+use crate::coordination::quota::allowance::QuotaAllowance;
 use crate::protocol::deployment_bounds::DeploymentBounds;
 use crate::protocol::settings::LimitSettings;
 use crate::protocol::settings::PlatformSettings;
@@ -59,6 +60,16 @@
     }
 }
 
+/// Returns what the deployment allows beyond the limits of tenants, if the bounds say all of it.
+#[must_use]
+pub(super) fn quota_allowance(bounds: &DeploymentBounds) -> Option<QuotaAllowance> {
+    Some(QuotaAllowance {
+        window: Duration::from_millis(bounds.quota_window_ms?),
+        over: f64::from(bounds.quota_over_millionths?) / 1e6,
+        slack: f64::from(bounds.quota_slack?),
+    })
+}
+
 /// Lets a stop use the whole grace period but for the time that the process needs to end.
 ///
 /// The time in which the node only reports that it is not ready gets shorter in a short stop, never longer.
--- a/lib/src/protocol/deployment_bounds.rs
+++ b/lib/src/protocol/deployment_bounds.rs
@@ -13,4 +13,10 @@
     pub fail_closed: Option<bool>,
     /// Time after which no call may reach an upstream of a zone that operators have evacuated, in milliseconds.
     pub evacuation_ms: Option<u64>,
+    /// Window in which the requests of a tenant are counted against its limit, in milliseconds.
+    pub quota_window_ms: Option<u64>,
+    /// Part of a tenant's limit by which it may be exceeded in a window, in millionths.
+    pub quota_over_millionths: Option<u32>,
+    /// Requests of a tenant beyond that in a window.
+    pub quota_slack: Option<u32>,
 }
--- a/lib/src/state/quota_metrics.rs
+++ b/lib/src/state/quota_metrics.rs
@@ -33,7 +33,7 @@
 /// Label of a gauge by role.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct QuotaRoleLabels {
-    /// `share`: the node's own; `lent`: of that, lent to another; `zone`: borrowed as the leading node of a zone;
+    /// `share`: the node's own; `lent`: of that, lent to another; `local`: of that, spent by the node itself; `zone`: borrowed as the leading node of a zone;
     /// `server`: the smallest number for a group that the node serves.
     pub role: &'static str,
 }
@@ -51,6 +51,8 @@
     pub served_groups: Gauge,
     /// Changes of the server that a tenant's requests at this node go to.
     pub server_changes: Counter,
+    /// Tokens that the node gave out of its own share while no quota server answered.
+    pub local_tokens: Counter,
 }
 
 impl QuotaMetrics {
@@ -77,6 +79,11 @@
             "Changes of the quota server of a tenant's requests",
             self.server_changes.clone(),
         );
+        registry.register(
+            "quota_local_tokens",
+            "Tokens that the node gave out of its own share while no quota server answered",
+            self.local_tokens.clone(),
+        );
     }
 
     /// Counts a decision on a request.
--- a/lib/src/transport/quota_link.rs
+++ b/lib/src/transport/quota_link.rs
@@ -17,6 +17,7 @@
 use yuccatray_proto::peer_v1 as wire;
 
 use crate::coordination::quota::BootTime;
+use crate::coordination::quota::allowance::QuotaAllowance;
 use crate::coordination::quota::client::QuotaRejection;
 use crate::coordination::quota::client::QuotaRejectionKind;
 use crate::coordination::quota::client::Resolution;
@@ -29,6 +30,7 @@
 use crate::coordination::quota::tenant_limits::TenantLimit;
 use crate::coordination::quota::tenant_limits::TenantLimits;
 use crate::log_event;
+use crate::log_event_limited;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::member::Member;
 use crate::protocol::member::MemberId;
@@ -174,6 +176,11 @@
         }
     }
 
+    /// Sets what the deployment allows beyond the limits of tenants.
+    pub fn set_allowance(&self, allowance: Option<QuotaAllowance>) {
+        self.inner.lock().node.set_allowance(allowance);
+    }
+
     /// Replaces the roster by one that was read from the store later.
     pub fn set_roster(&self, roster: ConfirmedRoster) {
         self.inner.lock().node.set_roster(roster);
@@ -315,13 +322,19 @@
         let status = self.node.status(now);
         metrics.quota.set_parts("share", status.share_parts);
         metrics.quota.set_parts("lent", status.lent_parts);
+        metrics.quota.set_parts("local", status.local_parts);
         metrics.quota.set_parts("zone", status.zone_parts);
         metrics.quota.set_parts("server", status.served_parts);
         metrics.quota.zone_leases.set(i64::try_from(status.zone_leases).unwrap_or(i64::MAX));
         metrics.quota.served_groups.set(i64::try_from(status.served_groups).unwrap_or(i64::MAX));
         let known_changes = self.last_status.map_or(0, |last| last.server_changes);
         metrics.quota.server_changes.inc_by(status.server_changes.saturating_sub(known_changes));
+        let known_tokens = self.last_status.map_or(0, |last| last.local_tokens);
+        metrics.quota.local_tokens.inc_by(status.local_tokens.saturating_sub(known_tokens));
         let previous = self.last_status.replace(status);
+        if previous.is_some_and(|previous| (previous.local_parts == 0) != (status.local_parts == 0)) {
+            log_event_limited!(Info, "own share returned or lent", local_parts = status.local_parts);
+        }
         if previous.is_none_or(|previous| has_other_roles(&previous, &status)) {
             log_event!(
                 Info,
