quotas: silent servers are probed without requests, and probes start no server

Nodes with few requests kept a server on their list of silent ones after a cut had healed and went on asking another. The parts stayed divided, so a tenant with 5 requests per second and a burst of 1 had less than a token at each server. A probe also made its receiver serve the group. Now probes are sent by the clock, and an ask for no tokens starts no server.

--- a/lib/src/coordination/quota/client.rs
+++ b/lib/src/coordination/quota/client.rs
@@ -29,9 +29,6 @@
 /// Maximum time for which a server that did not answer is skipped; a longer one outlasts most cuts of the network.
 const MAX_SKIP: Duration = Duration::from_secs(4);
 
-/// Time after which a server that no request led to probe is no longer regarded as silent.
-const SILENCE_RETENTION: Duration = Duration::from_secs(10);
-
 /// Maximum time for which an ingress rejects requests of a tenant by itself.
 const MAX_LOCAL_REJECTION: Duration = Duration::from_millis(50);
 
@@ -146,8 +143,10 @@
     next_ask_at: BootTime,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Skip {
+    /// Tenant for whose group the server is probed.
+    tenant: Arc<str>,
     until: BootTime,
     duration: Duration,
 }
@@ -240,7 +239,7 @@
         now: BootTime,
     ) -> ClientOutput {
         let mut output = ClientOutput::default();
-        if let Some(tenant) = self.receive_probe(from, answer, now) {
+        if let Some(tenant) = self.receive_probe(from, answer, context.local, now) {
             self.ask_if_due(&tenant, context, now, &mut output);
             return output;
         }
@@ -269,23 +268,32 @@
     }
 
     /// Applies the answer to a probe, and returns its tenant.
-    fn receive_probe(&mut self, from: &str, answer: wire::TokenAnswer, now: BootTime) -> Option<Arc<str>> {
+    fn receive_probe(
+        &mut self,
+        from: &str,
+        answer: wire::TokenAnswer,
+        local: &LocalShare,
+        now: BootTime,
+    ) -> Option<Arc<str>> {
         self.probes.get(&answer.echo).filter(|probe| *probe.pending.server == *from)?;
-        let probe = self.probes.swap_remove(&answer.echo)?;
+        let Probe { tenant, pending } = self.probes.swap_remove(&answer.echo)?;
         if has_parts(answer) {
+            self.unserved.swap_remove(&tenant);
+        }
+        // A node that decides locally has no use for a server without parts, and asks it again later.
+        if has_parts(answer) || !local.serves(&tenant) {
             self.skipped.swap_remove(from);
-            self.unserved.swap_remove(&probe.tenant);
         } else {
-            self.skip(&probe.pending.server, now);
+            self.skip(&pending.server, &tenant, now);
         }
-        Some(probe.tenant)
+        Some(tenant)
     }
 
     /// Performs the periodic work that is due.
     pub fn tick(&mut self, context: &mut ClientContext<'_>, now: BootTime) -> ClientOutput {
         let mut output = ClientOutput::default();
         self.repeat_probes(now, &mut output);
-        self.skipped.retain(|_, skip| skip.until + SILENCE_RETENTION > now);
+        self.probe_silent(context, now, &mut output);
         let tenants: Vec<Arc<str>> = self.tenants.keys().map(Arc::clone).collect();
         for tenant in &tenants {
             self.give_up_late(tenant, now, &mut output);
@@ -330,7 +338,7 @@
         queue.pending = None;
         queue.clear_asked();
         self.unserved.insert(Arc::clone(tenant));
-        self.skip(&server, now);
+        self.skip(&server, tenant, now);
     }
 
     /// Repeats the probes that were not answered, or skips their servers for longer.
@@ -341,13 +349,13 @@
         let late: Vec<Probe> = self.probes.values().filter(|probe| is_late(probe)).cloned().collect();
         for probe in late {
             self.probes.swap_remove(&probe.pending.ask.sequence);
-            self.skip(&probe.pending.server, now);
+            self.skip(&probe.pending.server, &probe.tenant, now);
         }
     }
 
-    fn skip(&mut self, server: &Arc<str>, now: BootTime) {
-        let skip =
-            self.skipped.entry(Arc::clone(server)).or_insert(Skip { until: now, duration: Duration::ZERO });
+    fn skip(&mut self, server: &Arc<str>, tenant: &Arc<str>, now: BootTime) {
+        let new = || Skip { tenant: Arc::clone(tenant), until: now, duration: Duration::ZERO };
+        let skip = self.skipped.entry(Arc::clone(server)).or_insert_with(new);
         if skip.until > now {
             return;
         }
@@ -380,12 +388,12 @@
             queue.admit_all(tenant, output);
             return;
         };
-        let is_asked = queue.pending.is_some() || now < queue.next_ask_at;
         if is_local {
             queue.decide_locally(tenant, context.local, now, output);
+            self.probe_others(tenant, context, now, output);
+            return;
         }
-        self.probe_if_due(tenant, context, is_local, now, output);
-        if is_local || is_asked {
+        if queue.pending.is_some() || now < queue.next_ask_at {
             return;
         }
         if let Some(server) = self.choose_server(tenant, context) {
@@ -403,29 +411,53 @@
         usable.or_else(|| servers.first()).map(Arc::clone)
     }
 
-    /// Asks a silent server for no tokens once it was skipped for long enough; no request waits for its answer.
+    /// Asks silent servers for no tokens once they were skipped for long enough; no request waits for the answers.
     ///
-    /// A node that decides locally asks the other servers as well, which may have got parts since.
-    fn probe_if_due(
+    /// This needs no requests, so that also the first request after a cut goes to the preferred server.
+    fn probe_silent(&mut self, context: &ClientContext<'_>, now: BootTime, output: &mut ClientOutput) {
+        self.skipped.retain(|server, skip| {
+            let servers = context.roles.servers(group_of(&skip.tenant));
+            servers.contains(server) && context.limits.limits.contains_key(&skip.tenant)
+        });
+        let due = self.skipped.iter().filter(|(_, skip)| skip.until <= now);
+        let due: Vec<(Arc<str>, Arc<str>)> =
+            due.map(|(server, skip)| (Arc::clone(server), Arc::clone(&skip.tenant))).collect();
+        for (server, tenant) in due {
+            self.probe(server, &tenant, context, now, output);
+        }
+    }
+
+    /// Probes the servers that are not known to be silent, for a node that decides locally: they may have got parts.
+    fn probe_others(
+        &mut self,
+        tenant: &Arc<str>,
+        context: &ClientContext<'_>,
+        now: BootTime,
+        output: &mut ClientOutput,
+    ) {
+        let servers = context.roles.servers(group_of(tenant)).iter();
+        let others =
+            servers.filter(|server| *server != context.own_name && !self.skipped.contains_key(*server));
+        let others: Vec<Arc<str>> = others.map(Arc::clone).collect();
+        for server in others {
+            self.probe(server, tenant, context, now, output);
+        }
+    }
+
+    fn probe(
         &mut self,
+        server: Arc<str>,
         tenant: &Arc<str>,
         context: &ClientContext<'_>,
-        is_local: bool,
         now: BootTime,
         output: &mut ClientOutput,
     ) {
         let Some(limit) = context.limits.limits.get(tenant) else {
             return;
         };
-        let is_due = |server: &&Arc<str>| {
-            let is_probed = self.probes.values().any(|probe| probe.pending.server == **server);
-            !is_probed && self.skipped.get(*server).map_or(is_local, |skip| skip.until <= now)
-        };
-        let mut others =
-            context.roles.servers(group_of(tenant)).iter().filter(|server| *server != context.own_name);
-        let Some(server) = others.find(is_due).map(Arc::clone) else {
+        if self.probes.values().any(|probe| probe.pending.server == server) {
             return;
-        };
+        }
         let ask = self.new_ask(tenant, *limit, context.limits.revision);
         output.asks.push((Arc::clone(&server), ask.clone()));
         let sequence = ask.sequence;
--- a/lib/src/coordination/quota/server.rs
+++ b/lib/src/coordination/quota/server.rs
@@ -127,6 +127,9 @@
             return answer;
         }
         let group = group_of(&ask.tenant);
+        if ask.tokens == 0 {
+            return self.answer_probe(group, ask.sequence, now);
+        }
         self.asked_at.insert(group, now);
         let served = self.groups.entry(group).or_insert_with(|| {
             for lender in self.lenders.values_mut() {
@@ -148,6 +151,20 @@
         answer
     }
 
+    /// Answers an ask for no tokens, which does not make this node serve the group.
+    ///
+    /// A group that each probed node began to serve would be divided among them, which leaves small tenants less than one
+    /// token at each.
+    fn answer_probe(&self, group: Group, sequence: u64, now: BootTime) -> wire::TokenAnswer {
+        let served = self.groups.get(&group).filter(|served| served.parts(now) > 0);
+        wire::TokenAnswer {
+            echo: sequence,
+            warming: served.is_none_or(|served| served.is_warming(now)),
+            retry_after_ms: u32::from(served.is_some()),
+            ..wire::TokenAnswer::default()
+        }
+    }
+
     /// Returns the parts held for each group that is served.
     pub fn held_parts(&self, now: BootTime) -> impl Iterator<Item = (Group, u32)> {
         self.groups.iter().map(move |(group, served)| (*group, served.parts(now)))
--- a/lib/tests/quota_fleet.rs
+++ b/lib/tests/quota_fleet.rs
@@ -382,3 +382,24 @@
         assert_within_limit(&fleet, RATE);
     }
 }
+
+/// Guards against nodes with few requests that go on splitting a small tenant's parts among servers after a cut.
+#[test]
+fn small_tenant_is_served_soon_after_cut() {
+    let limit = TenantLimit { rate_millis_per_s: 5_000, burst: 1 };
+    let limits = TenantLimits { revision: 1, limits: [(tenant(), limit)].into() };
+    let mut fleet = QuotaFleet::new(NODE_COUNT, ZONE_COUNT, limits, 5);
+    fleet.store_equal_roster();
+    fleet.run(Duration::from_secs(4));
+    let server = fleet.server_of(group_of(TENANT));
+    let is_inside = |node: usize| node % ZONE_COUNT == server % ZONE_COUNT;
+    for (from, to) in (0..NODE_COUNT * NODE_COUNT).map(|pair| (pair / NODE_COUNT, pair % NODE_COUNT)) {
+        fleet.set_cut(from, to, is_inside(from) != is_inside(to));
+    }
+    send(&mut fleet, 4, 10, |number| usize::try_from(number).unwrap_or(0) % NODE_COUNT);
+    fleet.heal();
+    send(&mut fleet, 4, 6, |number| usize::try_from(number).unwrap_or(0) % NODE_COUNT);
+    fleet.rejections.clear();
+    send(&mut fleet, 4, 5, |number| usize::try_from(number).unwrap_or(0) % NODE_COUNT);
+    assert_eq!(fleet.rejections, Vec::new());
+}
