--- a/lib/src/coordination/quota/client.rs
+++ b/lib/src/coordination/quota/client.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use yuccatray_proto::peer_v1 as wire;
 
 use crate::coordination::quota::BootTime;
 use crate::coordination::quota::TOKEN_VALIDITY;
 use crate::coordination::quota::fleet_roles::FleetRoles;
+use crate::coordination::quota::local_share::LocalShare;
+use crate::coordination::quota::tenant_limits::TenantLimit;
 use crate::coordination::quota::tenant_limits::TenantLimits;
 use crate::coordination::quota::tenant_limits::group_of;
 use crate::log_event_limited;
@@ -22,10 +25,10 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Time for which a server that did not answer is skipped, doubled each time up to the maximum.
-const MIN_SKIP: Duration = Duration::from_secs(2);
+const MIN_SKIP: Duration = Duration::from_millis(500);
 
-/// Maximum time for which a server that did not answer is skipped.
-const MAX_SKIP: Duration = Duration::from_secs(16);
+/// Maximum time for which a server that did not answer is skipped; a longer one outlasts most cuts of the network.
+const MAX_SKIP: Duration = Duration::from_secs(4);
 
 /// Maximum time for which an ingress rejects requests of a tenant by itself.
 const MAX_LOCAL_REJECTION: Duration = Duration::from_millis(50);
@@ -97,12 +100,18 @@
 }
 
 /// What a client needs to know of the fleet and the configuration.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub struct ClientContext<'a> {
     /// Roles of nodes.
     pub roles: &'a FleetRoles,
     /// Limits of tenants.
     pub limits: &'a TenantLimits,
+    /// Share of this node, as far as it is not lent.
+    pub local: &'a mut LocalShare,
+    /// Name of this node.
+    pub own_name: &'a Arc<str>,
+    /// Node to which the share of this node is lent.
+    pub share_borrower: Option<&'a Arc<str>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -121,6 +130,12 @@
     repeated_at: BootTime,
 }
 
+#[derive(Clone, Debug)]
+struct Probe {
+    tenant: Arc<str>,
+    pending: PendingAsk,
+}
+
 /// Period during which an ingress rejects requests by itself.
 #[derive(Clone, Copy, Debug)]
 struct LocalRejection {
@@ -142,8 +157,10 @@
     next_ask_at: BootTime,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Skip {
+    /// Tenant for whose group the server is probed.
+    tenant: Arc<str>,
     until: BootTime,
     duration: Duration,
 }
@@ -157,6 +174,10 @@
     pending: IndexMap<u64, Arc<str>>,
     /// Servers that did not answer.
     skipped: IndexMap<Arc<str>, Skip>,
+    /// Asks for no tokens, by sequence number, that find out whether a server answers again.
+    probes: IndexMap<u64, Probe>,
+    /// Tenants whose last ask got no answer, or one of a server without parts.
+    unserved: IndexSet<Arc<str>>,
     /// Server that was last asked for each tenant, to log changes.
     server_changes: u64,
     last_servers: IndexMap<Arc<str>, Arc<str>>,
@@ -171,6 +192,8 @@
             tenants: IndexMap::new(),
             pending: IndexMap::new(),
             skipped: IndexMap::new(),
+            probes: IndexMap::new(),
+            unserved: IndexSet::new(),
             server_changes: 0,
             last_servers: IndexMap::new(),
         }
@@ -190,9 +213,15 @@
 
     /// Returns what is known of a tenant's quota; it changes nothing and asks no server.
     #[must_use]
-    pub fn outlook(&self, tenant: &Arc<str>, roles: &FleetRoles, now: BootTime) -> QuotaOutlook {
+    pub fn outlook(
+        &self,
+        tenant: &Arc<str>,
+        roles: &FleetRoles,
+        share_borrower: Option<&Arc<str>>,
+        now: BootTime,
+    ) -> QuotaOutlook {
         let queue = self.tenants.get(tenant);
-        let server = usable_server(roles.servers(group_of(tenant)), &self.skipped, now);
+        let server = usable_server(roles.servers(group_of(tenant)), share_borrower, &self.skipped);
         let rejection = queue.and_then(|queue| queue.local_rejection(now));
         QuotaOutlook {
             server: server.map(Arc::clone),
@@ -219,7 +248,7 @@
         waiter: WaiterId,
         tenant: &Arc<str>,
         give_up_at: BootTime,
-        context: ClientContext<'_>,
+        context: &mut ClientContext<'_>,
         now: BootTime,
     ) -> ClientOutput {
         let queue = self.tenants.entry(Arc::clone(tenant)).or_default();
@@ -233,6 +262,12 @@
         output
     }
 
+    /// Asks all servers again at once, since this node was cut off and has heard another node again.
+    pub fn forget_silence(&mut self) {
+        self.skipped.clear();
+        self.probes.clear();
+    }
+
     /// Removes a request that no longer waits.
     pub fn cancel(&mut self, tenant: &str, waiter: WaiterId) {
         if let Some(queue) = self.tenants.get_mut(tenant) {
@@ -245,10 +280,14 @@
         &mut self,
         from: &str,
         answer: wire::TokenAnswer,
-        context: ClientContext<'_>,
+        context: &mut ClientContext<'_>,
         now: BootTime,
     ) -> ClientOutput {
         let mut output = ClientOutput::default();
+        if let Some(tenant) = self.receive_probe(from, answer, context.local, now) {
+            self.ask_if_due(&tenant, context, now, &mut output);
+            return output;
+        }
         let Some(tenant) = self.pending.get(&answer.echo).map(Arc::clone) else {
             return output;
         };
@@ -260,6 +299,11 @@
         };
         self.pending.swap_remove(&answer.echo);
         self.skipped.swap_remove(from);
+        if has_parts(answer) {
+            self.unserved.swap_remove(&tenant);
+        } else {
+            self.unserved.insert(Arc::clone(&tenant));
+        }
         if now < pending.sent_at + TOKEN_VALIDITY {
             queue.apply_answer(&tenant, answer, now, &mut output);
         }
@@ -268,9 +312,33 @@
         output
     }
 
+    /// Applies the answer to a probe, and returns its tenant.
+    fn receive_probe(
+        &mut self,
+        from: &str,
+        answer: wire::TokenAnswer,
+        local: &LocalShare,
+        now: BootTime,
+    ) -> Option<Arc<str>> {
+        self.probes.get(&answer.echo).filter(|probe| *probe.pending.server == *from)?;
+        let Probe { tenant, pending } = self.probes.swap_remove(&answer.echo)?;
+        if has_parts(answer) {
+            self.unserved.swap_remove(&tenant);
+        }
+        // A node that decides locally has no use for a server without parts, and asks it again later.
+        if has_parts(answer) || !local.serves(&tenant) {
+            self.skipped.swap_remove(from);
+        } else {
+            self.skip(&pending.server, &tenant, now);
+        }
+        Some(tenant)
+    }
+
     /// Performs the periodic work that is due.
-    pub fn tick(&mut self, context: ClientContext<'_>, now: BootTime) -> ClientOutput {
+    pub fn tick(&mut self, context: &mut ClientContext<'_>, now: BootTime) -> ClientOutput {
         let mut output = ClientOutput::default();
+        self.repeat_probes(now, &mut output);
+        self.probe_silent(context, now, &mut output);
         let tenants: Vec<Arc<str>> = self.tenants.keys().map(Arc::clone).collect();
         for tenant in &tenants {
             self.give_up_late(tenant, now, &mut output);
@@ -307,22 +375,32 @@
             return;
         };
         if now < pending.sent_at + ASK_TIMEOUT {
-            if now >= pending.repeated_at + REPEAT_AFTER {
-                pending.repeated_at = now;
-                output.asks.push((Arc::clone(&pending.server), pending.ask.clone()));
-            }
+            output.asks.extend(pending.due_repetition(now));
             return;
         }
         let server = Arc::clone(&pending.server);
         self.pending.swap_remove(&pending.ask.sequence);
         queue.pending = None;
         queue.clear_asked();
-        self.skip(&server, now);
+        self.unserved.insert(Arc::clone(tenant));
+        self.skip(&server, tenant, now);
+    }
+
+    /// Repeats the probes that were not answered, or skips their servers for longer.
+    fn repeat_probes(&mut self, now: BootTime, output: &mut ClientOutput) {
+        let probes = self.probes.values_mut();
+        output.asks.extend(probes.filter_map(|probe| probe.pending.due_repetition(now)));
+        let is_late = |probe: &Probe| now >= probe.pending.sent_at + ASK_TIMEOUT;
+        let late: Vec<Probe> = self.probes.values().filter(|probe| is_late(probe)).cloned().collect();
+        for probe in late {
+            self.probes.swap_remove(&probe.pending.ask.sequence);
+            self.skip(&probe.pending.server, &probe.tenant, now);
+        }
     }
 
-    fn skip(&mut self, server: &Arc<str>, now: BootTime) {
-        let skip =
-            self.skipped.entry(Arc::clone(server)).or_insert(Skip { until: now, duration: Duration::ZERO });
+    fn skip(&mut self, server: &Arc<str>, tenant: &Arc<str>, now: BootTime) {
+        let new = || Skip { tenant: Arc::clone(tenant), until: now, duration: Duration::ZERO };
+        let skip = self.skipped.entry(Arc::clone(server)).or_insert_with(new);
         if skip.until > now {
             return;
         }
@@ -336,44 +414,132 @@
         );
     }
 
-    /// Asks for tokens for the waiting requests of a tenant unless an ask is pending.
+    /// Decides the waiting requests of a tenant by the local share, or asks for tokens for them unless an ask is pending.
     fn ask_if_due(
         &mut self,
         tenant: &Arc<str>,
-        context: ClientContext<'_>,
+        context: &mut ClientContext<'_>,
         now: BootTime,
         output: &mut ClientOutput,
     ) {
+        let is_local = self.unserved.contains(tenant) && context.local.serves(tenant);
         let Some(queue) = self.tenants.get_mut(tenant) else {
             return;
         };
-        if queue.pending.is_some() || queue.waiting.is_empty() || now < queue.next_ask_at {
+        if queue.waiting.is_empty() {
             return;
         }
         let Some(limit) = context.limits.limits.get(tenant) else {
             queue.admit_all(tenant, output);
             return;
         };
-        let Some(server) = usable_server(context.roles.servers(group_of(tenant)), &self.skipped, now) else {
+        if is_local {
+            queue.decide_locally(tenant, context.local, now, output);
+            self.probe_others(tenant, context, now, output);
+            return;
+        }
+        if queue.pending.is_some() || now < queue.next_ask_at {
+            return;
+        }
+        if let Some(server) = self.choose_server(tenant, context) {
+            self.ask(tenant, *limit, context.limits.revision, server, now, output);
+        }
+    }
+
+    fn choose_server(&self, tenant: &str, context: &ClientContext<'_>) -> Option<Arc<str>> {
+        let servers = context.roles.servers(group_of(tenant));
+        usable_server(servers, context.share_borrower, &self.skipped).map(Arc::clone)
+    }
+
+    /// Asks silent servers for no tokens once they were skipped for long enough; no request waits for the answers.
+    ///
+    /// This needs no requests, so that also the first request after a cut goes to the preferred server.
+    fn probe_silent(&mut self, context: &ClientContext<'_>, now: BootTime, output: &mut ClientOutput) {
+        self.skipped.retain(|server, skip| {
+            let servers = context.roles.servers(group_of(&skip.tenant));
+            servers.contains(server) && context.limits.limits.contains_key(&skip.tenant)
+        });
+        let due = self.skipped.iter().filter(|(_, skip)| skip.until <= now);
+        let due: Vec<(Arc<str>, Arc<str>)> =
+            due.map(|(server, skip)| (Arc::clone(server), Arc::clone(&skip.tenant))).collect();
+        for (server, tenant) in due {
+            self.probe(server, &tenant, context, now, output);
+        }
+    }
+
+    /// Probes the servers that are not known to be silent, for a node that decides locally: they may have got parts.
+    fn probe_others(
+        &mut self,
+        tenant: &Arc<str>,
+        context: &ClientContext<'_>,
+        now: BootTime,
+        output: &mut ClientOutput,
+    ) {
+        let servers = context.roles.servers(group_of(tenant)).iter();
+        let others =
+            servers.filter(|server| *server != context.own_name && !self.skipped.contains_key(*server));
+        let others: Vec<Arc<str>> = others.map(Arc::clone).collect();
+        for server in others {
+            self.probe(server, tenant, context, now, output);
+        }
+    }
+
+    fn probe(
+        &mut self,
+        server: Arc<str>,
+        tenant: &Arc<str>,
+        context: &ClientContext<'_>,
+        now: BootTime,
+        output: &mut ClientOutput,
+    ) {
+        let Some(limit) = context.limits.limits.get(tenant) else {
             return;
         };
+        if self.probes.values().any(|probe| probe.pending.server == server) {
+            return;
+        }
+        let ask = self.new_ask(tenant, *limit, context.limits.revision);
+        output.asks.push((Arc::clone(&server), ask.clone()));
+        let sequence = ask.sequence;
+        let pending = PendingAsk { ask, server, sent_at: now, repeated_at: now };
+        self.probes.insert(sequence, Probe { tenant: Arc::clone(tenant), pending });
+    }
+
+    /// Returns an ask for no tokens.
+    fn new_ask(&mut self, tenant: &Arc<str>, limit: TenantLimit, revision: u64) -> wire::TokenAsk {
         let sequence = self.next_sequence;
         self.next_sequence = self.next_sequence.wrapping_add(1);
-        let ask = wire::TokenAsk {
+        wire::TokenAsk {
             sequence,
             tenant: tenant.to_string(),
-            tokens: queue.mark_asked(),
-            rejected: std::mem::take(&mut queue.rejected),
+            tokens: 0,
+            rejected: 0,
             rate_millis_per_s: limit.rate_millis_per_s,
             burst: limit.burst,
-            revision: context.limits.revision,
+            revision,
+        }
+    }
+
+    fn ask(
+        &mut self,
+        tenant: &Arc<str>,
+        limit: TenantLimit,
+        revision: u64,
+        server: Arc<str>,
+        now: BootTime,
+        output: &mut ClientOutput,
+    ) {
+        let mut ask = self.new_ask(tenant, limit, revision);
+        let Some(queue) = self.tenants.get_mut(tenant) else {
+            return;
         };
+        ask.tokens = queue.mark_asked();
+        ask.rejected = std::mem::take(&mut queue.rejected);
         let pending =
-            PendingAsk { ask: ask.clone(), server: Arc::clone(server), sent_at: now, repeated_at: now };
+            PendingAsk { ask: ask.clone(), server: Arc::clone(&server), sent_at: now, repeated_at: now };
         queue.pending = Some(pending);
-        self.pending.insert(sequence, Arc::clone(tenant));
-        output.asks.push((Arc::clone(server), ask));
-        let server = Arc::clone(server);
+        self.pending.insert(ask.sequence, Arc::clone(tenant));
+        output.asks.push((Arc::clone(&server), ask));
         self.record_server(tenant, server);
     }
 
@@ -387,14 +553,27 @@
     }
 }
 
-/// Returns the first server that is not skipped, or the first one if all are.
+impl PendingAsk {
+    /// Returns the ask with its server if it has to be repeated.
+    fn due_repetition(&mut self, now: BootTime) -> Option<(Arc<str>, wire::TokenAsk)> {
+        if now < self.repeated_at + REPEAT_AFTER {
+            return None;
+        }
+        self.repeated_at = now;
+        Some((Arc::clone(&self.server), self.ask.clone()))
+    }
+}
+
+/// Returns the first server of a ranking that is not known to be silent, or the first one if all are.
+///
+/// If all servers are silent, the node that borrows the share of this one is asked, since it holds parts.
 fn usable_server<'a>(
     servers: &'a [Arc<str>],
+    share_borrower: Option<&'a Arc<str>>,
     skipped: &IndexMap<Arc<str>, Skip>,
-    now: BootTime,
 ) -> Option<&'a Arc<str>> {
-    let is_usable = |server: &&Arc<str>| skipped.get(*server).is_none_or(|skip| skip.until <= now);
-    servers.iter().find(is_usable).or_else(|| servers.first())
+    let usable = servers.iter().chain(share_borrower).find(|server| !skipped.contains_key(*server));
+    usable.or_else(|| servers.first())
 }
 
 impl TenantQueue {
@@ -459,6 +638,24 @@
         self.rejection = Some(rejection);
     }
 
+    /// Decides all waiting requests by the local share.
+    fn decide_locally(
+        &mut self,
+        tenant: &Arc<str>,
+        local: &mut LocalShare,
+        now: BootTime,
+        output: &mut ClientOutput,
+    ) {
+        let wanted = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        let taken = local.take(tenant, wanted, now);
+        let next_token_at = now + taken.retry_after;
+        let mut rejection = LocalRejection { until: now, next_token_at, interval: taken.interval };
+        for (number, waiter) in (0..wanted).zip(self.waiting.drain(..)) {
+            let result = if number < taken.granted { Ok(()) } else { Err(rejection.next(now)) };
+            output.resolutions.push(Resolution { waiter: waiter.id, tenant: Arc::clone(tenant), result });
+        }
+    }
+
     /// Admits the waiting requests of a tenant whose limit was removed.
     fn admit_all(&mut self, tenant: &Arc<str>, output: &mut ClientOutput) {
         for waiter in self.waiting.drain(..) {
@@ -504,3 +701,8 @@
         QuotaRejection { kind: QuotaRejectionKind::Exceeded, retry_after }
     }
 }
+
+/// Returns whether the server that gave an answer holds parts; otherwise it names no time to the next token.
+const fn has_parts(answer: wire::TokenAnswer) -> bool {
+    !answer.warming || answer.retry_after_ms > 0
+}
--- a/lib/src/coordination/quota/quota_node.rs
+++ b/lib/src/coordination/quota/quota_node.rs
@@ -10,6 +10,8 @@
 
 use crate::coordination::quota::ALL_PARTS;
 use crate::coordination::quota::BootTime;
+use crate::coordination::quota::SHARE_LEASE;
+use crate::coordination::quota::allowance::QuotaAllowance;
 use crate::coordination::quota::client::ClientContext;
 use crate::coordination::quota::client::ClientOutput;
 use crate::coordination::quota::client::QuotaClient;
@@ -17,6 +19,7 @@
 use crate::coordination::quota::client::Resolution;
 use crate::coordination::quota::client::WaiterId;
 use crate::coordination::quota::fleet_roles::FleetRoles;
+use crate::coordination::quota::local_share::LocalShare;
 use crate::coordination::quota::promises::Borrower;
 use crate::coordination::quota::roster::ConfirmedRoster;
 use crate::coordination::quota::server::QuotaServer;
@@ -62,12 +65,29 @@
     pub served_groups: usize,
     /// Smallest number of parts held for a group that this node serves.
     pub served_parts: u32,
+    /// Parts of the own share that this node may spend by itself.
+    pub local_parts: u32,
+    /// Tokens given out of these parts so far.
+    pub local_tokens: u64,
     /// How often a tenant's requests went to another server than before.
     pub server_changes: u64,
 }
 
 /// Message to a node of the fleet, which may be this node itself.
-type Outgoing = (Arc<str>, Body);
+struct Outgoing {
+    target: Arc<str>,
+    /// Address that the request came from, if the message responds to one.
+    ///
+    /// The membership may still regard the sender as dead after a cut has healed.
+    reply_to: Option<SocketAddr>,
+    body: Body,
+}
+
+impl Outgoing {
+    const fn request(target: Arc<str>, body: Body) -> Self {
+        Self { target, reply_to: None, body }
+    }
+}
 
 /// State of the quotas at one node.
 #[derive(Clone, Debug)]
@@ -80,6 +100,9 @@
     lender: ZoneLender,
     server: QuotaServer,
     client: QuotaClient,
+    local: LocalShare,
+    /// When a message of another node last arrived.
+    heard_at: BootTime,
 }
 
 impl QuotaNode {
@@ -87,7 +110,6 @@
     #[must_use]
     pub fn new(name: Arc<str>, process: u64, now: BootTime) -> Self {
         Self {
-            name,
             process,
             roles: FleetRoles::default(),
             limits: TenantLimits::default(),
@@ -95,14 +117,23 @@
             lender: ZoneLender::new(process, now),
             server: QuotaServer::new(process),
             client: QuotaClient::new(process),
+            local: LocalShare::new(Arc::clone(&name), now),
+            heard_at: now,
+            name,
         }
     }
 
     /// Replaces what the node knows of the fleet.
     pub fn set_roles(&mut self, roles: FleetRoles) {
+        self.local.learn_nodes(roles.all_nodes());
         self.roles = roles;
     }
 
+    /// Sets what the deployment allows beyond the limits of tenants.
+    pub const fn set_allowance(&mut self, allowance: Option<QuotaAllowance>) {
+        self.local.set_allowance(allowance);
+    }
+
     /// Returns what the node knows of the fleet.
     #[must_use]
     pub const fn roles(&self) -> &FleetRoles {
@@ -114,7 +145,9 @@
         if limits.revision < self.limits.revision {
             return;
         }
+        self.local.advance(self.holder.unlent_parts(now), &self.limits, now);
         self.limits = limits;
+        self.local.limits_changed();
         self.server.set_limits(&self.limits, now);
     }
 
@@ -153,15 +186,16 @@
             let tenant = Arc::clone(tenant);
             return vec![QuotaAction::Resolve(Resolution { waiter, tenant, result: Ok(()) })];
         }
-        let context = ClientContext { roles: &self.roles, limits: &self.limits };
-        let output = self.client.admit(waiter, tenant, give_up_at, context, now);
+        self.advance_local(now);
+        let (client, mut context) = self.client_and_context(now);
+        let output = client.admit(waiter, tenant, give_up_at, &mut context, now);
         self.deliver(output, VecDeque::new(), now)
     }
 
     /// Returns what is known of a tenant's quota; it changes nothing and asks no server.
     #[must_use]
     pub fn outlook(&self, tenant: &Arc<str>, now: BootTime) -> QuotaOutlook {
-        self.client.outlook(tenant, &self.roles, now)
+        self.client.outlook(tenant, &self.roles, self.holder.borrower(now), now)
     }
 
     /// Removes a request that no longer waits.
@@ -176,13 +210,17 @@
         }
         let mut outgoing = VecDeque::new();
         let query = self.holder.due_query(self.roles.other_zone_leaders(), now);
-        outgoing.extend(query.map(|(node, query)| (node, Body::ShareQuery(query))));
-        let polls = self.lender.due_polls(&self.roles, now);
-        outgoing.extend(polls.into_iter().map(|(node, poll)| (node, Body::ShareBorrow(poll))));
+        outgoing.extend(query.map(|(node, query)| Outgoing::request(node, Body::ShareQuery(query))));
+        let spared = self.is_isolated(now).then_some(&self.name);
+        let polls = self.lender.due_polls(&self.roles, spared, now);
+        outgoing
+            .extend(polls.into_iter().map(|(node, poll)| Outgoing::request(node, Body::ShareBorrow(poll))));
         let polls = self.server.due_polls(&self.roles, &self.limits, now);
-        outgoing.extend(polls.into_iter().map(|(node, poll)| (node, Body::GroupBorrow(poll))));
-        let context = ClientContext { roles: &self.roles, limits: &self.limits };
-        let output = self.client.tick(context, now);
+        outgoing
+            .extend(polls.into_iter().map(|(node, poll)| Outgoing::request(node, Body::GroupBorrow(poll))));
+        self.advance_local(now);
+        let (client, mut context) = self.client_and_context(now);
+        let output = client.tick(&mut context, now);
         self.deliver(output, outgoing, now)
     }
 
@@ -192,18 +230,26 @@
         if self.client.has_waiting() { WAITING_TICK } else { IDLE_TICK }
     }
 
-    /// Processes a message from another node; `now` has to be read after the message arrived.
+    /// Processes a message from another node at `addr`; `now` has to be read after the message arrived.
     pub fn receive(
         &mut self,
         from: &Arc<str>,
+        addr: SocketAddr,
         message: &wire::QuotaMessage,
         now: BootTime,
     ) -> Vec<QuotaAction> {
         let Some(body) = &message.body else {
             return Vec::new();
         };
+        if self.is_isolated(now) {
+            self.client.forget_silence();
+        }
+        self.heard_at = now;
         let mut outgoing = VecDeque::new();
         let output = self.handle(from, message.process, body, now, &mut outgoing);
+        for response in &mut outgoing {
+            response.reply_to = (response.target == *from).then_some(addr);
+        }
         self.deliver(output, outgoing, now)
     }
 
@@ -217,6 +263,8 @@
             zone_leases: self.lender.lease_count(),
             served_groups: self.server.held_parts(now).count(),
             served_parts: self.server.held_parts(now).map(|(_, parts)| parts).min().unwrap_or(0),
+            local_parts: self.holder.unlent_parts(now),
+            local_tokens: self.local.granted(),
             server_changes: self.client.server_changes(),
         }
     }
@@ -234,6 +282,7 @@
         now: BootTime,
         outgoing: &mut VecDeque<Outgoing>,
     ) -> ClientOutput {
+        self.advance_local(now);
         let borrower = || Borrower { node: Arc::clone(from), process };
         let response = match body {
             Body::ShareBorrow(request) => Some(Body::ShareLoan(self.lend_share(&borrower(), *request, now))),
@@ -259,11 +308,11 @@
                 None
             }
             Body::TokenAnswer(answer) => {
-                let context = ClientContext { roles: &self.roles, limits: &self.limits };
-                return self.client.receive(from, *answer, context, now);
+                let (client, mut context) = self.client_and_context(now);
+                return client.receive(from, *answer, &mut context, now);
             }
         };
-        outgoing.extend(response.map(|response| (Arc::clone(from), response)));
+        outgoing.extend(response.map(|response| Outgoing::request(Arc::clone(from), response)));
         ClientOutput::default()
     }
 
@@ -283,7 +332,30 @@
         if let Some(share) = request.share {
             self.holder.confirm(&borrower.node, share);
         }
-        self.holder.lend(borrower, is_leader, request.sequence, now)
+        let loan = self.holder.lend(borrower, is_leader, request.sequence, now);
+        self.advance_local(now);
+        loan
+    }
+
+    /// Refills the local buckets up to `now` and applies what this node may spend by itself from then on.
+    fn advance_local(&mut self, now: BootTime) {
+        self.local.advance(self.holder.unlent_parts(now), &self.limits, now);
+    }
+
+    /// Returns whether this node knows others but has heard none of them for a lease time.
+    fn is_isolated(&self, now: BootTime) -> bool {
+        self.local.knows_others() && self.heard_at + SHARE_LEASE <= now
+    }
+
+    fn client_and_context(&mut self, now: BootTime) -> (&mut QuotaClient, ClientContext<'_>) {
+        let context = ClientContext {
+            roles: &self.roles,
+            limits: &self.limits,
+            local: &mut self.local,
+            own_name: &self.name,
+            share_borrower: self.holder.borrower(now),
+        };
+        (&mut self.client, context)
     }
 
     /// Turns output into actions; messages to this node itself are processed at once.
@@ -295,14 +367,14 @@
     ) -> Vec<QuotaAction> {
         let mut actions = Vec::new();
         take_output(output, &mut outgoing, &mut actions);
-        while let Some((node, body)) = outgoing.pop_front() {
-            if node == self.name {
+        while let Some(Outgoing { target, reply_to, body }) = outgoing.pop_front() {
+            if target == self.name {
                 let own_name = Arc::clone(&self.name);
                 let output = self.handle(&own_name, self.process, &body, now, &mut outgoing);
                 take_output(output, &mut outgoing, &mut actions);
-            } else if let Some(to) = self.roles.addr(&node) {
+            } else if let Some(to) = reply_to.or_else(|| self.roles.addr(&target)) {
                 let message = Box::new(wire::QuotaMessage { process: self.process, body: Some(body) });
-                actions.push(QuotaAction::Send { to, target: node, message });
+                actions.push(QuotaAction::Send { to, target, message });
             }
         }
         actions
@@ -316,6 +388,7 @@
 }
 
 fn take_output(output: ClientOutput, outgoing: &mut VecDeque<Outgoing>, actions: &mut Vec<QuotaAction>) {
-    outgoing.extend(output.asks.into_iter().map(|(server, ask)| (server, Body::TokenAsk(ask))));
+    let asks = output.asks.into_iter();
+    outgoing.extend(asks.map(|(server, ask)| Outgoing::request(server, Body::TokenAsk(ask))));
     actions.extend(output.resolutions.into_iter().map(QuotaAction::Resolve));
 }
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -338,6 +338,7 @@
             route = &self.route.spec.name,
             config = self.version,
             service = &call.head.service,
+            tenant = tenant_name(call),
             status = status.as_u16(),
             gate = call.last_gate.as_deref().unwrap_or("none"),
             gates_tried = call.gates_attempted,
@@ -357,6 +358,7 @@
             route = &self.route.spec.name,
             config = self.version,
             service = &call.head.service,
+            tenant = tenant_name(call),
             error = answer.kind,
             execution = answer.execution.name(),
             reason = &answer.message,
@@ -368,6 +370,11 @@
     }
 }
 
+/// Returns the name of the call's tenant for a log line.
+fn tenant_name(call: &IngressCall) -> &str {
+    call.tenant.as_ref().map_or("none", |tenant| &tenant.name)
+}
+
 pub(super) fn find_route<'a, B>(table: &'a RouteTable, request: &Request<B>) -> Result<&'a Route> {
     let authority = request.uri().authority().map(http::uri::Authority::as_str);
     let host = authority.or_else(|| request.headers().get(HOST).and_then(|value| value.to_str().ok()));
--- a/lib/tests/explanation.rs
+++ b/lib/tests/explanation.rs
@@ -12,6 +12,7 @@
 use yuccatray::coordination::quota::client::ClientContext;
 use yuccatray::coordination::quota::client::QuotaClient;
 use yuccatray::coordination::quota::fleet_roles::FleetRoles;
+use yuccatray::coordination::quota::local_share::LocalShare;
 use yuccatray::coordination::quota::tenant_limits::TenantLimit;
 use yuccatray::coordination::quota::tenant_limits::TenantLimits;
 use yuccatray::coordination::routing::Candidate;
@@ -154,18 +155,26 @@
     let tenant: Arc<str> = Arc::from("acme");
     let limit = TenantLimit { rate_millis_per_s: 5_000, burst: 3 };
     let limits = TenantLimits { revision: 1, limits: [(Arc::clone(&tenant), limit)].into_iter().collect() };
-    let context = ClientContext { roles: &roles, limits: &limits };
+    let own_name: Arc<str> = Arc::from("vm-1");
+    let mut local = LocalShare::new(Arc::clone(&own_name), Duration::ZERO);
+    let mut context = ClientContext {
+        roles: &roles,
+        limits: &limits,
+        local: &mut local,
+        own_name: &own_name,
+        share_borrower: None,
+    };
     let mut client = QuotaClient::new(1);
     let at = |ms| Duration::from_millis(ms);
     let state = |client: &QuotaClient, ms| {
-        let outlook = client.outlook(&tenant, &roles, at(ms));
+        let outlook = client.outlook(&tenant, &roles, None, at(ms));
         (outlook.server.as_deref() == Some("vm-1"), outlook.server_state, outlook.waiting)
     };
     let before = format!("{client:?}");
     assert_eq!(state(&client, 0), (true, QuotaServerState::NotAsked, 0));
     assert_eq!(format!("{client:?}"), before);
-    client.admit(7, &tenant, at(500), context, at(0));
+    client.admit(7, &tenant, at(500), &mut context, at(0));
     assert_eq!(state(&client, 10), (true, QuotaServerState::Responsive, 1));
-    client.tick(context, at(150));
+    client.tick(&mut context, at(150));
     assert_eq!(state(&client, 150), (true, QuotaServerState::Unresponsive, 1));
 }
