soak: keys, quotas, evacuations and cold upstreams under faults

The soak drove a deployment of the own dialect without tenants, so nothing held keys, quotas, evacuations and the cold rate against what callers and upstreams saw. Callers and upstreams leave a record, and the checks are pure functions of it.

Without the option a seed has the same series as before. A node of the soak no longer starts its upstream itself, since the two kinds of deployment differ in their upstreams.

--- a/soak/src/disturbance.rs
+++ b/soak/src/disturbance.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use yuccatray_testutils::fault_relay::Fault;
 
-/// Number of variants of [`Disturbance`].
+/// Number of variants of [`Disturbance`] that [`Disturbance::random`] returns.
 const KIND_COUNT: u32 = 11;
 /// Lower bound of the duration of a disturbance.
 const MIN_DURATION_MS: u64 = 100;
@@ -46,6 +46,12 @@
     PlatformSlow(Duration),
     /// A number of writes to the platform take effect without an answer, and watches fail.
     PlatformLosesAnswers(u32, Duration),
+    /// The connections between the node and its upstream are cut, and the upstream is cold.
+    ColdRestart,
+    /// The node can't reach the platform's store.
+    StoreCut(Duration),
+    /// The platform's store discards its history of changes.
+    HistoryLost,
 }
 
 impl Disturbance {
@@ -78,4 +84,20 @@
             _ => Self::PlatformLosesAnswers(rng.random_range(1..=MAX_LOST_ANSWERS), duration),
         }
     }
+
+    /// Returns a random disturbance of a deployment with tenants.
+    ///
+    /// Connections to upstreams are not stalled: the requests in them would arrive together, at a rate that is not
+    /// the gate's.
+    pub fn random_with_tenants<R>(rng: &mut R) -> Self
+    where
+        R: Rng,
+    {
+        match Self::random(rng) {
+            Self::UpstreamFault(..) => Self::ColdRestart,
+            Self::PlatformSlow(duration) => Self::StoreCut(duration),
+            Self::PlatformLosesAnswers(..) => Self::HistoryLost,
+            other => other,
+        }
+    }
 }
--- a/soak/src/findings.rs
+++ b/soak/src/findings.rs
@@ -11,6 +11,7 @@
 
 use crate::callers::CALL_TIMEOUT;
 use crate::callers::ObservedCall;
+use crate::tenant_checks::TenantViolation;
 
 /// Time beyond the call timeout that an answer may take, in addition to the pauses of processes.
 const ANSWER_MARGIN: Duration = Duration::from_secs(1);
@@ -20,6 +21,8 @@
 pub enum Finding {
     /// A guarantee to a caller was violated.
     GuaranteeViolated(Violation),
+    /// A promise on keys, quotas, evacuations or cold upstreams was violated.
+    TenantViolated(TenantViolation),
     /// A caller waited longer than the call timeout and the allowed margin.
     LateOutcome {
         /// The call.
@@ -39,6 +42,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::GuaranteeViolated(violation) => write!(f, "guarantee violated: {violation}"),
+            Self::TenantViolated(violation) => write!(f, "{violation}"),
             Self::LateOutcome { call, waited } => write!(f, "outcome only after {waited:?}: {call}"),
             Self::UnexpectedExit(node) => write!(f, "node {node} exited unexpectedly"),
             Self::DidNotStop(node) => write!(f, "node {node} did not stop in time"),
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -10,6 +10,7 @@
 use yuccatray_soak::run_soak::SoakOptions;
 use yuccatray_soak::run_soak::SoakReport;
 use yuccatray_soak::run_soak::run_soak;
+use yuccatray_soak::tenant_soak::run_tenant_soak;
 
 /// Injects random faults into real node processes and checks the guarantees given to callers.
 #[derive(Debug, Parser)]
@@ -36,6 +37,9 @@
     /// Send further signals to processes that stop, and rewrite their settings.
     #[arg(long)]
     repeat_signals: bool,
+    /// Run a deployment with tenants, and check keys, quotas, evacuations and cold upstreams.
+    #[arg(long)]
+    tenants: bool,
 }
 
 #[derive(Debug, Snafu)]
@@ -75,7 +79,11 @@
             logs: logs.clone(),
             repeat_signals: arguments.repeat_signals,
         };
-        let report = runtime.block_on(run_soak(&options));
+        let report = if arguments.tenants {
+            runtime.block_on(run_tenant_soak(&options))
+        } else {
+            runtime.block_on(run_soak(&options))
+        };
         print_report(seed, &report);
         if report.findings.is_empty() {
             remove_logs(logs, seed)?;
--- a/soak/src/run_soak.rs
+++ b/soak/src/run_soak.rs
@@ -1,5 +1,6 @@
 //! One soak run: a fleet with callers under the disturbances of one seed.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -16,12 +17,15 @@
 use yuccatray_standin::platform::PlatformStandin;
 use yuccatray_standin::platform::RunningPlatform;
 use yuccatray_testutils::call_history::CallOutcome;
+use yuccatray_testutils::daemon_process::loopback_settings;
 use yuccatray_testutils::fleet::TestCall;
 use yuccatray_testutils::fleet::call;
 use yuccatray_testutils::fleet::create_objects;
 use yuccatray_testutils::logging_upstream::ExecutionLog;
 use yuccatray_testutils::logging_upstream::LogicalClock;
 
+use crate::announced_upstream::AnnouncedUpstream;
+use crate::announced_upstream::start_with_upstream;
 use crate::callers::Caller;
 use crate::callers::ObservedCall;
 use crate::disturbance::Disturbance;
@@ -74,6 +78,7 @@
 struct SoakFleet {
     platform: RunningPlatform,
     nodes: Vec<Arc<SoakNode>>,
+    upstreams: Vec<AnnouncedUpstream>,
     log: ExecutionLog,
     ticker: LogicalClock,
 }
@@ -119,26 +124,28 @@
 
 impl SoakFleet {
     async fn start(options: &SoakOptions) -> Self {
-        let any_port = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let platform = PlatformStandin::start(any_port).await.expect("the platform listens");
         create_objects(&platform).await;
         let mut fleet = Self {
             platform,
             nodes: Vec::new(),
+            upstreams: Vec::new(),
             log: ExecutionLog::default(),
             ticker: LogicalClock::default(),
         };
         for index in 0..options.nodes {
             let name = format!("vm-{index}");
+            let seeds: Vec<SocketAddr> = fleet.nodes.iter().map(|node| node.peer_relay.addr).collect();
             let config = SoakNodeConfig {
                 binary: options.binary.clone(),
                 log: log_path(&options.logs, options.seed, &name),
-                name,
-                platform: fleet.platform.addr,
-                seeds: fleet.nodes.iter().map(|node| node.peer_relay.addr).collect(),
+                settings: loopback_settings(&name, "a", fleet.platform.addr, &seeds),
                 repeat_signals: options.repeat_signals,
             };
-            fleet.nodes.push(Arc::new(SoakNode::start(config, &fleet.log, &fleet.ticker).await));
+            let (node, upstream) = start_with_upstream(config, &fleet.log, &fleet.ticker).await;
+            fleet.nodes.push(Arc::new(node));
+            fleet.upstreams.push(upstream);
         }
         for node in &fleet.nodes {
             assert!(
@@ -217,34 +224,19 @@
     node: &SoakNode,
     platform: &PlatformStandin,
 ) -> Option<Finding> {
-    match disturbance {
-        Disturbance::Kill => node.kill().await,
-        Disturbance::Terminate => {
-            return (!node.terminate().await).then_some(Finding::DidNotStop(index));
-        }
-        Disturbance::Pause(duration) => node.pause(duration).await,
-        Disturbance::Hangup => node.send_hangup().await,
-        Disturbance::TouchSettings => node.touch_settings().await,
-        Disturbance::PeerFault(fault, duration) => node.inject_peer_fault(fault, duration).await,
-        Disturbance::UpstreamFault(fault, duration) => node.inject_upstream_fault(fault, duration).await,
-        Disturbance::PeerDelay { delay, duration } => node.delay_peers(delay, duration).await,
+    let (faults, duration) = match disturbance {
         Disturbance::PlatformDown(duration) => {
-            inject_platform_faults(
-                platform,
-                PlatformFaults { down: true, ..PlatformFaults::default() },
-                duration,
-            )
-            .await;
+            (PlatformFaults { down: true, ..PlatformFaults::default() }, duration)
         }
         Disturbance::PlatformSlow(duration) => {
-            let faults = PlatformFaults { delay_ms: PLATFORM_DELAY_MS, ..PlatformFaults::default() };
-            inject_platform_faults(platform, faults, duration).await;
+            (PlatformFaults { delay_ms: PLATFORM_DELAY_MS, ..PlatformFaults::default() }, duration)
         }
         Disturbance::PlatformLosesAnswers(lose_answers, duration) => {
-            let faults = PlatformFaults { lose_answers, break_watches: true, ..PlatformFaults::default() };
-            inject_platform_faults(platform, faults, duration).await;
+            (PlatformFaults { lose_answers, break_watches: true, ..PlatformFaults::default() }, duration)
         }
-    }
+        of_the_node => return node.apply(of_the_node, index).await,
+    };
+    inject_platform_faults(platform, faults, duration).await;
     None
 }
 
@@ -255,6 +247,7 @@
     platform.set_faults(PlatformFaults::default());
 }
 
-fn log_path(logs: &Path, seed: u64, name: &str) -> PathBuf {
+/// Returns the path of the log of a node.
+pub(crate) fn log_path(logs: &Path, seed: u64, name: &str) -> PathBuf {
     logs.join(format!("{seed:016x}-{name}.log"))
 }
--- a/soak/src/soak_node.rs
+++ b/soak/src/soak_node.rs
@@ -1,4 +1,4 @@
-//! A node process with its upstream and the relays that inject faults into their connections.
+//! A node process with the relays that inject faults into its connections.
 
 use std::fs::OpenOptions;
 use std::io::Write;
@@ -13,21 +13,13 @@
 use parking_lot::Mutex;
 use serde_json::Value;
 use serde_json::json;
-use tokio::task::JoinHandle;
-use yuccatray::transport::announce_server::Announcement;
-use yuccatray_standin::upstream::send_announcement;
 use yuccatray_testutils::daemon_process::DaemonProcess;
-use yuccatray_testutils::daemon_process::loopback_settings;
 use yuccatray_testutils::fault_relay::Fault;
 use yuccatray_testutils::fault_relay::FaultRelay;
-use yuccatray_testutils::fleet::SERVICE;
-use yuccatray_testutils::logging_upstream::ExecutionLog;
-use yuccatray_testutils::logging_upstream::LoggingUpstream;
-use yuccatray_testutils::logging_upstream::LogicalClock;
 
-/// Number of slots of each upstream.
-const SLOTS: u32 = 8;
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
+use crate::disturbance::Disturbance;
+use crate::findings::Finding;
+
 /// Time within which a node must stop before it is killed; longer than its own shutdown timeout.
 const STOP_TIMEOUT: Duration = Duration::from_secs(8);
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -77,6 +69,12 @@
         *self.ingress.lock()
     }
 
+    /// Returns the current address for announcements of the upstream.
+    #[must_use]
+    pub fn announce(&self) -> SocketAddr {
+        *self.announce.lock()
+    }
+
     /// Returns the terminations of the node's processes so far.
     #[must_use]
     pub fn terminations(&self) -> Terminations {
@@ -91,17 +89,13 @@
     pub binary: PathBuf,
     /// File to which the node's log is written.
     pub log: PathBuf,
-    /// Name of the node.
-    pub name: String,
-    /// Address of the platform stand-in.
-    pub platform: SocketAddr,
-    /// Peer addresses of other nodes.
-    pub seeds: Vec<SocketAddr>,
+    /// Settings of the node, without the address that it advertises and its shutdown timeout.
+    pub settings: Value,
     /// Whether a process that stops gets further signals and rewritten settings.
     pub repeat_signals: bool,
 }
 
-/// A node process, its upstream and the relays in front of both.
+/// A node process and the relays in front of it and its upstream.
 #[derive(Debug)]
 pub struct SoakNode {
     config: SoakNodeConfig,
@@ -112,24 +106,17 @@
     /// Relay for the connections from other nodes.
     pub peer_relay: FaultRelay,
     upstream_relay: FaultRelay,
-    _upstream: LoggingUpstream,
-    announce_task: JoinHandle<()>,
     /// Serialises the operations on the process.
     process_operation: tokio::sync::Mutex<()>,
 }
 
-impl Drop for SoakNode {
-    fn drop(&mut self) {
-        self.announce_task.abort();
-    }
-}
-
 impl SoakNode {
-    /// Starts the node, its upstream and the relays, and announces the upstream to the node.
-    pub async fn start(config: SoakNodeConfig, log: &ExecutionLog, ticker: &LogicalClock) -> Self {
+    /// Starts the node and the relays, of which one leads to the upstream at `upstream`.
+    pub async fn start(config: SoakNodeConfig, upstream: SocketAddr) -> Self {
         let peer_relay = FaultRelay::start().await;
         let upstream_relay = FaultRelay::start().await;
-        let mut settings = loopback_settings(&config.name, "a", config.platform, &config.seeds);
+        upstream_relay.set_target(upstream);
+        let mut settings = config.settings.clone();
         settings["listen"]["advertised_peer_addr"] = json!(peer_relay.addr);
         settings["limits"] = json!({ "shutdown_timeout_ms": SHUTDOWN_TIMEOUT_MS });
         let process = launch(&config, &settings).await;
@@ -140,9 +127,6 @@
             kills: AtomicU64::new(0),
             stops: AtomicU64::new(0),
         });
-        let upstream = LoggingUpstream::start(log.clone(), ticker.clone()).await;
-        upstream_relay.set_target(upstream.addr);
-        let announce_task = tokio::spawn(announce(Arc::clone(&status), upstream_relay.addr));
         Self {
             config,
             settings,
@@ -150,12 +134,41 @@
             status,
             peer_relay,
             upstream_relay,
-            _upstream: upstream,
-            announce_task,
             process_operation: tokio::sync::Mutex::new(()),
         }
     }
 
+    /// Returns the address at which the node reaches its upstream.
+    #[must_use]
+    pub const fn upstream_addr(&self) -> SocketAddr {
+        self.upstream_relay.addr
+    }
+
+    /// Applies a disturbance of the process or its relays and waits for its end; others have no effect.
+    ///
+    /// Returns a finding, which names the node by its index, if the process did not stop in time.
+    pub async fn apply(&self, disturbance: Disturbance, index: usize) -> Option<Finding> {
+        match disturbance {
+            Disturbance::Kill => self.kill().await,
+            Disturbance::Terminate => {
+                return (!self.terminate().await).then_some(Finding::DidNotStop(index));
+            }
+            Disturbance::Pause(duration) => self.pause(duration).await,
+            Disturbance::Hangup => self.send_hangup().await,
+            Disturbance::TouchSettings => self.touch_settings().await,
+            Disturbance::PeerFault(fault, duration) => self.inject_peer_fault(fault, duration).await,
+            Disturbance::UpstreamFault(fault, duration) => self.inject_upstream_fault(fault, duration).await,
+            Disturbance::PeerDelay { delay, duration } => self.delay_peers(delay, duration).await,
+            Disturbance::PlatformDown(_)
+            | Disturbance::PlatformSlow(_)
+            | Disturbance::PlatformLosesAnswers(..)
+            | Disturbance::ColdRestart
+            | Disturbance::StoreCut(_)
+            | Disturbance::HistoryLost => {}
+        }
+        None
+    }
+
     /// Kills the process and restarts it.
     pub async fn kill(&self) {
         let _guard = self.process_operation.lock().await;
@@ -242,11 +255,16 @@
 
     /// Injects a fault into the open connections between the node and its upstream for `duration`.
     pub async fn inject_upstream_fault(&self, fault: Fault, duration: Duration) {
-        self.upstream_relay.break_open_connections(fault);
+        self.break_upstream_connections(fault);
         tokio::time::sleep(duration).await;
         self.upstream_relay.release_stalled();
     }
 
+    /// Injects a fault into the open connections between the node and its upstream.
+    pub fn break_upstream_connections(&self, fault: Fault) {
+        self.upstream_relay.break_open_connections(fault);
+    }
+
     /// Delays all traffic from other nodes by `delay` for `duration`.
     pub async fn delay_peers(&self, delay: Duration, duration: Duration) {
         self.peer_relay.set_delay(delay);
@@ -268,7 +286,7 @@
             .open(&self.config.log)
             .and_then(|mut log| writeln!(log, "the process did not stop; its threads:\n{threads}"));
         if let Err(error) = written {
-            eprintln!("cannot log the threads of {}: {error}", self.config.name);
+            eprintln!("cannot log the threads in {}: {error}", self.config.log.display());
         }
     }
 
@@ -289,16 +307,3 @@
     });
     process.await.expect("the node starts")
 }
-
-/// Announces the upstream to the node's current process, again and again.
-async fn announce(status: Arc<NodeStatus>, upstream: SocketAddr) {
-    let announcement =
-        Announcement { service: Arc::from(SERVICE), addr: upstream, slots: SLOTS, draining: false };
-    loop {
-        let node = *status.announce.lock();
-        // Errors are ignored: a node that is down receives the next announcement.
-        let _result =
-            tokio::time::timeout(ANNOUNCE_INTERVAL * 2, send_announcement(node, &announcement)).await;
-        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
-    }
-}
