quotas: read the roster each second until there is one

Cause: while there was no roster the leading node doubled the time between its reads up to 5 s. On a fleet of 71 nodes that settled just after a read, the first roster was written 13 s after the start, and limited tenants got 503 until then.

Change: only reads that the store does not answer are delayed further.

--- a/lib/src/transport/quota_roster.rs
+++ b/lib/src/transport/quota_roster.rs
@@ -34,10 +34,10 @@
 /// Interval, before jitter, between two reads of a usable roster.
 const READ_INTERVAL: Duration = Duration::from_mins(1);
 
-/// Initial time between two reads while there is no usable roster or the store does not answer.
+/// Time between two reads while there is no usable roster, and the initial one while the store does not answer.
 const MIN_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum time between two reads while there is no usable roster or the store does not answer.
+/// Maximum time between two reads while the store does not answer.
 const MAX_RETRY_INTERVAL: Duration = Duration::from_secs(5);
 
 /// The roster as one node reads and maintains it.
@@ -90,16 +90,21 @@
 
     /// Reads the roster, changes it if that is due, and sets the time of the next read.
     async fn synchronize(&mut self, live: &[Arc<str>]) {
-        let is_usable = self.read_and_maintain(live).await.unwrap_or_else(|error| {
-            Metrics::count(&self.metrics.platform_calls, "failed");
-            log_event_limited!(Warn, "the share roster can't be read or written", error = error);
-            false
-        });
-        let pause = if is_usable {
-            self.retry.reset();
-            jittered(READ_INTERVAL, &mut rand::rng())
-        } else {
-            self.retry.next_delay(&mut rand::rng())
+        let pause = match self.read_and_maintain(live).await {
+            Ok(true) => {
+                self.retry.reset();
+                jittered(READ_INTERVAL, &mut rand::rng())
+            }
+            // Limited tenants get nothing before the first roster, so its reads are not delayed further.
+            Ok(false) => {
+                self.retry.reset();
+                jittered(MIN_RETRY_INTERVAL, &mut rand::rng())
+            }
+            Err(error) => {
+                Metrics::count(&self.metrics.platform_calls, "failed");
+                log_event_limited!(Warn, "the share roster can't be read or written", error = error);
+                self.retry.next_delay(&mut rand::rng())
+            }
         };
         self.next_read_at = Instant::now() + pause;
     }
@@ -126,7 +131,6 @@
         };
         self.write(&changed, object).await?;
         // The next read shows the result, and is due soon.
-        self.retry.reset();
         Ok(false)
     }
 
