admission: nested calls may use every free slot when calls are shed by cost

Change: nested calls may start in any usable slot, also in those kept free for urgent calls; waiting calls that may not use these slots don't keep them waiting.

Result: the new replay fails before and passes now; the tests of admission, overload recovery and short budgets pass.

--- a/lib/src/coordination/admission/arrival.rs
+++ b/lib/src/coordination/admission/arrival.rs
@@ -20,6 +20,7 @@
 use crate::coordination::priority_queue::QueuedCall;
 use crate::coordination::priority_queue::is_worth_starting;
 use crate::protocol::call_head::CallOrigin;
+use crate::protocol::settings::Shedding;
 
 const PERCENT: u64 = 100;
 const PERMILLE: u64 = 1_000;
@@ -48,7 +49,7 @@
         if self.yields_to_calls_on_time(&request, index, now) {
             return AdmissionOutcome::Rejected(RejectReason::ObjectiveMissed);
         }
-        let is_slot_free = self.is_slot_free_for(index, now);
+        let is_slot_free = self.is_slot_free_for(index, request.origin, now);
         let slot_wait =
             if is_slot_free { Duration::ZERO } else { self.expected_wait(index, request.caller, now) };
         let rate_delay = self.start_delay(self.queued_before(index), now);
@@ -180,15 +181,22 @@
 
     /// Returns whether a new call of the priority gets a slot immediately.
     ///
-    /// Calls that are held while the VM is slow do not keep others waiting.
-    fn is_slot_free_for(&self, index: usize, now: Instant) -> bool {
+    /// Calls that are held while the VM is slow do not keep others waiting, and calls for which no slot is free don't
+    /// keep nested calls waiting.
+    fn is_slot_free_for(&self, index: usize, origin: CallOrigin, now: Instant) -> bool {
         let longest_call = self.estimate.longest_call_to_start(now);
         let waits = |queue: &PriorityQueue| queue.has_call_to_start(longest_call);
         let blocks =
             |queue: &PriorityQueue| waits(queue) && queue.rule().usable_slots_percent == FULL_PERCENT;
         let (same_or_more_urgent, less_urgent) = self.queues.split_at(index + 1);
-        self.running < self.slots_for(index, now)
-            && !same_or_more_urgent.iter().any(waits)
+        let goes_first = |(other, queue): (usize, &PriorityQueue)| {
+            waits(queue)
+                && (origin == CallOrigin::Caller
+                    || self.shedding == Shedding::ByPriority
+                    || self.may_start_from(other, longest_call, now))
+        };
+        self.running < self.slots_for(index, origin, now)
+            && !same_or_more_urgent.iter().enumerate().any(goes_first)
             && !less_urgent.iter().any(blocks)
     }
 
--- a/lib/src/coordination/admission/shedding.rs
+++ b/lib/src/coordination/admission/shedding.rs
@@ -5,7 +5,9 @@
 
 use std::time::Duration;
 
+use crate::coordination::admission::slots::FULL_PERCENT;
 use crate::coordination::near_capacity::NEAR_CAPACITY_PERCENT;
+use crate::protocol::call_head::CallOrigin;
 use crate::protocol::settings::Shedding;
 
 /// Fraction of the golden ratio in 32 bits; its wrapping multiples are evenly distributed.
@@ -15,11 +17,14 @@
 ///
 /// `rule_percent` is the share by the rule of the priority. A rejected call costs its caller more than a free slot
 /// saves, so less urgent calls may use the slots up to the load at which upstreams slow down. Those above stay free for
-/// urgent calls.
-pub(super) const fn usable_percent(shedding: Shedding, rule_percent: u32) -> u32 {
-    match shedding {
-        Shedding::ByCost if rule_percent < NEAR_CAPACITY_PERCENT => NEAR_CAPACITY_PERCENT,
-        Shedding::ByCost | Shedding::ByPriority => rule_percent,
+/// urgent calls, and for nested calls of any priority: without them the work done for the running request is lost.
+pub(super) const fn usable_percent(shedding: Shedding, rule_percent: u32, origin: CallOrigin) -> u32 {
+    match (shedding, origin) {
+        (Shedding::ByCost, CallOrigin::Upstream) => FULL_PERCENT,
+        (Shedding::ByCost, CallOrigin::Caller) if rule_percent < NEAR_CAPACITY_PERCENT => {
+            NEAR_CAPACITY_PERCENT
+        }
+        (Shedding::ByCost | Shedding::ByPriority, _) => rule_percent,
     }
 }
 
--- a/lib/src/coordination/admission/slots.rs
+++ b/lib/src/coordination/admission/slots.rs
@@ -14,6 +14,7 @@
 use crate::coordination::priority_queue::Pace;
 use crate::coordination::priority_queue::StartLimits;
 use crate::coordination::slot_balances::PrioritySlotUsage;
+use crate::protocol::call_head::CallOrigin;
 
 /// All slots, in percent.
 pub(super) const FULL_PERCENT: u32 = 100;
@@ -21,11 +22,11 @@
 pub(super) const SHORTAGE_SERVICE_TIMES: u32 = 2;
 
 impl Admission {
-    /// Returns the number of slots in use, by any priority, at which calls of this priority have to wait.
-    pub(super) fn slots_for(&self, index: usize, now: Instant) -> u32 {
+    /// Returns the number of slots in use, by any priority, at which calls of this priority and origin have to wait.
+    pub(super) fn slots_for(&self, index: usize, origin: CallOrigin, now: Instant) -> u32 {
         let slots = self.slots();
         let usable = self.usable_slots(now);
-        let percent = usable_percent(self.shedding, self.queues[index].rule().usable_slots_percent);
+        let percent = usable_percent(self.shedding, self.queues[index].rule().usable_slots_percent, origin);
         (slots * percent / FULL_PERCENT).clamp(usable.min(1), usable)
     }
 
@@ -51,7 +52,8 @@
                 break;
             };
             let max_late = self.slots() as usize;
-            let limits = StartLimits { pace, longest_call, max_late, shedding: self.shedding };
+            let nested_only = self.running >= self.slots_for(index, CallOrigin::Caller, now);
+            let limits = StartLimits { pace, longest_call, max_late, shedding: self.shedding, nested_only };
             let next = self.queues[index].next(limits, now, &mut decisions);
             let Some((key, call)) = next else {
                 continue;
@@ -81,14 +83,12 @@
     ///
     /// Queues with a call that can still meet its objective precede queues with only late calls.
     fn next_queue(&self, pace: Pace, longest_call: Option<Duration>, now: Instant) -> Option<usize> {
-        let is_eligible = |index: &usize| {
-            self.queues[*index].has_call_to_start(longest_call) && self.running < self.slots_for(*index, now)
-        };
         let has_call_on_time = |index: &usize| {
             let queue = &self.queues[*index];
             !queue.rule().serve_late || queue.has_call_on_time(pace, now)
         };
-        let waiting: Vec<usize> = (0..self.queues.len()).filter(is_eligible).collect();
+        let waiting: Vec<usize> =
+            (0..self.queues.len()).filter(|index| self.may_start_from(*index, longest_call, now)).collect();
         let on_time_queues = waiting.iter().copied().filter(has_call_on_time);
         let on_time_queues: Vec<usize> = on_time_queues.collect();
         let candidates = if on_time_queues.is_empty() { waiting } else { on_time_queues };
@@ -99,6 +99,14 @@
             .copied()
     }
 
+    /// Returns whether a queued call of the priority may start in one of the slots that are free.
+    pub(super) fn may_start_from(&self, index: usize, longest_call: Option<Duration>, now: Instant) -> bool {
+        let has_slot = |origin| self.running < self.slots_for(index, origin, now);
+        let queue = &self.queues[index];
+        (queue.has_call_to_start(longest_call) && has_slot(CallOrigin::Caller))
+            || (queue.has_nested_call_to_start(longest_call) && has_slot(CallOrigin::Upstream))
+    }
+
     pub(super) fn start(
         &mut self,
         index: usize,
--- a/lib/src/coordination/priority_queue.rs
+++ b/lib/src/coordination/priority_queue.rs
@@ -107,6 +107,8 @@
     pub max_late: usize,
     /// Order of the calls that can meet their objectives.
     pub shedding: Shedding,
+    /// Whether only nested calls may start, since the free slots are not for others.
+    pub nested_only: bool,
 }
 
 /// Returns whether a call may start although longer ones than `longest_call` are held.
@@ -184,6 +186,13 @@
         self.waiting.values().any(|call| is_worth_starting(call.typical_time, longest_call))
     }
 
+    /// Returns whether any queued nested call may start while calls longer than `longest_call` are held.
+    #[must_use]
+    pub fn has_nested_call_to_start(&self, longest_call: Option<Duration>) -> bool {
+        let mut nested = self.waiting.values().filter(|call| call.origin == CallOrigin::Upstream);
+        nested.any(|call| is_worth_starting(call.typical_time, longest_call))
+    }
+
     /// Estimates how many queued calls get a slot before a new call of this caller.
     ///
     /// The caller's own queued calls count too. The estimate assumes that callers start calls in turn.
@@ -288,14 +297,17 @@
         now: Instant,
         rejections: &mut Vec<QueueDecision>,
     ) -> Option<(QueueKey, QueuedCall)> {
-        let StartLimits { pace, longest_call, max_late, shedding } = limits;
+        let StartLimits { pace, longest_call, max_late, shedding, nested_only } = limits;
         let expired = self.waiting.keys().take_while(|key| key.start_by() <= now);
         let expired: Vec<QueueKey> = expired.copied().collect();
         self.reject(&expired, RejectReason::TooLate, rejections);
         let late = self.late_calls(pace, now);
         let excess = late.len().saturating_sub(max_late);
         self.reject(&late[..excess], RejectReason::ObjectiveMissed, rejections);
-        let may_start = |call: &QueuedCall| is_worth_starting(call.typical_time, longest_call);
+        let may_start = |call: &QueuedCall| {
+            is_worth_starting(call.typical_time, longest_call)
+                && (!nested_only || call.origin == CallOrigin::Upstream)
+        };
         let mut startable = self.waiting.iter().filter(|(_, call)| may_start(call));
         let last = startable.clone().next_back();
         let mut on_time = startable.by_ref().filter(|(_, call)| call.can_meet_objective(pace, now));
--- a/lib/tests/shedding.rs
+++ b/lib/tests/shedding.rs
@@ -215,8 +215,8 @@
 /// Guards against losing the work of a running request because its nested call waits behind new requests.
 #[test]
 fn nested_call_starts_before_new_requests() {
-    let clump = (0..28).map(|_| Call::new(Duration::ZERO, 1));
-    let nested = Call { origin: CallOrigin::Upstream, ..Call::new(Duration::from_millis(1), 1) };
+    let clump = (0..28).map(|_| Call::new(Duration::ZERO, 0));
+    let nested = Call { origin: CallOrigin::Upstream, ..Call::new(Duration::from_millis(1), 0) };
     let calls: Vec<Call> = clump.chain([nested]).collect();
     let fates = Replay::new(calls).run();
     assert_eq!(
@@ -226,6 +226,17 @@
     );
 }
 
+/// Guards against rejecting a nested call of a low priority while the slots for urgent calls are free.
+#[test]
+fn nested_call_of_a_low_priority_uses_any_free_slot() {
+    let wave = (0..16).map(|_| Call::new(Duration::ZERO, 2));
+    let nested = Call { origin: CallOrigin::Upstream, ..Call::new(Duration::from_millis(1), 3) };
+    let calls: Vec<Call> = wave.chain([nested]).collect();
+    let fates = Replay::new(calls).run();
+    let at = Duration::from_millis(1) + SERVICE_TIME;
+    assert_eq!(fates.last(), Some(&Fate::Finished { at }), "it does not wait");
+}
+
 /// Guards against a tenant's burst that delays another tenant beyond its objective.
 #[test]
 fn burst_of_one_tenant_leaves_another_its_share() {
