--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::coordination::admission::shedding::RetrySpread;
+use crate::coordination::admission::shedding::UrgentPeak;
 use crate::coordination::cold_limit::ColdLimit;
 use crate::coordination::concurrency_limit::ConcurrencyLimit;
 use crate::coordination::execution_progress::micros;
@@ -46,6 +47,7 @@
     limit: ConcurrencyLimit,
     shedding: Shedding,
     retry_spread: RetrySpread,
+    urgent_peak: UrgentPeak,
     adaptive: bool,
     reserved_slots: u32,
     running: u32,
@@ -67,6 +69,7 @@
             limit: ConcurrencyLimit::new(limit),
             shedding: Shedding::ByPriority,
             retry_spread: RetrySpread::default(),
+            urgent_peak: UrgentPeak::new(now),
             adaptive: true,
             reserved_slots: 0,
             running: 0,
--- a/lib/src/coordination/admission/shedding.rs
+++ b/lib/src/coordination/admission/shedding.rs
@@ -5,26 +5,78 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::coordination::admission::slots::FULL_PERCENT;
 use crate::coordination::near_capacity::NEAR_CAPACITY_PERCENT;
 use crate::protocol::call_head::CallOrigin;
 use crate::protocol::settings::Shedding;
 
+/// Slots kept free for urgent calls beyond the number that they held lately.
+const SPARE_URGENT_SLOTS: u32 = 1;
+/// Period over which the largest number of slots in use is kept; the previous period counts as well.
+const PEAK_PERIOD: Duration = Duration::from_secs(1);
 /// Fraction of the golden ratio in 32 bits; its wrapping multiples are evenly distributed.
 const GOLDEN_RATIO_STEP: u32 = 0x9E37_79B9;
 
-/// Returns the share of the slots that calls of a priority may occupy, in percent.
+/// Returns how many of `slots` the calls of a priority may occupy, whoever holds the others.
 ///
-/// `rule_percent` is the share by the rule of the priority. A rejected call costs its caller more than a free slot
-/// saves, so less urgent calls may use the slots up to the load at which upstreams slow down. Those above stay free for
-/// urgent calls, and for nested calls of any priority: without them the work done for the running request is lost.
-pub(super) const fn usable_percent(shedding: Shedding, rule_percent: u32, origin: CallOrigin) -> u32 {
+/// `rule_percent` is the share by the rule of the priority, and `urgent_peak` the largest number of slots that calls of
+/// the most urgent priority held lately. A rejected call costs its caller more than a free slot saves, so less urgent
+/// calls may use what those hardly need, up to the load at which upstreams slow down. Nested calls may use every slot:
+/// without them the work done for the running request is lost.
+pub(super) fn usable_slots(
+    shedding: Shedding,
+    slots: u32,
+    rule_percent: u32,
+    urgent_peak: u32,
+    origin: CallOrigin,
+) -> u32 {
+    let by_rule = slots * rule_percent / FULL_PERCENT;
     match (shedding, origin) {
-        (Shedding::ByCost, CallOrigin::Upstream) => FULL_PERCENT,
-        (Shedding::ByCost, CallOrigin::Caller) if rule_percent < NEAR_CAPACITY_PERCENT => {
-            NEAR_CAPACITY_PERCENT
+        (Shedding::ByPriority, _) => by_rule,
+        (Shedding::ByCost, CallOrigin::Upstream) => slots,
+        (Shedding::ByCost, CallOrigin::Caller) => {
+            let below_slowdown = slots * NEAR_CAPACITY_PERCENT / FULL_PERCENT;
+            let unneeded = slots.saturating_sub(urgent_peak + SPARE_URGENT_SLOTS);
+            unneeded.min(below_slowdown).max(by_rule)
+        }
+    }
+}
+
+/// Largest number of slots that calls of the most urgent priority held lately.
+///
+/// Answers bursts of urgent calls: the first one costs the urgent calls a wait, and the next ones find free slots.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UrgentPeak {
+    current: u32,
+    previous: u32,
+    period_started_at: Instant,
+}
+
+impl UrgentPeak {
+    pub(super) const fn new(now: Instant) -> Self {
+        Self { current: 0, previous: 0, period_started_at: now }
+    }
+
+    /// Records that calls of the most urgent priority hold `running` slots.
+    pub(super) fn record(&mut self, running: u32, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.period_started_at);
+        if elapsed >= PEAK_PERIOD {
+            self.previous = if elapsed < PEAK_PERIOD * 2 { self.current } else { 0 };
+            self.current = 0;
+            self.period_started_at = now;
+        }
+        self.current = self.current.max(running);
+    }
+
+    /// Returns the largest number of slots in the current period and the one before.
+    pub(super) fn slots(&self, now: Instant) -> u32 {
+        match now.saturating_duration_since(self.period_started_at) {
+            elapsed if elapsed < PEAK_PERIOD => self.current.max(self.previous),
+            elapsed if elapsed < PEAK_PERIOD * 2 => self.current,
+            _ => 0,
         }
-        (Shedding::ByCost | Shedding::ByPriority, _) => rule_percent,
     }
 }
 
--- a/lib/src/coordination/admission/slots.rs
+++ b/lib/src/coordination/admission/slots.rs
@@ -7,7 +7,7 @@
 use crate::coordination::admission::Admission;
 use crate::coordination::admission::decision::QueueDecision;
 use crate::coordination::admission::decision::SlotGrant;
-use crate::coordination::admission::shedding::usable_percent;
+use crate::coordination::admission::shedding::usable_slots;
 use crate::coordination::execution_progress::Execution;
 use crate::coordination::near_capacity::is_near_capacity;
 use crate::coordination::priority_queue::CallerKey;
@@ -21,13 +21,17 @@
 /// Time for which a lack of slots is expected to last, in mean service times.
 pub(super) const SHORTAGE_SERVICE_TIMES: u32 = 2;
 
+/// Index of the most urgent priority.
+const MOST_URGENT: usize = 0;
+
 impl Admission {
     /// Returns the number of slots in use, by any priority, at which calls of this priority and origin have to wait.
     pub(super) fn slots_for(&self, index: usize, origin: CallOrigin, now: Instant) -> u32 {
         let slots = self.slots();
         let usable = self.usable_slots(now);
-        let percent = usable_percent(self.shedding, self.queues[index].rule().usable_slots_percent, origin);
-        (slots * percent / FULL_PERCENT).clamp(usable.min(1), usable)
+        let rule_percent = self.queues[index].rule().usable_slots_percent;
+        let urgent_peak = if index == MOST_URGENT { 0 } else { self.urgent_peak.slots(now) };
+        usable_slots(self.shedding, slots, rule_percent, urgent_peak, origin).clamp(usable.min(1), usable)
     }
 
     /// Accounts the slot time used by each priority since the last change.
@@ -125,6 +129,9 @@
             near_capacity: is_near_capacity(self.running, self.slots()),
         };
         self.queues[index].start(caller);
+        if index == MOST_URGENT {
+            self.urgent_peak.record(self.queues[index].running(), now);
+        }
         self.estimate.start(execution);
         SlotGrant { queue_index: index, caller, execution }
     }
--- a/lib/tests/shedding.rs
+++ b/lib/tests/shedding.rs
@@ -212,6 +212,19 @@
     assert!(count_on_time(&calls, &fates, |call| call.rank == 3) > 170, "the wave uses its slots");
 }
 
+/// Guards against urgent calls that wait at each of several bursts because a wave takes the slots between them.
+#[test]
+fn repeated_urgent_bursts_find_slots_after_the_first() {
+    let burst = |at_ms| {
+        let call = Call { objective: SERVICE_TIME * 5 / 4, ..Call::new(Duration::from_millis(at_ms), 0) };
+        std::iter::repeat_n(call, 4)
+    };
+    let calls: Vec<Call> = steady(400, 3).chain([300, 500, 700, 900].into_iter().flat_map(burst)).collect();
+    let fates = Replay::new(calls.clone()).run();
+    let later = |call: &Call| call.rank == 0 && call.at > Duration::from_millis(300);
+    assert_eq!(count_on_time(&calls, &fates, later), 12, "the later bursts are on time");
+}
+
 /// Guards against losing the work of a running request because its nested call waits behind new requests.
 #[test]
 fn nested_call_starts_before_new_requests() {
