admission: keep slots free by recent demand of the most urgent priority

Change: less urgent calls leave as many slots free as calls of the most urgent priority in use held in the last one to two seconds, plus one, but never have less than the share of their rule.

--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::coordination::admission::shedding::RetrySpread;
-use crate::coordination::admission::shedding::UrgentPeak;
+use crate::coordination::admission::shedding::SlotPeak;
 use crate::coordination::cold_limit::ColdLimit;
 use crate::coordination::concurrency_limit::ConcurrencyLimit;
 use crate::coordination::execution_progress::micros;
@@ -47,7 +47,8 @@
     limit: ConcurrencyLimit,
     shedding: Shedding,
     retry_spread: RetrySpread,
-    urgent_peak: UrgentPeak,
+    /// Peaks of slots in use, by priority.
+    slot_peaks: Vec<SlotPeak>,
     adaptive: bool,
     reserved_slots: u32,
     running: u32,
@@ -69,7 +70,7 @@
             limit: ConcurrencyLimit::new(limit),
             shedding: Shedding::ByPriority,
             retry_spread: RetrySpread::default(),
-            urgent_peak: UrgentPeak::new(now),
+            slot_peaks: vec![SlotPeak::default(); rules.len()],
             adaptive: true,
             reserved_slots: 0,
             running: 0,
@@ -98,6 +99,7 @@
         for rule in rules.iter().skip(self.queues.len()) {
             self.queues.push(PriorityQueue::new(*rule));
         }
+        self.slot_peaks.resize(self.queues.len(), SlotPeak::default());
         let mut decisions = Vec::new();
         for queue in self.queues.iter_mut().skip(rules.len()) {
             decisions.extend(queue.reject_all(RejectReason::Draining));
--- a/lib/src/coordination/admission/shedding.rs
+++ b/lib/src/coordination/admission/shedding.rs
@@ -22,7 +22,7 @@
 /// Returns how many of `slots` the calls of a priority may occupy, whoever holds the others.
 ///
 /// `rule_percent` is the share by the rule of the priority, and `urgent_peak` the largest number of slots that calls of
-/// the most urgent priority held lately. A rejected call costs its caller more than a free slot saves, so less urgent
+/// the most urgent priority in use held lately. A rejected call costs its caller more than a free slot saves, so less urgent
 /// calls may use what those hardly need, up to the load at which upstreams slow down. Nested calls may use every slot:
 /// without them the work done for the running request is lost.
 pub(super) fn usable_slots(
@@ -44,40 +44,40 @@
     }
 }
 
-/// Largest number of slots that calls of the most urgent priority held lately.
+/// Largest number of slots that the calls of one priority held lately.
 ///
 /// Answers bursts of urgent calls: the first one costs the urgent calls a wait, and the next ones find free slots.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct UrgentPeak {
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct SlotPeak {
     current: u32,
     previous: u32,
-    period_started_at: Instant,
+    period_started_at: Option<Instant>,
 }
 
-impl UrgentPeak {
-    pub(super) const fn new(now: Instant) -> Self {
-        Self { current: 0, previous: 0, period_started_at: now }
-    }
-
-    /// Records that calls of the most urgent priority hold `running` slots.
+impl SlotPeak {
+    /// Records that calls of the priority hold `running` slots.
     pub(super) fn record(&mut self, running: u32, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.period_started_at);
+        let elapsed = self.elapsed(now);
         if elapsed >= PEAK_PERIOD {
             self.previous = if elapsed < PEAK_PERIOD * 2 { self.current } else { 0 };
             self.current = 0;
-            self.period_started_at = now;
+            self.period_started_at = Some(now);
         }
         self.current = self.current.max(running);
     }
 
     /// Returns the largest number of slots in the current period and the one before.
     pub(super) fn slots(&self, now: Instant) -> u32 {
-        match now.saturating_duration_since(self.period_started_at) {
+        match self.elapsed(now) {
             elapsed if elapsed < PEAK_PERIOD => self.current.max(self.previous),
             elapsed if elapsed < PEAK_PERIOD * 2 => self.current,
             _ => 0,
         }
     }
+
+    fn elapsed(&self, now: Instant) -> Duration {
+        self.period_started_at.map_or(Duration::MAX, |started_at| now.saturating_duration_since(started_at))
+    }
 }
 
 /// Sequence of retry delays that spreads callers over time.
--- a/lib/src/coordination/admission/slots.rs
+++ b/lib/src/coordination/admission/slots.rs
@@ -21,16 +21,14 @@
 /// Time for which a lack of slots is expected to last, in mean service times.
 pub(super) const SHORTAGE_SERVICE_TIMES: u32 = 2;
 
-/// Index of the most urgent priority.
-const MOST_URGENT: usize = 0;
-
 impl Admission {
     /// Returns the number of slots in use, by any priority, at which calls of this priority and origin have to wait.
     pub(super) fn slots_for(&self, index: usize, origin: CallOrigin, now: Instant) -> u32 {
         let slots = self.slots();
         let usable = self.usable_slots(now);
         let rule_percent = self.queues[index].rule().usable_slots_percent;
-        let urgent_peak = if index == MOST_URGENT { 0 } else { self.urgent_peak.slots(now) };
+        let mut urgent_peaks = self.slot_peaks[..index].iter().map(|peak| peak.slots(now));
+        let urgent_peak = urgent_peaks.find(|peak| *peak > 0).unwrap_or(0);
         usable_slots(self.shedding, slots, rule_percent, urgent_peak, origin).clamp(usable.min(1), usable)
     }
 
@@ -129,9 +127,7 @@
             near_capacity: is_near_capacity(self.running, self.slots()),
         };
         self.queues[index].start(caller);
-        if index == MOST_URGENT {
-            self.urgent_peak.record(self.queues[index].running(), now);
-        }
+        self.slot_peaks[index].record(self.queues[index].running(), now);
         self.estimate.start(execution);
         SlotGrant { queue_index: index, caller, execution }
     }
