--- a/load/src/embedded_fleet.rs
+++ b/load/src/embedded_fleet.rs
@@ -22,6 +22,7 @@
 use yuccatray::protocol::settings::ListenSettings;
 use yuccatray::protocol::settings::LogSettings;
 use yuccatray::protocol::settings::NodeSettings;
+use yuccatray::protocol::settings::OverloadSettings;
 use yuccatray::protocol::settings::PlatformSettings;
 use yuccatray::protocol::settings::ProcessSettings;
 use yuccatray::protocol::settings::Settings;
@@ -273,6 +274,7 @@
         gossip: GossipSettings::default(),
         peer_security: None,
         process: ProcessSettings::default(),
+        overload: OverloadSettings::default(),
         log: LogSettings::default(),
     }
 }
