--- a/lib/src/coordination/admission.rs
+++ b/lib/src/coordination/admission.rs
@@ -200,8 +200,8 @@
     }
 
     /// Forgets how slow and how often failing the upstream was, since that no longer holds after a time without calls.
-    pub const fn forget_slowness(&mut self) {
-        self.estimate.forget_slowness();
+    pub const fn reset_slowness(&mut self) {
+        self.estimate.reset_slowness();
     }
 
     /// Releases the slot of a call that ended, and returns decisions on queued calls.
--- a/lib/src/coordination/admission/arrival.rs
+++ b/lib/src/coordination/admission/arrival.rs
@@ -195,7 +195,7 @@
                     || self.shedding == Shedding::ByPriority
                     || self.may_start_from(other, longest_call, now))
         };
-        self.running < self.slots_for(index, origin, now)
+        self.running < self.slot_limit_for(index, origin, now)
             && !same_or_more_urgent.iter().enumerate().any(goes_first)
             && !less_urgent.iter().any(blocks)
     }
--- a/lib/src/coordination/admission/shedding.rs
+++ b/lib/src/coordination/admission/shedding.rs
@@ -1,6 +1,6 @@
-//! Load shedding by what a delay or rejection costs callers.
+//! Load shedding by the cost of a delay or rejection to callers.
 //!
-//! Answers three load patterns: a burst of urgent calls, a crest of demand in less urgent calls while slots are free,
+//! Answers three load patterns: a burst of urgent calls, a peak in demand for less urgent calls while slots are free,
 //! and callers that were rejected together.
 
 use std::time::Duration;
@@ -23,9 +23,9 @@
 ///
 /// `rule_percent` is the share by the rule of the priority, and `urgent_peak` the largest number of slots that calls of
 /// the most urgent priority in use held lately. A rejected call costs its caller more than a free slot saves, so less urgent
-/// calls may use what those hardly need, up to the load at which upstreams slow down. Nested calls may use every slot:
+/// calls may use the slots beyond that peak and one spare slot, up to the load at which upstreams slow down. Nested calls may use every slot:
 /// without them the work done for the running request is lost.
-pub(super) fn usable_slots(
+pub(super) fn priority_slot_limit(
     shedding: Shedding,
     slots: u32,
     rule_percent: u32,
--- a/lib/src/coordination/admission/slots.rs
+++ b/lib/src/coordination/admission/slots.rs
@@ -7,7 +7,7 @@
 use crate::coordination::admission::Admission;
 use crate::coordination::admission::decision::QueueDecision;
 use crate::coordination::admission::decision::SlotGrant;
-use crate::coordination::admission::shedding::usable_slots;
+use crate::coordination::admission::shedding::priority_slot_limit;
 use crate::coordination::execution_progress::Execution;
 use crate::coordination::near_capacity::is_near_capacity;
 use crate::coordination::priority_queue::CallerKey;
@@ -23,13 +23,14 @@
 
 impl Admission {
     /// Returns the number of slots in use, by any priority, at which calls of this priority and origin have to wait.
-    pub(super) fn slots_for(&self, index: usize, origin: CallOrigin, now: Instant) -> u32 {
+    pub(super) fn slot_limit_for(&self, index: usize, origin: CallOrigin, now: Instant) -> u32 {
         let slots = self.slots();
         let usable = self.usable_slots(now);
         let rule_percent = self.queues[index].rule().usable_slots_percent;
         let mut urgent_peaks = self.slot_peaks[..index].iter().map(|peak| peak.slots(now));
         let urgent_peak = urgent_peaks.find(|peak| *peak > 0).unwrap_or(0);
-        usable_slots(self.shedding, slots, rule_percent, urgent_peak, origin).clamp(usable.min(1), usable)
+        priority_slot_limit(self.shedding, slots, rule_percent, urgent_peak, origin)
+            .clamp(usable.min(1), usable)
     }
 
     /// Accounts the slot time used by each priority since the last change.
@@ -54,7 +55,7 @@
                 break;
             };
             let max_late = self.slots() as usize;
-            let nested_only = self.running >= self.slots_for(index, CallOrigin::Caller, now);
+            let nested_only = self.running >= self.slot_limit_for(index, CallOrigin::Caller, now);
             let limits = StartLimits { pace, longest_call, max_late, shedding: self.shedding, nested_only };
             let next = self.queues[index].next(limits, now, &mut decisions);
             let Some((key, call)) = next else {
@@ -103,7 +104,7 @@
 
     /// Returns whether a queued call of the priority may start in one of the slots that are free.
     pub(super) fn may_start_from(&self, index: usize, longest_call: Option<Duration>, now: Instant) -> bool {
-        let has_slot = |origin| self.running < self.slots_for(index, origin, now);
+        let has_slot = |origin| self.running < self.slot_limit_for(index, origin, now);
         let queue = &self.queues[index];
         (queue.has_call_to_start(longest_call) && has_slot(CallOrigin::Caller))
             || (queue.has_nested_call_to_start(longest_call) && has_slot(CallOrigin::Upstream))
--- a/lib/src/coordination/authentication.rs
+++ b/lib/src/coordination/authentication.rs
@@ -147,12 +147,13 @@
             Self::NoKey => (ErrorKind::Unauthenticated, "the request needs an API key"),
             Self::UnreadableKey => (ErrorKind::Unauthenticated, "the credentials hold no readable API key"),
             Self::UnknownKey => (ErrorKind::Unauthenticated, "the API key is not known"),
-            Self::Unconfirmed => {
-                (ErrorKind::NoConfiguration, "the API key is not known, but newer ones may exist")
-            }
+            Self::Unconfirmed => (
+                ErrorKind::NoConfiguration,
+                "the API key is not in the node's configuration, which may not be the latest",
+            ),
             Self::Revoked => (
                 ErrorKind::NoConfiguration,
-                "the configuration with the API keys is unconfirmed for too long",
+                "the configuration with the API keys has been unconfirmed for too long",
             ),
         };
         let answer = ErrorAnswer::new(kind, message);
@@ -184,7 +185,7 @@
     if request.route_is_public {
         return Ok(CallerIdentity { source: IdentitySource::PublicRoute, tenant: inherited });
     }
-    // The running request was authenticated, so that what it still needs depends on no later confirmation.
+    // The running request was authenticated, so its nested calls need no current confirmation.
     if request.credentials == Credentials::Absent && inherited.is_some() {
         return Ok(CallerIdentity { source: IdentitySource::RunningRequest, tenant: inherited });
     }
--- a/lib/src/coordination/cold_limit.rs
+++ b/lib/src/coordination/cold_limit.rs
@@ -18,7 +18,7 @@
 /// Time without a health response after which calls are expected to wait for the limit instead of the response.
 const PROBE_OVERDUE_AFTER: Duration = Duration::from_millis(50);
 
-/// What is known of the upstream's temperature.
+/// Whether the upstream is cold, as far as it is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ColdState {
     /// The upstream may be cold.
@@ -154,7 +154,7 @@
 
     /// Sets or removes the number of calls that a cold upstream may get in a second.
     ///
-    /// When a limit is first set, half of the calls count as just started: another process of the node may have sent
+    /// When a limit is first set, half of the calls count as just started: an earlier process of the node may have sent
     /// as many as are allowed.
     pub fn set_max_starts(&mut self, max_starts_per_s: Option<u32>, now: Instant) -> Option<ColdChange> {
         let was_declared = self.max_starts.is_some();
@@ -346,7 +346,7 @@
         self.change_state(ColdState::Cold(until), cause, now)
     }
 
-    /// Sets the state, and returns the change unless only the end of the cold time is another.
+    /// Sets the state; returns the change unless the upstream merely stays cold for another time.
     fn change_state(&mut self, state: ColdState, cause: ColdCause, now: Instant) -> Option<ColdChange> {
         let previous = std::mem::replace(&mut self.state, state);
         if previous.name() == state.name() {
--- a/lib/src/coordination/quota/client.rs
+++ b/lib/src/coordination/quota/client.rs
@@ -178,8 +178,9 @@
     probes: IndexMap<u64, Probe>,
     /// Tenants whose last ask got no answer, or one of a server without parts.
     unserved: IndexSet<Arc<str>>,
-    /// Server that was last asked for each tenant, to log changes.
+    /// How often a tenant's requests went to another server than before.
     server_changes: u64,
+    /// Server that was last asked for each tenant, to detect changes.
     last_servers: IndexMap<Arc<str>, Arc<str>>,
 }
 
@@ -263,7 +264,7 @@
     }
 
     /// Asks all servers again at once, since this node was cut off and has heard another node again.
-    pub fn forget_silence(&mut self) {
+    pub fn clear_skipped(&mut self) {
         self.skipped.clear();
         self.probes.clear();
     }
@@ -338,7 +339,7 @@
     pub fn tick(&mut self, context: &mut ClientContext<'_>, now: BootTime) -> ClientOutput {
         let mut output = ClientOutput::default();
         self.repeat_probes(now, &mut output);
-        self.probe_silent(context, now, &mut output);
+        self.probe_skipped(context, now, &mut output);
         let tenants: Vec<Arc<str>> = self.tenants.keys().map(Arc::clone).collect();
         for tenant in &tenants {
             self.give_up_late(tenant, now, &mut output);
@@ -451,10 +452,10 @@
         usable_server(servers, context.share_borrower, &self.skipped).map(Arc::clone)
     }
 
-    /// Asks silent servers for no tokens once they were skipped for long enough; no request waits for the answers.
+    /// Asks unresponsive servers for no tokens once they were skipped for long enough; no request waits for the answers.
     ///
     /// This needs no requests, so that also the first request after a cut goes to the preferred server.
-    fn probe_silent(&mut self, context: &ClientContext<'_>, now: BootTime, output: &mut ClientOutput) {
+    fn probe_skipped(&mut self, context: &ClientContext<'_>, now: BootTime, output: &mut ClientOutput) {
         self.skipped.retain(|server, skip| {
             let servers = context.roles.servers(group_of(&skip.tenant));
             servers.contains(server) && context.limits.limits.contains_key(&skip.tenant)
@@ -467,7 +468,7 @@
         }
     }
 
-    /// Probes the servers that are not known to be silent, for a node that decides locally: they may have got parts.
+    /// Probes the servers that are not known to be unresponsive, for a node that decides locally: they may have got parts.
     fn probe_others(
         &mut self,
         tenant: &Arc<str>,
@@ -564,9 +565,9 @@
     }
 }
 
-/// Returns the first server of a ranking that is not known to be silent, or the first one if all are.
+/// Returns the first server of a ranking that is not known to be unresponsive, or the first one if all are.
 ///
-/// If all servers are silent, the node that borrows the share of this one is asked, since it holds parts.
+/// If all servers are unresponsive, the node that borrows the share of this one is asked, since it holds parts.
 fn usable_server<'a>(
     servers: &'a [Arc<str>],
     share_borrower: Option<&'a Arc<str>>,
--- a/lib/src/coordination/quota/promises.rs
+++ b/lib/src/coordination/quota/promises.rs
@@ -10,8 +10,9 @@
 
 use crate::coordination::quota::BootTime;
 
-/// Part of a loan's duration that the lender adds at its end, since the clocks of two nodes may differ in speed.
-const CLOCK_SPEED_MARGIN: u32 = 50;
+/// Divisor of a loan's duration that gives the time the lender adds at its end (2 %), since the clocks of two nodes may
+/// differ in speed.
+const CLOCK_SPEED_MARGIN_DIVISOR: u32 = 50;
 
 /// Parts that may be used until a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -135,7 +136,7 @@
     /// Returns the time until which a loan of `duration` that is made at `now` has to be honoured.
     #[must_use]
     pub fn end_of_loan(now: BootTime, duration: Duration) -> BootTime {
-        now + duration + duration / CLOCK_SPEED_MARGIN
+        now + duration + duration / CLOCK_SPEED_MARGIN_DIVISOR
     }
 
     /// Records a loan.
--- a/lib/src/coordination/quota/quota_node.rs
+++ b/lib/src/coordination/quota/quota_node.rs
@@ -211,8 +211,8 @@
         let mut outgoing = VecDeque::new();
         let query = self.holder.due_query(self.roles.other_zone_leaders(), now);
         outgoing.extend(query.map(|(node, query)| Outgoing::request(node, Body::ShareQuery(query))));
-        let spared = self.is_isolated(now).then_some(&self.name);
-        let polls = self.lender.due_polls(&self.roles, spared, now);
+        let excluded = self.is_isolated(now).then_some(&self.name);
+        let polls = self.lender.due_polls(&self.roles, excluded, now);
         outgoing
             .extend(polls.into_iter().map(|(node, poll)| Outgoing::request(node, Body::ShareBorrow(poll))));
         let polls = self.server.due_polls(&self.roles, &self.limits, now);
@@ -242,7 +242,7 @@
             return Vec::new();
         };
         if self.is_isolated(now) {
-            self.client.forget_silence();
+            self.client.clear_skipped();
         }
         self.heard_at = now;
         let mut outgoing = VecDeque::new();
@@ -327,7 +327,7 @@
         let is_superior = rank.is_some_and(|rank| self.roles.own_rank().is_some_and(|own| rank < own));
         let is_leader = rank == Some(0);
         if is_superior {
-            self.lender.hear_superior(now);
+            self.lender.record_higher_ranked_poll(now);
         }
         if let Some(share) = request.share {
             self.holder.confirm(&borrower.node, share);
--- a/lib/src/coordination/quota/sent_requests.rs
+++ b/lib/src/coordination/quota/sent_requests.rs
@@ -7,7 +7,8 @@
 
 use crate::coordination::quota::BootTime;
 
-/// Time after which an echo is ignored; every period that starts at an echoed message has ended by then.
+/// Time for which a message is kept for its echo. It exceeds every lease; a share statement that comes later is
+/// ignored.
 const MAX_ECHO_AGE: Duration = Duration::from_secs(3);
 
 /// Sequence numbers that may still be echoed, with the recipient and the time of sending.
@@ -40,7 +41,7 @@
         sequence
     }
 
-    /// Returns when the message that `from` echoes was sent; `None` if there is none or it is too old.
+    /// Returns when the message that `from` echoes was sent; `None` if there is none or it has expired.
     pub fn take(&mut self, sequence: u64, from: &str) -> Option<BootTime> {
         let is_recipient = *self.sent.get(&sequence)?.recipient == *from;
         if !is_recipient {
--- a/lib/src/coordination/quota/server.rs
+++ b/lib/src/coordination/quota/server.rs
@@ -28,7 +28,7 @@
 const URGENT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time without parts from a leading node after which the next node of its zone is asked as well.
-const LENDER_SILENCE: Duration = Duration::from_millis(400);
+const LENDER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time since the last ask for which a node serves a group of which another node is the preferred server.
 const SUBSTITUTE_TIME: Duration = Duration::from_secs(3);
@@ -196,7 +196,7 @@
                     lender.next_poll_at = now + interval;
                     due.push(Arc::clone(node));
                 }
-                if lender.lent_at + LENDER_SILENCE > now {
+                if lender.lent_at + LENDER_TIMEOUT > now {
                     break;
                 }
             }
--- a/lib/src/coordination/quota/zone_lender.rs
+++ b/lib/src/coordination/quota/zone_lender.rs
@@ -28,7 +28,7 @@
 const IDLE_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time without requests of a node that ranks before this one, after which this one takes its place.
-const LEADER_SILENCE: Duration = Duration::from_millis(700);
+const LEADER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// What the leading node knows of one node of its zone.
 #[derive(Clone, Debug, Default)]
@@ -37,7 +37,7 @@
     /// Sequence number to echo to the node with its share.
     to_echo: Option<u64>,
     /// Whether the last request told the node its share.
-    was_told: bool,
+    share_was_sent: bool,
 }
 
 /// Loans of one group of tenants.
@@ -63,7 +63,7 @@
     groups: IndexMap<Group, GroupLoans>,
     roster: Option<ConfirmedRoster>,
     /// When a node that ranks before this one last asked it for its share.
-    superior_heard_at: BootTime,
+    higher_ranked_polled_at: BootTime,
 }
 
 impl ZoneLender {
@@ -76,7 +76,7 @@
             nodes: IndexMap::new(),
             groups: IndexMap::new(),
             roster: None,
-            superior_heard_at: now,
+            higher_ranked_polled_at: now,
         }
     }
 
@@ -98,8 +98,8 @@
     }
 
     /// Records a request for this node's share by a node that ranks before it.
-    pub const fn hear_superior(&mut self, now: BootTime) {
-        self.superior_heard_at = now;
+    pub const fn record_higher_ranked_poll(&mut self, now: BootTime) {
+        self.higher_ranked_polled_at = now;
     }
 
     /// Returns whether this node acts as the leading node of its zone.
@@ -110,16 +110,16 @@
         let Some(rank) = rank.and_then(|rank| u32::try_from(rank).ok()) else {
             return false;
         };
-        now >= self.superior_heard_at + LEADER_SILENCE * rank
+        now >= self.higher_ranked_polled_at + LEADER_TIMEOUT * rank
     }
 
     /// Returns the nodes to ask for their share, with the requests that are due.
     ///
-    /// `spared` is not asked: this node itself while it hears no other one, which leaves it its share to spend.
+    /// `excluded` is not asked: this node itself while it hears no other one, which leaves it its share to spend.
     pub fn due_polls(
         &mut self,
         roles: &FleetRoles,
-        spared: Option<&Arc<str>>,
+        excluded: Option<&Arc<str>>,
         now: BootTime,
     ) -> Vec<(Arc<str>, wire::ShareBorrow)> {
         self.sent.expire(now);
@@ -131,7 +131,7 @@
         let due = roles
             .zone_nodes()
             .iter()
-            .filter(|node| spared != Some(*node))
+            .filter(|node| excluded != Some(*node))
             .filter(|node| self.nodes.get(*node).is_none_or(|polled| polled.next_poll_at <= now));
         let due: Vec<Arc<str>> = due.map(Arc::clone).collect();
         due.into_iter().map(|node| (Arc::clone(&node), self.poll(&node, now))).collect()
@@ -147,8 +147,8 @@
             return;
         };
         node.to_echo = Some(loan.sequence);
-        let tell_at_once = !loan.confirmed && !node.was_told && self.roster.is_some();
-        if tell_at_once {
+        let send_share_at_once = !loan.confirmed && !node.share_was_sent && self.roster.is_some();
+        if send_share_at_once {
             node.next_poll_at = now;
         } else if loan.parts == 0 && loan.confirmed {
             node.next_poll_at = now + IDLE_POLL_INTERVAL;
@@ -193,7 +193,7 @@
         let polled = self.nodes.entry(Arc::clone(node)).or_default();
         polled.next_poll_at = now + POLL_INTERVAL;
         polled.to_echo = None;
-        polled.was_told = share.is_some();
+        polled.share_was_sent = share.is_some();
         wire::ShareBorrow { sequence, share }
     }
 }
--- a/lib/src/coordination/service_estimate.rs
+++ b/lib/src/coordination/service_estimate.rs
@@ -166,7 +166,7 @@
     /// Forgets how slow and how often failing the upstream was, as after a time without calls.
     ///
     /// Slowness is relative to typical times, which change while other upstreams execute the calls.
-    pub const fn forget_slowness(&mut self) {
+    pub const fn reset_slowness(&mut self) {
         if self.slowness_permille > 0 {
             self.slowness_permille = PERMILLE;
         }
--- a/lib/src/state/upstream_stats.rs
+++ b/lib/src/state/upstream_stats.rs
@@ -121,7 +121,7 @@
     }
 
     /// Forgets how slow and how often failing the upstream was, as after a time without calls.
-    pub fn forget_slowness(&self) {
+    pub fn reset_slowness(&self) {
         self.reported_service_time_us.store(0, Ordering::Relaxed);
         self.service_time_us.store(0, Ordering::Relaxed);
         self.reported_slowness_permille.store(0, Ordering::Relaxed);
--- a/lib/src/transport/call_attempts.rs
+++ b/lib/src/transport/call_attempts.rs
@@ -283,7 +283,7 @@
 
     /// Takes the token of a retry if the failed attempt reached an upstream; returns whether the retry may be sent.
     async fn may_use_quota_again(&self, call: &IngressCall, answer: &ErrorAnswer) -> bool {
-        !reached_upstream(answer.kind) || self.takes_token_for_further_attempt(call).await
+        !reached_upstream(answer.kind) || self.try_take_token(call).await
     }
 
     /// Counts a call that is sent on to another gate because its gate rerouted it.
--- a/lib/src/transport/explainer.rs
+++ b/lib/src/transport/explainer.rs
@@ -54,7 +54,7 @@
     fn explain(&self, request: &ExplainRequest) -> Result<Explanation>;
 }
 
-/// An explanation in the making.
+/// Builds an explanation and records its first error.
 #[derive(Debug)]
 pub(super) struct ExplanationBuilder {
     pub(super) explanation: Explanation,
@@ -121,7 +121,7 @@
         Ok(())
     }
 
-    /// Returns the upstreams of the service to which no call may be sent, and the members without any.
+    /// Returns the members to which no call of the service may be sent, including those without an upstream.
     fn excluded(&self, snapshot: &DirectorySnapshot, service: &str, now: Instant) -> Vec<CandidateState> {
         let evacuations = self.dependencies.config.evacuations();
         let serves_other =
--- a/lib/src/transport/gate_queue.rs
+++ b/lib/src/transport/gate_queue.rs
@@ -62,7 +62,7 @@
     /// forgotten also when the gate closes, so that no later load report carries it.
     pub(super) fn set_zone_evacuated(&mut self, is_zone_evacuated: bool) {
         self.is_zone_evacuated = is_zone_evacuated;
-        self.admission.forget_slowness();
+        self.admission.reset_slowness();
         self.close_or_open();
     }
 
--- a/lib/src/transport/ingress_quota.rs
+++ b/lib/src/transport/ingress_quota.rs
@@ -18,11 +18,11 @@
 use crate::transport::ingress_call::IngressCall;
 use crate::transport::quota_link::error_kind;
 
-/// Part of a route's objective for which a request waits for its token.
-const OBJECTIVE_PART: u32 = 4;
+/// Divisor of a route's objective that gives the longest wait for a token.
+const OBJECTIVE_DIVISOR: u32 = 4;
 
-/// Time that a further attempt waits for its token.
-const FURTHER_ATTEMPT_PATIENCE: Duration = Duration::from_millis(50);
+/// Maximum time that a retry or hedge waits for its token, which takes one round trip to the quota server.
+const FURTHER_ATTEMPT_TOKEN_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Outcome of the wait for the token of a hedge.
 #[derive(Debug)]
@@ -44,18 +44,18 @@
         let Some(tenant) = call.quota_tenant() else {
             return Ok(());
         };
-        let give_up_at = (call.started + route_objective / OBJECTIVE_PART).min(call.deadline);
+        let give_up_at = (call.started + route_objective / OBJECTIVE_DIVISOR).min(call.deadline);
         self.dependencies.quotas.admit(tenant, give_up_at).await.map_err(rejection_answer)
     }
 
     /// Takes the token for a further attempt of a call whose earlier one may have reached an upstream.
     ///
     /// Returns whether the attempt may be sent.
-    pub(super) async fn takes_token_for_further_attempt(&self, call: &IngressCall) -> bool {
+    pub(super) async fn try_take_token(&self, call: &IngressCall) -> bool {
         let Some(tenant) = call.quota_tenant() else {
             return true;
         };
-        let give_up_at = (Instant::now() + FURTHER_ATTEMPT_PATIENCE).min(call.deadline);
+        let give_up_at = (Instant::now() + FURTHER_ATTEMPT_TOKEN_TIMEOUT).min(call.deadline);
         let Err(rejection) = self.dependencies.quotas.admit(tenant, give_up_at).await else {
             return true;
         };
@@ -82,7 +82,7 @@
         if call.quota_tenant().is_none() {
             return HedgeToken::Granted;
         }
-        let token = pin!(self.takes_token_for_further_attempt(call));
+        let token = pin!(self.try_take_token(call));
         match select(first, token).await {
             FutureEither::Left((result, _)) => HedgeToken::FirstEnded(result),
             FutureEither::Right((true, _)) => HedgeToken::Granted,
--- a/lib/src/transport/zone_evacuator.rs
+++ b/lib/src/transport/zone_evacuator.rs
@@ -1,5 +1,5 @@
-//! Applies evacuations to a node: its gate is closed while its zone is evacuated, and upstreams of zones that are taken
-//! back are judged anew.
+//! Applies evacuations to a node: closes its gate while its zone is evacuated, and resets the slowness of upstreams when
+//! the evacuation of their zone ends.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,7 +43,7 @@
                     log_zones(&evacuations, revision);
                 }
                 self.apply(&evacuations);
-                self.forget_slowness(&previous, &evacuations);
+                self.reset_slowness(&previous, &evacuations);
                 previous = evacuations;
                 tokio::select! {
                     result = changed.changed() => if result.is_err() {
@@ -83,16 +83,16 @@
     }
 
     /// Forgets how slow the upstreams of the zones were whose evacuation has ended.
-    fn forget_slowness(&self, previous: &EvacuationSet, evacuations: &EvacuationSet) {
+    fn reset_slowness(&self, previous: &EvacuationSet, evacuations: &EvacuationSet) {
         let has_ended = |zone: &str| previous.contains(zone) && !evacuations.contains(zone);
         for entry in self.directory.snapshot().entries() {
             if has_ended(&entry.member.zone) {
-                entry.stats.forget_slowness();
+                entry.stats.reset_slowness();
             }
         }
     }
 
-    /// Logs once that no call runs any more at the upstream of an evacuated zone, and then waits without end.
+    /// Logs when the last call at the upstream of an evacuated zone has ended; never returns.
     async fn log_when_idle(&self) {
         if self.gate.is_zone_evacuated() {
             while self.gate.load().running > 0 {
@@ -104,7 +104,7 @@
     }
 }
 
-/// Logs the zones that are evacuated from now on.
+/// Logs the set of evacuated zones after a change.
 fn log_zones(evacuations: &EvacuationSet, revision: u64) {
     let zones: Vec<&str> = evacuations.zones.iter().map(|evacuation| evacuation.zone.as_ref()).collect();
     log_event!(Info, "evacuated zones changed", zones = zones.join(","), revision = revision);
--- a/lib/tests/evacuations.rs
+++ b/lib/tests/evacuations.rs
@@ -179,7 +179,7 @@
     let stats = UpstreamStats::new(now);
     stats.record_load_report(slow, now);
     stats.record_failure();
-    stats.forget_slowness();
+    stats.reset_slowness();
     let load = stats.load(now);
     assert_eq!((load.service_time_us, load.slowness_permille, load.consecutive_failures), (0, 0, 0));
     assert_eq!(load.reported_slots, 9, "the slots are known");
@@ -197,6 +197,6 @@
     let end = now + Duration::from_millis(600);
     estimate.finish(execution, ExecutionOutcome::Succeeded(Duration::from_millis(600)), end);
     assert_eq!(estimate.slowness_permille(end), 300_000);
-    estimate.forget_slowness();
+    estimate.reset_slowness();
     assert_eq!(estimate.slowness_permille(end), 1_000, "as fast as others");
 }
