--- a/daemon/tests/settings_output.rs
+++ b/daemon/tests/settings_output.rs
@@ -78,7 +78,7 @@
   /limits/max_replay_bytes: is 99999999; allowed is 16777216 or less
   /limits/max_caller_connections: is "many"; allowed is integer
   /log/level: is "loud"; allowed is one of "error", "warn", "info", "debug", "trace"
-  /colour: is no known field; allowed here: node, listen, seeds, platform, dialect, upstream, limits, gossip, peer_security, process, log
+  /colour: is no known field; allowed here: node, listen, seeds, platform, dialect, upstream, limits, gossip, peer_security, process, overload, log
 hint: `yuccatrayd --print-defaults` shows every setting with its default
 
 "#]]
