--- a/lib/tests/shedding.rs
+++ b/lib/tests/shedding.rs
@@ -1,6 +1,7 @@
 //! Replays load patterns at one gate that sheds calls by what that costs their callers.
 //!
-//! Each test fails with shedding by priority.
+//! Each test fails with shedding by priority, except the one of repeated bursts: it fails if no slots are kept free by
+//! recent demand.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/soak/src/tenant_checks.rs
+++ b/soak/src/tenant_checks.rs
@@ -11,17 +11,17 @@
 use crate::tenant_record::KeyedCall;
 use crate::tenant_record::TenantRecord;
 
-/// Length of the windows in which requests of a tenant are counted (`QuotaWindowS`).
+/// Length of the windows in which requests of a tenant are counted.
 const QUOTA_WINDOW: Duration = Duration::from_secs(5);
-/// Requests that a window may hold beyond the limit, in percent of it (`QuotaOver`).
+/// Requests that a window may hold beyond the limit, in percent of it.
 const QUOTA_OVER_PERCENT: u64 = 10;
-/// Requests that a window may hold beyond that (`QuotaSlack`).
+/// Requests that a window may hold beyond that.
 const QUOTA_SLACK: u64 = 20;
 /// Length of the windows in which requests at a cold upstream are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
-/// Requests that a cold upstream may get, in percent of its cold rate (`ColdOver`).
+/// Requests that a cold upstream may get, in percent of its cold rate.
 const COLD_OVER_PERCENT: u64 = 150;
-/// Requests that it may get beyond that (`ColdSlack`).
+/// Requests that it may get beyond that.
 const COLD_SLACK: u64 = 8;
 /// Status of a request without a valid key.
 const UNAUTHORIZED: u16 = 401;
--- a/soak/src/tenant_fleet.rs
+++ b/soak/src/tenant_fleet.rs
@@ -15,6 +15,7 @@
 use yuccatray_platform_testutils::site::instance_id;
 use yuccatray_platform_testutils::store::Store;
 use yuccatray_platform_testutils::store_link::StoreLink;
+use yuccatray_platform_testutils::tenant_entries::DEPLOYMENT_BOUNDS;
 use yuccatray_platform_testutils::worker::ReceivedRequest;
 use yuccatray_platform_testutils::worker::Worker;
 use yuccatray_platform_testutils::worker::WorkerMode;
@@ -35,8 +36,6 @@
 
 /// Zones of the nodes, in turn.
 pub const ZONES: [&str; 2] = ["a", "b"];
-/// Bounds of the deployment as the platform writes them.
-const BOUNDS_TEXT: &str = "ConfigApplyS=2.5,EvacS=5,RevokeS=5,FailClosed=false,ProbesPerS=60";
 /// Bounds of the deployment.
 pub const BOUNDS: Bounds =
     Bounds { config_apply: Duration::from_millis(2_500), evacuation: Duration::from_secs(5), cold_per_s: 13 };
@@ -174,7 +173,7 @@
         settings["dialect"] = json!("platform");
         settings["upstream"] = json!({ "service": SERVICE });
         settings["platform"]["timeout_ms"] = json!(STORE_TIMEOUT_MS);
-        settings["platform"]["bounds"] = json!(BOUNDS_TEXT);
+        settings["platform"]["bounds"] = json!(DEPLOYMENT_BOUNDS);
         let config = SoakNodeConfig {
             binary: options.binary.clone(),
             log: log_path(&options.logs, options.seed, &name),
