--- a/lib/src/coordination/admission/shedding.rs
+++ b/lib/src/coordination/admission/shedding.rs
@@ -22,9 +22,9 @@
 /// Returns how many of `slots` the calls of a priority may occupy, whoever holds the others.
 ///
 /// `rule_percent` is the share by the rule of the priority, and `urgent_peak` the largest number of slots that calls of
-/// the most urgent priority in use held lately. A rejected call costs its caller more than a free slot saves, so less urgent
-/// calls may use the slots beyond that peak and one spare slot, up to the load at which upstreams slow down. Nested calls may use every slot:
-/// without them the work done for the running request is lost.
+/// the most urgent priority in use held lately. A rejected call costs its caller more than a free slot saves, so less
+/// urgent calls may use the slots beyond that peak and one spare slot, up to the load at which upstreams slow down.
+/// Nested calls may use every slot: without them the work done for the running request is lost.
 pub(super) fn priority_slot_limit(
     shedding: Shedding,
     slots: u32,
--- a/lib/src/coordination/priority_queue.rs
+++ b/lib/src/coordination/priority_queue.rs
@@ -323,8 +323,9 @@
 
     /// Returns the order in which calls of this priority start if it follows what their delay costs.
     ///
-    /// Nested calls come first: rejecting one also loses the work done for the running request that made it. Callers with a
-    /// weight take turns in proportion to it, and of the calls of one caller the one with the least spare time is next.
+    /// Nested calls come first: rejecting one also loses the work done for the running request that made it. Callers
+    /// with a weight take turns in proportion to it, and of the calls of one caller the one with the least spare time
+    /// is next.
     fn start_order(&self, call: &QueuedCall, pace: Pace) -> (bool, u64, Option<Instant>) {
         let is_new_request = call.origin == CallOrigin::Caller;
         let running = self.callers.get(&call.caller).map_or(0, |counts| counts.running);
--- a/lib/src/coordination/quota/client.rs
+++ b/lib/src/coordination/quota/client.rs
@@ -415,7 +415,8 @@
         );
     }
 
-    /// Decides the waiting requests of a tenant by the local share, or asks for tokens for them unless an ask is pending.
+    /// Decides the waiting requests of a tenant by the local share, or asks for tokens for them unless an ask is
+    /// pending.
     fn ask_if_due(
         &mut self,
         tenant: &Arc<str>,
@@ -452,7 +453,8 @@
         usable_server(servers, context.share_borrower, &self.skipped).map(Arc::clone)
     }
 
-    /// Asks unresponsive servers for no tokens once they were skipped for long enough; no request waits for the answers.
+    /// Asks unresponsive servers for no tokens once they were skipped for long enough; no request waits for the
+    /// answers.
     ///
     /// This needs no requests, so that also the first request after a cut goes to the preferred server.
     fn probe_skipped(&mut self, context: &ClientContext<'_>, now: BootTime, output: &mut ClientOutput) {
@@ -468,7 +470,8 @@
         }
     }
 
-    /// Probes the servers that are not known to be unresponsive, for a node that decides locally: they may have got parts.
+    /// Probes the servers that are not known to be unresponsive, for a node that decides locally: they may have got
+    /// parts.
     fn probe_others(
         &mut self,
         tenant: &Arc<str>,
--- a/lib/src/coordination/quota/mod.rs
+++ b/lib/src/coordination/quota/mod.rs
@@ -25,8 +25,8 @@
 
 /// Reading of a node's clock that continues while its VM is suspended.
 ///
-/// Its origin is at least [`SHARE_VALIDITY`] before the start of the VM, so that the time of any read that counts can be
-/// expressed.
+/// Its origin is at least [`SHARE_VALIDITY`] before the start of the VM, so that the time of any read that counts can
+/// be expressed.
 pub type BootTime = Duration;
 
 /// Number of parts into which the right to spend each limit is divided.
--- a/lib/src/coordination/quota/server.rs
+++ b/lib/src/coordination/quota/server.rs
@@ -153,8 +153,8 @@
 
     /// Answers an ask for no tokens, which does not make this node serve the group.
     ///
-    /// A group that each probed node began to serve would be divided among them, which leaves small tenants less than one
-    /// token at each.
+    /// A group that each probed node began to serve would be divided among them, which leaves small tenants less than
+    /// one token at each.
     fn answer_probe(&self, group: Group, sequence: u64, now: BootTime) -> wire::TokenAnswer {
         let served = self.groups.get(&group).filter(|served| served.parts(now) > 0);
         wire::TokenAnswer {
--- a/lib/src/state/metrics.rs
+++ b/lib/src/state/metrics.rs
@@ -76,7 +76,8 @@
     pub reroutes: Family<ReasonLabels, Counter>,
     /// Hedges: second attempts that started while the first was running, by event.
     pub hedges: Family<ReasonLabels, Counter>,
-    /// Hedges by outcome: which of the two attempts answered first, that a gate rejected the hedge, or that it was not sent.
+    /// Hedges by outcome: which of the two attempts answered first, that a gate rejected the hedge, or that it was not
+    /// sent.
     pub hedge_outcomes: Family<ReasonLabels, Counter>,
     /// Probes of the upstream's load or slowdown, by outcome.
     pub probes: Family<ReasonLabels, Counter>,
--- a/lib/src/transport/ingress_call.rs
+++ b/lib/src/transport/ingress_call.rs
@@ -112,7 +112,8 @@
         self.issued_key = issued_key;
     }
 
-    /// Returns the name of the tenant whose quota the call counts towards; none for a nested call, whose parent counted.
+    /// Returns the name of the tenant whose quota the call counts towards; none for a nested call, whose parent
+    /// counted.
     pub(super) fn quota_tenant(&self) -> Option<&Arc<str>> {
         self.tenant.as_ref().filter(|_| self.uses_quota).map(|tenant| &tenant.name)
     }
@@ -132,7 +133,8 @@
         }
     }
 
-    /// Applies the time left to the objective, counted from `started`, and the typical service time of the call's route.
+    /// Applies the time left to the objective, counted from `started`, and the typical service time of the call's
+    /// route.
     pub(super) fn apply_route(&mut self, objective: Duration, typical_time: &Arc<TypicalTime>) {
         self.objective = objective;
         self.objective_at = Some(self.started + objective);
--- a/lib/src/transport/quota_link.rs
+++ b/lib/src/transport/quota_link.rs
@@ -118,7 +118,8 @@
         Self { inner: Mutex::new(inner), dependencies, waiting_began: Notify::new() }
     }
 
-    /// Takes a token for a request of a tenant, or for a further attempt of one; waits until `give_up_at` at the latest.
+    /// Takes a token for a request of a tenant, or for a further attempt of one; waits until `give_up_at` at the
+    /// latest.
     ///
     /// A tenant without a limit needs no token.
     ///
--- a/lib/src/transport/zone_evacuator.rs
+++ b/lib/src/transport/zone_evacuator.rs
@@ -1,5 +1,5 @@
-//! Applies evacuations to a node: closes its gate while its zone is evacuated, and resets the slowness of upstreams when
-//! the evacuation of their zone ends.
+//! Applies evacuations to a node: closes its gate while its zone is evacuated, and resets the slowness of upstreams
+//! when the evacuation of their zone ends.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/lib/tests/shedding.rs
+++ b/lib/tests/shedding.rs
@@ -175,7 +175,10 @@
 
 /// Returns whether each call was finished within its objective.
 fn on_time(calls: &[Call], fates: &[Fate]) -> Vec<bool> {
-    let is_on_time = |(call, fate): (&Call, &Fate)| matches!(fate, Fate::Finished { at } if *at <= call.at + call.objective);
+    let is_on_time = |(call, fate): (&Call, &Fate)| match fate {
+        Fate::Finished { at } => *at <= call.at + call.objective,
+        Fate::Rejected => false,
+    };
     calls.iter().zip(fates).map(is_on_time).collect()
 }
 
