--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -26,7 +26,6 @@
     let result = match name.as_str() {
         "cold-rate" => cold_rate(&record),
         "slow-reader" => slow_reader(&record),
-        "slow-upload" => slow_upload(&record),
         "chunked-get" => chunked_get(&record),
         "control-path" => control_path(&record),
         other => {
@@ -224,89 +223,6 @@
     (id, answer, sent_at, Instant::now())
 }
 
-/// One upload of the case `slow-upload`, with times after the SIGTERM in seconds.
-struct Upload {
-    id: String,
-    sent_at_s: f64,
-    ended_at_s: f64,
-    answer: Answer,
-}
-
-/// LOST: a planned stop cuts requests that the node reads whole long after the SIGTERM and still passes on.
-fn slow_upload(record: &Record) -> i32 {
-    /// Bounds of the deployment.
-    const GRACE_S: f64 = 6.0;
-    const EXCUSED_UNTIL_S: f64 = 3.0;
-    const UPLOADS: usize = 4;
-    const UPLOAD_DEADLINE_MS: u32 = 6_000;
-    let work = Duration::from_millis(2_000);
-    let behaviour = move |worker: &Worker, request: &Received, stream: &mut TcpStream| {
-        if request.method == "POST" {
-            thread::sleep(work);
-        }
-        answer_soundly(worker, request, stream, b"done")
-    };
-    let Some(site) = Site::start(record, behaviour) else {
-        return NOT_RUN;
-    };
-    let stopped_at = Instant::now();
-    if with_trouble() {
-        site.first.signal("TERM");
-        record.note("SIGTERM to node-1");
-    }
-    let to = site.first.outbound;
-    let uploads = (0..UPLOADS).map(|number| {
-        thread::spawn(move || upload(to, format!("4f0000000000000{number}"), stopped_at, UPLOAD_DEADLINE_MS))
-    });
-    let uploads: Vec<_> = uploads.collect();
-    let uploads: Vec<Upload> = uploads.into_iter().filter_map(|upload| upload.join().ok().flatten()).collect();
-    if uploads.len() < UPLOADS {
-        record.note("not all uploads could be sent");
-        return NOT_RUN;
-    }
-    let mut lost = 0;
-    for upload in &uploads {
-        let runs = site.runs_of(&upload.id).len();
-        let has_answer = upload.answer.status != 0 && upload.answer.whole;
-        let is_lost = !has_answer
-            && runs > 0
-            && upload.sent_at_s > EXCUSED_UNTIL_S
-            && upload.ended_at_s < GRACE_S + 1.0;
-        lost += usize::from(is_lost);
-        record.note(format!(
-            "POST /order/{} last byte sent {:.2} s and ended {:.2} s after the SIGTERM; answer {}; runs {runs}; lost {is_lost}",
-            upload.id, upload.sent_at_s, upload.ended_at_s, upload.answer.status
-        ));
-    }
-    if with_trouble() || uploads.iter().all(|upload| upload.answer.status == 200) {
-        return if lost > 0 { BROKEN } else { HELD };
-    }
-    record.note("without the stop, not every upload was answered");
-    BROKEN
-}
-
-/// Sends a request whose body takes 3.2 s, from 0.4 s after `start` on.
-fn upload(to: SocketAddr, id: String, start: Instant, deadline_ms: u32) -> Option<Upload> {
-    const PARTS: usize = 8;
-    thread::sleep(Duration::from_millis(400));
-    let mut stream = TcpStream::connect(to).ok()?;
-    stream.set_nodelay(true).ok()?;
-    stream.set_read_timeout(Some(CLIENT_LIMIT)).ok()?;
-    let part = vec![b'p'; 500];
-    let head = format!(
-        "POST /order/{id} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n",
-        PARTS * part.len()
-    );
-    stream.write_all(head.as_bytes()).ok()?;
-    for _ in 0..PARTS {
-        thread::sleep(Duration::from_millis(400));
-        stream.write_all(&part).ok()?;
-    }
-    let sent_at_s = start.elapsed().as_secs_f64();
-    let answer = read_answer(&mut Reader::new(stream));
-    Some(Upload { id, sent_at_s, ended_at_s: start.elapsed().as_secs_f64(), answer })
-}
-
 /// UNASKED: a worker runs a request without its body, if the client sends the body of a GET in chunks.
 fn chunked_get(record: &Record) -> i32 {
     let Some(site) = Site::start(record, |worker, request, stream| {
