--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -169,7 +169,7 @@
         return NOT_RUN;
     };
     // The whole time of work; with the disruption, the worker leaves the body unread meanwhile.
-    let work = Duration::from_millis(4_600);
+    let work = Duration::from_millis(4_300);
     if with_trouble() {
         *site.worker_b.reads_on_after.lock().unwrap() = work;
     } else {
