--- /dev/null
+++ b/review/stand-in-2/cases.rs
@@ -0,0 +1,422 @@
+//! The cases of the second review that are shown by a script. `cases NAME` runs one and exits with its result.
+
+mod support;
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::os::fd::AsRawFd;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use support::*;
+
+/// Deadline of requests that need no special one, in milliseconds.
+const DEADLINE_MS: u32 = 2_000;
+/// Longest time that a case may take.
+const CASE_LIMIT: Duration = Duration::from_secs(100);
+/// Time after which a client gives up reading.
+const CLIENT_LIMIT: Duration = Duration::from_secs(9);
+
+fn main() {
+    let name = std::env::args().nth(1).unwrap_or_default();
+    end_after(CASE_LIMIT);
+    let record = Arc::new(Record::default());
+    let result = match name.as_str() {
+        "cold-rate" => cold_rate(&record),
+        "slow-upload" => slow_upload(&record),
+        "chunked-get" => chunked_get(&record),
+        "cut-answer" => cut_answer(&record),
+        "control-path" => control_path(&record),
+        "second-config" => second_config(&record),
+        other => {
+            record.note(format!("no case is named {other:?}"));
+            NOT_RUN
+        }
+    };
+    let words = match result {
+        HELD => "the rule held",
+        BROKEN => "the rule was broken",
+        _ => "the case could not run",
+    };
+    record.note(words);
+    record.save();
+    clean_up();
+    std::process::exit(result);
+}
+
+/// Two nodes in one zone, each with its worker; the clients of a case use the first node.
+struct Site {
+    store: Store,
+    first: Node,
+    _second: Node,
+    worker_a: Worker,
+    worker_b: Worker,
+}
+
+const RULES: [Rule; 4] = [
+    Rule { prefix: "/browse/", kind: "safe", service: "svc-a", timeout_s: 3.0, max_attempts: 2 },
+    Rule { prefix: "/lookup/", kind: "safe", service: "svc-b", timeout_s: 3.0, max_attempts: 2 },
+    Rule { prefix: "/order/", kind: "unsafe", service: "svc-b", timeout_s: 6.5, max_attempts: 2 },
+    Rule { prefix: "/", kind: "safe", service: "svc-b", timeout_s: 3.0, max_attempts: 2 },
+];
+
+impl Site {
+    /// Starts the site; `None` if it does not serve.
+    fn start<F>(record: &Record, behaviour: F) -> Option<Self>
+    where
+        F: Fn(&Worker, &Received, &mut TcpStream) -> bool + Clone + Send + Sync + 'static,
+    {
+        let (store, store_addr) = Store::start();
+        store.put("config", "main", &configuration(7, &RULES, &["svc-a", "svc-b"]));
+        let first = Node::start("node-1", "zone-a", "svc-a", store_addr);
+        let second = Node::start("node-2", "zone-a", "svc-b", store_addr);
+        let worker_a = Worker::start("i-a", "svc-a", behaviour.clone());
+        let worker_b = Worker::start("i-b", "svc-b", behaviour);
+        worker_a.keep_checking_in(first.control);
+        worker_b.keep_checking_in(second.control);
+        let is_served = wait_served(&first, "/browse/warm", 3) && wait_served(&first, "/lookup/warm", 3);
+        record.note(format!("two nodes serve: {is_served}"));
+        // The machines are in touch StableWindowS after their start.
+        thread::sleep(Duration::from_secs(4));
+        (is_served && first.is_ready()).then_some(Self { store, first, _second: second, worker_a, worker_b })
+    }
+
+    fn runs_of(&self, id: &str) -> Vec<(&'static str, Received)> {
+        let a = self.worker_a.runs_of(id).into_iter().map(|run| ("svc-a", run));
+        let b = self.worker_b.runs_of(id).into_iter().map(|run| ("svc-b", run));
+        a.chain(b).collect()
+    }
+}
+
+/// LOST: a valid configuration with a high `ColdPerS` ends the process of every node beside that service.
+fn cold_rate(record: &Record) -> i32 {
+    const REQUESTS: usize = 6;
+    /// Requests that a machine in touch may lose by the rule.
+    const ALLOWED_LOSSES: usize = 3;
+    const STARTS: usize = 3;
+    let behaviour = |worker: &Worker, request: &Received, stream: &mut TcpStream| {
+        if request.method == "POST" {
+            thread::sleep(Duration::from_millis(4_500));
+        }
+        answer_soundly(worker, request, stream, b"done")
+    };
+    let Some(mut site) = Site::start(record, behaviour) else {
+        return NOT_RUN;
+    };
+    let to = site.first.outbound;
+    let requests: Vec<_> = (0..REQUESTS)
+        .map(|number| thread::spawn(move || on_kept_connection(to, format!("3a0000000000000{number}"))))
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    let cold_per_s = if with_trouble() { "1000000000" } else { "13.0" };
+    let plain = configuration(8, &RULES, &["svc-a", "svc-b"]);
+    let next = plain.replace(
+        r#""Name":"svc-a","HealthPath""#,
+        &format!(r#""Name":"svc-a","ColdStartS":3.0,"ColdPerS":{cold_per_s},"HealthPath""#),
+    );
+    site.store.put("config", "main", &next);
+    record.note(format!("config/main 00000008 is written; ColdPerS of svc-a is {cold_per_s}"));
+    let mut lost = 0;
+    for request in requests {
+        let Some((id, answer)) = request.join().ok().flatten() else {
+            return NOT_RUN;
+        };
+        let runs = site.runs_of(&id).len();
+        let is_lost = runs > 0 && !(answer.status != 0 && answer.whole);
+        lost += usize::from(is_lost);
+        record.note(format!("POST /order/{id} on a kept connection; answer {}; runs {runs}; lost {is_lost}", answer.status));
+    }
+    let mut ends = usize::from(wait_until(Duration::from_secs(2), || site.first.has_ended()));
+    record.note(format!("the process of node-1 ended by itself: {}", ends > 0));
+    while ends > 0 && ends < STARTS {
+        site.first.kill();
+        site.first.run();
+        if !wait_until(Duration::from_secs(10), || site.first.has_ended()) {
+            break;
+        }
+        ends += 1;
+        record.note(format!("started again, it ended by itself again; {ends} ends"));
+    }
+    record.note(format!("last line of its log: {:?}", site.first.log().lines().rev().find(|line| line.contains("memory"))));
+    if lost > ALLOWED_LOSSES || ends >= STARTS { BROKEN } else { HELD }
+}
+
+/// Sends one request, and on the same connection one that is not idempotent.
+fn on_kept_connection(to: SocketAddr, id: String) -> Option<(String, Answer)> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(CLIENT_LIMIT)).ok()?;
+    let mut reader = Reader::new(stream.try_clone().ok()?);
+    stream.write_all(&get("/lookup/warm", &format!("{id}w"), DEADLINE_MS)).ok()?;
+    if read_answer(&mut reader).status != 200 {
+        return None;
+    }
+    let request = format!(
+        "POST /order/{id} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 6000\r\nContent-Length: 5\r\n\r\nquilt"
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    Some((id, read_answer(&mut reader)))
+}
+
+/// One upload of the case `slow-upload`, with times after the SIGTERM in seconds.
+struct Upload {
+    id: String,
+    sent_at_s: f64,
+    ended_at_s: f64,
+    answer: Answer,
+}
+
+/// LOST: a planned stop cuts requests that the node reads whole long after the SIGTERM and still passes on.
+fn slow_upload(record: &Record) -> i32 {
+    /// Bounds of the deployment.
+    const GRACE_S: f64 = 6.0;
+    const EXCUSED_UNTIL_S: f64 = 3.0;
+    const UPLOADS: usize = 4;
+    const UPLOAD_DEADLINE_MS: u32 = 6_000;
+    let work = Duration::from_millis(2_000);
+    let behaviour = move |worker: &Worker, request: &Received, stream: &mut TcpStream| {
+        if request.method == "POST" {
+            thread::sleep(work);
+        }
+        answer_soundly(worker, request, stream, b"done")
+    };
+    let Some(site) = Site::start(record, behaviour) else {
+        return NOT_RUN;
+    };
+    let stopped_at = Instant::now();
+    if with_trouble() {
+        site.first.signal("TERM");
+        record.note("SIGTERM to node-1");
+    }
+    let to = site.first.outbound;
+    let uploads = (0..UPLOADS).map(|number| {
+        thread::spawn(move || upload(to, format!("4f0000000000000{number}"), stopped_at, UPLOAD_DEADLINE_MS))
+    });
+    let uploads: Vec<_> = uploads.collect();
+    let uploads: Vec<Upload> = uploads.into_iter().filter_map(|upload| upload.join().ok().flatten()).collect();
+    if uploads.len() < UPLOADS {
+        record.note("not all uploads could be sent");
+        return NOT_RUN;
+    }
+    let mut lost = 0;
+    for upload in &uploads {
+        let runs = site.runs_of(&upload.id).len();
+        let has_answer = upload.answer.status != 0 && upload.answer.whole;
+        let is_lost = !has_answer
+            && runs > 0
+            && upload.sent_at_s > EXCUSED_UNTIL_S
+            && upload.ended_at_s < GRACE_S + 1.0;
+        lost += usize::from(is_lost);
+        record.note(format!(
+            "POST /order/{} last byte sent {:.2} s and ended {:.2} s after the SIGTERM; answer {}; runs {runs}; lost {is_lost}",
+            upload.id, upload.sent_at_s, upload.ended_at_s, upload.answer.status
+        ));
+    }
+    if with_trouble() || uploads.iter().all(|upload| upload.answer.status == 200) {
+        return if lost > 0 { BROKEN } else { HELD };
+    }
+    record.note("without the stop, not every upload was answered");
+    BROKEN
+}
+
+/// Sends a request whose body takes 3.2 s, from 0.4 s after `start` on.
+fn upload(to: SocketAddr, id: String, start: Instant, deadline_ms: u32) -> Option<Upload> {
+    const PARTS: usize = 8;
+    thread::sleep(Duration::from_millis(400));
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_nodelay(true).ok()?;
+    stream.set_read_timeout(Some(CLIENT_LIMIT)).ok()?;
+    let part = vec![b'p'; 500];
+    let head = format!(
+        "POST /order/{id} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n",
+        PARTS * part.len()
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    for _ in 0..PARTS {
+        thread::sleep(Duration::from_millis(400));
+        stream.write_all(&part).ok()?;
+    }
+    let sent_at_s = start.elapsed().as_secs_f64();
+    let answer = read_answer(&mut Reader::new(stream));
+    Some(Upload { id, sent_at_s, ended_at_s: start.elapsed().as_secs_f64(), answer })
+}
+
+/// UNASKED: a worker runs a request without its body, if the client sends the body of a GET in chunks.
+fn chunked_get(record: &Record) -> i32 {
+    let Some(site) = Site::start(record, |worker, request, stream| {
+        answer_soundly(worker, request, stream, format!("{} bytes", request.body.len()).as_bytes())
+    }) else {
+        return NOT_RUN;
+    };
+    let body = r#"{"colour":"indigo","size":"king"}"#;
+    let mut changed = 0;
+    for (number, path) in ["/browse/quilts", "/lookup/quilts", "/browse/cloth", "/lookup/cloth"].iter().enumerate() {
+        let id = format!("5c0000000000000{number}");
+        let framed = if with_trouble() {
+            format!("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len())
+        } else {
+            format!("Content-Length: {}\r\n\r\n{body}", body.len())
+        };
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\nContent-Type: application/json\r\n{framed}"
+        );
+        let answer = exchange(site.first.outbound, request.as_bytes(), CLIENT_LIMIT);
+        record.note(format!(
+            "sent GET {path} {id} with a body of {} bytes; answer {} {:?}",
+            body.len(),
+            answer.status,
+            String::from_utf8_lossy(&answer.body)
+        ));
+        for (service, run) in site.runs_of(&id) {
+            let is_changed = run.body != body.as_bytes();
+            changed += usize::from(is_changed);
+            record.note(format!(
+                "{service} ran {} {} {id} with a body of {} bytes; changed {is_changed}",
+                run.method,
+                run.target,
+                run.body.len()
+            ));
+        }
+    }
+    if changed > 0 { BROKEN } else { HELD }
+}
+
+unsafe extern "C" {
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+}
+
+/// Makes the close of a connection a reset.
+fn reset_at_close(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let linger = [1_i32, 0];
+    // SAFETY: the descriptor is open, and the option takes two integers.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
+}
+
+/// MIXED: an answer without a length that its worker resets on the way looks complete to the client.
+fn cut_answer(record: &Record) -> i32 {
+    const WHOLE: &str = "price=12000&currency=XOF";
+    const SENT_BEFORE_RESET: usize = 8;
+    const REQUESTS: usize = 300;
+    /// One answer in 50 is cut: the share that `fleetbench kinds` names for `garble`, 0.02.
+    const ANSWERS_PER_CUT: usize = 50;
+    let behaviour = |worker: &Worker, request: &Received, stream: &mut TcpStream| {
+        let id = request.field("Request-Id").unwrap_or_default();
+        let head = format!("HTTP/1.0 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp.{id}\r\n\r\n");
+        let is_cut = with_trouble()
+            && request.target.ends_with("/price")
+            && worker.runs.lock().unwrap().len() % ANSWERS_PER_CUT == 0;
+        let body = if is_cut { &WHOLE[..SENT_BEFORE_RESET] } else { WHOLE };
+        let _ = stream.write_all(format!("{head}{body}").as_bytes());
+        if is_cut {
+            // What was sent so far has arrived before the reset.
+            thread::sleep(Duration::from_millis(50));
+            reset_at_close(stream);
+        }
+        false
+    };
+    let Some(site) = Site::start(record, behaviour) else {
+        return NOT_RUN;
+    };
+    let (mut wrong, mut complete, mut incomplete) = (0, 0, 0);
+    for number in 0..REQUESTS {
+        let id = format!("6d0000000000{number:04}");
+        let answer = read_to_close(site.first.outbound, &get("/browse/price", &id, DEADLINE_MS));
+        let is_wrong = answer.status == 200 && answer.whole && answer.body != WHOLE.as_bytes();
+        wrong += usize::from(is_wrong);
+        complete += usize::from(answer.status == 200 && answer.whole);
+        incomplete += usize::from(answer.status != 200 || !answer.whole);
+        if is_wrong || answer.status != 200 || !answer.whole {
+            record.note(format!(
+                "sent GET /browse/price {id}; answer {} complete {} {:?}; fields {:?}; runs {}; wrong {is_wrong}",
+                answer.status,
+                answer.whole,
+                String::from_utf8_lossy(&answer.body),
+                answer.fields,
+                site.runs_of(&id).len()
+            ));
+        }
+    }
+    record.note(format!(
+        "{REQUESTS} requests: {complete} answers of 200 that look complete, {incomplete} others; {wrong} look complete and were cut"
+    ));
+    if wrong > 0 { BROKEN } else { HELD }
+}
+
+/// Sends a request and reads an answer, which ends with the connection if nothing else frames it.
+fn read_to_close(to: SocketAddr, request: &[u8]) -> Answer {
+    let Ok(mut stream) = TcpStream::connect(to) else { return Answer::default() };
+    let _ = stream.set_read_timeout(Some(CLIENT_LIMIT));
+    if stream.write_all(request).is_err() {
+        return Answer::default();
+    }
+    let mut reader = Reader::new(stream);
+    let Some((first, fields)) = reader.head() else { return Answer::default() };
+    let status = first.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let is_framed = ["content-length", "transfer-encoding"]
+        .iter()
+        .any(|name| fields.iter().any(|(key, _)| key.eq_ignore_ascii_case(name)));
+    let body = if is_framed { reader.body(&fields) } else { reader.rest() };
+    Answer { status, whole: body.is_some(), body: body.unwrap_or_default(), fields }
+}
+
+/// MIXED: a request whose path begins like a control message between nodes is answered by a node as a success.
+fn control_path(record: &Record) -> i32 {
+    let Some(site) = Site::start(record, |worker, request, stream| {
+        answer_soundly(worker, request, stream, b"pattern")
+    }) else {
+        return NOT_RUN;
+    };
+    let folder = if with_trouble() { "yuccatray.peer.v1.Peer" } else { "yuccatray.peer.v2.Peer" };
+    let mut wrong = 0;
+    for number in 0..4 {
+        let id = format!("7e0000000000000{number}");
+        let path = format!("/{folder}/pattern-{number}");
+        let answer = exchange(site.first.outbound, &get(&path, &id, DEADLINE_MS), CLIENT_LIMIT);
+        let is_stamped = answer.field("Server-Stamp").is_some();
+        let is_wrong = (200..300).contains(&answer.status) && (!is_stamped || answer.body != b"pattern");
+        wrong += usize::from(is_wrong);
+        record.note(format!(
+            "sent GET {path} {id}; answer {} {:?}; stamped {is_stamped}; fields {:?}; runs {}; wrong {is_wrong}",
+            answer.status,
+            String::from_utf8_lossy(&answer.body),
+            answer.fields,
+            site.runs_of(&id).len()
+        ));
+    }
+    if wrong > 0 { BROKEN } else { HELD }
+}
+
+/// ROUTE: nodes apply an object beside `config/main` as the configuration.
+fn second_config(record: &Record) -> i32 {
+    let Some(site) = Site::start(record, |worker, request, stream| {
+        answer_soundly(worker, request, stream, b"pattern")
+    }) else {
+        return NOT_RUN;
+    };
+    if with_trouble() {
+        let rules = [
+            Rule { prefix: "/browse/", kind: "safe", service: "svc-b", timeout_s: 3.0, max_attempts: 2 },
+            Rule { prefix: "/lookup/", kind: "safe", service: "svc-b", timeout_s: 3.0, max_attempts: 2 },
+        ];
+        site.store.put("config", "next", &configuration(9, &rules, &["svc-a", "svc-b"]));
+        record.note("another writer leaves config/next; config/main stays at version 00000007");
+    }
+    thread::sleep(Duration::from_secs(5));
+    let mut wrong = 0;
+    for number in 0..6 {
+        let id = format!("8f0000000000000{number}");
+        let answer = exchange(site.first.outbound, &get("/browse/quilts", &id, DEADLINE_MS), CLIENT_LIMIT);
+        let services: Vec<&str> = site.runs_of(&id).iter().map(|(service, _)| *service).collect();
+        let is_wrong = services.iter().any(|service| *service != "svc-a");
+        wrong += usize::from(is_wrong);
+        record.note(format!(
+            "sent GET /browse/quilts {id}; answer {}; run by {services:?}, config/main allows svc-a; wrong {is_wrong}",
+            answer.status
+        ));
+    }
+    if wrong > 0 { BROKEN } else { HELD }
+}
