--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -5,7 +5,6 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
-use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -26,11 +25,10 @@
     let record = Arc::new(Record::default());
     let result = match name.as_str() {
         "cold-rate" => cold_rate(&record),
+        "slow-reader" => slow_reader(&record),
         "slow-upload" => slow_upload(&record),
         "chunked-get" => chunked_get(&record),
-        "cut-answer" => cut_answer(&record),
         "control-path" => control_path(&record),
-        "second-config" => second_config(&record),
         other => {
             record.note(format!("no case is named {other:?}"));
             NOT_RUN
@@ -160,6 +158,72 @@
     Some((id, read_answer(&mut reader)))
 }
 
+/// LOST: a stopping node breaks off a request whose worker has not read its long body for three seconds.
+fn slow_reader(record: &Record) -> i32 {
+    const REQUESTS: usize = 4;
+    const BODY_BYTES: usize = 600_000;
+    /// The last sixth of GraceS, 6 s, in which a worker at work excuses the node.
+    const EXCUSED_FROM_S: f64 = 5.0;
+    let Some(site) = Site::start(record, |worker, request, stream| {
+        answer_soundly(worker, request, stream, b"done")
+    }) else {
+        return NOT_RUN;
+    };
+    // The whole time of work; with the disruption, the worker leaves the body unread meanwhile.
+    let work = Duration::from_millis(4_600);
+    if with_trouble() {
+        *site.worker_b.reads_on_after.lock().unwrap() = work;
+    } else {
+        *site.worker_b.works_after_body.lock().unwrap() = work;
+    }
+    let stopped_at = Instant::now();
+    site.first.signal("TERM");
+    record.note("SIGTERM to node-1");
+    let to = site.first.outbound;
+    thread::sleep(Duration::from_millis(200));
+    let requests: Vec<_> = (0..REQUESTS)
+        .map(|number| thread::spawn(move || post(to, format!("9b0000000000000{number}"), BODY_BYTES)))
+        .collect();
+    let (mut lost, mut answered) = (0, 0);
+    for request in requests {
+        let Ok((id, answer, sent_at, ended_at)) = request.join() else {
+            return NOT_RUN;
+        };
+        let runs = site.runs_of(&id).len();
+        let after = |at: Instant| at.saturating_duration_since(stopped_at).as_secs_f64();
+        let is_stamped = answer.whole && answer.field("Server-Stamp").is_some();
+        let is_lost = runs > 0 && !is_stamped && after(ended_at) < EXCUSED_FROM_S;
+        lost += usize::from(is_lost);
+        answered += usize::from(is_stamped);
+        record.note(format!(
+            "POST /order/{id} of {BODY_BYTES} bytes, last byte sent {:.2} s and ended {:.2} s after the SIGTERM; answer {} {:?}, stamped {is_stamped}; runs {runs}; lost {is_lost}",
+            after(sent_at),
+            after(ended_at),
+            answer.status,
+            String::from_utf8_lossy(&answer.body)
+        ));
+    }
+    record.note(format!("{answered} of {REQUESTS} got their worker's answer"));
+    if lost > 0 { BROKEN } else { HELD }
+}
+
+/// Posts a body over a new connection; returns when it was sent and when it ended as well.
+fn post(to: SocketAddr, id: String, bytes: usize) -> (String, Answer, Instant, Instant) {
+    let head = format!(
+        "POST /order/{id} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 6000\r\nContent-Length: {bytes}\r\n\r\n"
+    );
+    let Ok(mut stream) = TcpStream::connect(to) else {
+        return (id, Answer::default(), Instant::now(), Instant::now());
+    };
+    let _ = stream.set_read_timeout(Some(CLIENT_LIMIT));
+    let _ = stream.set_write_timeout(Some(CLIENT_LIMIT));
+    let _ = stream.write_all(head.as_bytes());
+    let _ = stream.write_all(&vec![b'u'; bytes]);
+    let sent_at = Instant::now();
+    let answer = read_answer(&mut Reader::new(stream));
+    (id, answer, sent_at, Instant::now())
+}
+
 /// One upload of the case `slow-upload`, with times after the SIGTERM in seconds.
 struct Upload {
     id: String,
@@ -283,86 +347,6 @@
     if changed > 0 { BROKEN } else { HELD }
 }
 
-unsafe extern "C" {
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-}
-
-/// Makes the close of a connection a reset.
-fn reset_at_close(stream: &TcpStream) {
-    const SOL_SOCKET: i32 = 1;
-    const SO_LINGER: i32 = 13;
-    let linger = [1_i32, 0];
-    // SAFETY: the descriptor is open, and the option takes two integers.
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
-}
-
-/// MIXED: an answer without a length that its worker resets on the way looks complete to the client.
-fn cut_answer(record: &Record) -> i32 {
-    const WHOLE: &str = "price=12000&currency=XOF";
-    const SENT_BEFORE_RESET: usize = 8;
-    const REQUESTS: usize = 300;
-    /// One answer in 50 is cut: the share that `fleetbench kinds` names for `garble`, 0.02.
-    const ANSWERS_PER_CUT: usize = 50;
-    let behaviour = |worker: &Worker, request: &Received, stream: &mut TcpStream| {
-        let id = request.field("Request-Id").unwrap_or_default();
-        let head = format!("HTTP/1.0 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp.{id}\r\n\r\n");
-        let is_cut = with_trouble()
-            && request.target.ends_with("/price")
-            && worker.runs.lock().unwrap().len() % ANSWERS_PER_CUT == 0;
-        let body = if is_cut { &WHOLE[..SENT_BEFORE_RESET] } else { WHOLE };
-        let _ = stream.write_all(format!("{head}{body}").as_bytes());
-        if is_cut {
-            // What was sent so far has arrived before the reset.
-            thread::sleep(Duration::from_millis(50));
-            reset_at_close(stream);
-        }
-        false
-    };
-    let Some(site) = Site::start(record, behaviour) else {
-        return NOT_RUN;
-    };
-    let (mut wrong, mut complete, mut incomplete) = (0, 0, 0);
-    for number in 0..REQUESTS {
-        let id = format!("6d0000000000{number:04}");
-        let answer = read_to_close(site.first.outbound, &get("/browse/price", &id, DEADLINE_MS));
-        let is_wrong = answer.status == 200 && answer.whole && answer.body != WHOLE.as_bytes();
-        wrong += usize::from(is_wrong);
-        complete += usize::from(answer.status == 200 && answer.whole);
-        incomplete += usize::from(answer.status != 200 || !answer.whole);
-        if is_wrong || answer.status != 200 || !answer.whole {
-            record.note(format!(
-                "sent GET /browse/price {id}; answer {} complete {} {:?}; fields {:?}; runs {}; wrong {is_wrong}",
-                answer.status,
-                answer.whole,
-                String::from_utf8_lossy(&answer.body),
-                answer.fields,
-                site.runs_of(&id).len()
-            ));
-        }
-    }
-    record.note(format!(
-        "{REQUESTS} requests: {complete} answers of 200 that look complete, {incomplete} others; {wrong} look complete and were cut"
-    ));
-    if wrong > 0 { BROKEN } else { HELD }
-}
-
-/// Sends a request and reads an answer, which ends with the connection if nothing else frames it.
-fn read_to_close(to: SocketAddr, request: &[u8]) -> Answer {
-    let Ok(mut stream) = TcpStream::connect(to) else { return Answer::default() };
-    let _ = stream.set_read_timeout(Some(CLIENT_LIMIT));
-    if stream.write_all(request).is_err() {
-        return Answer::default();
-    }
-    let mut reader = Reader::new(stream);
-    let Some((first, fields)) = reader.head() else { return Answer::default() };
-    let status = first.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
-    let is_framed = ["content-length", "transfer-encoding"]
-        .iter()
-        .any(|name| fields.iter().any(|(key, _)| key.eq_ignore_ascii_case(name)));
-    let body = if is_framed { reader.body(&fields) } else { reader.rest() };
-    Answer { status, whole: body.is_some(), body: body.unwrap_or_default(), fields }
-}
-
 /// MIXED: a request whose path begins like a control message between nodes is answered by a node as a success.
 fn control_path(record: &Record) -> i32 {
     let Some(site) = Site::start(record, |worker, request, stream| {
@@ -389,34 +373,3 @@
     }
     if wrong > 0 { BROKEN } else { HELD }
 }
-
-/// ROUTE: nodes apply an object beside `config/main` as the configuration.
-fn second_config(record: &Record) -> i32 {
-    let Some(site) = Site::start(record, |worker, request, stream| {
-        answer_soundly(worker, request, stream, b"pattern")
-    }) else {
-        return NOT_RUN;
-    };
-    if with_trouble() {
-        let rules = [
-            Rule { prefix: "/browse/", kind: "safe", service: "svc-b", timeout_s: 3.0, max_attempts: 2 },
-            Rule { prefix: "/lookup/", kind: "safe", service: "svc-b", timeout_s: 3.0, max_attempts: 2 },
-        ];
-        site.store.put("config", "next", &configuration(9, &rules, &["svc-a", "svc-b"]));
-        record.note("another writer leaves config/next; config/main stays at version 00000007");
-    }
-    thread::sleep(Duration::from_secs(5));
-    let mut wrong = 0;
-    for number in 0..6 {
-        let id = format!("8f0000000000000{number}");
-        let answer = exchange(site.first.outbound, &get("/browse/quilts", &id, DEADLINE_MS), CLIENT_LIMIT);
-        let services: Vec<&str> = site.runs_of(&id).iter().map(|(service, _)| *service).collect();
-        let is_wrong = services.iter().any(|service| *service != "svc-a");
-        wrong += usize::from(is_wrong);
-        record.note(format!(
-            "sent GET /browse/quilts {id}; answer {}; run by {services:?}, config/main allows svc-a; wrong {is_wrong}",
-            answer.status
-        ));
-    }
-    if wrong > 0 { BROKEN } else { HELD }
-}
--- a/review/stand-in-2/support.rs
+++ b/review/stand-in-2/support.rs
@@ -166,20 +166,19 @@
         }
     }
 
-    /// Reads until the connection ends; `None` if it is reset.
-    pub fn rest(&mut self) -> Option<Vec<u8>> {
-        let mut body: Vec<u8> = self.buffer.drain(..).collect();
-        self.stream.read_to_end(&mut body).ok()?;
-        Some(body)
+    /// Reads a request up to its body.
+    pub fn request_head(&mut self) -> Option<Received> {
+        let (first, fields) = self.head()?;
+        let mut words = first.split(' ');
+        let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
+        Some(Received { method, target, fields, body: Vec::new() })
     }
 
     /// Reads a whole request.
     pub fn request(&mut self) -> Option<Received> {
-        let (first, fields) = self.head()?;
-        let body = self.body(&fields)?;
-        let mut words = first.split(' ');
-        let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
-        Some(Received { method, target, fields, body })
+        let mut request = self.request_head()?;
+        request.body = self.body(&request.fields)?;
+        Some(request)
     }
 }
 
@@ -612,8 +611,15 @@
     pub runs: Arc<Mutex<Vec<Received>>>,
     /// Stops the check-ins when it is set.
     pub silent: Arc<Mutex<bool>>,
+    /// Time for which it works on a request before it reads its long body; zero if it reads bodies first.
+    pub reads_on_after: Arc<Mutex<Duration>>,
+    /// Time for which it works on a request with a long body after it has read the body.
+    pub works_after_body: Arc<Mutex<Duration>>,
 }
 
+/// Size from which a body is long.
+const LONG_BODY_BYTES: usize = 100_000;
+
 /// Returns whether the worker keeps the connection after its answer.
 pub type Behaviour = dyn Fn(&Worker, &Received, &mut TcpStream) -> bool + Send + Sync;
 
@@ -638,6 +644,8 @@
             born: unix_ms(),
             runs: Arc::default(),
             silent: Arc::default(),
+            reads_on_after: Arc::default(),
+            works_after_body: Arc::default(),
         };
         let served = worker.clone();
         serve_at(listener, move |stream| served.serve_connection(stream, &behaviour));
@@ -647,7 +655,25 @@
     fn serve_connection(&self, stream: TcpStream, behaviour: &Behaviour) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = Reader::new(stream);
-        while let Some(request) = reader.request() {
+        while let Some(mut request) = reader.request_head() {
+            if self.reads_late(&request) {
+                self.runs.lock().unwrap().push(request.clone());
+                let pause = *self.reads_on_after.lock().unwrap();
+                thread::sleep(pause);
+                if reader.body(&request.fields).is_none() {
+                    return;
+                }
+                if !answer_soundly(self, &request, &mut writer, b"done") {
+                    return;
+                }
+                continue;
+            }
+            let Some(body) = reader.body(&request.fields) else { return };
+            if body.len() >= LONG_BODY_BYTES {
+                let work = *self.works_after_body.lock().unwrap();
+                thread::sleep(work);
+            }
+            request.body = body;
             let is_kept = if request.target == "/health" {
                 let fields = format!("Instance-Id: {}\r\nServer-Load: 0,0,9,100\r\n", self.id);
                 respond(&mut writer, "200 OK", &fields, b"")
@@ -663,6 +689,12 @@
         }
     }
 
+    /// Returns whether the worker works on a request for a time before it reads its long body.
+    fn reads_late(&self, request: &Received) -> bool {
+        let size = request.field("Content-Length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        size >= LONG_BODY_BYTES && !self.reads_on_after.lock().unwrap().is_zero()
+    }
+
     /// Sends one check-in and returns whether it was acknowledged.
     pub fn check_in(&self, node: SocketAddr, sequence: u64, state: &str) -> bool {
         let body = format!(
