cold limit: memory follows the starts of a second, not the declared rate

Cause: a gate that begins to limit an upstream counts half of a second's calls as just started, and ColdLimit wrote each of them down, 16 bytes for every two calls of the rate: "memory allocation of bytes failed". The record of real starts grew up to the rate too, whatever their age.

Change: RecentStarts counts the assumed starts and forgets real ones that are older than the window. A delay looks back no further than that, so no call starts earlier or later than before.

--- a/lib/src/coordination/cold_limit.rs
+++ b/lib/src/coordination/cold_limit.rs
@@ -1,10 +1,11 @@
 //! Limits the rate at which calls start at an upstream that is cold, or may be.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::coordination::recent_starts::RecentStarts;
+
 /// Span in which the number of starts is limited.
 const WINDOW: Duration = Duration::from_secs(1);
 /// Shorter span in which a quarter of the starts is allowed, so that a cold upstream gets no burst of a whole second.
@@ -122,8 +123,8 @@
     last_probe: HealthProbe,
     /// Whether the last probe got no answer.
     probe_failed: bool,
-    /// Times of the latest starts, the oldest first.
-    recent_starts: VecDeque<Instant>,
+    /// The latest starts, of which any may still delay another one.
+    recent_starts: RecentStarts,
     /// Time at which the last call of those allowed without a further health response started.
     used_up_at: Instant,
     /// Time at which the upstream was last known to be warm, or the limit was declared.
@@ -145,7 +146,7 @@
             suspicions: 0,
             last_probe: HealthProbe { started: 0, suspicions: 0 },
             probe_failed: false,
-            recent_starts: VecDeque::new(),
+            recent_starts: RecentStarts::new(WINDOW, now),
             used_up_at: now,
             limited_since: now,
             limited_starts: 0,
@@ -161,7 +162,7 @@
         self.max_starts = max_starts_per_s.map(|rate| usize::try_from(rate).unwrap_or(usize::MAX).max(1));
         match self.max_starts {
             Some(max_starts) if !was_declared => {
-                self.recent_starts = std::iter::repeat_n(now, max_starts.div_ceil(2)).collect();
+                self.recent_starts.assume(max_starts.div_ceil(2), now);
                 self.state = ColdState::Warm;
                 self.suspect(ColdCause::Declared, now)
             }
@@ -279,10 +280,7 @@
         let Some(max_starts) = self.max_starts else {
             return;
         };
-        while self.recent_starts.len() >= max_starts {
-            self.recent_starts.pop_front();
-        }
-        self.recent_starts.push_back(now);
+        self.recent_starts.record(max_starts, now);
         self.started += 1;
         if self.state != ColdState::Warm {
             self.limited_starts += 1;
@@ -332,7 +330,7 @@
             index.checked_sub(windows * max_starts).and_then(|index| self.recent_starts.get(index));
         let windows = u32::try_from(windows).unwrap_or(u32::MAX);
         let further = window.saturating_mul(windows);
-        started_at.map_or(further, |at| (*at + window).saturating_duration_since(now).saturating_add(further))
+        started_at.map_or(further, |at| (at + window).saturating_duration_since(now).saturating_add(further))
     }
 
     /// Returns whether the time for which the upstream said that it stays cold has not passed.
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -32,6 +32,7 @@
 pub mod publication;
 pub mod publication_planner;
 pub mod quota;
+pub mod recent_starts;
 mod rejoin;
 pub mod reroute_budget;
 pub mod retry_budget;
--- a/lib/tests/cold_limit.rs
+++ b/lib/tests/cold_limit.rs
@@ -177,6 +177,36 @@
     }
 }
 
+// Guards against memory for as many starts as a declared rate allows, which no process has.
+#[test]
+fn rate_beyond_reach_limits_nothing() {
+    let mut unlimited = Simulation::new(None, cold_while_busy);
+    unlimited.run(6_000, HEAVY_LOAD);
+    for rate in [1_000_000_000, u32::MAX] {
+        let mut simulation = Simulation::new(Some(rate), cold_while_busy);
+        simulation.run(6_000, HEAVY_LOAD);
+        let started = simulation.starts_since(1_000);
+        assert_eq!(started, unlimited.starts_since(1_000), "at a rate of {rate}");
+    }
+}
+
+// Guards against a new rate that forgets the starts of the last second, or remembers more of them than it allows.
+#[test]
+fn changed_rate_applies_to_earlier_starts() {
+    let mut simulation = Simulation::new(Some(u32::MAX), |_| 60_000);
+    simulation.run(3_000, HEAVY_LOAD);
+    assert!(simulation.starts_since(2_000) > 100, "the first rate limits nothing");
+    let now = simulation.now();
+    simulation.limit.set_max_starts(Some(13), now);
+    simulation.run(4_000, HEAVY_LOAD);
+    let first_ms = simulation.starts_ms.iter().copied().find(|at_ms| *at_ms >= 3_000);
+    assert!(first_ms.is_some_and(|at_ms| at_ms >= 3_900), "{first_ms:?}");
+    simulation.run(9_000, HEAVY_LOAD);
+    let after: Vec<u64> = simulation.starts_ms.iter().copied().filter(|at_ms| *at_ms >= 3_000).collect();
+    assert!(most_in_window(&after) <= 13);
+    assert!(after.len() >= 5 * 13, "{} starts in 6 s", after.len());
+}
+
 #[test]
 fn unanswered_probes_leave_the_cold_rate() {
     for rate in COLD_RATES {
