peer server: a call is told from a control message by its identity, not its path

By the same way a caller reached the control messages between nodes, which tell the configuration with its keys and take members and configurations.

Cause: PeerHandler sent whatever had the path of the control service there, and the path of a call is its caller's.

Change: only a request without the identity of a call can be a control message. The ingress sets that field on every attempt, over whatever the caller sent, and no control message has it; so nodes of both versions work together, but for such paths from a new node to an old one.

--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -40,7 +40,7 @@
 use crate::transport::gossip::Gossip;
 use crate::transport::http_server::Handler;
 
-/// Path prefix of the gRPC control service; requests with any other path are gate calls.
+/// Path prefix of the gRPC control service.
 const CONTROL_PREFIX: &str = "/yuccatray.peer.v1.Peer/";
 
 /// Body of a response to a peer: a control message, an upstream's response, or an error.
@@ -169,7 +169,7 @@
     type Body = PeerBody;
 
     async fn handle(&self, request: Request<Incoming>, _remote: SocketAddr) -> Response<PeerBody> {
-        if !request.uri().path().starts_with(CONTROL_PREFIX) {
+        if !is_control_message(&request) {
             return self.serve_gate_call(request).await;
         }
         match self.control.clone().call(request).await {
@@ -179,6 +179,13 @@
     }
 }
 
+/// Returns whether a request is a control message and not a call.
+///
+/// An ingress sets the identity of every call, so the path does not decide: that of a call is its caller's choice.
+fn is_control_message<B>(request: &Request<B>) -> bool {
+    !request.headers().contains_key(headers::CALL) && request.uri().path().starts_with(CONTROL_PREFIX)
+}
+
 /// Implementation of the generated gRPC control service.
 #[derive(Clone, Debug)]
 struct Control {
--- a/lib/tests/http_forms.rs
+++ b/lib/tests/http_forms.rs
@@ -287,3 +287,23 @@
     assert_eq!(split_answer(&answer).0, "200");
     assert!(answer.contains(&large_value));
 }
+
+// Guards against calls that a node takes for control messages of another node because of their path.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn call_with_the_path_of_a_control_message_answered_by_upstream() {
+    let (upstream, nodes) = start_nodes(PLAIN_ANSWER).await;
+    for ingress in [nodes.ingress(), nodes.gate_node.addrs().ingress] {
+        let before = upstream.requests().len();
+        let request = format!(
+            "POST /yuccatray.peer.v1.Peer/Exchange HTTP/1.1\r\n{REQUEST_HEADERS}content-type: application/grpc\r\n\
+             content-length: 5\r\n\r\n\0\0\0\0\0"
+        );
+        let answer = raw_exchange(ingress, request.as_bytes()).await;
+        let (status, _head, body) = split_answer(&answer);
+        assert_eq!((status, body), ("200", "quilt"), "{answer}");
+        assert_eq!(upstream.requests().len(), before + 1);
+        assert!(
+            upstream.requests()[before].starts_with("POST /yuccatray.peer.v1.Peer/Exchange HTTP/1.1\r\n")
+        );
+    }
+}
