ingress: only what a gate sent is the answer of an upstream

Cause: send_via_peer_gate took every final status without a known error kind for that of the upstream.

Change: a gate adds its load to the answer of an upstream and names the kind of an error, in this version and in those before; anything else ends the call with 502 and an unknown outcome, and is logged with peer and status. A kind that is not known is taken by what the answer says of the execution.

Evidence: call_answered_by_peer_without_its_gate_has_unknown_outcome and call_answered_by_gate_with_unknown_error_kind_has_stated_outcome failed before ("the gate sent an error: 503") and pass. call_answered_by_peer_with_final_status_is_answered asserted that 200, 404 and 599 of a peer without any field of a gate are passed on, which is the fault; call_answered_by_gate_with_final_status_is_answered asserts the same three statuses with the field that every gate sends, and the first of the new tests what was asserted wrongly.

--- a/lib/src/transport/call_resolution.rs
+++ b/lib/src/transport/call_resolution.rs
@@ -13,6 +13,7 @@
 
 use bytes::Buf;
 use bytes::Bytes;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -163,9 +164,19 @@
             .unwrap_or_else(|_elapsed| Err(connection_lost()))
     }
 
-    /// Returns the response, or the error answer for one that is not final or describes an error.
+    /// Returns the response, or the error answer for one that is not final, describes an error or is not the gate's.
     fn read_response(&self, response: Response<CallBody>) -> Result<Response<CallBody>> {
         let status = response.status();
+        if is_final_status(status) && !is_from_gate(response.headers()) {
+            log_event_limited!(
+                Warn,
+                "peer answered a call without its gate",
+                call = &self.id,
+                peer = self.addr,
+                status = status.as_u16(),
+            );
+            return Err(no_gate_response(status));
+        }
         if is_final_status(status) {
             return response_or_error(response);
         }
@@ -374,10 +385,25 @@
     ErrorAnswer::new(ErrorKind::OutcomeUnknown, format!("an earlier attempt may have run: {}", last.message))
 }
 
+/// Returns whether a gate made the answer: it adds its load to that of an upstream, and the kind to an error.
+///
+/// Other parts of a node, such as its HTTP library, answer without either.
+fn is_from_gate(fields: &HeaderMap) -> bool {
+    fields.contains_key(headers::LOAD) || fields.contains_key(headers::ERROR)
+}
+
+/// Returns the kind that an error of a gate names; one that only later versions know is taken by what it proves.
+fn error_kind(name: &HeaderValue, execution: Option<&HeaderValue>) -> ErrorKind {
+    let is_not_executed =
+        execution.is_some_and(|value| value.as_bytes() == Execution::NotExecuted.name().as_bytes());
+    let substitute = if is_not_executed { ErrorKind::NoUpstream } else { ErrorKind::OutcomeUnknown };
+    name.to_str().ok().and_then(ErrorKind::from_name).unwrap_or(substitute)
+}
+
 /// Returns the response, or the error answer that its headers describe.
 fn response_or_error(response: Response<CallBody>) -> Result<Response<CallBody>> {
-    let kind = response.headers().get(headers::ERROR).and_then(|value| value.to_str().ok());
-    let Some(kind) = kind.and_then(ErrorKind::from_name) else {
+    let execution = response.headers().get(headers::EXECUTION);
+    let Some(kind) = response.headers().get(headers::ERROR).map(|name| error_kind(name, execution)) else {
         return Ok(response);
     };
     let after_ms = response.headers().get(headers::RETRY_AFTER_MS);
@@ -385,7 +411,6 @@
     let mut answer = ErrorAnswer::new(kind, "the upstream's gate refused or lost the call");
     let load = response.headers().get(headers::LOAD).and_then(|value| value.to_str().ok());
     answer.load = load.and_then(|text| text.parse().ok());
-    let execution = response.headers().get(headers::EXECUTION);
     if execution.is_some_and(|value| value.as_bytes() != Execution::NotExecuted.name().as_bytes()) {
         answer = answer.with_unknown_outcome();
     }
@@ -401,6 +426,12 @@
     ErrorAnswer::new(ErrorKind::OutcomeUnknown, message)
 }
 
+/// Returns the error answer for a call to which another node responded without passing it to its gate.
+fn no_gate_response(status: StatusCode) -> ErrorAnswer {
+    let message = format!("a node answered with status {} in place of its gate", status.as_u16());
+    ErrorAnswer::new(ErrorKind::OutcomeUnknown, message)
+}
+
 /// Returns the error answer for a call whose connection failed and whose outcome is unknown.
 fn connection_lost() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the connection failed while the call was under way")
--- a/lib/tests/final_statuses.rs
+++ b/lib/tests/final_statuses.rs
@@ -31,6 +31,8 @@
 
 /// Statuses that are not final; some of them are not valid HTTP.
 const PEER_STATUSES: [&str; 10] = ["000", "0", "020", "099", "101", "199", "600", "700", "999", "OK"];
+/// Field on every answer of an upstream that a gate passes on.
+const GATE_LOAD: (&str, &str) = ("yuccatray-load", "0,0");
 /// Time to the deadline of a call; calls without an answer end then.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 const STORE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -80,14 +82,46 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn call_answered_by_peer_with_final_status_is_answered() {
+async fn call_answered_by_gate_with_final_status_is_answered() {
     for status in ["200", "404", "599"] {
-        let peer = RawPeer::start(status, &[]).await;
+        let peer = RawPeer::start(status, &[GATE_LOAD]).await;
         let (result, _) = call_peer(peer.addr, false).await;
         assert_eq!(result.expect(status).as_str(), status);
     }
 }
 
+// Guards against an answer of a node's control service or HTTP library that counts as that of an upstream.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_answered_by_peer_without_its_gate_has_unknown_outcome() {
+    for status in ["200", "404", "431", "599"] {
+        for idempotent in [true, false] {
+            let peer = RawPeer::start(status, &[("content-type", "application/grpc")]).await;
+            let (result, _) = call_peer(peer.addr, idempotent).await;
+            let answer = result.expect_err(status);
+            assert_eq!(answer.execution, Execution::OutcomeUnknown, "{status}: {answer:?}");
+        }
+    }
+}
+
+// Guards against an error of a node of a newer version that counts as the answer of an upstream.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_answered_by_gate_with_unknown_error_kind_has_stated_outcome() {
+    let cases = [
+        (Some("not_executed"), Execution::NotExecuted),
+        (Some("outcome_unknown"), Execution::OutcomeUnknown),
+        (None, Execution::OutcomeUnknown),
+    ];
+    for (stated, expected) in cases {
+        let execution = stated.map(|stated| ("yuccatray-execution", stated));
+        let fields: Vec<_> =
+            [("yuccatray-error", "of_a_later_version")].into_iter().chain(execution).collect();
+        let peer = RawPeer::start("503", &fields).await;
+        let (result, _) = call_peer(peer.addr, false).await;
+        let answer = result.expect_err("the gate sent an error");
+        assert_eq!(answer.execution, expected, "{answer:?}");
+    }
+}
+
 /// Asks the gate what became of a call, and returns what it says of its execution.
 async fn resolve(nodes: &TwoNodes, call: &str) -> String {
     let channel = CallChannels::default().get(nodes.gate_node.addrs().peer);
