ingress: a caller cannot remove the service that its node names

Callers saw nothing: a worker ran a request with "Connection: caller-service" without Caller-Service (UNASKED), with any configuration without tenants.

Cause: the ingress set the field, and removed the fields that the caller had named as those of its connection later, when it prepared the request. For the tenant this was known and handled, for the service not.

Change: the fields of the caller's connection go first, before any field is set. The same step in the authentication is no longer needed.

--- a/lib/src/transport/caller_authentication.rs
+++ b/lib/src/transport/caller_authentication.rs
@@ -17,7 +17,6 @@
 use crate::coordination::authentication::authenticate;
 use crate::log_event_limited;
 use crate::protocol::external_fields::CallerFields;
-use crate::protocol::headers;
 use crate::state::config_table::ConfigTable;
 use crate::state::metrics::SharedMetrics;
 use crate::state::route_table::Route;
@@ -85,13 +84,13 @@
 
     /// Sets the fields towards the upstream: no credentials, and no tenant but that of an authenticated request.
     ///
+    /// The fields of the caller's connection have been removed before.
+    ///
     /// Where requests need no key, the fields of the caller stay as they are.
     pub(super) fn set_fields(&self, caller: &CallerIdentity, fields: &mut HeaderMap) {
         if caller.source == IdentitySource::NotRequired {
             return;
         }
-        // A caller may name any field as one of its connection, which would remove the tenant later.
-        headers::strip_hop_by_hop(fields);
         self.remove_announced_trailers(fields);
         fields.remove(&self.fields.credentials);
         fields.remove(&self.fields.tenant);
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -28,6 +28,7 @@
 use crate::protocol::call_head::CallOrigin;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::external_fields::CallerFields;
+use crate::protocol::headers;
 use crate::protocol::published::Published;
 use crate::protocol::published::PublishedConfig;
 use crate::state::route_table::Route;
@@ -293,7 +294,11 @@
     }
 
     /// Removes the fields that only nodes may send, and sets the caller's service, which only a node may set.
+    ///
+    /// The fields of the caller's connection go first: a caller may name any field as one of them, and one that a node
+    /// has set by then would be removed.
     fn set_node_fields(&self, fields: &mut HeaderMap) {
+        headers::strip_hop_by_hop(fields);
         strip_node_fields(fields);
         fields.remove(&self.caller_fields.caller_service);
         if let Some(service) = &self.own_service {
