peer server: an idempotency key counts only for the call that it was issued for

Cause: a gate took any idempotency key with the prefix of issued keys, also an unreadable one, for the word of the ingress that the call may come again under its identity. Callers of the platform may send any text in that field, which is not theirs to decide there.

Change: the key has to name this gate and this call, as it does on every call that an ingress sends for an issued key.

Evidence: call_shares_its_answer_only_with_the_issued_key_of_its_identity failed before (a second call with a key for another call shared the answer in place of duplicate_call) and passes. What a caller could do with it was not shown: no ingress sends a call twice under one identity.

--- a/lib/src/protocol/issued_key.rs
+++ b/lib/src/protocol/issued_key.rs
@@ -72,10 +72,13 @@
         })
     }
 
-    /// Returns whether a request carries an issued key, valid or not.
+    /// Returns whether a request carries the key that was issued for this call at this gate.
+    ///
+    /// A key for another call proves nothing of this one: callers may send any text as a key.
     #[must_use]
-    pub fn is_present_in(fields: &HeaderMap) -> bool {
-        idempotency_key(fields).is_some_and(|text| text.starts_with(PREFIX))
+    pub fn is_issued_for(fields: &HeaderMap, gate: &MemberId, call: &CallId) -> bool {
+        let key = Self::from_request(fields).ok().flatten();
+        key.is_some_and(|key| key.gate == *gate && key.call == *call)
     }
 }
 
--- a/lib/src/transport/peer_server.rs
+++ b/lib/src/transport/peer_server.rs
@@ -123,6 +123,7 @@
         let timeout_ms = parse_required(fields, &headers::TIMEOUT_MS)?;
         let caller = field_text(fields, &headers::CALLER).unwrap_or_default();
         Ok(GateCall {
+            has_issued_key: IssuedKey::is_issued_for(fields, &gate, &id),
             id,
             service: Arc::from(field_text(fields, &headers::SERVICE).unwrap_or_default()),
             priority: self.priority_rank(fields),
@@ -138,7 +139,6 @@
             typical_time: parse_optional(fields, &headers::TYPICAL_TIME_MS).map(Duration::from_millis),
             origin: call_origin(fields),
             idempotent: parse_required(fields, &headers::IDEMPOTENT)?,
-            has_issued_key: IssuedKey::is_present_in(fields),
             max_gate_latency: parse_optional(fields, &headers::MAX_GATE_LATENCY_US)
                 .map(Duration::from_micros),
         })
--- a/lib/tests/gate_identity.rs
+++ b/lib/tests/gate_identity.rs
@@ -24,6 +24,7 @@
 use yuccatray::transport::gate::GateCall;
 use yuccatray::transport::gate::caller_key;
 use yuccatray::transport::peer_channel::CallChannels;
+use yuccatray_testutils::fleet::SERVICE;
 use yuccatray_testutils::fleet::TestFleet;
 
 const RULE: PriorityRule = PriorityRule {
@@ -65,6 +66,44 @@
     assert_eq!(execution, Execution::OutcomeUnknown.name());
 }
 
+/// Sends a call that may run once to the gate, with an idempotency key, and returns the error kind of the answer.
+async fn call_at_gate(fleet: &TestFleet, call: &str, key: &str) -> Option<String> {
+    let gate = &fleet.members[1].node;
+    let channel = CallChannels::new(Arc::default()).get(gate.addrs().peer);
+    let request = Request::builder()
+        .method("POST")
+        .uri(channel.absolute(&Uri::from_static("/")))
+        .header(headers::CALL, call)
+        .header(headers::GATE, gate.member_id().to_string())
+        .header(headers::SERVICE, SERVICE)
+        .header(headers::TIMEOUT_MS, "2000")
+        .header(headers::IDEMPOTENT, "false")
+        .header(headers::IDEMPOTENCY_KEY, key)
+        .body(CallBody::from(Bytes::new()))
+        .expect("a valid request");
+    let response = channel.send(request).await.expect("the gate answers");
+    let kind = response.headers().get(headers::ERROR);
+    kind.map(|kind| kind.to_str().expect("the header field is text").to_owned())
+}
+
+// Guards against a caller's key that makes a gate treat any call as one that its caller may send again.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_shares_its_answer_only_with_the_issued_key_of_its_identity() {
+    let fleet = TestFleet::start(1).await;
+    let gate = fleet.members[1].node.member_id();
+    let key = |call: &str| format!("yuccatray-1.{}.{:x}.{call}", gate.name, gate.incarnation);
+    let cases = [
+        ("vm-9.1.1", key("vm-9.1.1"), None),
+        ("vm-9.1.2", key("vm-9.1.77"), Some("duplicate_call")),
+        ("vm-9.1.3", "yuccatray-1.vm-1".to_owned(), Some("duplicate_call")),
+        ("vm-9.1.4", format!("yuccatray-1.vm-7.1.{}", "vm-9.1.4"), Some("duplicate_call")),
+    ];
+    for (call, key, expected) in cases {
+        assert_eq!(call_at_gate(&fleet, call, &key).await, None, "{key}");
+        assert_eq!(call_at_gate(&fleet, call, &key).await.as_deref(), expected, "{key}");
+    }
+}
+
 #[test]
 fn member_id_display_parses_back() {
     let id = MemberId { name: Arc::from("vm-1.b"), incarnation: 0x1f };
