ingress: a deadline beyond 64 bits is served

Cause: the text was parsed as 64 bits, and what did not fit was malformed.

Change: such a number counts as the largest time, which the timeout of the route limits.

Evidence: deadline_of_any_length_served failed before with 400 for a number of 26 digits and passes; 2^64 - 1 was served before, too.

--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -2,6 +2,7 @@
 
 use std::marker::PhantomData;
 use std::net::SocketAddr;
+use std::num::IntErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -396,7 +397,7 @@
     let Some(value) = fields.get(name) else {
         return Ok(None);
     };
-    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+    let millis = value.to_str().ok().and_then(whole_millis);
     let millis = millis.ok_or_else(|| {
         let message = format!("the field {name} is no whole number of milliseconds");
         ErrorAnswer::new(ErrorKind::MalformedRequest, message)
@@ -404,6 +405,14 @@
     Ok(Some(Duration::from_millis(millis)))
 }
 
+/// Parses a whole number of milliseconds; one that is too large for the type is as good as the largest.
+fn whole_millis(text: &str) -> Option<u64> {
+    match text.parse::<u64>() {
+        Ok(millis) => Some(millis),
+        Err(error) => (*error.kind() == IntErrorKind::PosOverflow).then_some(u64::MAX),
+    }
+}
+
 /// Returns the timeout of a request: that of its caller, limited by that of its route.
 fn request_timeout(caller_timeout: Option<Duration>, route: &Route) -> Result<Duration> {
     let route_limit = route.spec.timeout_ms.map(Duration::from_millis);
