ingress: limits of the configuration that allow more than the settings apply

Callers saw: 431 for a header section beyond 64 KiB under a configuration with a larger MaxHeaderBytes (DENIED), and connections that the node closed after the header_timeout_ms of its settings although IdleTimeoutS let clients use them for longer.

Cause: a server took its limits from the settings once, when it started; the limits of the configuration, but for that of bodies, were read and never used.

Change: a handler may widen the limits of each new connection. The ingress of the platform does so by the configuration in force, never below the settings, and validates requests by the same size; nodes accept from each other what an ingress let in. Nothing changes where the configuration stays within the settings.

A connection that was open before the change of the configuration keeps its limits.

--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -67,6 +67,9 @@
 /// Time for the announcement that the node is leaving to spread before the server for callers stops.
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
 
+/// Maximum size of a header section from another node, in bytes: the ingress of that node has limited it.
+const MAX_PEER_HEADER_BYTES: u32 = u32::MAX;
+
 /// Maximum time for which the end of a stop waits until the connections that it cut are closed.
 const CUT_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -234,7 +237,11 @@
         let admin_handler = core.admin_handler(handlers.callers.clone());
         let caller_server =
             spawn_server(call_runtime, listeners.ingress, limits, handlers.callers, callers_stop);
-        let peer_limits = ServerLimits { max_connections: usize::from(u16::MAX), ..limits };
+        let peer_limits = ServerLimits {
+            max_connections: usize::from(u16::MAX),
+            max_header_bytes: MAX_PEER_HEADER_BYTES,
+            ..limits
+        };
         let peer_server = call_runtime.spawn(serve_peers(
             listeners.peer,
             peer_limits,
--- a/lib/src/transport/explainer.rs
+++ b/lib/src/transport/explainer.rs
@@ -42,6 +42,7 @@
 use crate::transport::ingress::Result;
 use crate::transport::ingress::no_upstream_error;
 use crate::transport::ingress::service_config;
+use crate::transport::ingress::validate_request;
 
 /// Explains the decisions of an ingress.
 pub trait Explainer: Clone + Send + Sync + 'static {
@@ -155,7 +156,7 @@
         let revision = published.as_ref().map_or(0, |published| published.revision);
         let state = ConfigState { revision, ..ConfigState::default() };
         let mut builder = ExplanationBuilder::new(&ingress.dependencies.local_member, state);
-        builder.check(ingress.validate_request(&request));
+        builder.check(validate_request(&request, ingress.dependencies.max_header_bytes));
         let Some(config) = builder.check(service_config(published.as_deref(), &service)) else {
             return Ok(builder.explanation);
         };
--- a/lib/src/transport/http_server.rs
+++ b/lib/src/transport/http_server.rs
@@ -69,6 +69,11 @@
         request: Request<Incoming>,
         remote: SocketAddr,
     ) -> impl Future<Output = Response<Self::Body>> + Send;
+
+    /// Returns the limits of a connection that opens now, given those of its server.
+    fn connection_limits(&self, limits: ServerLimits) -> ServerLimits {
+        limits
+    }
 }
 
 /// Limits on connections and requests.
@@ -78,7 +83,7 @@
     pub max_connections: usize,
     /// Largest header section that handlers accept, in bytes; hyper rejects only much larger ones.
     pub max_header_bytes: u32,
-    /// Time limit for receiving the header section of an HTTP/1 request.
+    /// Time limit for receiving the header section of an HTTP/1 request, the idle time before it included.
     pub header_timeout: Duration,
     /// Time limit for requests in flight after the server was asked to stop.
     pub shutdown_timeout: Duration,
@@ -159,7 +164,7 @@
     // Connections hold a sender each; the receiver ends once all have been dropped.
     let (open_connection, mut open_connections) = mpsc::channel::<Infallible>(1);
     let permits = Arc::new(Semaphore::new(limits.max_connections));
-    let acceptor = Acceptor { builder: connection_builder(limits), limits, policy, stop: stop.clone() };
+    let acceptor = Acceptor { limits, policy, stop: stop.clone() };
     loop {
         let accepted = tokio::select! {
             biased;
@@ -222,16 +227,17 @@
 }
 
 fn connection_builder(limits: ServerLimits) -> auto::Builder<TokioExecutor> {
+    let read_bytes = limits.max_header_bytes.saturating_add(HEADER_MARGIN_BYTES);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
-        .max_buf_size((limits.max_header_bytes + HEADER_MARGIN_BYTES) as usize);
+        .max_buf_size(read_bytes as usize);
     builder
         .http2()
         .timer(TokioTimer::new())
-        .max_header_list_size(limits.max_header_bytes + HEADER_MARGIN_BYTES)
+        .max_header_list_size(read_bytes)
         .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT);
@@ -241,7 +247,6 @@
 /// How a server treats each new connection.
 #[derive(Clone)]
 struct Acceptor {
-    builder: auto::Builder<TokioExecutor>,
     limits: ServerLimits,
     policy: ClientPolicy,
     stop: ServerStop,
@@ -253,7 +258,8 @@
     where
         H: Handler,
     {
-        let Some(builder) = self.builder_for(&stream, remote).await else {
+        let limits = handler.connection_limits(self.limits);
+        let Some(builder) = self.builder_for(&stream, remote, limits).await else {
             return;
         };
         match tokio::time::timeout(HANDSHAKE_TIMEOUT, self.policy.authenticate(stream)).await {
@@ -271,8 +277,9 @@
         &self,
         stream: &TcpStream,
         remote: SocketAddr,
+        limits: ServerLimits,
     ) -> Option<auto::Builder<TokioExecutor>> {
-        let builder = self.builder.clone();
+        let builder = connection_builder(limits);
         if matches!(self.policy, ClientPolicy::Nodes(_)) {
             return Some(builder);
         }
@@ -281,7 +288,7 @@
             tokio::time::sleep(FIRST_REQUEST_GRACE).await;
         };
         let version = tokio::select! {
-            version = client_version(stream, self.limits.header_timeout) => version,
+            version = client_version(stream, limits.header_timeout) => version,
             () = no_request_before_stop => return None,
         };
         match version {
--- a/lib/src/transport/ingress.rs
+++ b/lib/src/transport/ingress.rs
@@ -212,7 +212,7 @@
     ) -> Result<CallResponse> {
         let may_have_duplicates = issued_key.is_some();
         let rejection = |answer| mark_possibly_executed(answer, may_have_duplicates);
-        self.validate_request(&request).map_err(rejection)?;
+        validate_request(&request, self.dependencies.max_header_bytes).map_err(rejection)?;
         let service = service_name(request.headers(), request.method()).map_err(rejection)?;
         let published = self.dependencies.config.get(&service);
         let config = service_config(published.as_deref(), &service).map_err(rejection)?;
@@ -256,24 +256,6 @@
         Ok(head)
     }
 
-    /// Validates the size of the header section and the presence of the host field.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the header section is too large or an HTTP/1.1 request has no host field.
-    pub(super) fn validate_request<B>(&self, request: &Request<B>) -> Result<()> {
-        let limit_bytes = self.dependencies.max_header_bytes as usize;
-        let target_bytes = request.uri().path_and_query().map_or(0, |target| target.as_str().len());
-        if headers::size_bytes(request.headers()) + target_bytes > limit_bytes {
-            let message = format!("the header section is larger than {limit_bytes} bytes");
-            return Err(ErrorAnswer::new(ErrorKind::HeadersTooLarge, message));
-        }
-        if request.version() == Version::HTTP_11 && !request.headers().contains_key(HOST) {
-            return Err(ErrorAnswer::new(ErrorKind::MalformedRequest, "the field host is missing"));
-        }
-        Ok(())
-    }
-
     /// Returns the call of this node's upstream on whose behalf the request is made.
     ///
     /// It is identified by the call identity that the upstream copies into its own requests.
@@ -486,6 +468,23 @@
     })
 }
 
+/// Validates the size of the header section and the presence of the host field.
+///
+/// # Errors
+///
+/// Fails if the header section is larger than `max_header_bytes` or an HTTP/1.1 request has no host field.
+pub(super) fn validate_request<B>(request: &Request<B>, max_header_bytes: u32) -> Result<()> {
+    let target_bytes = request.uri().path_and_query().map_or(0, |target| target.as_str().len());
+    if headers::size_bytes(request.headers()) + target_bytes > max_header_bytes as usize {
+        let message = format!("the header section is larger than {max_header_bytes} bytes");
+        return Err(ErrorAnswer::new(ErrorKind::HeadersTooLarge, message));
+    }
+    if request.version() == Version::HTTP_11 && !request.headers().contains_key(HOST) {
+        return Err(ErrorAnswer::new(ErrorKind::MalformedRequest, "the field host is missing"));
+    }
+    Ok(())
+}
+
 /// Sets the HTTP/1.1 host field of an HTTP/2 request from its authority.
 fn set_host_header(parts: &mut Parts) {
     let host = parts.uri.authority().and_then(|name| HeaderValue::from_str(name.as_str()).ok());
--- a/lib/src/transport/routed_explainer.rs
+++ b/lib/src/transport/routed_explainer.rs
@@ -26,6 +26,7 @@
 use crate::transport::explainer::millis;
 use crate::transport::external_dialect::ExternalDialect;
 use crate::transport::ingress::Result;
+use crate::transport::ingress::validate_request;
 use crate::transport::ingress_quota::rejection_answer;
 use crate::transport::routed_ingress::RoutedHandler;
 use crate::transport::routed_ingress::RoutedIngress;
@@ -58,7 +59,7 @@
         let confirmed_at = self.ingress.dependencies.config.confirmed_at();
         let config = config_state(&table, confirmed_at, now);
         let mut builder = ExplanationBuilder::new(&self.ingress.dependencies.local_member, config);
-        builder.check(self.ingress.validate_request(request));
+        builder.check(validate_request(request, self.max_header_bytes(&table)));
         if let Some(route) = builder.check(find_route(&table, request)) {
             builder.explanation.route = Some(route_state(route));
             let request_id = request.headers().get(&self.caller_fields.request_id);
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -32,6 +32,7 @@
 use crate::protocol::headers;
 use crate::protocol::published::Published;
 use crate::protocol::published::PublishedConfig;
+use crate::protocol::route::CallerLimits;
 use crate::state::route_table::Route;
 use crate::state::route_table::RouteTable;
 use crate::state::route_table::gate_rank;
@@ -41,15 +42,20 @@
 use crate::transport::external_dialect::ExternalDialect;
 use crate::transport::gate::GATE_RETRY_AFTER;
 use crate::transport::http_server::Handler;
+use crate::transport::http_server::ServerLimits;
 use crate::transport::ingress::Ingress;
 use crate::transport::ingress::IngressBody;
 use crate::transport::ingress::Result;
 use crate::transport::ingress::no_upstream_error;
+use crate::transport::ingress::validate_request;
 use crate::transport::ingress_call::IngressCall;
 use crate::transport::unfinished_request::ReceivedRequest;
 use crate::transport::unfinished_request::UnansweredRequest;
 use crate::transport::upstream_fields::strip_node_fields;
 
+/// Overhead of the fields of a header section, which operators do not count towards its size.
+const FIELDS_OVERHEAD_BYTES: u32 = 4_096;
+
 /// Timeout of a request when neither the request nor its route sets one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -133,6 +139,10 @@
         }
         response
     }
+
+    fn connection_limits(&self, limits: ServerLimits) -> ServerLimits {
+        self.routed_ingress.connection_limits(limits)
+    }
 }
 
 impl<P> RoutedIngress<P>
@@ -149,8 +159,8 @@
         remote: SocketAddr,
     ) -> Result<CallResponse> {
         let received_at = Instant::now();
-        self.ingress.validate_request(&request)?;
         let table = self.routes()?;
+        validate_request(&request, self.max_header_bytes(&table))?;
         let route = find_route(&table, &request)?;
         let caller = self.authentication.authenticate(&table, route, request.headers(), request_id)?;
         let published = published_service(&table, route.next_service())?;
@@ -166,6 +176,26 @@
         result
     }
 
+    /// Returns the limits of a new connection: those of the server, or of the configuration where it allows more.
+    fn connection_limits(&self, limits: ServerLimits) -> ServerLimits {
+        let Ok(table) = self.routes() else {
+            return limits;
+        };
+        let CallerLimits { header_timeout_ms, idle_timeout_ms, .. } = table.limits();
+        let timeout = Duration::from_millis(header_timeout_ms.max(idle_timeout_ms));
+        ServerLimits {
+            max_header_bytes: self.max_header_bytes(&table),
+            header_timeout: limits.header_timeout.max(timeout),
+            ..limits
+        }
+    }
+
+    /// Returns the maximum size of a header section: that of the settings, or of the configuration if it is larger.
+    pub(super) fn max_header_bytes(&self, table: &RouteTable) -> u32 {
+        let configured = table.limits().max_header_bytes.saturating_add(FIELDS_OVERHEAD_BYTES);
+        self.ingress.dependencies.max_header_bytes.max(configured)
+    }
+
     /// Returns the configuration by which the whole request is handled.
     pub(super) fn routes(&self) -> Result<Arc<RouteTable>> {
         self.ingress.dependencies.config.routes().ok_or_else(no_configuration)
