object watch: watches that bring nothing are 50 ms apart at least

Cause: a watch was repeated as soon as it was answered, and a listing followed an expired one at once. The store alone paced that loop: one that answers at once although nothing has changed, or that never keeps a history, got calls from every node as fast as it answered them.

Change: after a watch without changes, or with an expired history, the next request waits until 50 ms after that watch was sent. Watches that waited for their answer, and changes, are followed as before.

--- a/lib/src/transport/object_watch.rs
+++ b/lib/src/transport/object_watch.rs
@@ -20,6 +20,11 @@
 /// Upper bound of the pause after repeated failures.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
+/// Shortest time from one watch to the next request after a watch without changes.
+///
+/// A store may answer watches at once although there is nothing to report.
+pub const MIN_WATCH_TIME: Duration = Duration::from_millis(50);
+
 /// Event about the objects of one kind.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ObjectEvent {
@@ -94,6 +99,7 @@
         let mut last_epoch = position.map(|position| position.epoch);
         let mut reachable = true;
         loop {
+            let requested_at = Instant::now();
             let result = match *position {
                 None => self.list(&mut last_epoch, &mut on_event, &mut on_current).await.map(Some),
                 Some(watched) => self.watch(watched, &mut on_event, &mut on_current).await,
@@ -105,8 +111,12 @@
                         log_event!(Info, "platform followed again", kind = self.kind, watched = watched);
                     }
                     reachable = true;
+                    let has_no_changes = position.is_some() && (next.is_none() || next == *position);
                     *position = next;
                     self.backoff.reset();
+                    if has_no_changes {
+                        tokio::time::sleep_until(requested_at + MIN_WATCH_TIME).await;
+                    }
                 }
                 Err(error) => {
                     Metrics::count(&self.metrics.platform_calls, "failed");
--- a/lib/tests/object_watch.rs
+++ b/lib/tests/object_watch.rs
@@ -12,6 +12,7 @@
 use yuccatray::protocol::object::Precondition;
 use yuccatray::state::metrics::Metrics;
 use yuccatray::state::metrics::SharedMetrics;
+use yuccatray::transport::object_watch::MIN_WATCH_TIME;
 use yuccatray::transport::object_watch::ObjectWatch;
 use yuccatray::transport::object_watch::platform_backoff;
 use yuccatray::transport::object_watch::watch_objects;
@@ -23,6 +24,8 @@
 
 const LISTED_VERSION: u64 = 10;
 const MAX_TEST_TIME: Duration = Duration::from_mins(1);
+/// Watches of a store that are all answered at once.
+const MANY_WATCHES: usize = 5_000;
 
 /// Scripted outcome of one watch.
 #[derive(Clone, Copy, Debug)]
@@ -117,6 +120,22 @@
     assert_eq!(platform_calls(&[WatchOutcome::StoreRestored]).await, [Call::List, watch, Call::List, watch]);
 }
 
+// Guards against calls without a pause to a store that answers each watch at once.
+#[tokio::test(start_paused = true)]
+async fn watches_answered_at_once_without_changes_are_spaced() {
+    for outcome in [WatchOutcome::NoChanges, WatchOutcome::HistoryExpired, WatchOutcome::StoreRestored] {
+        let platform = ScriptedPlatform {
+            outcomes: Arc::new(Mutex::new(VecDeque::from([outcome; MANY_WATCHES]))),
+            calls: Arc::default(),
+        };
+        let metrics = SharedMetrics::new(Metrics::default());
+        let watching = watch_objects(platform.clone(), ObjectKind::Routes, metrics, |_| {});
+        let _still_waiting = tokio::time::timeout(Duration::from_secs(2), watching).await;
+        let calls = platform.calls.lock().len();
+        assert!((20..=100).contains(&calls), "{calls} calls in 2 s after {outcome:?}");
+    }
+}
+
 /// Guards against a listing each time that a node changes how it watches.
 #[tokio::test(start_paused = true)]
 async fn watch_resumed_at_position_lists_nothing() {
@@ -140,5 +159,7 @@
     }
     let watch = Call::Watch(LISTED_VERSION);
     assert_eq!(*platform.calls.lock(), [Call::List, watch, watch, Call::List, watch, watch]);
-    assert_eq!(times, [started; 3], "each answer but that of a restored store confirms what was reported");
+    let listed_again = started + 2 * MIN_WATCH_TIME;
+    let expected = [started, started, listed_again];
+    assert_eq!(times, expected, "each answer but that of a restored store confirms what was reported");
 }
