call resolution: what a peer's response says is read in a module of its own

Change: peer_response decides whether a response is the answer of a gate and reads its error; call_resolution counts and logs. Nothing else changes.

--- a/lib/src/transport/call_resolution.rs
+++ b/lib/src/transport/call_resolution.rs
@@ -13,11 +13,9 @@
 
 use bytes::Buf;
 use bytes::Bytes;
-use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::Uri;
 use http_body::Body;
 use http_body::Frame;
@@ -32,7 +30,6 @@
 use crate::protocol::call_id::CallId;
 use crate::protocol::error_kind::ErrorKind;
 use crate::protocol::error_kind::Execution;
-use crate::protocol::final_status::is_final_status;
 use crate::protocol::headers;
 use crate::protocol::member::MemberId;
 use crate::protocol::resolve_request::ResolveRequest;
@@ -46,6 +43,9 @@
 use crate::transport::peer_channel::CallChannels;
 use crate::transport::peer_channel::PeerChannel;
 use crate::transport::peer_channel::PeerError;
+use crate::transport::peer_response::PeerResponseError;
+use crate::transport::peer_response::check_response;
+use crate::transport::peer_response::response_or_error;
 
 /// Result of a call through a gate.
 pub type Result<T, E = ErrorAnswer> = std::result::Result<T, E>;
@@ -164,31 +164,35 @@
             .unwrap_or_else(|_elapsed| Err(connection_lost()))
     }
 
-    /// Returns the response, or the error answer for one that is not final, describes an error or is not the gate's.
+    /// Returns the response, or the error answer if it describes an error or is no answer of the gate.
     fn read_response(&self, response: Response<CallBody>) -> Result<Response<CallBody>> {
-        let status = response.status();
-        if is_final_status(status) && !is_from_gate(response.headers()) {
-            log_event_limited!(
+        let checked = check_response(response.status(), response.headers());
+        checked.map_err(|error| self.record_invalid_response(error))?;
+        response_or_error(response)
+    }
+
+    /// Counts and logs a response that is no answer of the gate, and returns the error answer for its call.
+    fn record_invalid_response(&self, error: PeerResponseError) -> ErrorAnswer {
+        match error {
+            PeerResponseError::NotFinal { status } => {
+                Metrics::count(&self.metrics.no_final_responses, "peer");
+                log_event_limited!(
+                    Warn,
+                    "peer sent no final response",
+                    call = &self.id,
+                    peer = self.addr,
+                    status = status,
+                );
+            }
+            PeerResponseError::NotFromGate { status } => log_event_limited!(
                 Warn,
                 "peer answered a call without its gate",
                 call = &self.id,
                 peer = self.addr,
-                status = status.as_u16(),
-            );
-            return Err(no_gate_response(status));
+                status = status,
+            ),
         }
-        if is_final_status(status) {
-            return response_or_error(response);
-        }
-        Metrics::count(&self.metrics.no_final_responses, "peer");
-        log_event_limited!(
-            Warn,
-            "peer sent no final response",
-            call = &self.id,
-            peer = self.addr,
-            status = status.as_u16(),
-        );
-        Err(no_final_response(status))
+        ErrorAnswer::new(ErrorKind::OutcomeUnknown, error.to_string())
     }
 
     /// Cancels the call at its gate, without a retry.
@@ -385,53 +389,6 @@
     ErrorAnswer::new(ErrorKind::OutcomeUnknown, format!("an earlier attempt may have run: {}", last.message))
 }
 
-/// Returns whether a gate made the answer: it adds its load to that of an upstream, and the kind to an error.
-///
-/// Other parts of a node, such as its HTTP library, answer without either.
-fn is_from_gate(fields: &HeaderMap) -> bool {
-    fields.contains_key(headers::LOAD) || fields.contains_key(headers::ERROR)
-}
-
-/// Returns the kind that an error of a gate names; one that only later versions know is taken by what it proves.
-fn error_kind(name: &HeaderValue, execution: Option<&HeaderValue>) -> ErrorKind {
-    let is_not_executed =
-        execution.is_some_and(|value| value.as_bytes() == Execution::NotExecuted.name().as_bytes());
-    let substitute = if is_not_executed { ErrorKind::NoUpstream } else { ErrorKind::OutcomeUnknown };
-    name.to_str().ok().and_then(ErrorKind::from_name).unwrap_or(substitute)
-}
-
-/// Returns the response, or the error answer that its headers describe.
-fn response_or_error(response: Response<CallBody>) -> Result<Response<CallBody>> {
-    let execution = response.headers().get(headers::EXECUTION);
-    let Some(kind) = response.headers().get(headers::ERROR).map(|name| error_kind(name, execution)) else {
-        return Ok(response);
-    };
-    let after_ms = response.headers().get(headers::RETRY_AFTER_MS);
-    let after_ms = after_ms.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
-    let mut answer = ErrorAnswer::new(kind, "the upstream's gate refused or lost the call");
-    let load = response.headers().get(headers::LOAD).and_then(|value| value.to_str().ok());
-    answer.load = load.and_then(|text| text.parse().ok());
-    if execution.is_some_and(|value| value.as_bytes() != Execution::NotExecuted.name().as_bytes()) {
-        answer = answer.with_unknown_outcome();
-    }
-    Err(match after_ms {
-        Some(millis) => answer.retry_after(Duration::from_millis(millis)),
-        None => answer,
-    })
-}
-
-/// Returns the error answer for a call that another node answered with a status that is not final.
-fn no_final_response(status: StatusCode) -> ErrorAnswer {
-    let message = format!("the upstream's gate answered with status {}, which is not final", status.as_u16());
-    ErrorAnswer::new(ErrorKind::OutcomeUnknown, message)
-}
-
-/// Returns the error answer for a call to which another node responded without passing it to its gate.
-fn no_gate_response(status: StatusCode) -> ErrorAnswer {
-    let message = format!("a node answered with status {} in place of its gate", status.as_u16());
-    ErrorAnswer::new(ErrorKind::OutcomeUnknown, message)
-}
-
 /// Returns the error answer for a call whose connection failed and whose outcome is unknown.
 fn connection_lost() -> ErrorAnswer {
     ErrorAnswer::new(ErrorKind::OutcomeUnknown, "the connection failed while the call was under way")
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -43,6 +43,7 @@
 pub mod outgoing_request;
 pub mod peer_channel;
 pub mod peer_handshake;
+mod peer_response;
 pub mod peer_security;
 pub mod peer_server;
 pub mod platform;
