--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -52,6 +52,7 @@
 pub mod quota_link;
 pub mod quota_roster;
 pub mod raw_entries;
+mod request_log;
 mod request_reception;
 pub mod resolved_write;
 pub mod routed_explainer;
--- a/lib/src/transport/routed_ingress.rs
+++ b/lib/src/transport/routed_ingress.rs
@@ -11,7 +11,6 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::header::CONNECTION;
 use http::header::HOST;
 use http_body_util::Either;
@@ -23,7 +22,6 @@
 use crate::coordination::authentication::IdentitySource;
 use crate::coordination::authentication::KeyRules;
 use crate::coordination::routing::RoutingPolicy;
-use crate::log_event_limited;
 use crate::protocol::answer::ErrorAnswer;
 use crate::protocol::call_head::CallHead;
 use crate::protocol::call_head::CallOrigin;
@@ -49,6 +47,7 @@
 use crate::transport::ingress::no_upstream_error;
 use crate::transport::ingress::validate_request;
 use crate::transport::ingress_call::IngressCall;
+use crate::transport::request_log::RequestLog;
 use crate::transport::unfinished_request::ReceivedRequest;
 use crate::transport::unfinished_request::UnansweredRequest;
 use crate::transport::upstream_fields::strip_node_fields;
@@ -338,79 +337,6 @@
     }
 }
 
-/// Data of a request for its log line.
-struct RequestLog<'a> {
-    request_id: Option<&'a HeaderValue>,
-    route: &'a Route,
-    version: &'a Arc<str>,
-    elapsed: Duration,
-}
-
-impl<'a> RequestLog<'a> {
-    fn new(received: &'a ReceivedRequest, route: &'a Route, table: &'a RouteTable) -> Self {
-        Self {
-            request_id: received.request_id.as_ref(),
-            route,
-            version: table.version(),
-            elapsed: received.received_at.elapsed(),
-        }
-    }
-
-    fn request_id(&self) -> &str {
-        self.request_id.and_then(|id| id.to_str().ok()).unwrap_or("none")
-    }
-
-    /// Logs a response that missed the objective or has a server error; other responses are not logged.
-    fn log_response(&self, call: &IngressCall, status: StatusCode) {
-        let objective = Duration::from_millis(self.route.spec.objective_ms);
-        if self.elapsed <= objective && !status.is_server_error() {
-            return;
-        }
-        log_event_limited!(
-            Info,
-            "request missed its objective or failed at its upstream",
-            request = self.request_id(),
-            call = &call.id,
-            route = &self.route.spec.name,
-            config = self.version,
-            service = &call.head.service,
-            tenant = tenant_name(call),
-            status = status.as_u16(),
-            gate = call.last_gate.as_deref().unwrap_or("none"),
-            gates_tried = call.gates_attempted,
-            took_ms = self.elapsed.as_millis(),
-            objective_ms = self.route.spec.objective_ms,
-            usual_ms = call.typical_time().unwrap_or_default().as_millis(),
-        );
-    }
-
-    /// Logs a request to which the node itself responds with an error.
-    fn log_failure(&self, call: &IngressCall, answer: &ErrorAnswer) {
-        log_event_limited!(
-            Info,
-            "request failed",
-            request = self.request_id(),
-            call = &call.id,
-            route = &self.route.spec.name,
-            config = self.version,
-            service = &call.head.service,
-            tenant = tenant_name(call),
-            error = answer.kind,
-            execution = answer.execution.name(),
-            reason = &answer.message,
-            gate = call.last_gate.as_deref().unwrap_or("none"),
-            gates_tried = call.gates_attempted,
-            retry_after_ms = answer.retry_after.unwrap_or_default().as_millis(),
-            took_ms = self.elapsed.as_millis(),
-        );
-    }
-}
-
-/// Returns the name of the call's tenant for a log line.
-fn tenant_name(call: &IngressCall) -> &str {
-    call.tenant.as_ref().map_or("none", |tenant| &tenant.name)
-}
-
 pub(super) fn find_route<'a, B>(table: &'a RouteTable, request: &Request<B>) -> Result<&'a Route> {
     let authority = request.uri().authority().map(http::uri::Authority::as_str);
     let host = authority.or_else(|| request.headers().get(HOST).and_then(|value| value.to_str().ok()));
